--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,132 @@
+// The lint rules of the project: typed TypeScript rules, documented public items, decision code
+// without clock, timer or randomness, and one direction of imports between folders.
+import eslint from '@eslint/js';
+import importX from 'eslint-plugin-import-x';
+import jsdoc from 'eslint-plugin-jsdoc';
+import tseslint from 'typescript-eslint';
+
+/** Folders whose code must be deterministic: time and randomness arrive as arguments. */
+const DECISION_FOLDERS = [
+  'flow',
+  'routing',
+  'health',
+  'balancer',
+  'consensus',
+  'control',
+  'language',
+  'membership',
+];
+
+/** Folders at the edge, which decision code may not import. */
+const EDGE_FOLDERS = ['daemon', 'standins', 'sim', 'experiment', 'client', 'toolbox', 'cli'];
+
+const CLOCK_MESSAGE = 'Time and randomness come in through StepContext.';
+
+const decisionFiles = DECISION_FOLDERS.map((folder) => `src/${folder}/**/*.ts`);
+
+export default tseslint.config(
+  { ignores: ['dist/**', 'node_modules/**', 'src/**/generated/**', '.tap/**'] },
+  eslint.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+    languageOptions: {
+      parserOptions: { project: './tsconfig.json', tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
+      '@typescript-eslint/consistent-type-imports': 'error',
+    },
+  },
+  {
+    files: ['src/**/*.ts'],
+    plugins: { jsdoc, 'import-x': importX },
+    rules: {
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 80, skipBlankLines: true, skipComments: true }],
+      'jsdoc/require-jsdoc': [
+        'error',
+        {
+          publicOnly: true,
+          contexts: ['TSInterfaceDeclaration', 'TSTypeAliasDeclaration', 'VariableDeclaration'],
+          require: { ClassDeclaration: true, FunctionDeclaration: true, MethodDefinition: false },
+        },
+      ],
+      'jsdoc/require-file-overview': 'error',
+      'import-x/no-restricted-paths': [
+        'error',
+        {
+          zones: [
+            ...EDGE_FOLDERS.map((folder) => ({
+              target: DECISION_FOLDERS.concat('common').map((name) => `./src/${name}`),
+              from: `./src/${folder}`,
+              message: 'Decision code does not import the edge.',
+            })),
+            { target: './src/flow', from: './src/balancer' },
+            { target: './src/flow', from: './src/routing' },
+            { target: './src/routing', from: './src/balancer' },
+            { target: './src/daemon', from: './src/standins' },
+            { target: './src/daemon', from: './src/sim' },
+            { target: './src/daemon', from: './src/cli' },
+          ],
+        },
+      ],
+    },
+  },
+  {
+    files: decisionFiles,
+    rules: {
+      'no-restricted-globals': [
+        'error',
+        ...['setTimeout', 'setInterval', 'setImmediate', 'performance'].map((name) => ({
+          name,
+          message: CLOCK_MESSAGE,
+        })),
+      ],
+      'no-restricted-properties': [
+        'error',
+        { object: 'Date', property: 'now', message: CLOCK_MESSAGE },
+        { object: 'Math', property: 'random', message: CLOCK_MESSAGE },
+        { object: 'process', property: 'hrtime', message: CLOCK_MESSAGE },
+      ],
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: "NewExpression[callee.name='Date'][arguments.length=0]",
+          message: CLOCK_MESSAGE,
+        },
+      ],
+      'no-restricted-imports': [
+        'error',
+        {
+          paths: [
+            'node:dgram',
+            'node:net',
+            'node:http',
+            'node:https',
+            'node:fs',
+            'node:timers',
+          ].map((name) => ({ name, message: 'Decision code does no input or output.' })),
+        },
+      ],
+    },
+  },
+  {
+    // tap collects the promises of its tests, and its test functions are async by convention.
+    files: ['test/**/*.ts'],
+    rules: {
+      '@typescript-eslint/no-floating-promises': 'off',
+      '@typescript-eslint/require-await': 'off',
+      '@typescript-eslint/unbound-method': 'off',
+    },
+  },
+  {
+    files: ['**/*.js', '**/*.mjs'],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+  },
+);
--- /dev/null
+++ b/scripts/run-tests.mjs
@@ -0,0 +1,79 @@
+// Runs the compiled test files with the tap runner, and ends with one line of the real counts.
+// Usage: node scripts/run-tests.mjs [part of a file name]
+import { spawn } from 'node:child_process';
+import { existsSync, readFileSync } from 'node:fs';
+import { Parser } from 'tap-parser';
+
+const KNOWN_RED_FILE = 'KNOWN-RED.txt';
+const MAX_KNOWN_RED = 3;
+const TIMEOUT_SECONDS = 300;
+const JOBS = 4;
+
+/** Names of tests that are listed as known to fail: one a line, `test name: cause, issue`. */
+function readKnownRed() {
+  if (!existsSync(KNOWN_RED_FILE)) return [];
+  const lines = readFileSync(KNOWN_RED_FILE, 'utf8').split('\n');
+  return lines.filter((line) => line.trim() !== '').map((line) => line.split(':')[0].trim());
+}
+
+function runTap(pattern) {
+  return spawn(
+    process.execPath,
+    [
+      'node_modules/tap/dist/esm/run.mjs',
+      'run',
+      '--disable-coverage',
+      '--reporter=tap',
+      `--jobs=${JOBS}`,
+      `--timeout=${TIMEOUT_SECONDS}`,
+      `dist/test/**/*${pattern}*.test.js`,
+    ],
+    { stdio: ['ignore', 'pipe', 'inherit'] },
+  );
+}
+
+/** Collects each assertion of each test file, at whatever depth. */
+function watch(parser, path, results) {
+  parser.on('child', (child) => watch(child, [...path, child.name], results));
+  parser.on('assert', (assertion) => {
+    // The line that closes a subtest repeats its result; only its own assertions count.
+    const closesSubtest =
+      path.length === 0 || results.children.has([...path, assertion.name].join(' > '));
+    if (!closesSubtest || !assertion.ok) {
+      results.list.push({
+        name: [...path, assertion.name].join(' > '),
+        ok: assertion.ok,
+        diag: assertion.diag,
+      });
+    }
+  });
+  results.children.add(path.join(' > '));
+}
+
+const knownRed = readKnownRed();
+const results = { list: [], children: new Set() };
+const tap = runTap(process.argv[2] ?? '');
+const parser = new Parser();
+watch(parser, [], results);
+tap.stdout.pipe(parser);
+
+tap.on('close', (code) => {
+  const failures = results.list.filter((result) => !result.ok);
+  const unexpected = failures.filter(
+    (failure) => !knownRed.some((name) => failure.name.includes(name)),
+  );
+  for (const failure of failures) {
+    const label = unexpected.includes(failure) ? 'FAILED' : 'KNOWN RED';
+    console.log(`${label} ${failure.name}`);
+    if (failure.diag) console.log(JSON.stringify(failure.diag, undefined, 2));
+  }
+  const passed = results.list.length - failures.length;
+  const tooManyKnownRed = knownRed.length > MAX_KNOWN_RED;
+  const noFailureExplainsCode = code !== 0 && failures.length === 0;
+  if (tooManyKnownRed) console.log(`${KNOWN_RED_FILE} lists more than ${MAX_KNOWN_RED} tests.`);
+  if (noFailureExplainsCode) console.log(`The tap runner ended with code ${code}.`);
+  const failed = failures.length + (noFailureExplainsCode ? 1 : 0);
+  console.log(`${passed} passed, ${failed} failed`);
+  const bad = unexpected.length > 0 || noFailureExplainsCode || tooManyKnownRed || passed === 0;
+  process.exit(bad ? 1 : 0);
+});
--- /dev/null
+++ b/src/balancer/balancer-events.ts
@@ -0,0 +1,31 @@
+/**
+ * @file What can happen to a balancer, and what its step asks of its surroundings.
+ */
+import type { Address } from '../common/address.js';
+import type { ConfigUpdate } from '../control/config-update.js';
+import type { ProbeResult } from '../health/backend-report.js';
+
+/** What can happen to a balancer. */
+export type BalancerEvent =
+  /** A datagram from the fabric; `replyTo` is the address that it came from. */
+  | { readonly type: 'client-datagram'; readonly datagram: Uint8Array; readonly replyTo: Address }
+  /** A datagram from a back end: an answer to an open. */
+  | { readonly type: 'backend-datagram'; readonly datagram: Uint8Array }
+  | { readonly type: 'config-update'; readonly update: ConfigUpdate }
+  | { readonly type: 'probe-result'; readonly result: ProbeResult }
+  /** Time has passed; comes at least every 50 ms. */
+  | { readonly type: 'tick' }
+  /** A planned stop begins: no new opens, established flows go on. */
+  | { readonly type: 'stop' };
+
+/** Sends a datagram. */
+export interface SendEffect {
+  readonly type: 'send';
+  readonly to: Address;
+  /** Which socket: towards the fabric, or towards back ends. */
+  readonly via: 'fabric' | 'backends';
+  readonly datagram: Uint8Array;
+}
+
+/** What a balancer's step asks of its surroundings. */
+export type BalancerEffect = SendEffect;
--- /dev/null
+++ b/src/balancer/balancer-state.ts
@@ -0,0 +1,206 @@
+/**
+ * @file The state of a balancer: the configuration in force, tables derived from it, what is known
+ * of each back end, and pending opens. Nothing here grows with established flows.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import {
+  emptyRoutingConfig,
+  type Backend,
+  type PlacementPolicyName,
+  type RoutingConfig,
+  type Service,
+} from '../control/cluster-state.js';
+import {
+  applyConfigChange,
+  isNewerPosition,
+  type ConfigPosition,
+  type ConfigUpdate,
+} from '../control/config-update.js';
+import type { ErrorKind } from '../flow/error-kinds.js';
+import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
+import type { HealthReport, LoadReport } from '../health/backend-report.js';
+import type { PlacementPolicy } from '../routing/placement-policy.js';
+import { createPolicy } from '../routing/policy-registry.js';
+
+/** Options of a balancer; times in milliseconds. */
+export interface BalancerOptions {
+  readonly balancerId: string;
+  readonly zone: string;
+  /** Bound of the open table; opens beyond it are refused as `overloaded`. Default 20,000. */
+  readonly maxPendingOpens: number;
+  /** How long one back end may take to answer an open. Default 200. */
+  readonly openAttemptTimeoutMs: number;
+  /** How many back ends an open is tried on. Default 3. */
+  readonly maxOpenAttempts: number;
+}
+
+/** Options that apply where settings give none. */
+export const defaultBalancerOptions = {
+  maxPendingOpens: 20_000,
+  openAttemptTimeoutMs: 200,
+  maxOpenAttempts: 3,
+} as const;
+
+/** What a balancer knows of one back end. */
+export interface BackendView {
+  backend: Backend;
+  health: HealthReport | undefined;
+  load: LoadReport | undefined;
+  loadReceivedAtMs: number;
+  pendingOpens: number;
+  opensSinceReport: number;
+}
+
+/** An open that waits for a back end's answer. */
+export interface PendingOpen {
+  readonly key: string;
+  readonly flowId: Uint8Array;
+  readonly client: Address;
+  readonly service: Service;
+  /** Where the fabric takes the answer. */
+  readonly replyTo: Address;
+  readonly deadlineAtMs: number;
+  /** Back ends tried, the present one last. */
+  readonly triedBackendIds: number[];
+  attemptEndsAtMs: number;
+}
+
+/** The state of a balancer. */
+export interface BalancerState {
+  readonly options: BalancerOptions;
+  readonly config: RoutingConfig;
+  position: ConfigPosition;
+  /** Service by the text form of its address. */
+  readonly servicesByAddress: Map<string, Service>;
+  readonly preparedKeys: Map<number, PreparedTokenKey>;
+  currentKeyId: number | undefined;
+  readonly views: Map<number, BackendView>;
+  readonly policies: Map<PlacementPolicyName, PlacementPolicy>;
+  readonly pendingOpens: Map<string, PendingOpen>;
+  /** Datagrams and opens that ended in each error kind. */
+  readonly errorCounts: Map<ErrorKind, number>;
+  forwardedPackets: number;
+  acceptedOpens: number;
+  stopping: boolean;
+}
+
+/**
+ * @returns the state of a balancer that has no configuration yet
+ */
+export function createBalancerState(options: BalancerOptions): BalancerState {
+  return {
+    options,
+    config: emptyRoutingConfig(),
+    position: { term: 0, index: 0 },
+    servicesByAddress: new Map(),
+    preparedKeys: new Map(),
+    currentKeyId: undefined,
+    views: new Map(),
+    policies: new Map(),
+    pendingOpens: new Map(),
+    errorCounts: new Map(),
+    forwardedPackets: 0,
+    acceptedOpens: 0,
+    stopping: false,
+  };
+}
+
+/**
+ * Counts one error.
+ */
+export function countError(state: BalancerState, kind: ErrorKind): void {
+  state.errorCounts.set(kind, (state.errorCounts.get(kind) ?? 0) + 1);
+}
+
+/**
+ * @returns the policy of that name, one instance per balancer
+ */
+export function policyFor(state: BalancerState, name: PlacementPolicyName): PlacementPolicy {
+  const existing = state.policies.get(name);
+  if (existing !== undefined) {
+    return existing;
+  }
+  const policy = createPolicy(name);
+  state.policies.set(name, policy);
+  return policy;
+}
+
+/**
+ * Takes a configuration update where it is newer and, for a delta, follows on what is in force.
+ * @returns true where it was taken
+ */
+export function applyConfigUpdate(state: BalancerState, update: ConfigUpdate): boolean {
+  if (!isNewerPosition(update.to, state.position)) {
+    return false;
+  }
+  if (update.type === 'delta' && update.from.index !== state.position.index) {
+    return false;
+  }
+  if (update.type === 'snapshot') {
+    replaceConfig(state.config, update);
+  } else {
+    update.changes.forEach((change) => applyConfigChange(state.config, change));
+  }
+  state.position = update.to;
+  rebuildTables(state);
+  return true;
+}
+
+function replaceConfig(
+  config: RoutingConfig,
+  snapshot: Extract<ConfigUpdate, { type: 'snapshot' }>,
+): void {
+  config.services.clear();
+  config.backends.clear();
+  config.keys.clear();
+  snapshot.services.forEach((service) => config.services.set(service.id, service));
+  snapshot.backends.forEach((backend) => config.backends.set(backend.id, backend));
+  snapshot.keys.forEach((key) => config.keys.set(key.id, key));
+}
+
+function rebuildTables(state: BalancerState): void {
+  state.servicesByAddress.clear();
+  for (const service of state.config.services.values()) {
+    state.servicesByAddress.set(formatAddress(service.address), service);
+  }
+  rebuildKeys(state);
+  rebuildViews(state);
+}
+
+function rebuildKeys(state: BalancerState): void {
+  state.preparedKeys.clear();
+  state.currentKeyId = undefined;
+  for (const key of state.config.keys.values()) {
+    state.preparedKeys.set(key.id, prepareTokenKey(key.secret));
+    if (key.state === 'current') {
+      state.currentKeyId = key.id;
+    }
+  }
+}
+
+function rebuildViews(state: BalancerState): void {
+  for (const id of state.views.keys()) {
+    if (!state.config.backends.has(id)) {
+      state.views.delete(id);
+    }
+  }
+  for (const backend of state.config.backends.values()) {
+    const view = state.views.get(backend.id);
+    if (view === undefined) {
+      state.views.set(backend.id, newView(backend));
+    } else {
+      view.backend = backend;
+    }
+  }
+}
+
+function newView(backend: Backend): BackendView {
+  return {
+    backend,
+    health: undefined,
+    load: undefined,
+    loadReceivedAtMs: 0,
+    pendingOpens: 0,
+    opensSinceReport: 0,
+  };
+}
--- /dev/null
+++ b/src/balancer/open-handling.ts
@@ -0,0 +1,275 @@
+/**
+ * @file Opens: choosing a back end, retrying on another one, and answering the caller. Pending
+ * opens are the only state per flow; the table is bounded and its entries expire.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import type { Address } from '../common/address.js';
+import { formatAddress } from '../common/address.js';
+import type { StepContext } from '../common/step.js';
+import { decodeEnvelope, encodeEnvelope, type Envelope } from '../flow/envelope.js';
+import { amberliftError, type AmberliftError, type ErrorKind } from '../flow/error-kinds.js';
+import { answerFor } from '../flow/error-kinds.js';
+import {
+  encodeLongHeader,
+  FLOW_ID_LENGTH_BYTES,
+  hasLongHeader,
+  parseLongHeader,
+} from '../flow/header.js';
+import { decodeMessage, encodeMessage, type OpenMessage } from '../flow/messages.js';
+import { mintToken } from '../flow/token.js';
+import type { PlacementCandidate } from '../routing/placement-policy.js';
+import type { BalancerEffect, SendEffect } from './balancer-events.js';
+import {
+  countError,
+  policyFor,
+  type BackendView,
+  type BalancerState,
+  type PendingOpen,
+} from './balancer-state.js';
+
+/** When a refused caller is told to come back, in milliseconds. */
+const RETRY_AFTER_MS = 500;
+const EMPTY_ID = new Uint8Array(0);
+
+interface ParsedOpen {
+  readonly flowId: Uint8Array;
+  readonly message: OpenMessage;
+}
+
+/**
+ * Takes an open from a caller.
+ */
+export function handleOpen(
+  state: BalancerState,
+  envelope: Envelope,
+  replyTo: Address,
+  context: StepContext,
+): BalancerEffect[] {
+  const parsed = parseOpen(envelope.packet);
+  if (parsed.isErr()) {
+    countError(state, parsed.error.kind);
+    return [];
+  }
+  const service = state.servicesByAddress.get(formatAddress(envelope.service));
+  if (service === undefined) {
+    countError(state, 'unknown-service');
+    return [];
+  }
+  const { flowId, message } = parsed.value;
+  const key = pendingKey(envelope.client, flowId);
+  if (state.pendingOpens.has(key)) {
+    return [];
+  }
+  const open: PendingOpen = {
+    key,
+    flowId: Uint8Array.from(flowId),
+    client: envelope.client,
+    service,
+    replyTo,
+    deadlineAtMs: context.nowMs + message.deadlineMs,
+    triedBackendIds: [],
+    attemptEndsAtMs: 0,
+  };
+  if (state.stopping) {
+    return [refuseOpen(state, open, 'balancer-stopping')];
+  }
+  if (state.pendingOpens.size >= state.options.maxPendingOpens) {
+    return [refuseOpen(state, open, 'overloaded')];
+  }
+  state.pendingOpens.set(key, open);
+  return [attemptOpen(state, open, context)];
+}
+
+/**
+ * Takes a back end's answer to an open.
+ */
+export function handleOpenReply(
+  state: BalancerState,
+  datagram: Uint8Array,
+  context: StepContext,
+): BalancerEffect[] {
+  const reply = parseOpenReply(datagram);
+  if (reply.isErr()) {
+    countError(state, reply.error.kind);
+    return [];
+  }
+  const { envelope, flowId, message } = reply.value;
+  const open = state.pendingOpens.get(pendingKey(envelope.client, flowId));
+  if (open === undefined) {
+    return [];
+  }
+  if (message.type === 'accept') {
+    finishOpen(state, open);
+    state.acceptedOpens += 1;
+    return [{ type: 'send', to: open.replyTo, via: 'fabric', datagram }];
+  }
+  if (message.type === 'refuse') {
+    countError(state, message.kind);
+    learnIncarnation(state, open, message.incarnation);
+    return [retryOpen(state, open, message.kind, context)];
+  }
+  return [];
+}
+
+/**
+ * Ends attempts whose time is up: on another back end, or with a refusal at the open's deadline.
+ */
+export function expireOpens(state: BalancerState, context: StepContext): BalancerEffect[] {
+  const effects: BalancerEffect[] = [];
+  for (const open of state.pendingOpens.values()) {
+    if (open.attemptEndsAtMs <= context.nowMs) {
+      effects.push(retryOpen(state, open, 'deadline-exceeded', context));
+    }
+  }
+  return effects;
+}
+
+function parseOpen(packet: Uint8Array): Result<ParsedOpen, AmberliftError> {
+  return parseLongHeader(packet).andThen(({ sourceId, body }) => {
+    if (sourceId.length !== FLOW_ID_LENGTH_BYTES) {
+      return err(amberliftError('malformed-datagram', 'The flow ID has a wrong length.'));
+    }
+    return decodeMessage(body).andThen((message) =>
+      message.type === 'open'
+        ? ok({ flowId: sourceId, message })
+        : err(amberliftError('malformed-datagram', 'A long header carries no open.')),
+    );
+  });
+}
+
+function parseOpenReply(datagram: Uint8Array) {
+  return decodeEnvelope(datagram).andThen((envelope) => {
+    if (!hasLongHeader(envelope.packet)) {
+      return err(amberliftError('malformed-datagram', 'An answer to an open has a long header.'));
+    }
+    return parseLongHeader(envelope.packet).andThen(({ destinationId, body }) =>
+      decodeMessage(body).map((message) => ({ envelope, flowId: destinationId, message })),
+    );
+  });
+}
+
+function pendingKey(client: Address, flowId: Uint8Array): string {
+  return `${formatAddress(client)}/${Buffer.from(flowId).toString('hex')}`;
+}
+
+function attemptOpen(state: BalancerState, open: PendingOpen, context: StepContext): SendEffect {
+  const keyId = state.currentKeyId;
+  const key = keyId === undefined ? undefined : state.preparedKeys.get(keyId);
+  const view = chooseBackend(state, open, context);
+  if (view === undefined || keyId === undefined || key === undefined) {
+    state.pendingOpens.delete(open.key);
+    return refuseOpen(state, open, 'no-backend-ready');
+  }
+  const backend = view.backend;
+  open.triedBackendIds.push(backend.id);
+  open.attemptEndsAtMs = Math.min(
+    context.nowMs + state.options.openAttemptTimeoutMs,
+    open.deadlineAtMs,
+  );
+  view.pendingOpens += 1;
+  view.opensSinceReport += 1;
+  const fields = {
+    keyId,
+    serviceId: open.service.id,
+    backendId: backend.id,
+    incarnation: view.health?.incarnation ?? 0,
+    flowId: open.flowId,
+  };
+  const body = encodeMessage({ type: 'open', deadlineMs: open.deadlineAtMs - context.nowMs });
+  const packet = encodeLongHeader(mintToken(fields, key), open.flowId, body);
+  const datagram = encodeEnvelope({ client: open.client, service: open.service.address, packet });
+  return { type: 'send', to: backend.address, via: 'backends', datagram };
+}
+
+function chooseBackend(
+  state: BalancerState,
+  open: PendingOpen,
+  context: StepContext,
+): BackendView | undefined {
+  const candidates: PlacementCandidate[] = [];
+  for (const view of state.views.values()) {
+    if (isCandidate(view, open)) {
+      candidates.push(toCandidate(view));
+    }
+  }
+  if (candidates.length === 0) {
+    return undefined;
+  }
+  const request = { flowId: open.flowId, localZone: state.options.zone, balancerCount: 1 };
+  const chosen = policyFor(state, open.service.policy).choose(candidates, request, context);
+  return state.views.get(chosen.backendId);
+}
+
+function isCandidate(view: BackendView, open: PendingOpen): boolean {
+  return (
+    view.backend.serviceId === open.service.id &&
+    view.backend.adminState === 'active' &&
+    view.health?.state === 'ready' &&
+    !open.triedBackendIds.includes(view.backend.id)
+  );
+}
+
+function toCandidate(view: BackendView): PlacementCandidate {
+  return {
+    backendId: view.backend.id,
+    zone: view.backend.zone,
+    weight: 1,
+    load: view.load,
+    loadReceivedAtMs: view.loadReceivedAtMs,
+    pendingOpens: view.pendingOpens,
+    opensSinceReport: view.opensSinceReport,
+  };
+}
+
+function retryOpen(
+  state: BalancerState,
+  open: PendingOpen,
+  cause: ErrorKind,
+  context: StepContext,
+): SendEffect {
+  releaseAttempt(state, open);
+  const exhausted = open.triedBackendIds.length >= state.options.maxOpenAttempts;
+  if (exhausted || open.deadlineAtMs <= context.nowMs) {
+    state.pendingOpens.delete(open.key);
+    return refuseOpen(state, open, cause);
+  }
+  return attemptOpen(state, open, context);
+}
+
+/** A back end that restarted tells its present incarnation when it refuses. */
+function learnIncarnation(
+  state: BalancerState,
+  open: PendingOpen,
+  incarnation: number | undefined,
+): void {
+  const view = state.views.get(open.triedBackendIds.at(-1) ?? 0);
+  if (view?.health !== undefined && incarnation !== undefined) {
+    view.health = { ...view.health, incarnation };
+  }
+}
+
+function finishOpen(state: BalancerState, open: PendingOpen): void {
+  releaseAttempt(state, open);
+  state.pendingOpens.delete(open.key);
+}
+
+function releaseAttempt(state: BalancerState, open: PendingOpen): void {
+  const view = state.views.get(open.triedBackendIds.at(-1) ?? 0);
+  if (view !== undefined) {
+    view.pendingOpens = Math.max(0, view.pendingOpens - 1);
+  }
+}
+
+/** A refused open is truthfully "not run": an open runs nothing. */
+function refuseOpen(state: BalancerState, open: PendingOpen, kind: ErrorKind): SendEffect {
+  countError(state, kind);
+  const body = encodeMessage({
+    type: 'refuse',
+    kind,
+    surelyNotRun: true,
+    ...(answerFor(kind).retryable && { retryAfterMs: RETRY_AFTER_MS }),
+  });
+  const packet = encodeLongHeader(open.flowId, EMPTY_ID, body);
+  const datagram = encodeEnvelope({ client: open.client, service: open.service.address, packet });
+  return { type: 'send', to: open.replyTo, via: 'fabric', datagram };
+}
--- /dev/null
+++ b/src/cli/backend.ts
@@ -0,0 +1,56 @@
+/**
+ * @file `amberlift backend`: runs a stand-in back end.
+ */
+import type { CAC } from 'cac';
+import { startBackend } from '../standins/backend-process.js';
+import { addressFlag } from './address-flag.js';
+import { announceReady, stopOnSignal } from './daemon-command.js';
+
+interface BackendFlags {
+  readonly service: string;
+  readonly serviceAddress: string;
+  readonly fabric: string;
+  readonly host: string;
+  readonly slots: number;
+  readonly connections: number;
+  readonly queue: number;
+  readonly serviceTime: number;
+  readonly warmUp: number;
+}
+
+const HALF_OPEN_TIMEOUT_MS = 10_000;
+
+/**
+ * Registers the subcommand.
+ */
+export function registerBackend(cli: CAC): void {
+  cli
+    .command('backend', 'Run a stand-in back end')
+    .option('--service <name>', 'Name of its service')
+    .option('--service-address <address>', 'Address that callers use')
+    .option('--fabric <address>', 'Where answers go')
+    .option('--host <ip>', 'IP number to bind', { default: '127.0.0.1' })
+    .option('--slots <count>', 'Requests that run at the same time', { default: 2 })
+    .option('--connections <count>', 'Open flows that it holds', { default: 2000 })
+    .option('--queue <count>', 'Requests that may wait for a slot', { default: 200 })
+    .option('--service-time <ms>', 'Mean time that a request runs', { default: 5 })
+    .option('--warm-up <ms>', 'Time after the start before it is ready', { default: 0 })
+    .action(run);
+}
+
+async function run(flags: BackendFlags): Promise<void> {
+  const options = {
+    serviceName: flags.service,
+    serviceAddress: addressFlag('service-address', flags.serviceAddress),
+    fabricAddress: addressFlag('fabric', flags.fabric),
+    slots: flags.slots,
+    connectionLimit: flags.connections,
+    queueLimit: flags.queue,
+    meanServiceTimeMs: flags.serviceTime,
+    warmUpMs: flags.warmUp,
+    halfOpenTimeoutMs: HALF_OPEN_TIMEOUT_MS,
+  };
+  const backend = await startBackend(options, flags.host);
+  stopOnSignal(() => backend.stop());
+  announceReady({ address: backend.address, healthAddress: backend.healthAddress });
+}
--- /dev/null
+++ b/src/cli/daemon-command.ts
@@ -0,0 +1,77 @@
+/**
+ * @file What all subcommands that run a process have in common: settings by file and flags, a line
+ * on standard output once ready, and stopping on a signal.
+ */
+import type { CAC, Command } from 'cac';
+import { setLogLevel } from '../common/logger.js';
+import { answerFor, exitCodes, type AmberliftError } from '../flow/error-kinds.js';
+import { loadSettings } from '../settings/load-settings.js';
+import type { Settings } from '../settings/settings-schema.js';
+
+/** Flags by which settings are given. */
+export interface SettingsFlags {
+  readonly config?: string;
+  readonly set?: string[];
+}
+
+/**
+ * Adds the flags by which settings are given.
+ */
+export function withSettingsFlags(cli: CAC, name: string, description: string): Command {
+  return cli
+    .command(name, description)
+    .option('--config <file>', 'Settings file (YAML)')
+    .option('--set <path=value>', 'Override one option of the file; may be repeated', {
+      type: [String],
+    });
+}
+
+/**
+ * Loads the settings and sets the log level; on an error reports it and sets the exit code.
+ * @returns the settings, or undefined after an error
+ */
+export function settingsFromFlags(flags: SettingsFlags): Settings | undefined {
+  const overrides = (flags.set ?? []).filter((text) => text !== 'undefined');
+  const settings = loadSettings({ file: flags.config, overrides });
+  if (settings.isErr()) {
+    reportError(settings.error);
+    return undefined;
+  }
+  setLogLevel(settings.value.logLevel);
+  return settings.value;
+}
+
+/**
+ * Reports an error on standard error and sets the exit code that belongs to its kind.
+ */
+export function reportError(error: AmberliftError): void {
+  process.stderr.write(`amberlift: ${error.kind}: ${error.message}\n`);
+  process.exitCode = answerFor(error.kind).exitCode;
+}
+
+/**
+ * Prints the line that says that a process is ready, with the addresses that it took.
+ */
+export function announceReady(addresses: object): void {
+  process.stdout.write(`${JSON.stringify({ ready: true, ...addresses })}\n`);
+}
+
+/**
+ * Stops on the first SIGTERM or SIGINT, ends at once on the second.
+ * @param stop the graceful stop
+ */
+export function stopOnSignal(stop: () => Promise<void>): void {
+  let stopping = false;
+  const onSignal = (): void => {
+    if (stopping) {
+      process.exit(exitCodes.failure);
+    }
+    stopping = true;
+    stop().then(
+      () => process.exit(exitCodes.success),
+      () => process.exit(exitCodes.failure),
+    );
+  };
+  process.on('SIGTERM', onSignal);
+  process.on('SIGINT', onSignal);
+}
--- /dev/null
+++ b/src/control/link-messages.ts
@@ -0,0 +1,43 @@
+/**
+ * @file Messages between balancers and control machines, over TCP, as MessagePack.
+ */
+import type { ConfigPosition, ConfigUpdate } from './config-update.js';
+
+/** Balancer to control: asks for the configuration from a position on; the first message. */
+export interface SubscribeMessage {
+  readonly type: 'subscribe';
+  /** Proof of the cluster key; another cluster's is refused with `wrong-cluster`. */
+  readonly clusterKey: string;
+  readonly balancerId: string;
+  readonly zone: string;
+  readonly position: ConfigPosition;
+}
+
+/** Balancer to control: this position is in force here. */
+export interface AcknowledgeMessage {
+  readonly type: 'acknowledge';
+  readonly position: ConfigPosition;
+}
+
+/** Control to balancer: the committed position, so that a balancer that lags knows it. */
+export interface HeartbeatMessage {
+  readonly type: 'heartbeat';
+  readonly committed: ConfigPosition;
+}
+
+/** Control to balancer: an update of the configuration. */
+export interface UpdateMessage {
+  readonly type: 'update';
+  readonly update: ConfigUpdate;
+}
+
+/** Control to balancer: the subscription is refused. */
+export interface LinkRefusedMessage {
+  readonly type: 'link-refused';
+  readonly kind: 'wrong-cluster';
+}
+
+/** Any message from a balancer to a control machine. */
+export type BalancerToControlMessage = SubscribeMessage | AcknowledgeMessage;
+/** Any message from a control machine to a balancer. */
+export type ControlToBalancerMessage = HeartbeatMessage | UpdateMessage | LinkRefusedMessage;
--- /dev/null
+++ b/src/daemon/udp-socket.ts
@@ -0,0 +1,63 @@
+/**
+ * @file A UDP socket bound to one address.
+ */
+import { createSocket, type Socket } from 'node:dgram';
+import { once } from 'node:events';
+import { isIPv6 } from 'node:net';
+import type { Address } from '../common/address.js';
+
+const BUFFER_BYTES = 4 * 1024 * 1024;
+
+/** A bound UDP socket. */
+export interface UdpSocket {
+  /** The address that it is bound to, with the port that the system chose. */
+  readonly address: Address;
+  send(datagram: Uint8Array, to: Address): void;
+  close(): Promise<void>;
+}
+
+/**
+ * Binds a socket.
+ * @param address where to bind; port 0 lets the system choose
+ * @param onDatagram called for each datagram with its sender
+ * @returns the socket; rejects where the address can't be bound
+ */
+export async function bindUdp(
+  address: Address,
+  onDatagram: (datagram: Buffer, from: Address) => void,
+): Promise<UdpSocket> {
+  const type = isIPv6(address.host) ? 'udp6' : 'udp4';
+  const socket = createSocket({
+    type,
+    recvBufferSize: BUFFER_BYTES,
+    sendBufferSize: BUFFER_BYTES,
+  });
+  socket.on('message', (datagram, sender) =>
+    onDatagram(datagram, { host: sender.address, port: sender.port }),
+  );
+  socket.bind(address.port, address.host);
+  await once(socket, 'listening');
+  socket.on('error', ignoreSendError);
+  return wrapSocket(socket, address.host);
+}
+
+function wrapSocket(socket: Socket, host: string): UdpSocket {
+  let closed = false;
+  return {
+    address: { host, port: socket.address().port },
+    send: (datagram, to) => {
+      if (!closed) {
+        socket.send(datagram, to.port, to.host, ignoreSendError);
+      }
+    },
+    close: async () => {
+      closed = true;
+      await new Promise<void>((resolve) => socket.close(() => resolve()));
+    },
+  };
+}
+
+/** A datagram that can't be sent is a lost datagram; its sender retransmits. */
+function ignoreSendError(): void {
+  return undefined;
+}
--- /dev/null
+++ b/src/flow/error-kinds.ts
@@ -0,0 +1,162 @@
+/**
+ * @file The closed list of error kinds, and the table from each kind to its answers: what a caller
+ * hears, what an operator hears over HTTP, the exit code of a command, and whether the work surely
+ * did not run.
+ */
+import { match } from 'ts-pattern';
+
+/** Every kind of error in the system. */
+export const errorKinds = [
+  // Datagrams.
+  'malformed-datagram',
+  'unsupported-version',
+  'unknown-service',
+  'wrong-service',
+  'unknown-key',
+  'forged-token',
+  'unknown-backend',
+  'stale-incarnation',
+  'unknown-flow',
+  // Opens and requests.
+  'no-backend-ready',
+  'overloaded',
+  'rate-limited',
+  'backend-refused',
+  'backend-draining',
+  'balancer-stopping',
+  'deadline-exceeded',
+  'cancelled',
+  'outcome-unknown',
+  // Operators and control.
+  'invalid-command',
+  'unauthorized',
+  'not-found',
+  'conflict',
+  'command-id-reused',
+  'command-expired',
+  'not-leader',
+  'no-quorum',
+  'wrong-cluster',
+  // Processes.
+  'invalid-settings',
+  'storage-failed',
+  'peer-unreachable',
+  'internal',
+] as const;
+
+/** One kind of error. */
+export type ErrorKind = (typeof errorKinds)[number];
+
+/** How a caller is answered: not at all, with a refusal of the open or request, or by a close. */
+export type CallerAnswer = 'drop' | 'refuse' | 'close';
+
+/** The answers that belong to one error kind. */
+export interface ErrorAnswer {
+  /** What the caller hears. */
+  readonly callerAnswer: CallerAnswer;
+  /** True where the open or request surely did not run, so that "not run" may be said. */
+  readonly surelyNotRun: boolean;
+  /** True where the same thing may be tried again later without change. */
+  readonly retryable: boolean;
+  /** HTTP status at the operator interface. */
+  readonly httpStatus: number;
+  /** Exit code of a command that ends with this error. */
+  readonly exitCode: number;
+}
+
+/** Exit codes of all commands; listed in docs/COMMANDS.md. */
+export const exitCodes = {
+  success: 0,
+  failure: 1,
+  usage: 2,
+  settings: 3,
+  refused: 4,
+  unavailable: 5,
+  storage: 6,
+} as const;
+
+function dropped(): ErrorAnswer {
+  return {
+    callerAnswer: 'drop',
+    surelyNotRun: false,
+    retryable: false,
+    httpStatus: 400,
+    exitCode: exitCodes.failure,
+  };
+}
+
+function refused(retryable: boolean, httpStatus: number): ErrorAnswer {
+  return {
+    callerAnswer: 'refuse',
+    surelyNotRun: true,
+    retryable,
+    httpStatus,
+    exitCode: exitCodes.unavailable,
+  };
+}
+
+function closed(): ErrorAnswer {
+  return {
+    callerAnswer: 'close',
+    surelyNotRun: false,
+    retryable: false,
+    httpStatus: 502,
+    exitCode: exitCodes.failure,
+  };
+}
+
+function operatorError(httpStatus: number, retryable: boolean, exitCode: number): ErrorAnswer {
+  return { callerAnswer: 'drop', surelyNotRun: !retryable, retryable, httpStatus, exitCode };
+}
+
+/**
+ * The table from error kind to answers.
+ * @param kind the error kind
+ * @returns its answers
+ */
+export function answerFor(kind: ErrorKind): ErrorAnswer {
+  return match(kind)
+    .with(
+      'malformed-datagram',
+      'unsupported-version',
+      'unknown-service',
+      'wrong-service',
+      'unknown-key',
+      'forged-token',
+      'unknown-backend',
+      dropped,
+    )
+    .with('stale-incarnation', 'unknown-flow', 'outcome-unknown', closed)
+    .with('no-backend-ready', 'overloaded', 'rate-limited', 'backend-refused', () =>
+      refused(true, 503),
+    )
+    .with('backend-draining', 'balancer-stopping', () => refused(true, 503))
+    .with('deadline-exceeded', () => refused(false, 504))
+    .with('cancelled', () => refused(false, 499))
+    .with('invalid-command', () => operatorError(400, false, exitCodes.usage))
+    .with('unauthorized', () => operatorError(401, false, exitCodes.refused))
+    .with('not-found', () => operatorError(404, false, exitCodes.refused))
+    .with('conflict', 'command-id-reused', () => operatorError(409, false, exitCodes.refused))
+    .with('command-expired', () => operatorError(410, false, exitCodes.refused))
+    .with('not-leader', () => operatorError(421, true, exitCodes.unavailable))
+    .with('no-quorum', 'peer-unreachable', () => operatorError(503, true, exitCodes.unavailable))
+    .with('wrong-cluster', () => operatorError(403, false, exitCodes.refused))
+    .with('invalid-settings', () => operatorError(400, false, exitCodes.settings))
+    .with('storage-failed', () => operatorError(507, true, exitCodes.storage))
+    .with('internal', () => operatorError(500, true, exitCodes.failure))
+    .exhaustive();
+}
+
+/** An error as a value; carried by neverthrow results. */
+export interface AmberliftError {
+  readonly kind: ErrorKind;
+  /** One short sentence for people. */
+  readonly message: string;
+}
+
+/**
+ * @returns an error value of the given kind
+ */
+export function amberliftError(kind: ErrorKind, message: string): AmberliftError {
+  return { kind, message };
+}
--- /dev/null
+++ b/src/flow/header.ts
@@ -0,0 +1,116 @@
+/**
+ * @file The caller-facing packet header: the version-independent invariants of QUIC (RFC 8999). A
+ * long header opens a flow; short headers follow, whose destination connection ID is the routing
+ * token (towards a back end) or the caller's flow ID (towards a caller).
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { amberliftError, type AmberliftError } from './error-kinds.js';
+
+/** The only version spoken: "AMB1" in ASCII. */
+export const AMBERLIFT_VERSION = 0x414d4231;
+/** Length in bytes of the flow ID that a caller chooses. */
+export const FLOW_ID_LENGTH_BYTES = 8;
+
+const HEADER_FORM_LONG = 0x80;
+const FIXED_BIT = 0x40;
+const VERSION_OFFSET = 1;
+const DESTINATION_LENGTH_OFFSET = 5;
+const SHORT_HEADER_ID_OFFSET = 1;
+
+/** A parsed long-header packet; the fields are views into the packet, not copies. */
+export interface LongHeaderPacket {
+  readonly destinationId: Uint8Array;
+  readonly sourceId: Uint8Array;
+  readonly body: Uint8Array;
+}
+
+/** A parsed short-header packet; the fields are views into the packet, not copies. */
+export interface ShortHeaderPacket {
+  readonly destinationId: Uint8Array;
+  readonly body: Uint8Array;
+}
+
+/**
+ * @returns true where the packet has a long header
+ */
+export function hasLongHeader(packet: Uint8Array): boolean {
+  return ((packet[0] ?? 0) & HEADER_FORM_LONG) !== 0;
+}
+
+/**
+ * @returns the bytes of a long-header packet
+ */
+export function encodeLongHeader(
+  destinationId: Uint8Array,
+  sourceId: Uint8Array,
+  body: Uint8Array,
+): Buffer {
+  const prefix = Buffer.alloc(DESTINATION_LENGTH_OFFSET);
+  prefix[0] = HEADER_FORM_LONG | FIXED_BIT;
+  prefix.writeUInt32BE(AMBERLIFT_VERSION, VERSION_OFFSET);
+  return Buffer.concat([
+    prefix,
+    Buffer.of(destinationId.length),
+    destinationId,
+    Buffer.of(sourceId.length),
+    sourceId,
+    body,
+  ]);
+}
+
+/**
+ * @returns the bytes of a short-header packet
+ */
+export function encodeShortHeader(destinationId: Uint8Array, body: Uint8Array): Buffer {
+  return Buffer.concat([Buffer.of(FIXED_BIT), destinationId, body]);
+}
+
+/**
+ * @param packet a packet that `hasLongHeader`
+ * @returns its parts, or `malformed-datagram` / `unsupported-version`
+ */
+export function parseLongHeader(packet: Uint8Array): Result<LongHeaderPacket, AmberliftError> {
+  const destinationLength = packet[DESTINATION_LENGTH_OFFSET];
+  if (destinationLength === undefined) {
+    return err(amberliftError('malformed-datagram', 'Long header is cut short.'));
+  }
+  const version = new DataView(packet.buffer, packet.byteOffset).getUint32(VERSION_OFFSET);
+  if (version !== AMBERLIFT_VERSION) {
+    return err(amberliftError('unsupported-version', `Version ${version} is not spoken.`));
+  }
+  const destinationStart = DESTINATION_LENGTH_OFFSET + 1;
+  const sourceLengthOffset = destinationStart + destinationLength;
+  const sourceLength = packet[sourceLengthOffset];
+  if (sourceLength === undefined) {
+    return err(amberliftError('malformed-datagram', 'Destination ID is cut short.'));
+  }
+  const sourceStart = sourceLengthOffset + 1;
+  const bodyStart = sourceStart + sourceLength;
+  if (bodyStart > packet.length) {
+    return err(amberliftError('malformed-datagram', 'Source ID is cut short.'));
+  }
+  return ok({
+    destinationId: packet.subarray(destinationStart, sourceLengthOffset),
+    sourceId: packet.subarray(sourceStart, bodyStart),
+    body: packet.subarray(bodyStart),
+  });
+}
+
+/**
+ * @param packet a packet without long header
+ * @param destinationIdLength length of the ID in bytes, which the receiver knows
+ * @returns its parts, or `malformed-datagram`
+ */
+export function parseShortHeader(
+  packet: Uint8Array,
+  destinationIdLength: number,
+): Result<ShortHeaderPacket, AmberliftError> {
+  const bodyStart = SHORT_HEADER_ID_OFFSET + destinationIdLength;
+  if (packet.length < bodyStart) {
+    return err(amberliftError('malformed-datagram', 'Short header is cut short.'));
+  }
+  return ok({
+    destinationId: packet.subarray(SHORT_HEADER_ID_OFFSET, bodyStart),
+    body: packet.subarray(bodyStart),
+  });
+}
--- /dev/null
+++ b/src/flow/token.ts
@@ -0,0 +1,92 @@
+/**
+ * @file The routing token: the connection ID by which any balancer finds the back end of an
+ * established flow without state. Layout in bytes, big endian:
+ * key ID 1, service ID 4, back end ID 4, back end incarnation 4, caller's flow ID 8, MAC 8.
+ * The MAC is SipHash-2-4 over all that precedes it, under the key that the key ID names.
+ */
+import siphash from 'siphash';
+import { FLOW_ID_LENGTH_BYTES } from './header.js';
+
+const KEY_ID_OFFSET = 0;
+const SERVICE_ID_OFFSET = 1;
+const BACKEND_ID_OFFSET = 5;
+const INCARNATION_OFFSET = 9;
+const FLOW_ID_OFFSET = 13;
+const MAC_OFFSET = FLOW_ID_OFFSET + FLOW_ID_LENGTH_BYTES;
+const MAC_LENGTH_BYTES = 8;
+
+/** Length in bytes of every routing token. */
+export const TOKEN_LENGTH_BYTES = MAC_OFFSET + MAC_LENGTH_BYTES;
+/** Length in bytes of a token key. */
+export const TOKEN_KEY_LENGTH_BYTES = 16;
+/** Highest key ID; key IDs are used again after 256 rotations. */
+export const MAX_TOKEN_KEY_ID = 255;
+
+/** What a token says. */
+export interface TokenFields {
+  readonly keyId: number;
+  readonly serviceId: number;
+  readonly backendId: number;
+  /** Incarnation of the back end process, 32 bits. */
+  readonly incarnation: number;
+  /** The caller's flow ID, 8 bytes. */
+  readonly flowId: Uint8Array;
+}
+
+/** A key as the hash takes it. */
+export type PreparedTokenKey = Uint32Array;
+
+/**
+ * @param secret 16 bytes
+ * @returns the key in the form that minting and checking take
+ */
+export function prepareTokenKey(secret: Uint8Array): PreparedTokenKey {
+  const view = new DataView(secret.buffer, secret.byteOffset, TOKEN_KEY_LENGTH_BYTES);
+  return Uint32Array.of(
+    view.getUint32(0, true),
+    view.getUint32(4, true),
+    view.getUint32(8, true),
+    view.getUint32(12, true),
+  );
+}
+
+/**
+ * @returns a token of `TOKEN_LENGTH_BYTES`
+ */
+export function mintToken(fields: TokenFields, key: PreparedTokenKey): Buffer {
+  const token = Buffer.alloc(TOKEN_LENGTH_BYTES);
+  token.writeUInt8(fields.keyId, KEY_ID_OFFSET);
+  token.writeUInt32BE(fields.serviceId, SERVICE_ID_OFFSET);
+  token.writeUInt32BE(fields.backendId, BACKEND_ID_OFFSET);
+  token.writeUInt32BE(fields.incarnation, INCARNATION_OFFSET);
+  token.set(fields.flowId, FLOW_ID_OFFSET);
+  const mac = siphash.hash(key, token.subarray(0, MAC_OFFSET));
+  token.writeUInt32BE(mac.h, MAC_OFFSET);
+  token.writeUInt32BE(mac.l, MAC_OFFSET + 4);
+  return token;
+}
+
+/**
+ * Reads a token without checking its MAC.
+ * @param token `TOKEN_LENGTH_BYTES` bytes
+ * @returns what it says
+ */
+export function readToken(token: Uint8Array): TokenFields {
+  const view = new DataView(token.buffer, token.byteOffset, TOKEN_LENGTH_BYTES);
+  return {
+    keyId: view.getUint8(KEY_ID_OFFSET),
+    serviceId: view.getUint32(SERVICE_ID_OFFSET),
+    backendId: view.getUint32(BACKEND_ID_OFFSET),
+    incarnation: view.getUint32(INCARNATION_OFFSET),
+    flowId: token.subarray(FLOW_ID_OFFSET, MAC_OFFSET),
+  };
+}
+
+/**
+ * @returns true where the token's MAC was made with this key
+ */
+export function hasValidMac(token: Uint8Array, key: PreparedTokenKey): boolean {
+  const mac = siphash.hash(key, token.subarray(0, MAC_OFFSET));
+  const view = new DataView(token.buffer, token.byteOffset, TOKEN_LENGTH_BYTES);
+  return view.getUint32(MAC_OFFSET) === mac.h && view.getUint32(MAC_OFFSET + 4) === mac.l;
+}
--- /dev/null
+++ b/src/settings/load-settings.ts
@@ -0,0 +1,96 @@
+/**
+ * @file Reads settings: a YAML file, overridden by flags, checked by the schema. An error names the
+ * file, the path in it, what was found and what is allowed; nothing starts on an error.
+ */
+import { readFileSync } from 'node:fs';
+import { err, ok, Result } from 'neverthrow';
+import { parse } from 'yaml';
+import type { z } from 'zod';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import { settingsSchema, type Settings } from './settings-schema.js';
+
+/** A plain object, as YAML gives it. */
+type PlainObject = Record<string, unknown>;
+
+/** Where settings come from. */
+export interface SettingsSource {
+  /** Path of a YAML file; absent where flags say everything. */
+  readonly file?: string | undefined;
+  /** Overrides `path.to.option=value`, the value written as in YAML. */
+  readonly overrides: readonly string[];
+}
+
+/**
+ * @returns the checked settings, or `invalid-settings`
+ */
+export function loadSettings(source: SettingsSource): Result<Settings, AmberliftError> {
+  return readFile(source.file)
+    .andThen((base) => applyOverrides(base, source.overrides))
+    .andThen((value) => check(value, source.file ?? 'flags'));
+}
+
+function readFile(file: string | undefined): Result<PlainObject, AmberliftError> {
+  if (file === undefined) {
+    return ok({});
+  }
+  return Result.fromThrowable(
+    () => parse(readFileSync(file, 'utf8')) as unknown,
+    (cause) => amberliftError('invalid-settings', `${file}: ${String(cause)}`),
+  )().andThen((value) =>
+    isPlainObject(value)
+      ? ok(value)
+      : err(amberliftError('invalid-settings', `${file}: a map of options is expected.`)),
+  );
+}
+
+function applyOverrides(
+  base: PlainObject,
+  overrides: readonly string[],
+): Result<PlainObject, AmberliftError> {
+  const settings = structuredClone(base);
+  for (const override of overrides) {
+    const separator = override.indexOf('=');
+    if (separator < 1) {
+      const message = `--set ${override}: allowed is path.to.option=value.`;
+      return err(amberliftError('invalid-settings', message));
+    }
+    const value = parse(override.slice(separator + 1)) as unknown;
+    setPath(settings, override.slice(0, separator).split('.'), value);
+  }
+  return ok(settings);
+}
+
+function setPath(target: PlainObject, path: readonly string[], value: unknown): void {
+  const [head = '', ...rest] = path;
+  if (rest.length === 0) {
+    target[head] = value;
+    return;
+  }
+  const existing = target[head];
+  const child = isPlainObject(existing) ? existing : {};
+  target[head] = child;
+  setPath(child, rest, value);
+}
+
+function check(value: PlainObject, file: string): Result<Settings, AmberliftError> {
+  const parsed = settingsSchema.safeParse(value);
+  if (parsed.success) {
+    return ok(parsed.data);
+  }
+  const lines = parsed.error.issues.map((issue) => describeIssue(issue, value, file));
+  return err(amberliftError('invalid-settings', lines.join('\n')));
+}
+
+function describeIssue(issue: z.core.$ZodIssue, value: PlainObject, file: string): string {
+  const path = issue.path.join('.') || '(top)';
+  const found = issue.path.reduce<unknown>(
+    (current, key) => (isPlainObject(current) ? current[String(key)] : undefined),
+    value,
+  );
+  const shown = found === undefined ? 'nothing' : JSON.stringify(found);
+  return `${file}: ${path}: found ${shown}; ${issue.message}`;
+}
+
+function isPlainObject(value: unknown): value is PlainObject {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- /dev/null
+++ b/src/standins/fabric-process.ts
@@ -0,0 +1,92 @@
+/**
+ * @file The stand-in fabric as a process: one UDP socket per service address, one towards balancers
+ * and back ends, and an HTTP endpoint by which the platform sets the list of balancers.
+ */
+import { z } from 'zod';
+import { addressSchema, formatAddress, type Address } from '../common/address.js';
+import { readBody, respondJson } from '../daemon/http-json.js';
+import { listenHttp } from '../daemon/http-server.js';
+import { systemContextSource } from '../daemon/system-context.js';
+import { bindUdp, type UdpSocket } from '../daemon/udp-socket.js';
+import {
+  fabricStep,
+  type FabricEffect,
+  type FabricEvent,
+  type FabricOptions,
+  type FabricState,
+} from './fabric-step.js';
+
+const balancerListSchema = z.array(z.strictObject({ address: addressSchema, zone: z.string() }));
+
+/** A running fabric. */
+export interface FabricProcess {
+  /** Service addresses, in the order asked for. */
+  readonly serviceAddresses: readonly Address[];
+  /** Where balancers and back ends send answers. */
+  readonly returnAddress: Address;
+  /** `POST /balancers` sets the list. */
+  readonly platformAddress: Address;
+  stop(): Promise<void>;
+}
+
+/**
+ * Starts a fabric.
+ * @param serviceAddresses one for each service; port 0 lets the system choose
+ */
+export async function startFabric(
+  options: FabricOptions,
+  serviceAddresses: readonly Address[],
+): Promise<FabricProcess> {
+  const state: FabricState = { options, balancers: [] };
+  const contexts = systemContextSource();
+  const serviceSockets = new Map<string, UdpSocket>();
+  const step = (event: FabricEvent): void => {
+    for (const effect of fabricStep(state, event, contexts.now())) {
+      performLater(effect, serviceSockets, returnSocket);
+    }
+  };
+  const anyPort = { host: serviceAddresses[0]?.host ?? '127.0.0.1', port: 0 };
+  const returnSocket: UdpSocket = await bindUdp(anyPort, (datagram) =>
+    step({ type: 'return-datagram', datagram }),
+  );
+  for (const wanted of serviceAddresses) {
+    const socket: UdpSocket = await bindUdp(wanted, (packet, client) =>
+      step({ type: 'caller-packet', packet, client, service: socket.address }),
+    );
+    serviceSockets.set(formatAddress(socket.address), socket);
+  }
+  const http = await listenHttp(anyPort, (incoming, response) => {
+    void readBody(incoming).then((body) => {
+      const balancers = body.map((value) => balancerListSchema.safeParse(value).data);
+      if (balancers.isErr() || balancers.value === undefined) {
+        respondJson(response, 400, { error: 'A list of balancers is expected.' });
+        return;
+      }
+      step({ type: 'list', balancers: balancers.value });
+      respondJson(response, 200, {});
+    });
+  });
+  return {
+    serviceAddresses: [...serviceSockets.values()].map((socket) => socket.address),
+    returnAddress: returnSocket.address,
+    platformAddress: http.address,
+    stop: async () => {
+      const sockets = [returnSocket, ...serviceSockets.values()];
+      await Promise.all([http.close(), ...sockets.map((socket) => socket.close())]);
+    },
+  };
+}
+
+function performLater(
+  effect: FabricEffect,
+  serviceSockets: Map<string, UdpSocket>,
+  returnSocket: UdpSocket,
+): void {
+  setTimeout(() => {
+    if (effect.type === 'to-balancer') {
+      returnSocket.send(effect.datagram, effect.to);
+    } else {
+      serviceSockets.get(formatAddress(effect.service))?.send(effect.packet, effect.client);
+    }
+  }, effect.delayMs);
+}
--- /dev/null
+++ b/src/standins/fabric-step.ts
@@ -0,0 +1,108 @@
+/**
+ * @file The decision step of the stand-in fabric: sprays every packet at random over the listed
+ * balancers, and hands answers to callers. Its list of balancers may lag.
+ */
+import { match } from 'ts-pattern';
+import type { Address } from '../common/address.js';
+import type { StepContext } from '../common/step.js';
+import { decodeEnvelope, encodeEnvelope } from '../flow/envelope.js';
+
+/** A balancer as the fabric lists it. */
+export interface FabricBalancer {
+  readonly address: Address;
+  readonly zone: string;
+}
+
+/** Options of the fabric; times in milliseconds, one way. */
+export interface FabricOptions {
+  /** Zone in which callers enter. */
+  readonly zone: string;
+  /** Delay between two zones. */
+  readonly crossZoneDelayMs: number;
+  /** Delay between callers and the fabric. */
+  readonly callerDelayMs: number;
+}
+
+/** The state of the fabric. */
+export interface FabricState {
+  readonly options: FabricOptions;
+  balancers: readonly FabricBalancer[];
+}
+
+/** What can happen to the fabric. */
+export type FabricEvent =
+  /** A packet from a caller to a service. */
+  | {
+      readonly type: 'caller-packet';
+      readonly packet: Uint8Array;
+      readonly client: Address;
+      readonly service: Address;
+    }
+  /** A datagram from a balancer or a back end, for a caller. */
+  | { readonly type: 'return-datagram'; readonly datagram: Uint8Array }
+  | { readonly type: 'list'; readonly balancers: readonly FabricBalancer[] };
+
+/** What the fabric does, after a delay in milliseconds. */
+export type FabricEffect =
+  | {
+      readonly type: 'to-balancer';
+      readonly to: Address;
+      readonly datagram: Uint8Array;
+      readonly delayMs: number;
+    }
+  | {
+      readonly type: 'to-caller';
+      readonly client: Address;
+      /** The service address from which the packet is sent. */
+      readonly service: Address;
+      readonly packet: Uint8Array;
+      readonly delayMs: number;
+    };
+
+/**
+ * Takes one event.
+ * @returns the effects, in order
+ */
+export function fabricStep(
+  state: FabricState,
+  event: FabricEvent,
+  context: StepContext,
+): FabricEffect[] {
+  return match(event)
+    .with({ type: 'caller-packet' }, ({ packet, client, service }) => {
+      if (state.balancers.length === 0) {
+        return [];
+      }
+      const balancer = state.balancers[context.random.nextInt(state.balancers.length)];
+      if (balancer === undefined) {
+        return [];
+      }
+      const datagram = encodeEnvelope({ client, service, packet });
+      const delayMs = delayTo(state.options, balancer.zone);
+      return [{ type: 'to-balancer' as const, to: balancer.address, datagram, delayMs }];
+    })
+    .with({ type: 'return-datagram' }, ({ datagram }) =>
+      decodeEnvelope(datagram).match(
+        ({ client, service, packet }) => [
+          {
+            type: 'to-caller' as const,
+            client,
+            service,
+            packet,
+            delayMs: state.options.callerDelayMs,
+          },
+        ],
+        () => [],
+      ),
+    )
+    .with({ type: 'list' }, ({ balancers }) => {
+      state.balancers = balancers;
+      return [];
+    })
+    .exhaustive();
+}
+
+function delayTo(options: FabricOptions, zone: string): number {
+  const crossing = zone === options.zone ? 0 : options.crossZoneDelayMs;
+  return options.callerDelayMs + crossing;
+}
