--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,6 +13,7 @@
   'balancer',
   'consensus',
   'control',
+  'dissemination',
   'language',
   'membership',
 ];
--- a/src/balancer/balancer-events.ts
+++ b/src/balancer/balancer-events.ts
@@ -2,8 +2,10 @@
  * @file What can happen to a balancer, and what its step asks of its surroundings.
  */
 import type { Address } from '../common/address.js';
-import type { ConfigUpdate } from '../control/config-update.js';
+import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
+import type { SubscriptionEffect } from '../dissemination/subscription.js';
 import type { ProbeResult } from '../health/backend-report.js';
+import type { ProbeEffect } from '../health/probe-schedule.js';
 
 /** What can happen to a balancer. */
 export type BalancerEvent =
@@ -11,7 +13,14 @@
   | { readonly type: 'client-datagram'; readonly datagram: Uint8Array; readonly replyTo: Address }
   /** A datagram from a back end: an answer to an open. */
   | { readonly type: 'backend-datagram'; readonly datagram: Uint8Array }
-  | { readonly type: 'config-update'; readonly update: ConfigUpdate }
+  /** A link that was asked for by `link-open` stands. */
+  | { readonly type: 'link-opened'; readonly linkId: number }
+  | {
+      readonly type: 'link-message';
+      readonly linkId: number;
+      readonly message: ControlToBalancerMessage;
+    }
+  | { readonly type: 'link-closed'; readonly linkId: number }
   | { readonly type: 'probe-result'; readonly result: ProbeResult }
   /** Time has passed; comes at least every 50 ms. */
   | { readonly type: 'tick' }
@@ -28,4 +37,4 @@
 }
 
 /** What a balancer's step asks of its surroundings. */
-export type BalancerEffect = SendEffect;
+export type BalancerEffect = SendEffect | SubscriptionEffect | ProbeEffect;
--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -16,9 +16,11 @@
   type ConfigPosition,
   type ConfigUpdate,
 } from '../control/config-update.js';
+import { createSubscription, type SubscriptionState } from '../dissemination/subscription.js';
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
 import type { HealthReport, LoadReport } from '../health/backend-report.js';
+import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
 
@@ -32,6 +34,10 @@
   readonly openAttemptTimeoutMs: number;
   /** How many back ends an open is tried on. Default 3. */
   readonly maxOpenAttempts: number;
+  /** Time between two health probes of a back end. Default 500. */
+  readonly probeIntervalMs: number;
+  readonly controlAddresses: readonly Address[];
+  readonly clusterKey: string;
 }
 
 /** Options that apply where settings give none. */
@@ -39,6 +45,7 @@
   maxPendingOpens: 20_000,
   openAttemptTimeoutMs: 200,
   maxOpenAttempts: 3,
+  probeIntervalMs: 500,
 } as const;
 
 /** What a balancer knows of one back end. */
@@ -79,6 +86,8 @@
   readonly pendingOpens: Map<string, PendingOpen>;
   /** Datagrams and opens that ended in each error kind. */
   readonly errorCounts: Map<ErrorKind, number>;
+  readonly subscription: SubscriptionState;
+  readonly probes: ProbeSchedule;
   forwardedPackets: number;
   acceptedOpens: number;
   stopping: boolean;
@@ -99,6 +108,8 @@
     policies: new Map(),
     pendingOpens: new Map(),
     errorCounts: new Map(),
+    subscription: createSubscription(options),
+    probes: createProbeSchedule(options.probeIntervalMs),
     forwardedPackets: 0,
     acceptedOpens: 0,
     stopping: false,
--- a/src/balancer/balancer-step.ts
+++ b/src/balancer/balancer-step.ts
@@ -4,11 +4,20 @@
 import { match } from 'ts-pattern';
 import type { Address } from '../common/address.js';
 import type { StepContext } from '../common/step.js';
+import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
+import {
+  acknowledge,
+  handleControlMessage,
+  handleLinkClosed,
+  handleLinkOpened,
+  subscriptionTick,
+} from '../dissemination/subscription.js';
 import { decodeEnvelope } from '../flow/envelope.js';
 import { hasLongHeader } from '../flow/header.js';
-import type { ProbeResult } from '../health/backend-report.js';
+import { dueProbes, probeEnded } from '../health/probe-schedule.js';
 import { applyConfigUpdate, countError, type BalancerState } from './balancer-state.js';
 import type { BalancerEffect, BalancerEvent } from './balancer-events.js';
+import { recordProbe } from './candidates.js';
 import { routeEstablished } from './forwarding.js';
 import { expireOpens, handleOpen, handleOpenReply } from './open-handling.js';
 
@@ -26,15 +35,22 @@
       handleClientDatagram(state, datagram, replyTo, context),
     )
     .with({ type: 'backend-datagram' }, ({ datagram }) => handleOpenReply(state, datagram, context))
-    .with({ type: 'config-update' }, ({ update }) => {
-      applyConfigUpdate(state, update);
+    .with({ type: 'link-opened' }, ({ linkId }) =>
+      handleLinkOpened(state.subscription, linkId, state.position),
+    )
+    .with({ type: 'link-message' }, ({ linkId, message }) =>
+      handleLinkMessage(state, linkId, message, context),
+    )
+    .with({ type: 'link-closed' }, ({ linkId }) => {
+      handleLinkClosed(state.subscription, linkId, context.nowMs);
       return [];
     })
     .with({ type: 'probe-result' }, ({ result }) => {
+      probeEnded(state.probes, result.backendId);
       recordProbe(state, result, context);
       return [];
     })
-    .with({ type: 'tick' }, () => expireOpens(state, context))
+    .with({ type: 'tick' }, () => handleTick(state, context))
     .with({ type: 'stop' }, () => {
       state.stopping = true;
       return [];
@@ -65,15 +81,34 @@
   return [{ type: 'send', to: target.value, via: 'backends', datagram }];
 }
 
-function recordProbe(state: BalancerState, result: ProbeResult, context: StepContext): void {
-  const view = state.views.get(result.backendId);
-  if (view === undefined) {
-    return;
-  }
-  view.health = result.health;
-  if (result.load !== undefined) {
-    view.load = result.load;
-    view.loadReceivedAtMs = context.nowMs;
-    view.opensSinceReport = 0;
+function handleLinkMessage(
+  state: BalancerState,
+  linkId: number,
+  message: ControlToBalancerMessage,
+  context: StepContext,
+): BalancerEffect[] {
+  const { update, effects } = handleControlMessage(
+    state.subscription,
+    linkId,
+    message,
+    state.position,
+    context.nowMs,
+  );
+  if (update === undefined) {
+    return effects;
   }
+  applyConfigUpdate(state, update);
+  return [
+    ...effects,
+    ...acknowledge(state.subscription, state.position),
+    ...dueProbes(state.probes, state.config.backends.values(), context.nowMs),
+  ];
+}
+
+function handleTick(state: BalancerState, context: StepContext): BalancerEffect[] {
+  return [
+    ...expireOpens(state, context),
+    ...subscriptionTick(state.subscription, context.nowMs),
+    ...dueProbes(state.probes, state.config.backends.values(), context.nowMs),
+  ];
 }
--- a/src/balancer/open-handling.ts
+++ b/src/balancer/open-handling.ts
@@ -17,15 +17,14 @@
 } from '../flow/header.js';
 import { decodeMessage, encodeMessage, type OpenMessage } from '../flow/messages.js';
 import { mintToken } from '../flow/token.js';
-import type { PlacementCandidate } from '../routing/placement-policy.js';
 import type { BalancerEffect, SendEffect } from './balancer-events.js';
+import { countError, type BalancerState, type PendingOpen } from './balancer-state.js';
 import {
-  countError,
-  policyFor,
-  type BackendView,
-  type BalancerState,
-  type PendingOpen,
-} from './balancer-state.js';
+  chooseBackend,
+  recordAttempt,
+  recordAttemptEnd,
+  type AttemptOutcome,
+} from './candidates.js';
 
 /** When a refused caller is told to come back, in milliseconds. */
 const RETRY_AFTER_MS = 500;
@@ -99,13 +98,14 @@
     return [];
   }
   if (message.type === 'accept') {
-    finishOpen(state, open);
+    endAttempt(state, open, 'accepted', message.incarnation);
+    state.pendingOpens.delete(open.key);
     state.acceptedOpens += 1;
     return [{ type: 'send', to: open.replyTo, via: 'fabric', datagram }];
   }
   if (message.type === 'refuse') {
     countError(state, message.kind);
-    learnIncarnation(state, open, message.incarnation);
+    endAttempt(state, open, 'refused', message.incarnation);
     return [retryOpen(state, open, message.kind, context)];
   }
   return [];
@@ -118,6 +118,7 @@
   const effects: BalancerEffect[] = [];
   for (const open of state.pendingOpens.values()) {
     if (open.attemptEndsAtMs <= context.nowMs) {
+      endAttempt(state, open, 'timed-out', undefined);
       effects.push(retryOpen(state, open, 'deadline-exceeded', context));
     }
   }
@@ -166,8 +167,7 @@
     context.nowMs + state.options.openAttemptTimeoutMs,
     open.deadlineAtMs,
   );
-  view.pendingOpens += 1;
-  view.opensSinceReport += 1;
+  recordAttempt(view);
   const fields = {
     keyId,
     serviceId: open.service.id,
@@ -181,53 +181,12 @@
   return { type: 'send', to: backend.address, via: 'backends', datagram };
 }
 
-function chooseBackend(
-  state: BalancerState,
-  open: PendingOpen,
-  context: StepContext,
-): BackendView | undefined {
-  const candidates: PlacementCandidate[] = [];
-  for (const view of state.views.values()) {
-    if (isCandidate(view, open)) {
-      candidates.push(toCandidate(view));
-    }
-  }
-  if (candidates.length === 0) {
-    return undefined;
-  }
-  const request = { flowId: open.flowId, localZone: state.options.zone, balancerCount: 1 };
-  const chosen = policyFor(state, open.service.policy).choose(candidates, request, context);
-  return state.views.get(chosen.backendId);
-}
-
-function isCandidate(view: BackendView, open: PendingOpen): boolean {
-  return (
-    view.backend.serviceId === open.service.id &&
-    view.backend.adminState === 'active' &&
-    view.health?.state === 'ready' &&
-    !open.triedBackendIds.includes(view.backend.id)
-  );
-}
-
-function toCandidate(view: BackendView): PlacementCandidate {
-  return {
-    backendId: view.backend.id,
-    zone: view.backend.zone,
-    weight: 1,
-    load: view.load,
-    loadReceivedAtMs: view.loadReceivedAtMs,
-    pendingOpens: view.pendingOpens,
-    opensSinceReport: view.opensSinceReport,
-  };
-}
-
 function retryOpen(
   state: BalancerState,
   open: PendingOpen,
   cause: ErrorKind,
   context: StepContext,
 ): SendEffect {
-  releaseAttempt(state, open);
   const exhausted = open.triedBackendIds.length >= state.options.maxOpenAttempts;
   if (exhausted || open.deadlineAtMs <= context.nowMs) {
     state.pendingOpens.delete(open.key);
@@ -236,27 +195,15 @@
   return attemptOpen(state, open, context);
 }
 
-/** A back end that restarted tells its present incarnation when it refuses. */
-function learnIncarnation(
+function endAttempt(
   state: BalancerState,
   open: PendingOpen,
+  outcome: AttemptOutcome,
   incarnation: number | undefined,
 ): void {
-  const view = state.views.get(open.triedBackendIds.at(-1) ?? 0);
-  if (view?.health !== undefined && incarnation !== undefined) {
-    view.health = { ...view.health, incarnation };
-  }
-}
-
-function finishOpen(state: BalancerState, open: PendingOpen): void {
-  releaseAttempt(state, open);
-  state.pendingOpens.delete(open.key);
-}
-
-function releaseAttempt(state: BalancerState, open: PendingOpen): void {
   const view = state.views.get(open.triedBackendIds.at(-1) ?? 0);
   if (view !== undefined) {
-    view.pendingOpens = Math.max(0, view.pendingOpens - 1);
+    recordAttemptEnd(view, outcome, incarnation);
   }
 }
 
--- a/src/daemon/balancer-daemon.ts
+++ b/src/daemon/balancer-daemon.ts
@@ -1,14 +1,16 @@
 /**
- * @file The balancer daemon: sockets, timers and links around the balancer's decision step.
+ * @file The balancer daemon: sockets, links, probes and timers around the balancer's decision step.
  */
+import { match } from 'ts-pattern';
 import type { Address } from '../common/address.js';
 import { loggerFor } from '../common/logger.js';
-import { balancerStep } from '../balancer/balancer-step.js';
 import type { BalancerEffect, BalancerEvent } from '../balancer/balancer-events.js';
 import { createBalancerState, type BalancerState } from '../balancer/balancer-state.js';
+import { balancerStep } from '../balancer/balancer-step.js';
+import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
 import type { Settings } from '../settings/settings-schema.js';
-import { ControlClient } from './control-client.js';
-import { HealthProber } from './health-prober.js';
+import { probeBackend } from './health-probe.js';
+import { connectLink, type MessageLink } from './message-link.js';
 import { systemContextSource } from './system-context.js';
 import { bindUdp, type UdpSocket } from './udp-socket.js';
 
@@ -29,63 +31,93 @@
  * @returns the daemon; rejects where an address can't be bound
  */
 export async function startBalancerDaemon(settings: Settings): Promise<BalancerDaemon> {
+  const { balancer, nodeId, zone, clusterKey } = settings;
+  const state = createBalancerState({ ...balancer, balancerId: nodeId, zone, clusterKey });
+  const edge = new BalancerEdge(state);
+  const frontAddress = await edge.bind(balancer.frontAddress, balancer.backAddress);
   const logger = loggerFor('balancer');
-  const { balancer, nodeId, zone } = settings;
-  const state = createBalancerState({ ...balancer, balancerId: nodeId, zone });
-  const contexts = systemContextSource();
-  const sockets: { fabric?: UdpSocket; backends?: UdpSocket } = {};
-  const step = (event: BalancerEvent): void => {
-    balancerStep(state, event, contexts.now()).forEach((effect) => perform(sockets, effect));
-  };
-  sockets.fabric = await bindUdp(balancer.frontAddress, (datagram, replyTo) =>
-    step({ type: 'client-datagram', datagram, replyTo }),
-  );
-  sockets.backends = await bindUdp(balancer.backAddress, (datagram) =>
-    step({ type: 'backend-datagram', datagram }),
-  );
-  const prober = new HealthProber({
-    intervalMs: balancer.probeIntervalMs,
-    backends: () => state.config.backends.values(),
-    onResult: (result) => step({ type: 'probe-result', result }),
-  });
-  const client = new ControlClient({
-    controlAddresses: balancer.controlAddresses,
-    clusterKey: settings.clusterKey,
-    balancerId: nodeId,
-    zone,
-    position: () => state.position,
-    onUpdate: (update) => {
-      step({ type: 'config-update', update });
-      prober.probeAll();
-    },
-    logger,
-  });
-  client.start();
-  prober.start();
-  const timer = setInterval(() => step({ type: 'tick' }), TICK_INTERVAL_MS);
-  logger.info(`Balancer ${nodeId} is ready on port ${sockets.fabric.address.port}.`);
+  logger.info(`Balancer ${nodeId} is ready on port ${frontAddress.port}.`);
   return {
-    frontAddress: sockets.fabric.address,
+    frontAddress,
     state,
     stop: async (graceMs) => {
-      step({ type: 'stop' });
+      edge.step({ type: 'stop' });
       logger.info(`Balancer ${nodeId} takes no new flows.`);
       await finishPendingOpens(state, graceMs);
-      prober.stop();
-      client.stop();
-      clearInterval(timer);
-      await Promise.all([sockets.fabric?.close(), sockets.backends?.close()]);
+      await edge.close();
       logger.info(`Balancer ${nodeId} has stopped.`);
     },
   };
 }
 
-function perform(
-  sockets: { fabric?: UdpSocket; backends?: UdpSocket },
-  effect: BalancerEffect,
-): void {
-  const socket = effect.via === 'fabric' ? sockets.fabric : sockets.backends;
-  socket?.send(effect.datagram, effect.to);
+/** Input and output of a balancer. */
+class BalancerEdge {
+  private readonly contexts = systemContextSource();
+  private fabricSocket: UdpSocket | undefined;
+  private backendSocket: UdpSocket | undefined;
+  private link: MessageLink | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private closed = false;
+
+  constructor(private readonly state: BalancerState) {}
+
+  /** Runs one step and performs its effects. */
+  step(event: BalancerEvent): void {
+    for (const effect of balancerStep(this.state, event, this.contexts.now())) {
+      this.perform(effect);
+    }
+  }
+
+  async bind(front: Address, back: Address): Promise<Address> {
+    this.fabricSocket = await bindUdp(front, (datagram, replyTo) =>
+      this.step({ type: 'client-datagram', datagram, replyTo }),
+    );
+    this.backendSocket = await bindUdp(back, (datagram) =>
+      this.step({ type: 'backend-datagram', datagram }),
+    );
+    this.timer = setInterval(() => this.step({ type: 'tick' }), TICK_INTERVAL_MS);
+    this.step({ type: 'tick' });
+    return this.fabricSocket.address;
+  }
+
+  async close(): Promise<void> {
+    this.closed = true;
+    clearInterval(this.timer);
+    this.link?.close();
+    await Promise.all([this.fabricSocket?.close(), this.backendSocket?.close()]);
+  }
+
+  private perform(effect: BalancerEffect): void {
+    match(effect)
+      .with({ type: 'send' }, ({ via, datagram, to }) => {
+        const socket = via === 'fabric' ? this.fabricSocket : this.backendSocket;
+        socket?.send(datagram, to);
+      })
+      .with({ type: 'link-open' }, ({ linkId, address }) => this.openLink(linkId, address))
+      .with({ type: 'link-send' }, ({ message }) => this.link?.send(message))
+      .with({ type: 'probe' }, ({ backend }) => {
+        void probeBackend(backend).then((result) => this.step({ type: 'probe-result', result }));
+      })
+      .exhaustive();
+  }
+
+  private openLink(linkId: number, address: Address): void {
+    this.link?.close();
+    this.link = connectLink(address, {
+      onMessage: (message) =>
+        this.step({
+          type: 'link-message',
+          linkId,
+          message: message as ControlToBalancerMessage,
+        }),
+      onClose: () => {
+        if (!this.closed) {
+          this.step({ type: 'link-closed', linkId });
+        }
+      },
+    });
+    this.step({ type: 'link-opened', linkId });
+  }
 }
 
 /** Waits for the grace time, in which established flows are forwarded on. */
--- /dev/null
+++ b/src/daemon/health-probe.ts
@@ -0,0 +1,40 @@
+/**
+ * @file One health probe of a back end over HTTP.
+ */
+import type { Backend } from '../control/cluster-state.js';
+import {
+  healthReportSchema,
+  loadReportSchema,
+  type ProbeResult,
+} from '../health/backend-report.js';
+import { sendJson } from './http-json.js';
+
+const PROBE_TIMEOUT_MS = 1_000;
+
+/**
+ * Asks a back end for its health and load; tells it to drain where the operators want that.
+ * @returns what it said; never rejects
+ */
+export async function probeBackend(backend: Backend): Promise<ProbeResult> {
+  if (backend.adminState === 'draining') {
+    await fetchBody(backend, 'POST', '/drain');
+  }
+  const [health, load] = await Promise.all([
+    fetchBody(backend, 'GET', '/health'),
+    fetchBody(backend, 'GET', '/load'),
+  ]);
+  return {
+    backendId: backend.id,
+    health: healthReportSchema.safeParse(health).data,
+    load: loadReportSchema.safeParse(load).data,
+  };
+}
+
+async function fetchBody(backend: Backend, method: 'GET' | 'POST', path: string): Promise<unknown> {
+  const to = backend.healthAddress;
+  const response = await sendJson({ to, method, path, timeoutMs: PROBE_TIMEOUT_MS });
+  return response.match(
+    ({ status, body }) => (status === 200 ? body : undefined),
+    () => undefined,
+  );
+}
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -15,7 +15,7 @@
   type CommandOutcome,
 } from '../control/commands.js';
 import { amberliftError, answerFor, type AmberliftError } from '../flow/error-kinds.js';
-import type { SubscriberView } from './config-publisher.js';
+import type { Subscriber } from '../dissemination/publisher.js';
 import { readBody, respondJson } from './http-json.js';
 
 const MAX_COMMAND_ID_LENGTH = 128;
@@ -28,7 +28,7 @@
 export interface OperatorApiOptions {
   readonly state: ClusterState;
   propose(entry: CommandEntry): Promise<CommandOutcome>;
-  subscribers(): readonly SubscriberView[];
+  subscribers(): readonly Subscriber[];
 }
 
 /**
--- a/src/control/link-messages.ts
+++ b/src/dissemination/link-messages.ts
@@ -1,7 +1,7 @@
 /**
  * @file Messages between balancers and control machines, over TCP, as MessagePack.
  */
-import type { ConfigPosition, ConfigUpdate } from './config-update.js';
+import type { ConfigPosition, ConfigUpdate } from '../control/config-update.js';
 
 /** Balancer to control: asks for the configuration from a position on; the first message. */
 export interface SubscribeMessage {
--- /dev/null
+++ b/src/dissemination/publisher.ts
@@ -0,0 +1,154 @@
+/**
+ * @file Keeps balancers up to date: the control machine's side of dissemination, as decision steps.
+ * Each subscriber gets the deltas that it lacks, or a snapshot where the kept deltas don't reach, and
+ * acknowledges what it has in force.
+ */
+import type { RoutingConfig } from '../control/cluster-state.js';
+import {
+  snapshotOf,
+  type ConfigChange,
+  type ConfigDelta,
+  type ConfigPosition,
+} from '../control/config-update.js';
+import type {
+  BalancerToControlMessage,
+  ControlToBalancerMessage,
+  SubscribeMessage,
+} from './link-messages.js';
+
+/** How many deltas are kept for subscribers that lag. */
+const MAX_KEPT_DELTAS = 1_000;
+/** Time between two heartbeats to a subscriber, in milliseconds. */
+const HEARTBEAT_INTERVAL_MS = 500;
+
+/** Names a link of this process; never used again while the process runs. */
+export type LinkId = number;
+
+/** A balancer that is linked here. */
+export interface Subscriber {
+  readonly balancerId: string;
+  readonly zone: string;
+  acknowledged: ConfigPosition;
+}
+
+/** Sends a message over a link. */
+export interface LinkSendEffect {
+  readonly type: 'link-send';
+  readonly linkId: LinkId;
+  readonly message: ControlToBalancerMessage;
+}
+
+/** The state of a publisher. */
+export interface PublisherState {
+  readonly clusterKey: string;
+  readonly subscribers: Map<LinkId, Subscriber>;
+  /** Oldest first; each follows on the one before. */
+  readonly deltas: ConfigDelta[];
+  committed: ConfigPosition;
+  nextHeartbeatAtMs: number;
+}
+
+/**
+ * @returns a publisher without subscribers
+ */
+export function createPublisher(clusterKey: string): PublisherState {
+  return {
+    clusterKey,
+    subscribers: new Map(),
+    deltas: [],
+    committed: { term: 0, index: 0 },
+    nextHeartbeatAtMs: 0,
+  };
+}
+
+/**
+ * Takes the changes of one committed entry.
+ * @returns what to send to subscribers
+ */
+export function publishChanges(
+  state: PublisherState,
+  position: ConfigPosition,
+  changes: readonly ConfigChange[],
+): LinkSendEffect[] {
+  const delta: ConfigDelta = { type: 'delta', from: state.committed, to: position, changes };
+  state.committed = position;
+  state.deltas.push(delta);
+  if (state.deltas.length > MAX_KEPT_DELTAS) {
+    state.deltas.shift();
+  }
+  return [...state.subscribers.keys()].map((linkId) => ({
+    type: 'link-send',
+    linkId,
+    message: { type: 'update', update: delta },
+  }));
+}
+
+/**
+ * Takes a message from a balancer.
+ * @param config the committed configuration, for snapshots
+ */
+export function handleSubscriberMessage(
+  state: PublisherState,
+  linkId: LinkId,
+  message: BalancerToControlMessage,
+  config: RoutingConfig,
+): LinkSendEffect[] {
+  if (message.type === 'subscribe') {
+    return subscribe(state, linkId, message, config);
+  }
+  const subscriber = state.subscribers.get(linkId);
+  if (subscriber !== undefined) {
+    subscriber.acknowledged = message.position;
+  }
+  return [];
+}
+
+/**
+ * Forgets a subscriber whose link is closed.
+ */
+export function handleSubscriberGone(state: PublisherState, linkId: LinkId): void {
+  state.subscribers.delete(linkId);
+}
+
+/**
+ * @returns the heartbeats that are due
+ */
+export function publisherTick(state: PublisherState, nowMs: number): LinkSendEffect[] {
+  if (nowMs < state.nextHeartbeatAtMs) {
+    return [];
+  }
+  state.nextHeartbeatAtMs = nowMs + HEARTBEAT_INTERVAL_MS;
+  const message: ControlToBalancerMessage = { type: 'heartbeat', committed: state.committed };
+  return [...state.subscribers.keys()].map((linkId) => ({ type: 'link-send', linkId, message }));
+}
+
+function subscribe(
+  state: PublisherState,
+  linkId: LinkId,
+  message: SubscribeMessage,
+  config: RoutingConfig,
+): LinkSendEffect[] {
+  if (message.clusterKey !== state.clusterKey) {
+    return [
+      { type: 'link-send', linkId, message: { type: 'link-refused', kind: 'wrong-cluster' } },
+    ];
+  }
+  const { balancerId, zone, position } = message;
+  state.subscribers.set(linkId, { balancerId, zone, acknowledged: position });
+  return catchUp(state, position, config).map((update) => ({
+    type: 'link-send',
+    linkId,
+    message: { type: 'update', update },
+  }));
+}
+
+function catchUp(state: PublisherState, position: ConfigPosition, config: RoutingConfig) {
+  if (position.index >= state.committed.index) {
+    return [];
+  }
+  const first = state.deltas.findIndex((delta) => delta.from.index === position.index);
+  if (position.index > 0 && first >= 0) {
+    return state.deltas.slice(first);
+  }
+  return [snapshotOf(config, state.committed)];
+}
--- /dev/null
+++ b/src/health/probe-schedule.ts
@@ -0,0 +1,53 @@
+/**
+ * @file When each back end is probed next. One probe per back end is under way at a time.
+ */
+import type { Backend } from '../control/cluster-state.js';
+
+/** The state of a probe schedule. */
+export interface ProbeSchedule {
+  readonly intervalMs: number;
+  /** When the next probe is due, by back end ID. */
+  readonly dueAtMs: Map<number, number>;
+  /** Back ends whose probe is under way. */
+  readonly running: Set<number>;
+}
+
+/** Probe this back end; answered by a `probe-result` event. */
+export interface ProbeEffect {
+  readonly type: 'probe';
+  readonly backend: Backend;
+}
+
+/**
+ * @returns an empty schedule
+ */
+export function createProbeSchedule(intervalMs: number): ProbeSchedule {
+  return { intervalMs, dueAtMs: new Map(), running: new Set() };
+}
+
+/**
+ * @returns the probes that are due; a back end not seen before is due at once
+ */
+export function dueProbes(
+  schedule: ProbeSchedule,
+  backends: Iterable<Backend>,
+  nowMs: number,
+): ProbeEffect[] {
+  const effects: ProbeEffect[] = [];
+  for (const backend of backends) {
+    const due = schedule.dueAtMs.get(backend.id) ?? 0;
+    if (due <= nowMs && !schedule.running.has(backend.id)) {
+      schedule.running.add(backend.id);
+      schedule.dueAtMs.set(backend.id, nowMs + schedule.intervalMs);
+      effects.push({ type: 'probe', backend });
+    }
+  }
+  return effects;
+}
+
+/**
+ * Notes that a probe has ended.
+ */
+export function probeEnded(schedule: ProbeSchedule, backendId: number): void {
+  schedule.running.delete(backendId);
+}
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -35,7 +35,7 @@
   /** How many back ends an open is tried on. */
   maxOpenAttempts: positive.default(defaultBalancerOptions.maxOpenAttempts),
   /** Time between two health probes of a back end, in milliseconds. */
-  probeIntervalMs: positive.default(500),
+  probeIntervalMs: positive.default(defaultBalancerOptions.probeIntervalMs),
   /** How long a planned stop goes on forwarding while the fabric's list lags, in milliseconds. */
   stopGraceMs: z.number().int().min(0).default(6000),
 });
