Give each operator their own state in the replicated step

Cause: IDs, counters and bounds were global, so that one partner's answers told of the other's activity; command results grew without bound; there were no planned changes, no key rotation, no fence against early reuse of addresses, and each command scanned all services and back ends.

--- /dev/null
+++ b/src/common/address-range.ts
@@ -0,0 +1,117 @@
+/**
+ * @file Ranges of addresses, by which the platform grants each operator a part of the address space.
+ * Text form: `10.1.0.0/16`, or `10.1.0.0/16:7000-7999` for a part of the ports.
+ */
+import { isIP } from 'node:net';
+import type { Address } from './address.js';
+
+const MAX_PORT = 65_535;
+const IPV4_BITS = 32;
+const IPV6_BITS = 128;
+const IPV4_FAMILY = 4;
+const BITS_PER_OCTET = 8n;
+const BITS_PER_GROUP = 16n;
+const IPV6_GROUPS = 8;
+
+/** A range of addresses; all bounds are included. */
+export interface AddressRange {
+  /** 4 or 6. */
+  readonly family: number;
+  readonly lowHost: bigint;
+  readonly highHost: bigint;
+  readonly lowPort: number;
+  readonly highPort: number;
+}
+
+/**
+ * @param text `HOST/PREFIX`, with `:LOW-HIGH` behind it for a part of the ports
+ * @returns the range, or undefined where the text is none
+ */
+export function parseAddressRange(text: string): AddressRange | undefined {
+  const parts = /^\[?([0-9a-fA-F.:]+?)\]?\/(\d{1,3})(?::(\d{1,5})-(\d{1,5}))?$/.exec(text);
+  const host = parts?.[1] ?? '';
+  const family = isIP(host);
+  if (parts === null || family === 0) {
+    return undefined;
+  }
+  const bits = family === IPV4_FAMILY ? IPV4_BITS : IPV6_BITS;
+  const prefixBits = Number(parts[2]);
+  const lowPort = Number(parts[3] ?? 0);
+  const highPort = Number(parts[4] ?? MAX_PORT);
+  if (prefixBits > bits || highPort > MAX_PORT || lowPort > highPort) {
+    return undefined;
+  }
+  const size = 1n << BigInt(bits - prefixBits);
+  const number = hostNumber(host, family);
+  const lowHost = number - (number % size);
+  return { family, lowHost, highHost: lowHost + size - 1n, lowPort, highPort };
+}
+
+/**
+ * @returns true where the range has this address
+ */
+export function rangeContains(range: AddressRange, address: Address): boolean {
+  return (
+    rangeContainsHost(range, address.host) &&
+    address.port >= range.lowPort &&
+    address.port <= range.highPort
+  );
+}
+
+/**
+ * @param host an IP number
+ * @returns true where the range has this host on some port
+ */
+export function rangeContainsHost(range: AddressRange, host: string): boolean {
+  const family = isIP(host);
+  if (family !== range.family) {
+    return false;
+  }
+  const number = hostNumber(host, family);
+  return number >= range.lowHost && number <= range.highHost;
+}
+
+/**
+ * @returns true where some address is in both
+ */
+export function rangesOverlap(one: AddressRange, other: AddressRange): boolean {
+  return (
+    one.family === other.family &&
+    one.lowHost <= other.highHost &&
+    other.lowHost <= one.highHost &&
+    one.lowPort <= other.highPort &&
+    other.lowPort <= one.highPort
+  );
+}
+
+function hostNumber(host: string, family: number): bigint {
+  return family === IPV4_FAMILY ? ipv4Number(host) : ipv6Number(host);
+}
+
+function ipv4Number(host: string): bigint {
+  return host
+    .split('.')
+    .reduce((number, octet) => (number << BITS_PER_OCTET) | BigInt(Number(octet)), 0n);
+}
+
+function ipv6Number(host: string): bigint {
+  const [head = '', tail] = withoutDottedTail(host).split('::');
+  const headGroups = head.split(':').filter((group) => group !== '');
+  const tailGroups = (tail ?? '').split(':').filter((group) => group !== '');
+  const zeros = Array<string>(IPV6_GROUPS - headGroups.length - tailGroups.length).fill('0');
+  return [...headGroups, ...zeros, ...tailGroups].reduce(
+    (number, group) => (number << BITS_PER_GROUP) | BigInt(`0x${group}`),
+    0n,
+  );
+}
+
+/** `::ffff:10.0.0.1` as `::ffff:a00:1`. */
+function withoutDottedTail(host: string): string {
+  const dotted = /^(.*:)(\d+\.\d+\.\d+\.\d+)$/.exec(host);
+  if (dotted === null) {
+    return host;
+  }
+  const number = ipv4Number(dotted[2] ?? '');
+  const mask = (1n << BITS_PER_GROUP) - 1n;
+  return `${dotted[1] ?? ''}${(number >> BITS_PER_GROUP).toString(16)}:${(number & mask).toString(16)}`;
+}
--- a/src/control/apply-command.ts
+++ b/src/control/apply-command.ts
@@ -3,22 +3,38 @@
  * control machine that applies the same entries holds the same state. Authority is checked here,
  * not only at the door.
  */
-import { err, ok, type Result } from 'neverthrow';
+import { err, type Result } from 'neverthrow';
 import { match } from 'ts-pattern';
 import { formatAddress } from '../common/address.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
-import type { Backend, ClusterState, Service } from './cluster-state.js';
-import { commandRecordKey } from './cluster-state.js';
+import { countRevision, recordAudit } from './audit.js';
+import { addBackend, retireBackend, setAdminState } from './backend-commands.js';
+import type { ClusterState, Operator, OwnerState, PlannedChange } from './cluster-state.js';
 import { commandHash } from './command-hash.js';
+import { commandIssueTimeMs } from './command-id.js';
 import {
+  checkNewCommandId,
+  defaultRecordBounds,
+  forgetExpiredRecords,
+  keepRecord,
+  type RecordBounds,
+} from './command-records.js';
+import {
+  isSystemCommand,
   SYSTEM_OPERATOR,
+  type AcceptedOutcome,
   type Command,
   type CommandEntry,
   type CommandOutcome,
   type OperatorCommand,
   type SystemCommand,
 } from './commands.js';
-import { applyConfigChange, type ConfigChange, type ConfigPosition } from './config-update.js';
+import { applyToConfig } from './config-lookup.js';
+import type { ConfigChange, ConfigPosition } from './config-update.js';
+import type { CommandSource, Decision, DecisionResult } from './decision.js';
+import { cancelPlan, planChange } from './plan-commands.js';
+import { changeService, defineService, retireService } from './service-commands.js';
+import { applySystemCommand } from './system-commands.js';
 
 /** What applying an entry gave. */
 export interface AppliedEntry {
@@ -27,252 +43,191 @@
   readonly changes: readonly ConfigChange[];
 }
 
-interface Decision {
-  readonly changes: readonly ConfigChange[];
-  readonly service?: Service;
-  readonly backend?: Backend;
-}
-
-type DecisionResult = Result<Decision, AmberliftError>;
-
 /**
  * Applies the entry at `position` and records its outcome under its command ID.
+ * @param bounds how many results are kept, and how long
  * @returns the outcome; for a command ID seen before, the outcome of the first time
  */
 export function applyCommand(
   state: ClusterState,
   position: ConfigPosition,
   entry: CommandEntry,
+  bounds: RecordBounds = defaultRecordBounds,
 ): AppliedEntry {
   state.index = position.index;
   state.term = position.term;
-  const recordKey = commandRecordKey(entry.operator, entry.commandId);
-  const hash = commandHash(entry.command);
-  const earlier = state.commandRecords.get(recordKey);
-  if (earlier !== undefined) {
-    return { outcome: repeatedOutcome(earlier.commandHash, hash, earlier.outcome), changes: [] };
+  state.timeMs = Math.max(state.timeMs, entry.atMs ?? 0);
+  const { command } = entry;
+  if (entry.operator === SYSTEM_OPERATOR) {
+    return isSystemCommand(command)
+      ? applySystemEntry(state, command)
+      : refused(amberliftError('unauthorized', 'The system sends no such command.'));
   }
-  const applied = decideAndApply(state, position, entry);
-  state.commandRecords.set(recordKey, {
-    commandId: entry.commandId,
-    operator: entry.operator,
-    commandHash: hash,
-    outcome: applied.outcome,
-    index: position.index,
-  });
-  return applied;
+  const operator = state.operators.get(entry.operator);
+  const owner = state.owners.get(entry.operator);
+  if (operator === undefined || owner === undefined) {
+    return refused(amberliftError('unauthorized', 'No such operator.'));
+  }
+  return applyOperatorEntry(state, { operator, owner }, entry, bounds);
+}
+
+interface Sender {
+  readonly operator: Operator;
+  readonly owner: OwnerState;
 }
 
-function repeatedOutcome(
-  earlierHash: string,
-  hash: string,
-  earlierOutcome: CommandOutcome,
-): CommandOutcome {
-  if (earlierHash === hash) {
-    return earlierOutcome;
+function applySystemEntry(state: ClusterState, command: SystemCommand): AppliedEntry {
+  if (command.type === 'run-planned-change') {
+    return runPlannedChange(state, command.operator, command.planId);
   }
-  const message = 'This command ID was used for another command.';
-  return { accepted: false, error: amberliftError('command-id-reused', message) };
+  return applySystemCommand(state, command).match(
+    (changes): AppliedEntry => ({ outcome: { accepted: true, index: state.index }, changes }),
+    refused,
+  );
 }
 
-function decideAndApply(
+function applyOperatorEntry(
   state: ClusterState,
-  position: ConfigPosition,
+  sender: Sender,
   entry: CommandEntry,
+  bounds: RecordBounds,
 ): AppliedEntry {
-  const decision = decide(state, entry);
-  if (decision.isErr()) {
-    return { outcome: { accepted: false, error: decision.error }, changes: [] };
-  }
-  const { changes, service, backend } = decision.value;
-  for (const change of changes) {
-    applyConfigChange(state.routing, change);
+  const { owner } = sender;
+  const { command, commandId } = entry;
+  forgetExpiredRecords(owner, state.timeMs, bounds);
+  const hash = commandHash(command);
+  const earlier = owner.commandRecords.get(commandId);
+  if (earlier?.commandHash === hash) {
+    return { outcome: earlier.outcome, changes: [] };
   }
-  const outcome: CommandOutcome = {
-    accepted: true,
-    index: position.index,
-    ...(service && { serviceId: service.id, version: service.version }),
-    ...(backend && { backendId: backend.id }),
-  };
-  return { outcome, changes };
-}
-
-function decide(state: ClusterState, entry: CommandEntry): DecisionResult {
-  if (isSystemCommand(entry.command)) {
-    return entry.operator === SYSTEM_OPERATOR
-      ? decideSystemCommand(state, entry.command)
-      : err(amberliftError('unauthorized', 'Only the system may send this command.'));
+  if (earlier !== undefined) {
+    const message = 'This command ID was used for another command.';
+    return auditedRefusal(state, owner, entry, amberliftError('command-id-reused', message));
   }
-  if (!state.operators.has(entry.operator)) {
-    return err(amberliftError('unauthorized', 'No such operator.'));
+  const idCheck = checkNewCommandId(owner, commandId, bounds);
+  if (idCheck.isErr()) {
+    return auditedRefusal(state, owner, entry, idCheck.error);
   }
-  return decideOperatorCommand(state, entry.operator, entry.command);
+  const applied = decideAndCommit(state, sender, commandId, command);
+  const issuedAtMs = commandIssueTimeMs(commandId);
+  const { outcome } = applied;
+  keepRecord(owner, { commandId, commandHash: hash, outcome, issuedAtMs }, bounds);
+  audit(state, owner, commandId, command, outcome);
+  return applied;
 }
 
-function isSystemCommand(command: Command): command is SystemCommand {
-  return command.type === 'set-operators' || command.type === 'set-token-key';
+function decideAndCommit(
+  state: ClusterState,
+  sender: Sender,
+  commandId: string,
+  command: Command,
+): AppliedEntry {
+  const source = { ...sender, commandId, index: state.index, timeMs: state.timeMs };
+  return decide(state, source, command).match(
+    (decision): AppliedEntry => ({
+      outcome: commit(state, sender.owner, decision),
+      changes: decision.changes,
+    }),
+    refused,
+  );
 }
 
-function decideSystemCommand(state: ClusterState, command: SystemCommand): DecisionResult {
-  return match(command)
-    .with({ type: 'set-operators' }, ({ operators }) => {
-      for (const operator of operators) {
-        state.operators.set(operator.name, operator);
-      }
-      return ok({ changes: [] });
-    })
-    .with({ type: 'set-token-key' }, ({ id, secret, state: keyState }) =>
-      ok({ changes: [{ type: 'key-set' as const, key: { id, secret, state: keyState } }] }),
-    )
-    .exhaustive();
+function decide(state: ClusterState, source: CommandSource, command: Command): DecisionResult {
+  return isSystemCommand(command)
+    ? err(amberliftError('unauthorized', 'Only the system may send this command.'))
+    : decideOperatorCommand(state, source, command);
 }
 
 function decideOperatorCommand(
   state: ClusterState,
-  operator: string,
+  source: CommandSource,
   command: OperatorCommand,
-): DecisionResult {
+): Result<Decision, AmberliftError> {
   return match(command)
-    .with({ type: 'define-service' }, (define) => defineService(state, operator, define))
-    .with({ type: 'change-service' }, (change) =>
-      ownedService(state, operator, change.service, change.basedOnVersion).map((service) =>
-        serviceChange({
-          ...service,
-          policy: change.policy ?? service.policy,
-          limits: { ...service.limits, ...change.limits },
-        }),
-      ),
-    )
-    .with({ type: 'retire-service' }, (retire) =>
-      ownedService(state, operator, retire.service, retire.basedOnVersion).andThen((service) =>
-        retireService(state, service),
-      ),
-    )
-    .with({ type: 'add-backend' }, (add) =>
-      ownedService(state, operator, add.service, add.basedOnVersion).andThen((service) =>
-        addBackend(state, service, add),
-      ),
-    )
-    .with({ type: 'drain-backend' }, (drain) =>
-      backendChange(state, operator, drain, (backend) => ({
-        type: 'backend-set',
-        backend: { ...backend, adminState: 'draining' },
-      })),
-    )
-    .with({ type: 'cancel-drain' }, (cancel) =>
-      backendChange(state, operator, cancel, (backend) => ({
-        type: 'backend-set',
-        backend: { ...backend, adminState: 'active' },
-      })),
-    )
-    .with({ type: 'retire-backend' }, (retire) =>
-      backendChange(state, operator, retire, (backend) => ({
-        type: 'backend-removed',
-        backendId: backend.id,
-      })),
-    )
+    .with({ type: 'define-service' }, (define) => defineService(state, source, define))
+    .with({ type: 'change-service' }, (change) => changeService(state, source, change))
+    .with({ type: 'retire-service' }, (retire) => retireService(state, source, retire))
+    .with({ type: 'add-backend' }, (add) => addBackend(state, source, add))
+    .with({ type: 'drain-backend' }, (drain) => setAdminState(state, source, drain, 'draining'))
+    .with({ type: 'cancel-drain' }, (cancel) => setAdminState(state, source, cancel, 'active'))
+    .with({ type: 'retire-backend' }, (retire) => retireBackend(state, source, retire))
+    .with({ type: 'plan-change' }, (plan) => planChange(source, plan))
+    .with({ type: 'cancel-plan' }, (cancel) => cancelPlan(source, cancel))
     .exhaustive();
 }
 
-function serviceChange(service: Service, ...others: ConfigChange[]): Decision {
-  const changed = { ...service, version: service.version + 1 };
-  return { changes: [{ type: 'service-set', service: changed }, ...others], service: changed };
-}
-
-function defineService(
-  state: ClusterState,
-  operator: string,
-  command: Extract<OperatorCommand, { type: 'define-service' }>,
-): DecisionResult {
-  const services = [...state.routing.services.values()];
-  if (services.some((service) => service.owner === operator && service.name === command.service)) {
-    return err(amberliftError('conflict', `Service ${command.service} is already defined.`));
+function commit(state: ClusterState, owner: OwnerState, decision: Decision): AcceptedOutcome {
+  const { changes, service, backend, quarantined, planned, cancelledPlanId } = decision;
+  for (const change of changes) {
+    applyToConfig(state.routing, state.lookup, change);
+    if (change.type === 'backend-set') {
+      state.quarantine.delete(formatAddress(change.backend.address));
+    }
   }
-  const wanted = formatAddress(command.address);
-  if (services.some((service) => formatAddress(service.address) === wanted)) {
-    return err(amberliftError('conflict', `Address ${wanted} is not free.`));
+  if (quarantined !== undefined) {
+    state.quarantine.set(formatAddress(quarantined.address), quarantined);
   }
-  const service: Service = {
-    id: state.nextServiceId,
-    name: command.service,
-    owner: operator,
-    address: command.address,
-    policy: command.policy,
-    limits: command.limits,
-    version: 1,
+  if (planned !== undefined) {
+    owner.plans.set(planned.id, planned);
+  }
+  if (cancelledPlanId !== undefined) {
+    owner.plans.delete(cancelledPlanId);
+  }
+  return {
+    accepted: true,
+    index: state.index,
+    revision: countRevision(owner, state.index),
+    ...(service && { serviceId: service.id, version: service.version }),
+    ...(backend && { backendId: backend.id }),
+    ...(planned && { planId: planned.id }),
   };
-  state.nextServiceId += 1;
-  return ok({ changes: [{ type: 'service-set', service }], service });
 }
 
-function retireService(state: ClusterState, service: Service): DecisionResult {
-  const backends = [...state.routing.backends.values()];
-  if (backends.some((backend) => backend.serviceId === service.id)) {
-    return err(amberliftError('conflict', `Service ${service.name} still has back ends.`));
+/** Executes a planned change once it is due; later entries for it find it gone. */
+function runPlannedChange(state: ClusterState, name: string, planId: number): AppliedEntry {
+  const operator = state.operators.get(name);
+  const owner = state.owners.get(name);
+  const plan = owner?.plans.get(planId);
+  if (operator === undefined || owner === undefined || plan === undefined) {
+    return refused(amberliftError('not-found', 'There is no such planned change.'));
+  }
+  if (plan.atMs > state.timeMs) {
+    return refused(amberliftError('conflict', 'The planned change is not due.'));
   }
-  return ok({ changes: [{ type: 'service-removed', serviceId: service.id }], service });
+  owner.plans.delete(planId);
+  const commandId = planRunId(plan);
+  const applied = decideAndCommit(state, { operator, owner }, commandId, plan.change);
+  audit(state, owner, commandId, plan.change, applied.outcome);
+  return applied;
 }
 
-function addBackend(
-  state: ClusterState,
-  service: Service,
-  command: Extract<OperatorCommand, { type: 'add-backend' }>,
-): DecisionResult {
-  const wanted = formatAddress(command.address);
-  const backends = [...state.routing.backends.values()];
-  if (backends.some((backend) => formatAddress(backend.address) === wanted)) {
-    return err(amberliftError('conflict', `Address ${wanted} is not free.`));
-  }
-  const backend: Backend = {
-    id: state.nextBackendId,
-    serviceId: service.id,
-    address: command.address,
-    healthAddress: command.healthAddress,
-    zone: command.zone,
-    adminState: 'active',
-  };
-  state.nextBackendId += 1;
-  return ok({ ...serviceChange(service, { type: 'backend-set', backend }), backend });
+/** Under which ID the execution of a planned change stands in the audit log. */
+function planRunId(plan: PlannedChange): string {
+  return `${plan.commandId}/run`;
 }
 
-function backendChange(
+function auditedRefusal(
   state: ClusterState,
-  operator: string,
-  command: { readonly backendId: number; readonly basedOnVersion?: number | undefined },
-  change: (backend: Backend) => ConfigChange,
-): DecisionResult {
-  const backend = state.routing.backends.get(command.backendId);
-  const service = backend && state.routing.services.get(backend.serviceId);
-  if (backend === undefined || service?.owner !== operator) {
-    return err(amberliftError('not-found', `You have no back end ${command.backendId}.`));
-  }
-  return checkVersion(service, command.basedOnVersion).map(() => ({
-    ...serviceChange(service, change(backend)),
-    backend,
-  }));
+  owner: OwnerState,
+  entry: CommandEntry,
+  error: AmberliftError,
+): AppliedEntry {
+  const applied = refused(error);
+  audit(state, owner, entry.commandId, entry.command, applied.outcome);
+  return applied;
 }
 
-function ownedService(
+function audit(
   state: ClusterState,
-  operator: string,
-  name: string,
-  basedOnVersion: number | undefined,
-): Result<Service, AmberliftError> {
-  for (const service of state.routing.services.values()) {
-    if (service.owner === operator && service.name === name) {
-      return checkVersion(service, basedOnVersion);
-    }
-  }
-  return err(amberliftError('not-found', `You have no service ${name}.`));
+  owner: OwnerState,
+  commandId: string,
+  command: Command,
+  outcome: CommandOutcome,
+): void {
+  const atMs = state.timeMs;
+  recordAudit(owner, { atMs, operator: owner.name, commandId, command, outcome });
 }
 
-function checkVersion(
-  service: Service,
-  basedOnVersion: number | undefined,
-): Result<Service, AmberliftError> {
-  if (basedOnVersion === undefined || basedOnVersion === service.version) {
-    return ok(service);
-  }
-  const message = `Service ${service.name} is at version ${service.version}, not ${basedOnVersion}.`;
-  return err(amberliftError('conflict', message));
+function refused(error: AmberliftError): AppliedEntry {
+  return { outcome: { accepted: false, error }, changes: [] };
 }
--- /dev/null
+++ b/src/control/audit.ts
@@ -0,0 +1,47 @@
+/**
+ * @file What an operator can look up of their own past: the audit log, and which log index carried
+ * each of their revisions. Both are bounded.
+ */
+import type { AuditEntry, OwnerState } from './cluster-state.js';
+
+/** How many lines of the audit log are kept for one operator. */
+export const MAX_AUDIT_ENTRIES = 1_000;
+/** How many revisions can be told to be in force or not; older ones count as in force. */
+export const MAX_REVISION_MARKS = 1_000;
+
+/**
+ * Writes a line into the operator's audit log.
+ */
+export function recordAudit(owner: OwnerState, entry: Omit<AuditEntry, 'number'>): void {
+  owner.auditLog.push({ number: owner.nextAuditNumber, ...entry });
+  owner.nextAuditNumber += 1;
+  if (owner.auditLog.length > MAX_AUDIT_ENTRIES) {
+    owner.auditLog.shift();
+  }
+}
+
+/**
+ * Counts an accepted command.
+ * @returns the operator's revision with it
+ */
+export function countRevision(owner: OwnerState, index: number): number {
+  owner.revision += 1;
+  owner.revisionMarks.push({ revision: owner.revision, index });
+  if (owner.revisionMarks.length > MAX_REVISION_MARKS) {
+    owner.revisionMarks.shift();
+  }
+  return owner.revision;
+}
+
+/**
+ * @param index a log index, such as the one that a balancer has in force
+ * @returns the operator's highest revision that is in force there
+ */
+export function revisionAt(owner: OwnerState, index: number): number {
+  const mark = owner.revisionMarks.findLast((candidate) => candidate.index <= index);
+  if (mark !== undefined) {
+    return mark.revision;
+  }
+  const oldest = owner.revisionMarks[0];
+  return oldest === undefined ? 0 : oldest.revision - 1;
+}
--- /dev/null
+++ b/src/control/backend-commands.ts
@@ -0,0 +1,103 @@
+/**
+ * @file Commands that add, drain and retire back ends.
+ */
+import { err, ok } from 'neverthrow';
+import { amberliftError } from '../flow/error-kinds.js';
+import type { Backend, BackendAdminState, ClusterState } from './cluster-state.js';
+import type { ChangeCommand } from './commands.js';
+import {
+  checkAddressFree,
+  checkHealthAddress,
+  ownedBackend,
+  ownedService,
+  serviceChange,
+  type CommandSource,
+  type DecisionResult,
+} from './decision.js';
+import { idInBlock } from './id-blocks.js';
+
+/** How many back ends one service may have. */
+export const MAX_BACKENDS_PER_SERVICE = 2_000;
+
+/** What the commands on one back end have in common. */
+interface BackendReference {
+  readonly backendId: number;
+  readonly basedOnVersion?: number | undefined;
+}
+
+/** Adds a back end to a service. */
+export function addBackend(
+  state: ClusterState,
+  source: CommandSource,
+  command: Extract<ChangeCommand, { type: 'add-backend' }>,
+): DecisionResult {
+  const { operator, owner } = source;
+  const { service: name, basedOnVersion, address, healthAddress, zone } = command;
+  return ownedService(state, operator.name, name, basedOnVersion).andThen((service) => {
+    if ((state.lookup.backendIdsByService.get(service.id)?.size ?? 0) >= MAX_BACKENDS_PER_SERVICE) {
+      const message = `Service ${name} has ${MAX_BACKENDS_PER_SERVICE} back ends, which is the most.`;
+      return err(amberliftError('conflict', message));
+    }
+    return checkAddressFree(state, operator, address, service.id)
+      .andThen(() => checkHealthAddress(state, operator, healthAddress))
+      .andThen(() => idInBlock(owner.ownerNumber, owner.nextBackendNumber))
+      .map((id) => {
+        owner.nextBackendNumber += 1;
+        const serviceId = service.id;
+        const backend: Backend = {
+          id,
+          serviceId,
+          address,
+          healthAddress,
+          zone,
+          adminState: 'active',
+        };
+        return { ...serviceChange(service, { type: 'backend-set', backend }), backend };
+      });
+  });
+}
+
+/** Sets what the operator wants of a back end: draining, or active again. */
+export function setAdminState(
+  state: ClusterState,
+  source: CommandSource,
+  command: BackendReference,
+  adminState: BackendAdminState,
+): DecisionResult {
+  const { backendId, basedOnVersion } = command;
+  return ownedBackend(state, source.operator.name, backendId, basedOnVersion).map(
+    ({ backend, service }) => {
+      const changed = { ...backend, adminState };
+      return {
+        ...serviceChange(service, { type: 'backend-set', backend: changed }),
+        backend: changed,
+      };
+    },
+  );
+}
+
+/** Retires a back end that is draining; its address goes into quarantine. */
+export function retireBackend(
+  state: ClusterState,
+  source: CommandSource,
+  command: BackendReference,
+): DecisionResult {
+  const { backendId, basedOnVersion } = command;
+  return ownedBackend(state, source.operator.name, backendId, basedOnVersion).andThen(
+    ({ backend, service }) => {
+      if (backend.adminState !== 'draining') {
+        const message = `Back end ${backendId} is active; drain it first, so that no flow breaks.`;
+        return err(amberliftError('conflict', message));
+      }
+      return ok({
+        ...serviceChange(service, { type: 'backend-removed', backendId }),
+        backend,
+        quarantined: {
+          address: backend.address,
+          formerServiceId: service.id,
+          removedIndex: source.index,
+        },
+      });
+    },
+  );
+}
--- /dev/null
+++ b/src/control/cluster-snapshot.ts
@@ -0,0 +1,98 @@
+/**
+ * @file The byte form of the cluster state, for snapshots on disk and between control machines. Equal
+ * states have equal bytes.
+ */
+import { Packr } from 'msgpackr';
+import type {
+  Backend,
+  ClusterState,
+  CommandRecord,
+  Operator,
+  OwnerState,
+  PlannedChange,
+  QuarantinedAddress,
+  Service,
+  TokenKey,
+  TokenKeyAge,
+} from './cluster-state.js';
+import { buildConfigLookup } from './config-lookup.js';
+
+const packr = new Packr({ useRecords: false, variableMapSize: true });
+
+interface SnapshotOwner extends Omit<OwnerState, 'plans' | 'commandRecords'> {
+  readonly plans: readonly PlannedChange[];
+  readonly commandRecords: readonly CommandRecord[];
+}
+
+/** The state with each map written as a list. */
+interface ClusterSnapshot {
+  readonly index: number;
+  readonly term: number;
+  readonly timeMs: number;
+  readonly operators: readonly Operator[];
+  readonly owners: readonly SnapshotOwner[];
+  readonly services: readonly Service[];
+  readonly backends: readonly Backend[];
+  readonly keys: readonly TokenKey[];
+  readonly keyAges: readonly (readonly [keyId: number, age: TokenKeyAge])[];
+  readonly quarantine: readonly (readonly [address: string, entry: QuarantinedAddress])[];
+}
+
+/**
+ * @returns the state's bytes
+ */
+export function encodeClusterState(state: ClusterState): Uint8Array {
+  const { index, term, timeMs, routing } = state;
+  const snapshot: ClusterSnapshot = {
+    index,
+    term,
+    timeMs,
+    operators: [...state.operators.values()],
+    owners: [...state.owners.values()].map((owner) => ({
+      ...owner,
+      plans: [...owner.plans.values()],
+      commandRecords: [...owner.commandRecords.values()],
+    })),
+    services: [...routing.services.values()],
+    backends: [...routing.backends.values()],
+    keys: [...routing.keys.values()],
+    keyAges: [...state.keyAges],
+    quarantine: [...state.quarantine],
+  };
+  return packr.pack(snapshot);
+}
+
+/**
+ * @param bytes made by `encodeClusterState`; whether they are whole is checked by whoever keeps them
+ * @returns the state
+ */
+export function decodeClusterState(bytes: Uint8Array): ClusterState {
+  const snapshot = packr.unpack(bytes) as ClusterSnapshot;
+  const routing = {
+    services: new Map(snapshot.services.map((service) => [service.id, service])),
+    backends: new Map(snapshot.backends.map((backend) => [backend.id, backend])),
+    // The secret is copied, so that it doesn't keep the bytes of the whole snapshot alive.
+    keys: new Map(
+      snapshot.keys.map((key) => [key.id, { ...key, secret: Uint8Array.from(key.secret) }]),
+    ),
+  };
+  return {
+    index: snapshot.index,
+    term: snapshot.term,
+    timeMs: snapshot.timeMs,
+    operators: new Map(snapshot.operators.map((operator) => [operator.name, operator])),
+    owners: new Map(snapshot.owners.map((owner) => [owner.name, restoreOwner(owner)])),
+    routing,
+    keyAges: new Map(snapshot.keyAges),
+    quarantine: new Map(snapshot.quarantine),
+    lookup: buildConfigLookup(routing),
+  };
+}
+
+function restoreOwner(owner: SnapshotOwner): OwnerState {
+  return {
+    ...owner,
+    plans: new Map(owner.plans.map((plan) => [plan.id, plan])),
+    commandRecords: new Map(owner.commandRecords.map((record) => [record.commandId, record])),
+  };
+}
