Add feeds, paced make-before-break drains and faults to the stand-ins

Cause: flows that stay open for hours had nothing to carry (no feed), a drain told all flows at once, and a late copy of an open could bring a closed flow back and run a request again. Change: feeds with a bounded notice log, acknowledgements and backoff; a caller that subscribes on the new flow before it leaves the old one; go-away at a bounded rate; a memory of closed flows, so that a token is used once; request IDs with a window, so that records stay bounded; ways to misbehave as options.

--- a/src/cli/backend.ts
+++ b/src/cli/backend.ts
@@ -2,9 +2,11 @@
  * @file `amberlift backend`: runs a stand-in back end.
  */
 import type { CAC } from 'cac';
+import { faultNames, parseFaults } from '../standins/backend-faults.js';
+import { defaultBackendTuning } from '../standins/backend-options.js';
 import { startBackend } from '../standins/backend-process.js';
 import { addressFlag } from './address-flag.js';
-import { announceReady, stopOnSignal } from './daemon-command.js';
+import { announceReady, reportError, stopOnSignal } from './daemon-command.js';
 
 interface BackendFlags {
   readonly service: string;
@@ -16,6 +18,9 @@
   readonly queue: number;
   readonly serviceTime: number;
   readonly warmUp: number;
+  readonly goAwaySpread: number;
+  readonly feedMoves: number;
+  readonly fault?: string[];
 }
 
 const HALF_OPEN_TIMEOUT_MS = 10_000;
@@ -35,10 +40,24 @@
     .option('--queue <count>', 'Requests that may wait for a slot', { default: 200 })
     .option('--service-time <ms>', 'Mean time that a request runs', { default: 5 })
     .option('--warm-up <ms>', 'Time after the start before it is ready', { default: 0 })
+    .option('--go-away-spread <ms>', 'Time within which a drain tells flows with requests to go', {
+      default: defaultBackendTuning.goAwaySpreadMs,
+    })
+    .option('--feed-moves <count>', 'Flows with a feed that a drain tells to go, a second', {
+      default: defaultBackendTuning.feedMovesPerSecond,
+    })
+    .option('--fault <name=value>', `Misbehave: ${faultNames.join(', ')}; may be repeated`, {
+      type: [String],
+    })
     .action(run);
 }
 
 async function run(flags: BackendFlags): Promise<void> {
+  const faults = parseFaults((flags.fault ?? []).filter((text) => text !== 'undefined'));
+  if (faults.isErr()) {
+    reportError(faults.error);
+    return;
+  }
   const options = {
     serviceName: flags.service,
     serviceAddress: addressFlag('service-address', flags.serviceAddress),
@@ -49,6 +68,8 @@
     meanServiceTimeMs: flags.serviceTime,
     warmUpMs: flags.warmUp,
     halfOpenTimeoutMs: HALF_OPEN_TIMEOUT_MS,
+    tuning: { goAwaySpreadMs: flags.goAwaySpread, feedMovesPerSecond: flags.feedMoves },
+    faults: faults.value,
   };
   const backend = await startBackend(options, flags.host);
   stopOnSignal(() => backend.stop());
--- a/src/cli/callers.ts
+++ b/src/cli/callers.ts
@@ -4,6 +4,7 @@
  */
 import type { CAC } from 'cac';
 import { runSession } from '../standins/caller-process.js';
+import type { CallerOptions } from '../standins/caller-state.js';
 import { addressFlag } from './address-flag.js';
 
 interface CallersFlags {
@@ -16,6 +17,9 @@
   readonly pause: number;
   readonly spread: number;
   readonly answerBytes: number;
+  readonly feeds: number;
+  readonly notices: number;
+  readonly feedTime: number;
 }
 
 const REQUEST_DEADLINE_MS = 5_000;
@@ -37,6 +41,9 @@
     .option('--pause <ms>', 'Pause between two requests of a session', { default: 200 })
     .option('--spread <ms>', 'Time over which the sessions start', { default: 1000 })
     .option('--answer-bytes <count>', 'Length of each answer', { default: 3000 })
+    .option('--feeds <count>', 'Sessions that also hold a feed', { default: 0 })
+    .option('--notices <n>', 'The notice with which a feed ends', { default: 0 })
+    .option('--feed-time <ms>', 'Longest time of a feed', { default: 30000 })
     .action(run);
 }
 
@@ -58,10 +65,14 @@
     event: 'finished',
     brokenFlows: sum((report) => report.brokenFlows),
     wrongAnswers: sum((report) => report.wrongAnswers),
+    noticesDelivered: sum((report) => report.noticesDelivered),
+    noticesLost: sum((report) => report.noticesLost),
+    noticesDoubled: sum((report) => report.noticesDoubled),
   });
 }
 
-function sessionOptions(flags: CallersFlags, session: number) {
+function sessionOptions(flags: CallersFlags, session: number): CallerOptions {
+  const feed = { afterNotice: 0, lastNotice: flags.notices, deadlineMs: flags.feedTime };
   return {
     serviceName: flags.service,
     requestCount: flags.requests,
@@ -71,6 +82,7 @@
     requestDeadlineMs: REQUEST_DEADLINE_MS,
     openDeadlineMs: OPEN_DEADLINE_MS,
     retransmitMs: RETRANSMIT_MS,
+    ...(session < flags.feeds && { feed }),
   };
 }
 
--- a/src/daemon/health-probe.ts
+++ b/src/daemon/health-probe.ts
@@ -19,8 +19,10 @@
   if (backend.adminState === 'draining') {
     await fetchBody(backend, 'POST', '/drain');
   }
+  // The back end learns which one it is, and refuses what a stale configuration sends it.
+  const identity = `serviceId=${backend.serviceId}&backendId=${backend.id}`;
   const [health, load] = await Promise.all([
-    fetchBody(backend, 'GET', '/health'),
+    fetchBody(backend, 'GET', `/health?${identity}`),
     fetchBody(backend, 'GET', '/load'),
   ]);
   return {
--- a/src/experiment/harm-summary.ts
+++ b/src/experiment/harm-summary.ts
@@ -2,6 +2,7 @@
  * @file The counts of harm of a run: what callers were promised against what back ends ran.
  */
 import type { RequestOutcome } from '../standins/caller-state.js';
+import type { NoticeSummary } from '../standins/notice-summary.js';
 
 /** What the callers of a run saw. */
 export interface RunRecord {
@@ -9,6 +10,9 @@
   readonly outcomes: RequestOutcome[];
   brokenFlows: number;
   wrongAnswers: number;
+  noticesDelivered: number;
+  noticesLost: number;
+  noticesDoubled: number;
 }
 
 /** What one back end ran. */
@@ -19,7 +23,7 @@
 }
 
 /** The counts of harm. */
-export interface HarmSummary {
+export interface HarmSummary extends NoticeSummary {
   readonly requests: number;
   readonly answered: number;
   readonly brokenFlows: number;
@@ -53,6 +57,9 @@
     ranTwice: [...runCounts.values()].filter((count) => count > 1).length,
     falseNotRun,
     incompleteAnswers: record.requests - answered + record.wrongAnswers,
+    noticesDelivered: record.noticesDelivered,
+    noticesLost: record.noticesLost,
+    noticesDoubled: record.noticesDoubled,
   };
 }
 
@@ -66,6 +73,8 @@
     summary.misrouted === 0 &&
     summary.ranTwice === 0 &&
     summary.falseNotRun === 0 &&
-    summary.incompleteAnswers === 0
+    summary.incompleteAnswers === 0 &&
+    summary.noticesLost === 0 &&
+    summary.noticesDoubled === 0
   );
 }
--- a/src/flow/error-kinds.ts
+++ b/src/flow/error-kinds.ts
@@ -26,6 +26,7 @@
   'balancer-stopping',
   'deadline-exceeded',
   'cancelled',
+  'notices-gone',
   'outcome-unknown',
   // Operators and control.
   'invalid-command',
@@ -133,6 +134,7 @@
     .with('backend-draining', 'balancer-stopping', () => refused(true, 503))
     .with('deadline-exceeded', () => refused(false, 504))
     .with('cancelled', () => refused(false, 499))
+    .with('notices-gone', () => refused(false, 410))
     .with('invalid-command', () => operatorError(400, false, exitCodes.usage))
     .with('unauthorized', () => operatorError(401, false, exitCodes.refused))
     .with('not-found', () => operatorError(404, false, exitCodes.refused))
--- a/src/flow/messages.ts
+++ b/src/flow/messages.ts
@@ -10,6 +10,12 @@
 /** Largest request, part of an answer or push that a message may carry, in bytes. */
 export const MAX_PAYLOAD_BYTES = 1_200;
 
+/**
+ * How far apart the request IDs of one flow may be: IDs grow, and a caller that sends an ID has done
+ * with all that are lower by this much. A back end may forget those, and never runs them again.
+ */
+export const REQUEST_ID_WINDOW = 32;
+
 const MAX_UINT32 = 0xffff_ffff;
 const MAX_PARTS = 4_096;
 const uint32 = z.number().int().min(0).max(MAX_UINT32);
@@ -39,6 +45,8 @@
   retryAfterMs: duration.optional(),
   /** The back end's present incarnation, where a stale one was the cause. */
   incarnation: uint32.optional(),
+  /** The oldest notice that the back end still holds, where a feed could not go on. */
+  firstNotice: uint32.optional(),
 });
 
 /** Caller to back end, under a token: runs at most once for each (token, request ID). */
@@ -49,11 +57,21 @@
   deadlineMs: duration,
   /** True where the request asks for a feed: the answer goes on until closed or cancelled. */
   feed: z.boolean(),
-  /** For a feed: the last notice that the caller has; 0 where it has none. */
+  /**
+   * For a feed: the last notice that the caller has; 0 where it has none and takes the oldest that
+   * the back end still holds.
+   */
   afterNotice: uint32.optional(),
   payload,
 });
 
+/** Back end to caller: the feed stands; notices after this number follow. Sent for each copy. */
+const subscribedSchema = z.strictObject({
+  type: z.literal('subscribed'),
+  requestId: uint32,
+  afterNotice: uint32,
+});
+
 /** Back end to caller: one part of an answer, or one notice of a feed. */
 const answerSchema = z.strictObject({
   type: z.literal('answer'),
@@ -89,6 +107,7 @@
   acceptSchema,
   refuseSchema,
   requestSchema,
+  subscribedSchema,
   answerSchema,
   acknowledgeSchema,
   cancelSchema,
@@ -106,6 +125,8 @@
 export type RefuseMessage = z.infer<typeof refuseSchema>;
 /** Asks for work under a flow. */
 export type RequestMessage = z.infer<typeof requestSchema>;
+/** Confirms a feed. */
+export type SubscribedMessage = z.infer<typeof subscribedSchema>;
 /** A part of an answer, or a notice of a feed. */
 export type AnswerMessage = z.infer<typeof answerSchema>;
 
--- /dev/null
+++ b/src/standins/backend-drain.ts
@@ -0,0 +1,107 @@
+/**
+ * @file The drain of a stand-in back end. Established flows are told to go at a bounded rate, so that
+ * the other back ends meet no herd: flows that make requests within seconds, since their requests
+ * are new work; flows that only hold a feed more slowly. What runs ends here. A flow that does not
+ * leave is refused new work soon, and closed only after a long grace time.
+ */
+import type { StepContext } from '../common/step.js';
+import { closeFlow } from './backend-flows.js';
+import { sendOnFlow, type BackendEffect } from './backend-send.js';
+import {
+  hasUnfinishedRequest,
+  type BackendDrain,
+  type BackendFlow,
+  type BackendState,
+} from './backend-state.js';
+import { RetransmitTimer } from './retransmit-timer.js';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/**
+ * The platform, an operator or a balancer asks it to drain. Asked again, it goes on as before.
+ */
+export function requestDrain(state: BackendState, context: StepContext): BackendEffect[] {
+  const { faults } = state.options;
+  if (faults?.ignoresDrain === true) {
+    return [];
+  }
+  state.drainDueAtMs ??= context.nowMs + (faults?.drainDelayMs ?? 0);
+  return drainTick(state, context);
+}
+
+/**
+ * Time has passed: tells further flows to go, tells those again that have not left, and closes those
+ * whose grace time is over and for which nothing runs.
+ */
+export function drainTick(state: BackendState, context: StepContext): BackendEffect[] {
+  if (state.drain === undefined && context.nowMs >= (state.drainDueAtMs ?? Infinity)) {
+    state.drain = startDrain(state, context);
+    state.draining = true;
+  }
+  const { drain } = state;
+  if (drain === undefined) {
+    return [];
+  }
+  const effects = [...repeatGoAways(state, context), ...tellNextFlows(state, drain, context)];
+  const isGraceOver = context.nowMs >= drain.startedAtMs + state.tuning.drainGraceMs;
+  return isGraceOver ? [...effects, ...closeIdleFlows(state, context)] : effects;
+}
+
+function startDrain(state: BackendState, context: StepContext): BackendDrain {
+  const flows = [...state.flows.values()];
+  const feedFlows = flows.filter((flow) => flow.feeds.size > 0 && !flow.makesRequests);
+  const requestFlows = flows.filter((flow) => flow.feeds.size === 0 || flow.makesRequests);
+  return {
+    startedAtMs: context.nowMs,
+    requestFlows,
+    feedFlows,
+    requestFlowCount: requestFlows.length,
+    feedFlowCount: feedFlows.length,
+  };
+}
+
+function tellNextFlows(
+  state: BackendState,
+  drain: BackendDrain,
+  context: StepContext,
+): BackendEffect[] {
+  const { goAwaySpreadMs, feedMovesPerSecond } = state.tuning;
+  const elapsedMs = context.nowMs - drain.startedAtMs;
+  const requestFlowsDue = 1 + Math.floor((drain.requestFlowCount * elapsedMs) / goAwaySpreadMs);
+  const feedFlowsDue = 1 + Math.floor((feedMovesPerSecond * elapsedMs) / MILLISECONDS_PER_SECOND);
+  const requestFlowsTold = drain.requestFlowCount - drain.requestFlows.length;
+  const feedFlowsTold = drain.feedFlowCount - drain.feedFlows.length;
+  const next = [
+    ...drain.requestFlows.splice(0, Math.max(0, requestFlowsDue - requestFlowsTold)),
+    ...drain.feedFlows.splice(0, Math.max(0, feedFlowsDue - feedFlowsTold)),
+  ];
+  return next.filter((flow) => state.flows.has(flow.tokenKey)).map(tell);
+
+  function tell(flow: BackendFlow): BackendEffect {
+    flow.goAway = new RetransmitTimer({
+      initialDelayMs: state.tuning.goAwayRetransmitMs,
+      maxDelayMs: state.tuning.goAwayRetransmitMaxMs,
+    });
+    flow.goAway.restart(context);
+    return sendOnFlow(state, flow, { type: 'go-away' });
+  }
+}
+
+function repeatGoAways(state: BackendState, context: StepContext): BackendEffect[] {
+  const effects: BackendEffect[] = [];
+  for (const flow of state.flows.values()) {
+    if (flow.goAway?.isDue(context.nowMs) === true) {
+      flow.goAway.backOff(context);
+      effects.push(sendOnFlow(state, flow, { type: 'go-away' }));
+    }
+  }
+  return effects;
+}
+
+function closeIdleFlows(state: BackendState, context: StepContext): BackendEffect[] {
+  const idle = [...state.flows.values()].filter((flow) => !hasUnfinishedRequest(flow));
+  return idle.map((flow) => {
+    closeFlow(state, flow, context);
+    return sendOnFlow(state, flow, { type: 'close', kind: 'backend-draining' });
+  });
+}
--- a/src/standins/backend-process.ts
+++ b/src/standins/backend-process.ts
@@ -1,19 +1,22 @@
 /**
  * @file The stand-in back end as a process: a UDP socket for packets, and HTTP endpoints for health
- * (`GET /health`), load (`GET /load`), drain (`POST /drain`) and the oracle (`GET /runs`).
+ * (`GET /health`, whose query may tell `serviceId` and `backendId`), load (`GET /load`), drain
+ * (`POST /drain`), notices (`POST /publish`), a crash (`POST /crash`) and the oracle (`GET /runs`).
  */
 import { randomInt } from 'node:crypto';
-import type { RequestListener } from 'node:http';
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
+import { z } from 'zod';
 import type { Address } from '../common/address.js';
-import { respondJson } from '../daemon/http-json.js';
+import { readBody, respondJson } from '../daemon/http-json.js';
 import { listenHttp } from '../daemon/http-server.js';
 import { systemContextSource } from '../daemon/system-context.js';
 import { bindUdp, type UdpSocket } from '../daemon/udp-socket.js';
+import type { BackendOptions } from './backend-options.js';
 import {
   createBackendState,
   healthReport,
+  isDown,
   loadReport,
-  type BackendOptions,
   type BackendState,
 } from './backend-state.js';
 import { backendStep, type BackendEvent } from './backend-step.js';
@@ -21,6 +24,13 @@
 const TICK_INTERVAL_MS = 5;
 const INCARNATION_BOUND = 2 ** 32;
 
+const publishSchema = z.strictObject({ number: z.number().int().min(1), payload: z.string() });
+const crashSchema = z.strictObject({ downMs: z.number().min(0) });
+const assignmentSchema = z.object({
+  serviceId: z.coerce.number().int().min(0),
+  backendId: z.coerce.number().int().min(0),
+});
+
 /** A running back end. */
 export interface BackendProcess {
   readonly address: Address;
@@ -62,8 +72,14 @@
 
 function endpoints(state: BackendState, step: (event: BackendEvent) => void): RequestListener {
   return (incoming, response) => {
-    switch (incoming.url) {
+    if (isDown(state, performance.now())) {
+      incoming.socket.destroy();
+      return;
+    }
+    const url = new URL(incoming.url ?? '/', 'http://backend');
+    switch (url.pathname) {
       case '/health':
+        takeAssignment(url.searchParams, step);
         respondJson(response, 200, healthReport(state, performance.now()));
         break;
       case '/load':
@@ -73,6 +89,18 @@
         step({ type: 'drain' });
         respondJson(response, 200, {});
         break;
+      case '/publish':
+        void takeBody(incoming, response, publishSchema, ({ number, payload }) => {
+          step({ type: 'publish', number, payload: Buffer.from(payload) });
+          return { expectedNumber: state.notices.expectedNumber };
+        });
+        break;
+      case '/crash':
+        void takeBody(incoming, response, crashSchema, ({ downMs }) => {
+          step({ type: 'crash', incarnation: randomInt(INCARNATION_BOUND), downMs });
+          return {};
+        });
+        break;
       case '/runs':
         respondJson(response, 200, { runs: state.runs, misrouted: state.misrouted });
         break;
@@ -81,3 +109,25 @@
     }
   };
 }
+
+function takeAssignment(query: URLSearchParams, step: (event: BackendEvent) => void): void {
+  const parsed = assignmentSchema.safeParse(Object.fromEntries(query));
+  if (parsed.success) {
+    step({ type: 'assign', assignment: parsed.data });
+  }
+}
+
+async function takeBody<Body>(
+  incoming: IncomingMessage,
+  response: ServerResponse,
+  schema: z.ZodType<Body>,
+  act: (body: Body) => object,
+): Promise<void> {
+  const body = await readBody(incoming);
+  const parsed = schema.safeParse(body.unwrapOr(undefined));
+  if (parsed.success) {
+    respondJson(response, 200, act(parsed.data));
+  } else {
+    respondJson(response, 400, { error: 'The body is not as expected.' });
+  }
+}
--- /dev/null
+++ b/src/standins/caller-flows.ts
@@ -0,0 +1,155 @@
+/**
+ * @file The flows of a stand-in caller: opening one, moving to another one make-before-break, and
+ * closing what is no longer needed.
+ */
+import type { StepContext } from '../common/step.js';
+import { answerFor, type ErrorKind } from '../flow/error-kinds.js';
+import { encodeLongHeader, FLOW_ID_LENGTH_BYTES, parseLongHeader } from '../flow/header.js';
+import { decodeMessage, encodeMessage, type RefuseMessage } from '../flow/messages.js';
+import { TOKEN_LENGTH_BYTES } from '../flow/token.js';
+import { endRequest, endUnknown } from './caller-request.js';
+import {
+  closeFlow,
+  dropFlow,
+  sendOnFlow,
+  startRetransmitTimer,
+  type CallerEffect,
+  type CallerState,
+  type OpenFlow,
+} from './caller-state.js';
+
+const BYTE_VALUES = 256;
+const EMPTY_ID = new Uint8Array(0);
+
+/**
+ * Time has passed: opens a flow where one is needed, sends an open again, gives up an open whose
+ * time is up, and closes flows that were left and serve nothing any more.
+ */
+export function flowsTick(state: CallerState, context: StepContext): CallerEffect[] {
+  return [...openTick(state, context), ...releaseOldFlows(state)];
+}
+
+/**
+ * Takes a long-header packet: the answer to an open.
+ */
+export function handleOpenReply(
+  state: CallerState,
+  packet: Uint8Array,
+  context: StepContext,
+): CallerEffect[] {
+  const header = parseLongHeader(packet);
+  if (header.isErr() || state.flow.phase === 'none') {
+    return [];
+  }
+  const { destinationId, sourceId, body } = header.value;
+  const message = decodeMessage(body);
+  if (message.isErr() || Buffer.compare(destinationId, state.flow.flowId) !== 0) {
+    return [];
+  }
+  if (message.value.type === 'accept' && sourceId.length === TOKEN_LENGTH_BYTES) {
+    return takeAccept(state, state.flow.flowId, Uint8Array.from(sourceId));
+  }
+  if (message.value.type === 'refuse' && state.flow.phase === 'opening') {
+    const openAfterMs = context.nowMs + (message.value.retryAfterMs ?? 0);
+    state.flow = { phase: 'none', openAfterMs };
+    return openRefusedForGood(state, message.value);
+  }
+  return [];
+}
+
+/**
+ * The back end closed a flow, or does not know it: what was sent on it may have run.
+ * @param kind undefined where it was the ordinary end of a silent flow
+ */
+export function handleClose(
+  state: CallerState,
+  flow: OpenFlow,
+  kind: ErrorKind | undefined,
+  context: StepContext,
+): CallerEffect[] {
+  const { request } = state;
+  const cutsRequest = request?.flow === flow;
+  state.brokenFlows += kind !== undefined || cutsRequest ? 1 : 0;
+  dropFlow(state, flow, context.nowMs);
+  return cutsRequest ? [endUnknown(state, request, kind ?? 'outcome-unknown', context)] : [];
+}
+
+function openTick(state: CallerState, context: StepContext): CallerEffect[] {
+  const { flow } = state;
+  if (flow.phase === 'none') {
+    return context.nowMs >= flow.openAfterMs && needsFlow(state) ? startOpen(state, context) : [];
+  }
+  if (flow.phase === 'open') {
+    return [];
+  }
+  if (context.nowMs >= flow.deadlineAtMs) {
+    state.flow = { phase: 'none', openAfterMs: context.nowMs };
+    return [];
+  }
+  if (!flow.timer.isDue(context.nowMs)) {
+    return [];
+  }
+  flow.timer.backOff(context);
+  return [sendOpen(flow.flowId, flow.deadlineAtMs - context.nowMs)];
+}
+
+function needsFlow(state: CallerState): boolean {
+  const requestWaits = state.request !== undefined && state.request.flow === undefined;
+  const feedWaits = state.feed !== undefined && state.feed.next === undefined;
+  return requestWaits || feedWaits;
+}
+
+function startOpen(state: CallerState, context: StepContext): CallerEffect[] {
+  const flowId = Uint8Array.from({ length: FLOW_ID_LENGTH_BYTES }, () =>
+    context.random.nextInt(BYTE_VALUES),
+  );
+  const { openDeadlineMs } = state.options;
+  state.flow = {
+    phase: 'opening',
+    flowId,
+    deadlineAtMs: context.nowMs + openDeadlineMs,
+    timer: startRetransmitTimer(state, context),
+  };
+  return [sendOpen(flowId, openDeadlineMs)];
+}
+
+function sendOpen(flowId: Uint8Array, deadlineMs: number): CallerEffect {
+  const body = encodeMessage({ type: 'open', deadlineMs });
+  return { type: 'send', packet: encodeLongHeader(EMPTY_ID, flowId, body) };
+}
+
+/** Copies of one open may be placed on two back ends: the second flow is closed again. */
+function takeAccept(state: CallerState, flowId: Uint8Array, token: Uint8Array): CallerEffect[] {
+  const accepted: OpenFlow = {
+    phase: 'open',
+    flowId,
+    token,
+    leaving: false,
+    takesRequests: true,
+  };
+  if (state.flow.phase !== 'open') {
+    state.flow = accepted;
+    return [];
+  }
+  const isSame = Buffer.compare(state.flow.token, token) === 0;
+  return isSame ? [] : [sendOnFlow(accepted, { type: 'close' })];
+}
+
+function openRefusedForGood(state: CallerState, refusal: RefuseMessage): CallerEffect[] {
+  const { request } = state;
+  if (request === undefined || request.flow !== undefined || answerFor(refusal.kind).retryable) {
+    return [];
+  }
+  endRequest(state, 0);
+  const { requestNumber } = request;
+  const { kind } = refusal;
+  return [{ type: 'outcome', outcome: { type: 'not-run', requestNumber, kind } }];
+}
+
+function releaseOldFlows(state: CallerState): CallerEffect[] {
+  const { feed, request } = state;
+  const released = state.oldFlows.filter(
+    (flow) => request?.flow !== flow && feed?.current?.flow !== flow && feed?.next?.flow !== flow,
+  );
+  return released.map((flow) => closeFlow(state, flow, 0));
+}
