--- a/src/client/operator-client.ts
+++ b/src/client/operator-client.ts
@@ -2,14 +2,17 @@
  * @file The operators' client: sends commands to control machines, the same command ID again when an
  * answer is lost.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, type Result } from 'neverthrow';
 import type { Address } from '../common/address.js';
 import type { OperatorCommand } from '../control/commands.js';
 import { sendJson, type JsonResponse } from '../daemon/http-json.js';
-import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import { amberliftError, answerFor, type AmberliftError } from '../flow/error-kinds.js';
 
 const REQUEST_TIMEOUT_MS = 3_000;
-const MAX_ATTEMPTS = 4;
+const MAX_ATTEMPTS = 12;
+/** Time before the next control machine is asked, in milliseconds; an election takes longer. */
+const RETRY_DELAY_MS = 250;
 
 /** How to reach the cluster. */
 export interface OperatorClientOptions {
@@ -56,26 +59,45 @@
   ): Promise<Result<unknown, AmberliftError>> {
     const { controlAddresses, bearerToken } = this.options;
     let lastError = amberliftError('peer-unreachable', 'No control machine is known.');
+    let leader: Address | undefined;
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const to = controlAddresses[attempt % controlAddresses.length];
+      const to = leader ?? controlAddresses[attempt % controlAddresses.length];
       if (to === undefined) {
         break;
       }
       const timeoutMs = REQUEST_TIMEOUT_MS;
       const response = await sendJson({ to, method, path, body, bearerToken, timeoutMs });
-      if (response.isOk()) {
-        return interpret(response.value);
+      const answer: Answer = response.isOk()
+        ? interpret(response.value)
+        : { error: response.error };
+      if (answer.error === undefined) {
+        return ok(answer.body);
+      }
+      lastError = answer.error;
+      if (!answerFor(lastError.kind).retryable) {
+        break;
+      }
+      leader = answer.leader;
+      if (leader === undefined) {
+        await sleep(RETRY_DELAY_MS);
       }
-      lastError = response.error;
     }
     return err(lastError);
   }
 }
 
-function interpret(response: JsonResponse): Result<unknown, AmberliftError> {
+interface Answer {
+  readonly body?: unknown;
+  readonly error?: AmberliftError;
+  /** Where the leader is, from a control machine that does not lead. */
+  readonly leader?: Address | undefined;
+}
+
+function interpret(response: JsonResponse): Answer {
   if (response.status === 200) {
-    return ok(response.body);
+    return { body: response.body };
   }
-  const error = (response.body as { error?: AmberliftError } | undefined)?.error;
-  return err(error ?? amberliftError('internal', `Status ${response.status} without a reason.`));
+  const { error, leader } = (response.body ?? {}) as Answer;
+  const unnamed = amberliftError('internal', `Status ${response.status} without a reason.`);
+  return { error: error ?? unnamed, leader };
 }
--- /dev/null
+++ b/src/consensus/consensus-step.ts
@@ -0,0 +1,180 @@
+/**
+ * @file The decision step of one member of a consensus group: Raft with pre-vote, check-quorum, read
+ * index, learners, one membership change at a time, transfer of leadership, and snapshots.
+ */
+import { match } from 'ts-pattern';
+import type { StepContext } from '../common/step.js';
+import type { ConsensusEffect, ConsensusEvent, StepScope } from './consensus-events.js';
+import { restingRole, type ConsensusState } from './consensus-state.js';
+import {
+  countOwnVote,
+  electionTick,
+  handlePreVoteRequest,
+  handlePreVoteResponse,
+  handleVoteRequest,
+  handleVoteResponse,
+  startElection,
+} from './election.js';
+import { followLeader, handleAppendRequest } from './follower.js';
+import type { Membership } from './membership.js';
+import type { AppendRequest, ConsensusMessage, Sender, SnapshotChunk } from './messages.js';
+import { finishWrite, flushWrites, queueRecord } from './persistence.js';
+import { handleChangeMembership, handlePropose } from './proposals.js';
+import { handleRead } from './read-index.js';
+import { commitByCounting, handleAppendResponse, leaderTick } from './replication.js';
+import { appendEntries, becomeFollower, sendNow, sendPersisted } from './roles.js';
+import {
+  handleSnapshotChunk,
+  handleSnapshotChunkResponse,
+  handleSnapshotTaken,
+} from './snapshot-transfer.js';
+import { startTransfer } from './transfer.js';
+
+/** Term of the membership with which a cluster begins; leaders have later ones. */
+const BOOTSTRAP_TERM = 1;
+
+/**
+ * Takes one event.
+ * @returns the effects, in order
+ */
+export function consensusStep(
+  state: ConsensusState,
+  event: ConsensusEvent,
+  context: StepContext,
+): ConsensusEffect[] {
+  const scope: StepScope = { state, context, effects: [] };
+  match(event)
+    .with({ type: 'consensus-message' }, ({ from, message }) => handleMessage(scope, from, message))
+    .with({ type: 'propose' }, ({ proposalId, data }) => handlePropose(scope, proposalId, data))
+    .with({ type: 'read' }, ({ readId }) => handleRead(scope, readId))
+    .with({ type: 'change-membership' }, ({ proposalId, change }) =>
+      handleChangeMembership(scope, proposalId, change),
+    )
+    .with({ type: 'bootstrap' }, ({ clusterId, membership }) =>
+      handleBootstrap(scope, clusterId, membership),
+    )
+    .with({ type: 'join-cluster' }, ({ clusterId }) => joinCluster(state, clusterId))
+    .with({ type: 'transfer-leadership' }, () => startTransfer(scope))
+    .with({ type: 'snapshot-taken' }, ({ index, data }) => handleSnapshotTaken(state, index, data))
+    .with({ type: 'persisted' }, ({ writeId }) => handlePersisted(scope, writeId))
+    .with({ type: 'persist-failed' }, () => handlePersistFailed(scope))
+    .with({ type: 'tick' }, () => handleTick(scope))
+    .exhaustive();
+  flushWrites(scope);
+  return scope.effects;
+}
+
+function handleTick(scope: StepScope): void {
+  if (!scope.state.storageFailed) {
+    leaderTick(scope);
+    electionTick(scope);
+  }
+}
+
+function handleMessage(scope: StepScope, from: Sender, message: ConsensusMessage): void {
+  if (scope.state.storageFailed) {
+    return;
+  }
+  match(message)
+    .with({ type: 'pre-vote-request' }, (request) => handlePreVoteRequest(scope, from, request))
+    .with({ type: 'vote-request' }, (request) => handleVoteRequest(scope, from, request))
+    .with({ type: 'append-request' }, { type: 'snapshot-chunk' }, (request) =>
+      handleFromLeader(scope, from, request),
+    )
+    .with({ type: 'timeout-now' }, ({ term }) => {
+      if (term === scope.state.term && scope.state.role.name === 'follower') {
+        startElection(scope, true);
+      }
+    })
+    .with({ type: 'pre-vote-response', granted: true }, (response) =>
+      handlePreVoteResponse(scope, from, response),
+    )
+    .otherwise((response) => {
+      if (response.term > scope.state.term) {
+        becomeFollower(scope, response.term, undefined);
+      }
+      handleResponse(scope, from, response);
+    });
+}
+
+function handleFromLeader(
+  scope: StepScope,
+  from: Sender,
+  request: AppendRequest | SnapshotChunk,
+): void {
+  const { state } = scope;
+  if (request.term < state.term) {
+    tellNewerTerm(scope, from);
+    return;
+  }
+  followLeader(scope, from, request.term);
+  if (request.type === 'append-request') {
+    handleAppendRequest(scope, from, request);
+  } else {
+    handleSnapshotChunk(scope, from, request);
+  }
+}
+
+/** A leader of an earlier term steps down when it hears of a later one. */
+function tellNewerTerm(scope: StepScope, from: Sender): void {
+  sendPersisted(scope, from.nodeId, {
+    type: 'append-response',
+    term: scope.state.term,
+    round: 0,
+    success: false,
+    rejectedIndex: 0,
+    hintIndex: 0,
+  });
+}
+
+function handleResponse(scope: StepScope, from: Sender, response: ConsensusMessage): void {
+  match(response)
+    .with({ type: 'vote-response' }, (answer) => handleVoteResponse(scope, from, answer))
+    .with({ type: 'append-response' }, (answer) => handleAppendResponse(scope, from, answer))
+    .with({ type: 'snapshot-chunk-response' }, (answer) =>
+      handleSnapshotChunkResponse(scope, from, answer),
+    )
+    .otherwise(() => undefined);
+}
+
+function handleBootstrap(scope: StepScope, clusterId: string, membership: Membership): void {
+  const { state } = scope;
+  if (state.clusterId !== undefined || state.log.last.index > 0) {
+    return;
+  }
+  state.clusterId = clusterId;
+  state.term = BOOTSTRAP_TERM;
+  queueRecord(state, { type: 'cluster', clusterId });
+  queueRecord(state, { type: 'vote', term: state.term, votedFor: undefined });
+  appendEntries(state, [
+    { index: 1, term: BOOTSTRAP_TERM, content: { type: 'membership', membership } },
+  ]);
+  state.role = restingRole(state);
+}
+
+function joinCluster(state: ConsensusState, clusterId: string): void {
+  if (state.clusterId === undefined) {
+    state.clusterId = clusterId;
+    queueRecord(state, { type: 'cluster', clusterId });
+  }
+}
+
+function handlePersisted(scope: StepScope, writeId: number): void {
+  for (const action of finishWrite(scope.state, writeId)) {
+    match(action)
+      .with({ type: 'send' }, ({ to, message }) => sendNow(scope, to, message))
+      .with({ type: 'count-own-vote' }, ({ term }) => countOwnVote(scope, term))
+      .exhaustive();
+  }
+  commitByCounting(scope);
+}
+
+/** What is on this disk is not known any more: nothing is promised until a restart reads it again. */
+function handlePersistFailed(scope: StepScope): void {
+  const { state } = scope;
+  state.storageFailed = true;
+  state.persistence.inFlight = undefined;
+  state.persistence.deferred = [];
+  state.persistence.records = [];
+  becomeFollower(scope, state.term, undefined, 'storage-failed');
+}
--- /dev/null
+++ b/src/consensus/election.ts
@@ -0,0 +1,226 @@
+/**
+ * @file Elections: a pre-vote, which changes nothing, then a vote in a new term. Votes are answered
+ * only once they are on disk.
+ */
+import type { StepScope } from './consensus-events.js';
+import { currentMembership, isVoter, type ConsensusState } from './consensus-state.js';
+import { findMember, quorumSize, votersOf, type NodeId } from './membership.js';
+import type {
+  PreVoteRequest,
+  PreVoteResponse,
+  Sender,
+  VoteRequest,
+  VoteResponse,
+} from './messages.js';
+import { deferUntilPersisted, queueVote } from './persistence.js';
+import { replicateToAll } from './replication.js';
+import {
+  appendOwnEntry,
+  becomeFollower,
+  freshProgress,
+  resetElectionDeadline,
+  sendNow,
+  sendPersisted,
+} from './roles.js';
+
+/**
+ * Campaigns where it is time. The only voter of a cluster does not wait.
+ */
+export function electionTick(scope: StepScope): void {
+  const { state, context } = scope;
+  if (state.role.name === 'leader' || !isVoter(state)) {
+    return;
+  }
+  const isAlone = votersOf(currentMembership(state)).length === 1;
+  if (state.electionDeadlineMs === undefined) {
+    resetElectionDeadline(scope);
+  }
+  const waits = isAlone && state.role.name === 'candidate';
+  if (!waits && (isAlone || context.nowMs >= (state.electionDeadlineMs ?? 0))) {
+    startPreVote(scope);
+  }
+}
+
+function startPreVote(scope: StepScope): void {
+  const { state } = scope;
+  resetElectionDeadline(scope);
+  state.role = { name: 'pre-candidate', granted: new Set([state.nodeId]) };
+  state.leaderId = undefined;
+  scope.effects.push({ type: 'role-changed' });
+  if (hasQuorum(state, state.role.granted)) {
+    startElection(scope, false);
+    return;
+  }
+  const { index: lastIndex, term: lastTerm } = state.log.last;
+  for (const nodeId of otherVoters(state)) {
+    sendNow(scope, nodeId, {
+      type: 'pre-vote-request',
+      term: state.term + 1,
+      lastIndex,
+      lastTerm,
+    });
+  }
+}
+
+/**
+ * Campaigns in a new term. The own vote counts, and the others are asked, once it is on disk.
+ * @param isTransfer true where the leader asked for it
+ */
+export function startElection(scope: StepScope, isTransfer: boolean): void {
+  const { state } = scope;
+  resetElectionDeadline(scope);
+  state.term += 1;
+  state.votedFor = state.storageId;
+  state.role = { name: 'candidate', granted: new Set() };
+  state.leaderId = undefined;
+  queueVote(state);
+  deferUntilPersisted(state, { type: 'count-own-vote', term: state.term });
+  const { index: lastIndex, term: lastTerm } = state.log.last;
+  for (const nodeId of otherVoters(state)) {
+    sendPersisted(scope, nodeId, {
+      type: 'vote-request',
+      term: state.term,
+      lastIndex,
+      lastTerm,
+      isTransfer,
+    });
+  }
+  scope.effects.push({ type: 'role-changed' });
+}
+
+/**
+ * The candidate's own vote is on disk.
+ */
+export function countOwnVote(scope: StepScope, term: number): void {
+  if (term === scope.state.term) {
+    countVote(scope, scope.state.nodeId);
+  }
+}
+
+/**
+ * Answers whether a vote would be granted.
+ */
+export function handlePreVoteRequest(
+  scope: StepScope,
+  from: Sender,
+  request: PreVoteRequest,
+): void {
+  const { state } = scope;
+  const granted =
+    request.term > state.term &&
+    !hearsFromLeader(scope) &&
+    isUpToDate(state, request.lastIndex, request.lastTerm);
+  const term = granted ? request.term : state.term;
+  sendPersisted(scope, from.nodeId, { type: 'pre-vote-response', term, granted });
+}
+
+/**
+ * Counts a pre-vote.
+ */
+export function handlePreVoteResponse(
+  scope: StepScope,
+  from: Sender,
+  response: PreVoteResponse,
+): void {
+  const { state } = scope;
+  const isCurrent = response.granted && response.term === state.term + 1;
+  if (state.role.name !== 'pre-candidate' || !isCurrent || !isVoterSender(state, from)) {
+    return;
+  }
+  state.role.granted.add(from.nodeId);
+  if (hasQuorum(state, state.role.granted)) {
+    startElection(scope, false);
+  }
+}
+
+/**
+ * Votes, at most once in a term, for a candidate whose log is not behind. While a leader is heard
+ * from, nobody is voted for unless the leader asked for it.
+ */
+export function handleVoteRequest(scope: StepScope, from: Sender, request: VoteRequest): void {
+  const { state } = scope;
+  const isRefused = request.term < state.term || (!request.isTransfer && hearsFromLeader(scope));
+  if (!isRefused && request.term > state.term) {
+    becomeFollower(scope, request.term, undefined);
+  }
+  const granted =
+    !isRefused &&
+    (state.votedFor === undefined || state.votedFor === from.storageId) &&
+    isUpToDate(state, request.lastIndex, request.lastTerm);
+  if (granted) {
+    state.votedFor = from.storageId;
+    queueVote(state);
+    resetElectionDeadline(scope);
+  }
+  sendPersisted(scope, from.nodeId, { type: 'vote-response', term: state.term, granted });
+}
+
+/**
+ * Counts a vote.
+ */
+export function handleVoteResponse(scope: StepScope, from: Sender, response: VoteResponse): void {
+  const { state } = scope;
+  if (response.granted && response.term === state.term && isVoterSender(state, from)) {
+    countVote(scope, from.nodeId);
+  }
+}
+
+function countVote(scope: StepScope, nodeId: NodeId): void {
+  const { state } = scope;
+  if (state.role.name !== 'candidate') {
+    return;
+  }
+  state.role.granted.add(nodeId);
+  if (hasQuorum(state, state.role.granted)) {
+    becomeLeader(scope);
+  }
+}
+
+function becomeLeader(scope: StepScope): void {
+  const { state, context } = scope;
+  const { members } = currentMembership(state);
+  const others = members.filter(({ nodeId }) => nodeId !== state.nodeId);
+  state.role = {
+    name: 'leader',
+    progress: new Map(others.map(({ nodeId }) => [nodeId, freshProgress(state, context.nowMs)])),
+    termStartIndex: state.log.last.index + 1,
+    round: 0,
+    pendingReads: [],
+    nextHeartbeatAtMs: context.nowMs + state.options.heartbeatIntervalMs,
+    transfer: undefined,
+  };
+  state.leaderId = state.nodeId;
+  appendOwnEntry(state, { type: 'no-op' });
+  replicateToAll(scope, { evenIfEmpty: true });
+  scope.effects.push({ type: 'role-changed' });
+}
+
+function hearsFromLeader({ state, context }: StepScope): boolean {
+  if (state.role.name === 'leader') {
+    return true;
+  }
+  const silentMs = context.nowMs - state.heardFromLeaderAtMs;
+  return state.leaderId !== undefined && silentMs < state.options.electionTimeoutMs;
+}
+
+function isUpToDate(state: ConsensusState, lastIndex: number, lastTerm: number): boolean {
+  const own = state.log.last;
+  return lastTerm > own.term || (lastTerm === own.term && lastIndex >= own.index);
+}
+
+function hasQuorum(state: ConsensusState, granted: ReadonlySet<NodeId>): boolean {
+  const membership = currentMembership(state);
+  const count = votersOf(membership).filter(({ nodeId }) => granted.has(nodeId)).length;
+  return count >= quorumSize(membership);
+}
+
+function otherVoters(state: ConsensusState): NodeId[] {
+  return votersOf(currentMembership(state))
+    .map(({ nodeId }) => nodeId)
+    .filter((nodeId) => nodeId !== state.nodeId);
+}
+
+function isVoterSender(state: ConsensusState, from: Sender): boolean {
+  const member = findMember(currentMembership(state), from.nodeId);
+  return member?.role === 'voter' && member.storageId === from.storageId;
+}
--- /dev/null
+++ b/src/consensus/membership.ts
@@ -0,0 +1,94 @@
+/**
+ * @file The members of a consensus group. A member is named by its node ID and its storage ID: a
+ * machine that lost its disk comes back with another storage ID and is another member.
+ */
+import type { Address } from '../common/address.js';
+
+/** Name of a machine, from its settings. */
+export type NodeId = string;
+
+/** Voters elect and commit; learners only receive the log. */
+export type MemberRole = 'voter' | 'learner';
+
+/** One member. */
+export interface Member {
+  readonly nodeId: NodeId;
+  /** Made at the first start with an empty disk. */
+  readonly storageId: string;
+  readonly role: MemberRole;
+  /** TCP address of its links. */
+  readonly linkAddress: Address;
+  /** HTTP address of its operator interface. */
+  readonly operatorAddress: Address;
+}
+
+/** All members, ordered by node ID; at most one per node ID. */
+export interface Membership {
+  readonly members: readonly Member[];
+}
+
+/** One change of the membership; only one member at a time ever changes. */
+export type MemberChange =
+  /** Adds a learner. */
+  | { readonly type: 'add-member'; readonly member: Omit<Member, 'role'> }
+  /** Makes a learner that has caught up a voter. */
+  | { readonly type: 'promote-member'; readonly nodeId: NodeId }
+  | { readonly type: 'remove-member'; readonly nodeId: NodeId };
+
+/** No members: the membership of a machine that belongs to no cluster yet. */
+export const noMembers: Membership = { members: [] };
+
+/**
+ * @returns the member with this node ID
+ */
+export function findMember(membership: Membership, nodeId: NodeId): Member | undefined {
+  return membership.members.find((member) => member.nodeId === nodeId);
+}
+
+/**
+ * @returns the voters, ordered by node ID
+ */
+export function votersOf(membership: Membership): Member[] {
+  return membership.members.filter((member) => member.role === 'voter');
+}
+
+/**
+ * @returns how many voters a decision needs
+ */
+export function quorumSize(membership: Membership): number {
+  return Math.floor(votersOf(membership).length / 2) + 1;
+}
+
+/**
+ * @returns members ordered by node ID
+ */
+export function sortedMembership(members: readonly Member[]): Membership {
+  return { members: [...members].sort((a, b) => (a.nodeId < b.nodeId ? -1 : 1)) };
+}
+
+/**
+ * @returns the membership after a change, or undefined where the change does not apply
+ */
+export function changedMembership(
+  membership: Membership,
+  change: MemberChange,
+): Membership | undefined {
+  const { members } = membership;
+  if (change.type === 'add-member') {
+    const isKnown = findMember(membership, change.member.nodeId) !== undefined;
+    const learner: Member = { ...change.member, role: 'learner' };
+    return isKnown ? undefined : sortedMembership([...members, learner]);
+  }
+  const member = findMember(membership, change.nodeId);
+  if (member === undefined) {
+    return undefined;
+  }
+  const others = members.filter(({ nodeId }) => nodeId !== change.nodeId);
+  if (change.type === 'promote-member') {
+    return member.role === 'learner'
+      ? sortedMembership([...others, { ...member, role: 'voter' }])
+      : undefined;
+  }
+  const isLastVoter = member.role === 'voter' && votersOf(membership).length === 1;
+  return isLastVoter ? undefined : sortedMembership(others);
+}
--- /dev/null
+++ b/src/consensus/proposals.ts
@@ -0,0 +1,93 @@
+/**
+ * @file Proposals of commands and of membership changes, at the leader.
+ */
+import type { RefusalKind, StepScope } from './consensus-events.js';
+import { currentMembership, type ConsensusState, type LeaderRole } from './consensus-state.js';
+import type { EntryContent } from './log.js';
+import { changedMembership, findMember, type MemberChange, type NodeId } from './membership.js';
+import { replicateToAll } from './replication.js';
+import { appendOwnEntry, refreshProgress } from './roles.js';
+
+/** How far a learner may lag behind to be promoted, in entries. */
+const MAX_PROMOTION_LAG = 100;
+
+/**
+ * Appends a command and sends it on at once; the own write goes on meanwhile.
+ */
+export function handlePropose(scope: StepScope, proposalId: number, data: Uint8Array): void {
+  if (leaderWhichTakesProposals(scope, proposalId) !== undefined) {
+    appendProposal(scope, proposalId, { type: 'command', data });
+  }
+}
+
+/**
+ * Appends a membership change. One at a time, and only once an entry of the own term is committed,
+ * since otherwise two leaders could each change the membership without a common quorum.
+ */
+export function handleChangeMembership(
+  scope: StepScope,
+  proposalId: number,
+  change: MemberChange,
+): void {
+  const { state } = scope;
+  const role = leaderWhichTakesProposals(scope, proposalId);
+  if (role === undefined) {
+    return;
+  }
+  const obstacle = obstacleOf(state, role, change);
+  const membership = changedMembership(currentMembership(state), change);
+  if (obstacle !== undefined || membership === undefined) {
+    const reason = obstacle ?? 'The members are not such that this change applies.';
+    refuse(scope, proposalId, 'conflict', reason);
+    return;
+  }
+  appendProposal(scope, proposalId, { type: 'membership', membership });
+}
+
+function obstacleOf(
+  state: ConsensusState,
+  role: LeaderRole,
+  change: MemberChange,
+): string | undefined {
+  const pending = state.memberships.at(-1)?.index ?? 0;
+  if (pending > state.commitIndex || state.commitIndex < role.termStartIndex) {
+    return 'Another membership change is under way.';
+  }
+  if (change.type === 'promote-member' && !hasCaughtUp(state, role, change.nodeId)) {
+    return `Member ${change.nodeId} has not caught up.`;
+  }
+  return undefined;
+}
+
+function hasCaughtUp(state: ConsensusState, role: LeaderRole, nodeId: NodeId): boolean {
+  const progress = role.progress.get(nodeId);
+  return (
+    findMember(currentMembership(state), nodeId) !== undefined &&
+    progress?.mode === 'replicate' &&
+    state.log.last.index - progress.matchIndex <= MAX_PROMOTION_LAG
+  );
+}
+
+function appendProposal(scope: StepScope, proposalId: number, content: EntryContent): void {
+  const { index, term } = appendOwnEntry(scope.state, content);
+  scope.effects.push({ type: 'proposal-appended', proposalId, index, term });
+  refreshProgress(scope);
+  replicateToAll(scope, { evenIfEmpty: false });
+}
+
+function leaderWhichTakesProposals(scope: StepScope, proposalId: number): LeaderRole | undefined {
+  const { role, storageFailed } = scope.state;
+  if (role.name === 'leader' && role.transfer === undefined) {
+    return role;
+  }
+  if (storageFailed) {
+    refuse(scope, proposalId, 'storage-failed', 'This machine can not write its log.');
+  } else {
+    refuse(scope, proposalId, 'not-leader', 'This machine does not lead.');
+  }
+  return undefined;
+}
+
+function refuse(scope: StepScope, proposalId: number, kind: RefusalKind, reason: string): void {
+  scope.effects.push({ type: 'proposal-refused', proposalId, kind, reason });
+}
--- /dev/null
+++ b/src/consensus/transfer.ts
@@ -0,0 +1,52 @@
+/**
+ * @file Hands leadership to another voter, before a planned stop.
+ */
+import type { StepScope } from './consensus-events.js';
+import { currentMembership, type LeaderRole } from './consensus-state.js';
+import { votersOf, type NodeId } from './membership.js';
+import { sendNow } from './roles.js';
+
+/**
+ * Begins to hand over to the voter that is furthest along; no proposals are taken meanwhile.
+ */
+export function startTransfer(scope: StepScope): void {
+  const { state, context } = scope;
+  const { role } = state;
+  if (role.name !== 'leader' || role.transfer !== undefined) {
+    return;
+  }
+  const target = bestSuccessor(scope, role);
+  if (target !== undefined) {
+    const deadlineMs = context.nowMs + state.options.electionTimeoutMs;
+    role.transfer = { target, deadlineMs, asked: false };
+    continueTransfer(scope);
+  }
+}
+
+/**
+ * Asks the successor to campaign once it has the whole log; gives up at the deadline.
+ */
+export function continueTransfer(scope: StepScope): void {
+  const { state, context } = scope;
+  const { role } = state;
+  if (role.name !== 'leader' || role.transfer === undefined) {
+    return;
+  }
+  const { target, deadlineMs, asked } = role.transfer;
+  if (context.nowMs >= deadlineMs) {
+    role.transfer = undefined;
+    return;
+  }
+  if (!asked && role.progress.get(target)?.matchIndex === state.log.last.index) {
+    role.transfer.asked = true;
+    sendNow(scope, target, { type: 'timeout-now', term: state.term });
+  }
+}
+
+function bestSuccessor({ state }: StepScope, role: LeaderRole): NodeId | undefined {
+  const matchOf = (nodeId: NodeId) => role.progress.get(nodeId)?.matchIndex ?? 0;
+  const others = votersOf(currentMembership(state))
+    .map(({ nodeId }) => nodeId)
+    .filter((nodeId) => nodeId !== state.nodeId);
+  return others.sort((a, b) => matchOf(b) - matchOf(a))[0];
+}
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -3,7 +3,7 @@
  * outcomes.
  */
 import { z } from 'zod';
-import { addressSchema } from '../common/address.js';
+import { addressSchema, type Address } from '../common/address.js';
 import { parseAddressRange } from '../common/address-range.js';
 import type { AmberliftError } from '../flow/error-kinds.js';
 import { placementPolicyNames } from './cluster-state.js';
@@ -179,6 +179,8 @@
 export interface RefusedOutcome {
   readonly accepted: false;
   readonly error: AmberliftError;
+  /** Operator address of the leader, where another machine leads. */
+  readonly leader?: Address;
 }
 
 /** What came of a command that was applied or refused by the replicated step. */
--- /dev/null
+++ b/src/control/control-state.ts
@@ -0,0 +1,146 @@
+/**
+ * @file The state of a control machine: its part in the consensus, the replicated state, and what
+ * waits for an answer.
+ */
+import type { Address } from '../common/address.js';
+import {
+  createConsensusState,
+  currentMembership,
+  type ConsensusOptions,
+  type ConsensusState,
+} from '../consensus/consensus-state.js';
+import { findMember, type NodeId } from '../consensus/membership.js';
+import type { RecoveredState } from '../consensus/persisted-state.js';
+import type { LogEntry } from '../consensus/log.js';
+import {
+  createPublisher,
+  publishChanges,
+  skipToPosition,
+  type LinkSendEffect,
+  type PublisherState,
+} from '../dissemination/publisher.js';
+import { applyCommand } from './apply-command.js';
+import { emptyClusterState, type ClusterState } from './cluster-state.js';
+import { decodeClusterState } from './cluster-snapshot.js';
+import { decodeCommandEntry } from './command-codec.js';
+import type { JoinState, PeerAddress } from './cluster-join.js';
+import type { CommandOutcome } from './commands.js';
+import { clusterProof } from './peer-messages.js';
+
+/** Names a request of an operator while this process runs. */
+export type RequestId = number;
+
+/** What a proposal in the log waits for. */
+export interface PendingProposal {
+  readonly term: number;
+  /** Undefined for the leader's own commands. */
+  readonly requestId: RequestId | undefined;
+}
+
+/** The state of a control machine. */
+export interface ControlState {
+  readonly cluster: ClusterState;
+  readonly publisher: PublisherState;
+  readonly consensus: ConsensusState;
+  readonly join: JoinState;
+  readonly proof: string;
+  /** By index of the log entry. */
+  readonly pendingProposals: Map<number, PendingProposal>;
+}
+
+/** Options of a control machine. */
+export interface ControlOptions {
+  readonly nodeId: NodeId;
+  readonly clusterKey: string;
+  /** TCP address of its links, as peers reach it. */
+  readonly linkAddress: Address;
+  /** HTTP address of its operator interface, as operators reach it. */
+  readonly operatorAddress: Address;
+  /** The other machines of the cluster's first membership; empty for a machine that stands alone. */
+  readonly peers: readonly PeerAddress[];
+  readonly recovered: RecoveredState;
+  readonly consensus?: ConsensusOptions;
+}
+
+/**
+ * @returns the state of a control machine that starts, with all that is known to be committed applied
+ */
+export function createControlState(options: ControlOptions): ControlState {
+  const { nodeId, clusterKey, linkAddress, operatorAddress, peers, recovered } = options;
+  const consensus = createConsensusState(nodeId, recovered, options.consensus);
+  const state: ControlState = {
+    cluster: emptyClusterState(),
+    publisher: createPublisher(clusterKey),
+    consensus,
+    join: {
+      linkAddress,
+      operatorAddress,
+      peers,
+      announced: new Map(),
+      replyAddresses: new Map(),
+      nextAnnounceAtMs: Number.NEGATIVE_INFINITY,
+      refusal: undefined,
+    },
+    proof: clusterProof(clusterKey),
+    pendingProposals: new Map(),
+  };
+  if (recovered.snapshot !== undefined) {
+    restoreState(state, recovered.snapshot.data);
+  }
+  const firstIndex = (recovered.snapshot?.index ?? 0) + 1;
+  for (const entry of consensus.log.slice(firstIndex, consensus.commitIndex)) {
+    applyEntry(state, entry);
+  }
+  return state;
+}
+
+/** What applying an entry gave. */
+export interface EntryResult {
+  readonly outcome: CommandOutcome;
+  readonly sends: readonly LinkSendEffect[];
+}
+
+/**
+ * Applies a committed entry to the replicated state and publishes its changes.
+ */
+export function applyEntry(state: ControlState, entry: LogEntry): EntryResult {
+  const { index, term, content } = entry;
+  const position = { index, term };
+  if (content.type === 'command') {
+    const command = decodeCommandEntry(content.data);
+    const { outcome, changes } = applyCommand(state.cluster, position, command);
+    return { outcome, sends: publishChanges(state.publisher, position, changes) };
+  }
+  state.cluster.index = index;
+  state.cluster.term = term;
+  return {
+    outcome: { accepted: true, index },
+    sends: publishChanges(state.publisher, position, []),
+  };
+}
+
+/**
+ * Replaces the replicated state by a snapshot's.
+ */
+export function restoreState(state: ControlState, data: Uint8Array): void {
+  Object.assign(state.cluster, decodeClusterState(data));
+  skipToPosition(state.publisher, { term: state.cluster.term, index: state.cluster.index });
+}
+
+/**
+ * @returns true while this machine believes that it leads
+ */
+export function isLeader(state: ControlState): boolean {
+  return state.consensus.role.name === 'leader';
+}
+
+/**
+ * @returns the operator address of the leader, where another machine leads and is known
+ */
+export function leaderOperatorAddress(state: ControlState): Address | undefined {
+  const { leaderId, nodeId } = state.consensus;
+  if (leaderId === undefined || leaderId === nodeId) {
+    return undefined;
+  }
+  return findMember(currentMembership(state.consensus), leaderId)?.operatorAddress;
+}
--- a/src/control/control-step.ts
+++ b/src/control/control-step.ts
@@ -1,93 +1,63 @@
 /**
- * @file The decision step of a control machine: operator commands go into the log, are synced, then
- * applied and published to balancers. This machine stands alone for now; the consensus step takes the
- * place of the persist effect once there are several.
+ * @file The decision step of a control machine: commands of operators go through the consensus log, are
+ * applied once they are committed, and are published to balancers. Questions are answered only after a
+ * quorum has confirmed that this machine leads.
  */
-import { Packr } from 'msgpackr';
 import { match } from 'ts-pattern';
 import type { StepContext } from '../common/step.js';
-import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
+import { consensusStep } from '../consensus/consensus-step.js';
+import type {
+  ConsensusEffect,
+  ConsensusEvent,
+  RefusalKind,
+} from '../consensus/consensus-events.js';
+import type { MemberChange } from '../consensus/membership.js';
 import {
-  createPublisher,
   handleSubscriberGone,
   handleSubscriberMessage,
-  publishChanges,
   publisherTick,
-  type LinkId,
-  type LinkSendEffect,
-  type PublisherState,
 } from '../dissemination/publisher.js';
-import { amberliftError } from '../flow/error-kinds.js';
-import { applyCommand } from './apply-command.js';
-import { emptyClusterState, type ClusterState } from './cluster-state.js';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import {
+  bootstrapEvent,
+  isAnnouncementDue,
+  machinesToAdd,
+  noteAnnouncement,
+} from './cluster-join.js';
+import { encodeClusterState } from './cluster-snapshot.js';
+import { encodeCommandEntry } from './command-codec.js';
 import type { CommandEntry, CommandOutcome } from './commands.js';
+import type { ControlEffect, ControlEvent, MemberCommand } from './control-events.js';
+import {
+  applyEntry,
+  isLeader,
+  leaderOperatorAddress,
+  restoreState,
+  type ControlState,
+  type RequestId,
+} from './control-state.js';
+import { leaderDuties } from './leader-duties.js';
+import { decideAtGate, peerSend, sendToPeer } from './peer-gate.js';
+import type { PeerEnvelope } from './peer-messages.js';
 
-const ONLY_TERM = 1;
-const packr = new Packr({ useRecords: false });
-
-/** Names a request of an operator while this process runs. */
-export type RequestId = number;
-
-interface Proposal {
-  readonly requestId: RequestId | undefined;
-  readonly entry: CommandEntry;
-}
-
-/** The state of a control machine. */
-export interface ControlState {
-  readonly cluster: ClusterState;
-  readonly publisher: PublisherState;
-  /** Proposals that wait for the write under way to end. */
-  queued: Proposal[];
-  /** Proposals whose write is under way. */
-  writing: Proposal[];
-}
-
-/** What can happen to a control machine. */
-export type ControlEvent =
-  /** A command came; without request ID it is the system's own. */
-  | { readonly type: 'propose'; readonly requestId?: RequestId; readonly entry: CommandEntry }
-  /** The last persist effect is done; its records last. */
-  | { readonly type: 'persisted' }
-  /** The last persist effect failed. */
-  | { readonly type: 'persist-failed'; readonly reason: string }
-  | {
-      readonly type: 'link-message';
-      readonly linkId: LinkId;
-      readonly message: BalancerToControlMessage;
-    }
-  | { readonly type: 'link-closed'; readonly linkId: LinkId }
-  | { readonly type: 'tick' };
-
-/** What a control machine's step asks of its surroundings. */
-export type ControlEffect =
-  | LinkSendEffect
-  /** Append these records and sync them; answered by `persisted` or `persist-failed`. */
-  | { readonly type: 'persist'; readonly records: readonly Uint8Array[] }
-  | {
-      readonly type: 'operator-reply';
-      readonly requestId: RequestId;
-      readonly outcome: CommandOutcome;
-    };
+export type { ControlEffect, ControlEvent } from './control-events.js';
+export {
+  createControlState,
+  isLeader,
+  type ControlOptions,
+  type ControlState,
+  type RequestId,
+} from './control-state.js';
 
-/**
- * @param records the records that were recovered from disk, oldest first
- * @returns the state of a control machine that starts
- */
-export function createControlState(
-  clusterKey: string,
-  records: readonly Uint8Array[],
-): ControlState {
-  const state: ControlState = {
-    cluster: emptyClusterState(),
-    publisher: createPublisher(clusterKey),
-    queued: [],
-    writing: [],
-  };
-  for (const record of records) {
-    applyEntry(state, packr.unpack(record) as CommandEntry);
-  }
-  return state;
+/** Entries after which a snapshot is taken. */
+const SNAPSHOT_INTERVAL_ENTRIES = 2_000;
+/** Proposal ID of the leader's own commands, for which nobody waits. */
+const OWN_PROPOSAL = 0;
+
+/** What a tick brings from outside: the time of day and randomness for secrets. */
+interface ClockReading {
+  readonly wallTimeMs: number;
+  readonly freshSecret: Uint8Array;
 }
 
 /**
@@ -100,12 +70,17 @@
   context: StepContext,
 ): ControlEffect[] {
   return match(event)
-    .with({ type: 'propose' }, ({ requestId, entry }) => {
-      state.queued.push({ requestId, entry });
-      return writeQueued(state);
-    })
-    .with({ type: 'persisted' }, () => applyWritten(state))
-    .with({ type: 'persist-failed' }, ({ reason }) => failWritten(state, reason))
+    .with({ type: 'propose' }, ({ requestId, entry }) => propose(state, entry, context, requestId))
+    .with({ type: 'query' }, ({ requestId }) =>
+      runConsensus(state, { type: 'read', readId: requestId }, context),
+    )
+    .with({ type: 'change-members' }, ({ requestId, command }) =>
+      changeMembers(state, requestId, command, context),
+    )
+    .with({ type: 'peer-message' }, ({ envelope }) => takeEnvelope(state, envelope, context))
+    .with({ type: 'persisted' }, { type: 'persist-failed' }, (ended) =>
+      runConsensus(state, ended, context),
+    )
     .with({ type: 'link-message' }, ({ linkId, message }) =>
       handleSubscriberMessage(state.publisher, linkId, message, state.cluster.routing),
     )
@@ -113,48 +88,252 @@
       handleSubscriberGone(state.publisher, linkId);
       return [];
     })
-    .with({ type: 'tick' }, () => publisherTick(state.publisher, context.nowMs))
+    .with({ type: 'stop' }, () => runConsensus(state, { type: 'transfer-leadership' }, context))
+    .with({ type: 'tick' }, ({ wallTimeMs, freshSecret }) =>
+      tick(state, { wallTimeMs, freshSecret }, context),
+    )
     .exhaustive();
 }
 
-/** All proposals that wait share one write. */
-function writeQueued(state: ControlState): ControlEffect[] {
-  if (state.writing.length > 0 || state.queued.length === 0) {
+function propose(
+  state: ControlState,
+  entry: CommandEntry,
+  context: StepContext,
+  requestId: RequestId = OWN_PROPOSAL,
+): ControlEffect[] {
+  const data = encodeCommandEntry(entry);
+  return runConsensus(state, { type: 'propose', proposalId: requestId, data }, context);
+}
+
+function changeMembers(
+  state: ControlState,
+  requestId: RequestId,
+  command: MemberCommand,
+  context: StepContext,
+): ControlEffect[] {
+  if (!isLeader(state)) {
+    return replyTo(requestId, refusedOutcome(state, 'not-leader', refusalText('not-leader')));
+  }
+  const change = memberChange(state, command, context.nowMs);
+  if (change === undefined) {
+    const error = amberliftError('not-found', `No machine ${command.nodeId} asks to be added.`);
+    return [{ type: 'operator-reply', requestId, outcome: { accepted: false, error } }];
+  }
+  const event: ConsensusEvent = { type: 'change-membership', proposalId: requestId, change };
+  return runConsensus(state, event, context);
+}
+
+function memberChange(
+  state: ControlState,
+  command: MemberCommand,
+  nowMs: number,
+): MemberChange | undefined {
+  const { type, nodeId } = command;
+  if (type !== 'add-member') {
+    return { type, nodeId };
+  }
+  const machine = machinesToAdd(state.join, state.consensus, nowMs).find(
+    (candidate) => candidate.nodeId === nodeId,
+  );
+  if (machine === undefined) {
+    return undefined;
+  }
+  const { storageId, linkAddress, operatorAddress } = machine;
+  return { type, member: { nodeId, storageId, linkAddress, operatorAddress } };
+}
+
+function takeEnvelope(
+  state: ControlState,
+  envelope: PeerEnvelope,
+  context: StepContext,
+): ControlEffect[] {
+  const { message, from, replyTo } = envelope;
+  if (message.type === 'peer-refusal') {
+    state.join.refusal = message.reason;
     return [];
   }
-  state.writing = state.queued;
-  state.queued = [];
-  const records = state.writing.map(({ entry }) => packr.pack(entry));
-  return [{ type: 'persist', records }];
+  if (message.type === 'announcement' && envelope.proof === state.proof) {
+    noteAnnouncement(state.join, state.consensus, envelope, message, context.nowMs);
+    return message.wantsAnswer ? [announce(state, replyTo, from, false)] : [];
+  }
+  const decision = decideAtGate(state, envelope);
+  if (decision === 'ignore' || message.type === 'announcement') {
+    return decision === 'ignore' || typeof decision === 'string'
+      ? []
+      : [peerSend(state, replyTo, from, decision)];
+  }
+  if (typeof decision === 'object') {
+    return [peerSend(state, replyTo, from, decision)];
+  }
+  state.join.replyAddresses.set(from.nodeId, replyTo);
+  const joining =
+    decision === 'join-cluster' && envelope.clusterId !== undefined
+      ? runConsensus(state, { type: 'join-cluster', clusterId: envelope.clusterId }, context)
+      : [];
+  return [
+    ...joining,
+    ...runConsensus(state, { type: 'consensus-message', from, message }, context),
+  ];
 }
 
-function applyWritten(state: ControlState): ControlEffect[] {
+function announce(
+  state: ControlState,
+  address: PeerEnvelope['replyTo'],
+  to: PeerEnvelope['to'],
+  wantsAnswer: boolean,
+): ControlEffect {
+  const { operatorAddress } = state.join;
+  return peerSend(state, address, to, { type: 'announcement', operatorAddress, wantsAnswer });
+}
+
+function tick(state: ControlState, clock: ClockReading, context: StepContext): ControlEffect[] {
+  const { join, consensus } = state;
   const effects: ControlEffect[] = [];
-  for (const { requestId, entry } of state.writing) {
-    const { outcome, sends } = applyEntry(state, entry);
-    effects.push(...sends);
-    if (requestId !== undefined) {
-      effects.push({ type: 'operator-reply', requestId, outcome });
-    }
+  const bootstrap = bootstrapEvent(join, consensus, context.nowMs);
+  if (bootstrap !== undefined) {
+    effects.push(...runConsensus(state, bootstrap, context));
   }
-  state.writing = [];
-  return [...effects, ...writeQueued(state)];
+  if (isAnnouncementDue(join, consensus, context.nowMs)) {
+    const peers = join.peers.map(({ nodeId, linkAddress }) =>
+      announce(state, linkAddress, { nodeId }, true),
+    );
+    effects.push(...peers);
+  }
+  effects.push(...runConsensus(state, { type: 'tick' }, context));
+  effects.push(...performDuties(state, clock, context));
+  effects.push(...publisherTick(state.publisher, context.nowMs));
+  return effects;
 }
 
-function failWritten(state: ControlState, reason: string): ControlEffect[] {
-  const error = amberliftError('storage-failed', `The log can't be written: ${reason}`);
-  const failed = state.writing;
-  state.writing = [];
-  return failed.flatMap(({ requestId }): ControlEffect[] =>
-    requestId === undefined
-      ? []
-      : [{ type: 'operator-reply', requestId, outcome: { accepted: false, error } }],
+/** The leader's own commands, one round of them at a time. */
+function performDuties(
+  state: ControlState,
+  clock: ClockReading,
+  context: StepContext,
+): ControlEffect[] {
+  const { role, commitIndex } = state.consensus;
+  const isBusy = [...state.pendingProposals.values()].some(
+    ({ requestId }) => requestId === undefined,
   );
+  if (role.name !== 'leader' || commitIndex < role.termStartIndex || isBusy) {
+    return [];
+  }
+  const duties = leaderDuties(state.cluster, {
+    nowMs: clock.wallTimeMs,
+    freshSecret: clock.freshSecret,
+    inForceIndex: 0,
+    fencedIndex: 0,
+  });
+  return duties.flatMap((entry) => propose(state, entry, context));
 }
 
-function applyEntry(state: ControlState, entry: CommandEntry) {
-  const position = { term: ONLY_TERM, index: state.cluster.index + 1 };
-  const { outcome, changes } = applyCommand(state.cluster, position, entry);
-  const sends = publishChanges(state.publisher, position, changes);
-  return { outcome, sends };
+/** Runs the consensus step and takes its effects, among them those that change the state here. */
+function runConsensus(
+  state: ControlState,
+  event: ConsensusEvent,
+  context: StepContext,
+): ControlEffect[] {
+  const effects = consensusStep(state.consensus, event, context);
+  const taken = effects.flatMap((effect) => takeConsensusEffect(state, effect));
+  return [...taken, ...takeSnapshotWhereDue(state, context)];
+}
+
+function takeConsensusEffect(state: ControlState, effect: ConsensusEffect): ControlEffect[] {
+  return match(effect)
+    .with({ type: 'persist' }, { type: 'persist-snapshot' }, { type: 'role-changed' }, (same) => [
+      same,
+    ])
+    .with({ type: 'consensus-send' }, ({ to, message }) => sendToPeer(state, to, message))
+    .with({ type: 'committed' }, ({ entries }) =>
+      entries.flatMap((entry): ControlEffect[] => {
+        const { outcome, sends } = applyEntry(state, entry);
+        return [...sends, ...answerProposal(state, entry.index, entry.term, outcome)];
+      }),
+    )
+    .with({ type: 'restore-snapshot' }, ({ snapshot }) => {
+      restoreState(state, snapshot.data);
+      return [];
+    })
+    .with({ type: 'proposal-appended' }, ({ proposalId, index, term }) => {
+      const requestId = proposalId === OWN_PROPOSAL ? undefined : proposalId;
+      state.pendingProposals.set(index, { term, requestId });
+      return [];
+    })
+    .with({ type: 'proposal-refused' }, ({ proposalId, kind, reason }) =>
+      replyTo(proposalId, refusedOutcome(state, kind, reason)),
+    )
+    .with({ type: 'read-ready' }, ({ readId }): ControlEffect[] => [
+      { type: 'query-reply', requestId: readId },
+    ])
+    .with({ type: 'read-refused' }, ({ readId, kind }) => refuseQuery(state, readId, kind))
+    .with({ type: 'leadership-lost' }, ({ kind }) => refusePending(state, kind))
+    .exhaustive();
+}
+
+function answerProposal(
+  state: ControlState,
+  index: number,
+  term: number,
+  outcome: CommandOutcome,
+): ControlEffect[] {
+  const pending = state.pendingProposals.get(index);
+  state.pendingProposals.delete(index);
+  if (pending?.requestId === undefined || pending.term !== term) {
+    return [];
+  }
+  return replyTo(pending.requestId, outcome);
+}
+
+/** What was proposed may still be committed; the same command ID sent again tells. */
+function refusePending(state: ControlState, kind: RefusalKind): ControlEffect[] {
+  const waiting = [...state.pendingProposals.values()];
+  state.pendingProposals.clear();
+  const outcome = refusedOutcome(state, kind, refusalText(kind));
+  return waiting.flatMap(({ requestId }) =>
+    requestId === undefined ? [] : replyTo(requestId, outcome),
+  );
+}
+
+function refuseQuery(state: ControlState, requestId: RequestId, kind: RefusalKind) {
+  const leader = leaderOperatorAddress(state);
+  const error: AmberliftError = amberliftError(kind, refusalText(kind));
+  const reply: ControlEffect = {
+    type: 'query-reply',
+    requestId,
+    error,
+    ...(leader !== undefined && { leader }),
+  };
+  return [reply];
+}
+
+function refusedOutcome(state: ControlState, kind: RefusalKind, reason: string): CommandOutcome {
+  const leader = leaderOperatorAddress(state);
+  return {
+    accepted: false,
+    error: amberliftError(kind, reason),
+    ...(leader !== undefined && { leader }),
+  };
+}
+
+function replyTo(requestId: RequestId, outcome: CommandOutcome): ControlEffect[] {
+  return requestId === OWN_PROPOSAL ? [] : [{ type: 'operator-reply', requestId, outcome }];
+}
+
+function refusalText(kind: RefusalKind): string {
+  return match(kind)
+    .with('not-leader', () => 'This control machine does not lead.')
+    .with('no-quorum', () => 'This control machine reaches no quorum.')
+    .with('storage-failed', () => 'This control machine can not write its disk.')
+    .with('conflict', 'not-found', () => 'The change does not apply.')
+    .exhaustive();
+}
+
+function takeSnapshotWhereDue(state: ControlState, context: StepContext): ControlEffect[] {
+  const { consensus, cluster } = state;
+  const since = cluster.index - (consensus.snapshot?.index ?? 0);
+  if (since < SNAPSHOT_INTERVAL_ENTRIES || cluster.index > consensus.commitIndex) {
+    return [];
+  }
+  const data = encodeClusterState(cluster);
+  return runConsensus(state, { type: 'snapshot-taken', index: cluster.index, data }, context);
 }
--- /dev/null
+++ b/src/daemon/consensus-storage.ts
@@ -0,0 +1,177 @@
+/**
+ * @file The disk of a control machine: `identity` names the disk, `log` holds records in the order in
+ * which they were written, `snapshot` the state machine. Identity, snapshot and a rewritten log are
+ * written to another name, synced and renamed, so that each is there as a whole or not at all.
+ */
+import { randomUUID } from 'node:crypto';
+import { Packr } from 'msgpackr';
+import { err, ok, type Result } from 'neverthrow';
+import type {
+  LogRecord,
+  PersistEffect,
+  RecoveredState,
+  Snapshot,
+} from '../consensus/persisted-state.js';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import { encodeRecord, scanRecords } from './record-file.js';
+import type { StorageFolder } from './storage-folder.js';
+
+const IDENTITY_FILE = 'identity';
+const LOG_FILE = 'log';
+const SNAPSHOT_FILE = 'snapshot';
+const TEMPORARY_SUFFIX = '.new';
+const EMPTY_LOG: readonly LogRecord[] = [{ type: 'base', base: { index: 0, term: 0 } }];
+
+const packr = new Packr({ useRecords: false });
+
+interface Identity {
+  readonly nodeId: string;
+  readonly storageId: string;
+}
+
+/** The opened disk of a control machine. */
+export class ConsensusStorage {
+  private failure: string | undefined;
+
+  private constructor(
+    private readonly folder: StorageFolder,
+    /** What was found at the start. */
+    readonly recovered: RecoveredState,
+  ) {}
+
+  /**
+   * Recovers what is on disk; an empty folder gets a new storage ID.
+   * @returns the storage, or `storage-failed` where the disk is damaged or another machine's
+   */
+  static async open(
+    folder: StorageFolder,
+    nodeId: string,
+    makeStorageId: () => string = randomUUID,
+  ): Promise<Result<ConsensusStorage, AmberliftError>> {
+    try {
+      const recovered = await recover(folder, nodeId, makeStorageId);
+      return ok(new ConsensusStorage(folder, recovered));
+    } catch (cause) {
+      const message = cause instanceof Error ? cause.message : String(cause);
+      return err(amberliftError('storage-failed', message));
+    }
+  }
+
+  /**
+   * Performs a write; it lasts once this resolves. After a failure nothing is written any more, since
+   * what the disk holds is not known until it is read again.
+   */
+  async persist(effect: PersistEffect): Promise<void> {
+    if (this.failure !== undefined) {
+      throw new Error(this.failure);
+    }
+    try {
+      await (effect.type === 'persist'
+        ? this.append(effect.records)
+        : this.replaceAll(effect.snapshot, effect.records));
+    } catch (cause) {
+      this.failure = cause instanceof Error ? cause.message : String(cause);
+      throw cause;
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.folder.close();
+  }
+
+  private async append(records: readonly LogRecord[]): Promise<void> {
+    await this.folder.append(LOG_FILE, encodeRecord(packr.pack(records)));
+    await this.folder.sync(LOG_FILE);
+  }
+
+  private async replaceAll(snapshot: Snapshot, records: readonly LogRecord[]): Promise<void> {
+    await replaceFile(this.folder, SNAPSHOT_FILE, snapshot);
+    await replaceFile(this.folder, LOG_FILE, records);
+  }
+}
+
+/** Writes a file of one record so that after a crash the old or the new one is there. */
+async function replaceFile(folder: StorageFolder, name: string, content: object): Promise<void> {
+  const temporary = name + TEMPORARY_SUFFIX;
+  await folder.write(temporary, encodeRecord(packr.pack(content)));
+  await folder.sync(temporary);
+  await folder.rename(temporary, name);
+  await folder.syncFolder();
+}
+
+async function recover(
+  folder: StorageFolder,
+  nodeId: string,
+  makeStorageId: () => string,
+): Promise<RecoveredState> {
+  const identity = await readWhole<Identity>(folder, IDENTITY_FILE);
+  if (identity === undefined) {
+    return createStorage(folder, nodeId, makeStorageId());
+  }
+  if (identity.nodeId !== nodeId) {
+    throw new Error(`The data folder belongs to ${identity.nodeId}, not to ${nodeId}.`);
+  }
+  const snapshot = await readWhole<Snapshot>(folder, SNAPSHOT_FILE);
+  const records = await recoverLog(folder, snapshot);
+  return { storageId: identity.storageId, snapshot, records };
+}
+
+/** The identity comes last, so that a disk without it has never been used. */
+async function createStorage(
+  folder: StorageFolder,
+  nodeId: string,
+  storageId: string,
+): Promise<RecoveredState> {
+  if ((await folder.read(SNAPSHOT_FILE)) !== undefined) {
+    throw new Error(`The file ${IDENTITY_FILE} is missing beside a ${SNAPSHOT_FILE}.`);
+  }
+  const log = await folder.read(LOG_FILE);
+  if (log !== undefined && scanRecords(log).records.length > 1) {
+    throw new Error(`The file ${IDENTITY_FILE} is missing beside a ${LOG_FILE}.`);
+  }
+  await replaceFile(folder, LOG_FILE, EMPTY_LOG);
+  const identity: Identity = { nodeId, storageId };
+  await replaceFile(folder, IDENTITY_FILE, identity);
+  return { storageId, snapshot: undefined, records: EMPTY_LOG };
+}
+
+async function recoverLog(
+  folder: StorageFolder,
+  snapshot: Snapshot | undefined,
+): Promise<LogRecord[]> {
+  const content = await folder.read(LOG_FILE);
+  if (content === undefined) {
+    throw new Error(`The file ${LOG_FILE} is missing.`);
+  }
+  const { records, validBytes, laterRecordAt } = scanRecords(content);
+  if (laterRecordAt !== undefined) {
+    const message = `The file ${LOG_FILE} is damaged at byte ${validBytes}`;
+    throw new Error(`${message}: a whole record follows at byte ${laterRecordAt}.`);
+  }
+  const first = records[0] && (packr.unpack(records[0]) as LogRecord[])[0];
+  if (first?.type !== 'base') {
+    throw new Error(`The file ${LOG_FILE} is damaged at its start.`);
+  }
+  if (first.base.index > (snapshot?.index ?? 0)) {
+    throw new Error(`The file ${SNAPSHOT_FILE} that the ${LOG_FILE} follows on is missing.`);
+  }
+  if (validBytes < content.length) {
+    await folder.truncate(LOG_FILE, validBytes);
+    await folder.sync(LOG_FILE);
+  }
+  return records.flatMap((record) => packr.unpack(record) as LogRecord[]);
+}
+
+/** Reads a file that is there as a whole or not at all. */
+async function readWhole<T>(folder: StorageFolder, name: string): Promise<T | undefined> {
+  const content = await folder.read(name);
+  if (content === undefined) {
+    return undefined;
+  }
+  const { records, validBytes } = scanRecords(content);
+  const record = records[0];
+  if (record === undefined || records.length > 1 || validBytes !== content.length) {
+    throw new Error(`The file ${name} is damaged.`);
+  }
+  return packr.unpack(record) as T;
+}
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -1,169 +1,163 @@
 /**
- * @file The control daemon: disk, links, the operator interface and timers around the control
- * machine's decision step.
+ * @file The control daemon: starts disk, links and the operator interface around the control machine's
+ * decision step, and stops them in order.
  */
 import { randomBytes } from 'node:crypto';
-import { mkdir } from 'node:fs/promises';
-import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, type Result } from 'neverthrow';
-import { match } from 'ts-pattern';
 import type { Address } from '../common/address.js';
 import { loggerFor } from '../common/logger.js';
 import { operatorTokenHash } from '../control/command-hash.js';
-import { SYSTEM_OPERATOR, type CommandEntry, type CommandOutcome } from '../control/commands.js';
-import {
-  controlStep,
-  createControlState,
-  type ControlEffect,
-  type ControlEvent,
-  type ControlState,
-  type RequestId,
-} from '../control/control-step.js';
-import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
+import { SYSTEM_OPERATOR } from '../control/commands.js';
+import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
 import type { Settings } from '../settings/settings-schema.js';
-import { listenHttp } from './http-server.js';
-import { listenForLinks, type LinkHandlers, type MessageLink } from './message-link.js';
+import { ConsensusStorage } from './consensus-storage.js';
+import { ControlEdge } from './control-edge.js';
+import { listenHttp, type HttpServer } from './http-server.js';
+import { memberApi } from './member-api.js';
+import { listenForLinks, type LinkServer } from './message-link.js';
 import { operatorApi } from './operator-api.js';
-import { openRecordFile, type RecordFile } from './record-file.js';
-import { systemContextSource } from './system-context.js';
+import { openStorageFolder } from './storage-folder.js';
 
-const LOG_FILE_NAME = 'commands.log';
-const TICK_INTERVAL_MS = 50;
 const FIRST_KEY_ID = 1;
+const POLL_INTERVAL_MS = 5;
+/** How long a planned stop waits for another machine to lead, in milliseconds. */
+const TRANSFER_TIMEOUT_MS = 2_000;
 
 /** A running control daemon. */
 export interface ControlDaemon {
   readonly linkAddress: Address;
   readonly operatorAddress: Address;
+  /** The state; to be read only. */
+  readonly state: ControlState;
+  /** Hands over leadership, then stops. */
   stop(): Promise<void>;
 }
 
 /**
- * Starts a control daemon.
- * @returns the daemon, or `invalid-settings` where it has no data folder
+ * Starts a control daemon. A machine that stands alone is ready once it leads; one with peers at once,
+ * since the others may start later.
+ * @returns the daemon, `invalid-settings` without a data folder, `storage-failed` for a damaged one
  */
 export async function startControlDaemon(
   settings: Settings,
 ): Promise<Result<ControlDaemon, AmberliftError>> {
-  const { dataFolder, clusterKey, control, nodeId } = settings;
-  if (dataFolder === undefined) {
+  if (settings.dataFolder === undefined) {
     return err(amberliftError('invalid-settings', 'dataFolder: a control machine needs one.'));
   }
-  await mkdir(dataFolder, { recursive: true });
-  const file = await openRecordFile(join(dataFolder, LOG_FILE_NAME));
-  const state = createControlState(clusterKey, file.recovered);
-  const edge = new ControlEdge(state, file);
-  if (state.cluster.index === 0) {
-    await bootstrap(edge, settings);
+  const folder = await openStorageFolder(settings.dataFolder);
+  const storage = await ConsensusStorage.open(folder, settings.nodeId);
+  if (storage.isErr()) {
+    return err(storage.error);
   }
-  const links = await listenForLinks(control.linkAddress, edge);
-  const http = await listenHttp(
-    control.operatorAddress,
-    operatorApi({
-      state: state.cluster,
-      propose: (entry) => edge.propose(entry),
-      subscribers: () => [...state.publisher.subscribers.values()],
-    }),
-  );
-  const timer = setInterval(() => edge.step({ type: 'tick' }), TICK_INTERVAL_MS);
+  const daemon = await listen(settings, storage.value);
+  const { state } = daemon;
+  if (settings.control.peers.length === 0) {
+    await firstCommandsApplied(state, settings);
+  }
+  const { nodeId } = settings;
   loggerFor('control').info(`Control machine ${nodeId} is ready at index ${state.cluster.index}.`);
-  return ok({
+  return ok(daemon);
+}
+
+async function listen(settings: Settings, storage: ConsensusStorage): Promise<ControlDaemon> {
+  const { control, nodeId, clusterKey } = settings;
+  const holder: { edge?: ControlEdge; http?: Parameters<typeof listenHttp>[1] } = {};
+  const links = await listenForLinks(control.linkAddress, {
+    onMessage: (message, link) => holder.edge?.onMessage(message, link),
+    onClose: (link) => holder.edge?.onClose(link),
+  });
+  const http = await listenHttp(control.operatorAddress, (incoming, response) =>
+    holder.http?.(incoming, response),
+  );
+  const state = createControlState({
+    nodeId,
+    clusterKey,
     linkAddress: links.address,
     operatorAddress: http.address,
-    stop: async () => {
-      clearInterval(timer);
-      await Promise.all([links.close(), http.close()]);
-      await file.close();
-    },
+    peers: control.peers.filter((peer) => peer.nodeId !== nodeId),
+    recovered: storage.recovered,
   });
-}
-
-/** Input and output of a control machine. */
-class ControlEdge implements LinkHandlers {
-  private readonly contexts = systemContextSource();
-  private readonly waiting = new Map<RequestId, (outcome: CommandOutcome) => void>();
-  private readonly linkIds = new Map<MessageLink, number>();
-  private readonly links = new Map<number, MessageLink>();
-  private nextRequestId = 1;
-  private nextLinkId = 1;
-
-  constructor(
-    private readonly state: ControlState,
-    private readonly file: RecordFile,
-  ) {}
-
-  /** Runs one step and performs its effects. */
-  step(event: ControlEvent): void {
-    for (const effect of controlStep(this.state, event, this.contexts.now())) {
-      this.perform(effect);
+  const edge = new ControlEdge(state, storage, () => {
+    if (state.cluster.operators.size === 0) {
+      proposeFirstCommands(edge, settings);
     }
-  }
-
-  /** Puts a command into the log; resolves with its outcome. */
-  propose(entry: CommandEntry): Promise<CommandOutcome> {
-    const requestId = this.nextRequestId;
-    this.nextRequestId += 1;
-    return new Promise((resolve) => {
-      this.waiting.set(requestId, resolve);
-      this.step({ type: 'propose', requestId, entry });
-    });
-  }
+  });
+  holder.edge = edge;
+  holder.http = requestListener(edge, settings);
+  return {
+    linkAddress: links.address,
+    operatorAddress: http.address,
+    state,
+    stop: () => stop(edge, links, http, storage),
+  };
+}
 
-  onMessage(message: unknown, link: MessageLink): void {
-    const linkId = this.idOf(link);
-    this.step({ type: 'link-message', linkId, message: message as BalancerToControlMessage });
-  }
+function requestListener(edge: ControlEdge, settings: Settings) {
+  const { state } = edge;
+  const operators = operatorApi({
+    state: state.cluster,
+    propose: (entry) => edge.propose(entry),
+    query: () => edge.query(),
+    subscribers: () => [...state.publisher.subscribers.values()],
+  });
+  return memberApi(
+    {
+      state,
+      adminToken: settings.control.adminToken,
+      nowMs: () => performance.now(),
+      changeMembers: (command) => edge.changeMembers(command),
+    },
+    operators,
+  );
+}
 
-  onClose(link: MessageLink): void {
-    const linkId = this.idOf(link);
-    this.linkIds.delete(link);
-    this.links.delete(linkId);
-    this.step({ type: 'link-closed', linkId });
+async function stop(
+  edge: ControlEdge,
+  links: LinkServer,
+  http: HttpServer,
+  storage: ConsensusStorage,
+): Promise<void> {
+  edge.step({ type: 'stop' });
+  const deadlineMs = performance.now() + TRANSFER_TIMEOUT_MS;
+  const hasOthers = edge.state.consensus.role.name === 'leader' && otherVoters(edge.state) > 0;
+  while (hasOthers && isLeader(edge.state) && performance.now() < deadlineMs) {
+    await sleep(POLL_INTERVAL_MS);
   }
+  edge.close();
+  await Promise.all([links.close(), http.close()]);
+  await storage.close();
+}
 
-  private idOf(link: MessageLink): number {
-    const known = this.linkIds.get(link);
-    if (known !== undefined) {
-      return known;
-    }
-    const linkId = this.nextLinkId;
-    this.nextLinkId += 1;
-    this.linkIds.set(link, linkId);
-    this.links.set(linkId, link);
-    return linkId;
-  }
+function otherVoters({ consensus }: ControlState): number {
+  const members = consensus.memberships.at(-1)?.membership.members ?? [];
+  return members.filter(({ role, nodeId }) => role === 'voter' && nodeId !== consensus.nodeId)
+    .length;
+}
 
-  private perform(effect: ControlEffect): void {
-    match(effect)
-      .with({ type: 'persist' }, ({ records }) => {
-        this.file.append(records).then(
-          () => this.step({ type: 'persisted' }),
-          (cause: unknown) => this.step({ type: 'persist-failed', reason: String(cause) }),
-        );
-      })
-      .with({ type: 'link-send' }, ({ linkId, message }) => this.links.get(linkId)?.send(message))
-      .with({ type: 'operator-reply' }, ({ requestId, outcome }) => {
-        this.waiting.get(requestId)?.(outcome);
-        this.waiting.delete(requestId);
-      })
-      .exhaustive();
+async function firstCommandsApplied(state: ControlState, settings: Settings): Promise<void> {
+  const isReady = () =>
+    isLeader(state) &&
+    (settings.control.operators.length === 0 || state.cluster.operators.size > 0);
+  while (!isReady() || state.cluster.routing.keys.size === 0) {
+    await sleep(POLL_INTERVAL_MS);
   }
 }
 
 /** Puts operators and the first token key into the log of a new cluster. */
-async function bootstrap(edge: ControlEdge, settings: Settings): Promise<void> {
+function proposeFirstCommands(edge: ControlEdge, settings: Settings): void {
   const operators = settings.control.operators.map(({ name, token }) => ({
     name,
     tokenHash: operatorTokenHash(token),
   }));
-  await edge.propose({
+  void edge.propose({
     commandId: 'bootstrap-operators',
     operator: SYSTEM_OPERATOR,
     command: { type: 'set-operators', operators },
   });
-  await edge.propose({
+  void edge.propose({
     commandId: 'bootstrap-token-key',
     operator: SYSTEM_OPERATOR,
     command: {
--- /dev/null
+++ b/src/daemon/control-edge.ts
@@ -0,0 +1,173 @@
+/**
+ * @file Input and output of a control machine: runs the decision step and performs its effects.
+ */
+import { randomBytes } from 'node:crypto';
+import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
+import { match } from 'ts-pattern';
+import { loggerFor } from '../common/logger.js';
+import type { PersistEffect } from '../consensus/persisted-state.js';
+import type { CommandEntry, CommandOutcome } from '../control/commands.js';
+import type { MemberCommand } from '../control/control-events.js';
+import {
+  controlStep,
+  isLeader,
+  type ControlEffect,
+  type ControlEvent,
+  type ControlState,
+  type RequestId,
+} from '../control/control-step.js';
+import type { PeerEnvelope } from '../control/peer-messages.js';
+import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
+import type { ConsensusStorage } from './consensus-storage.js';
+import type { LinkHandlers, MessageLink } from './message-link.js';
+import type { QueryAnswer } from './operator-api.js';
+import { PeerLinks } from './peer-links.js';
+import { systemContextSource } from './system-context.js';
+
+const TICK_INTERVAL_MS = 20;
+
+/** A control machine's step with its links, its disk and those who wait for answers. */
+export class ControlEdge implements LinkHandlers {
+  private readonly contexts = systemContextSource();
+  private readonly logger = loggerFor('consensus');
+  private readonly peers = new PeerLinks();
+  private readonly commands = new Map<RequestId, (outcome: CommandOutcome) => void>();
+  private readonly queries = new Map<RequestId, (answer: QueryAnswer) => void>();
+  private readonly linkIds = new Map<MessageLink, number>();
+  private readonly links = new Map<number, MessageLink>();
+  private readonly timer: NodeJS.Timeout;
+  private nextRequestId = 1;
+  private nextLinkId = 1;
+  private lastRefusal: string | undefined;
+
+  constructor(
+    readonly state: ControlState,
+    private readonly storage: ConsensusStorage,
+    private readonly onLeading: () => void,
+  ) {
+    this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
+  }
+
+  /** Runs one step and performs its effects. */
+  step(event: ControlEvent): void {
+    for (const effect of controlStep(this.state, event, this.contexts.now())) {
+      this.perform(effect);
+    }
+  }
+
+  /** Puts a command into the log; resolves with its outcome. */
+  propose(entry: CommandEntry): Promise<CommandOutcome> {
+    const requestId = this.takeRequestId();
+    return new Promise((resolve) => {
+      this.commands.set(requestId, resolve);
+      this.step({ type: 'propose', requestId, entry });
+    });
+  }
+
+  /** Changes the control machines; resolves with the outcome. */
+  changeMembers(command: MemberCommand): Promise<CommandOutcome> {
+    const requestId = this.takeRequestId();
+    return new Promise((resolve) => {
+      this.commands.set(requestId, resolve);
+      this.step({ type: 'change-members', requestId, command });
+    });
+  }
+
+  /** Resolves once a quorum has confirmed that this machine leads, or with why it does not. */
+  query(): Promise<QueryAnswer> {
+    const requestId = this.takeRequestId();
+    return new Promise((resolve) => {
+      this.queries.set(requestId, resolve);
+      this.step({ type: 'query', requestId });
+    });
+  }
+
+  onMessage(message: unknown, link: MessageLink): void {
+    const { type } = message as { type?: unknown };
+    if (type === 'peer') {
+      this.step({ type: 'peer-message', envelope: message as PeerEnvelope });
+      return;
+    }
+    const linkId = this.idOf(link);
+    this.step({ type: 'link-message', linkId, message: message as BalancerToControlMessage });
+  }
+
+  onClose(link: MessageLink): void {
+    const linkId = this.linkIds.get(link);
+    if (linkId !== undefined) {
+      this.linkIds.delete(link);
+      this.links.delete(linkId);
+      this.step({ type: 'link-closed', linkId });
+    }
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    this.peers.close();
+  }
+
+  private tick(): void {
+    const freshSecret = randomBytes(TOKEN_KEY_LENGTH_BYTES);
+    this.step({ type: 'tick', wallTimeMs: Date.now(), freshSecret });
+    const { refusal } = this.state.join;
+    if (refusal !== this.lastRefusal) {
+      this.lastRefusal = refusal;
+      this.logger.warn(`A peer refuses this machine: ${refusal ?? ''}`);
+    }
+  }
+
+  private takeRequestId(): RequestId {
+    const requestId = this.nextRequestId;
+    this.nextRequestId += 1;
+    return requestId;
+  }
+
+  private idOf(link: MessageLink): number {
+    const known = this.linkIds.get(link);
+    if (known !== undefined) {
+      return known;
+    }
+    const linkId = this.nextLinkId;
+    this.nextLinkId += 1;
+    this.linkIds.set(link, linkId);
+    this.links.set(linkId, link);
+    return linkId;
+  }
+
+  private perform(effect: ControlEffect): void {
+    match(effect)
+      .with({ type: 'persist' }, { type: 'persist-snapshot' }, (write) => this.persist(write))
+      .with({ type: 'peer-send' }, ({ address, envelope }) => this.peers.send(address, envelope))
+      .with({ type: 'link-send' }, ({ linkId, message }) => this.links.get(linkId)?.send(message))
+      .with({ type: 'operator-reply' }, ({ requestId, outcome }) => {
+        this.commands.get(requestId)?.(outcome);
+        this.commands.delete(requestId);
+      })
+      .with({ type: 'query-reply' }, ({ requestId, ...answer }) => {
+        this.queries.get(requestId)?.(answer);
+        this.queries.delete(requestId);
+      })
+      .with({ type: 'role-changed' }, () => this.noteRole())
+      .exhaustive();
+  }
+
+  private persist(effect: PersistEffect): void {
+    const { writeId } = effect;
+    this.storage.persist(effect).then(
+      () => this.step({ type: 'persisted', writeId }),
+      (cause: unknown) => {
+        const reason = String(cause);
+        this.logger.error(`storage-failed: this machine acknowledges nothing more: ${reason}`);
+        this.step({ type: 'persist-failed', writeId, reason });
+      },
+    );
+  }
+
+  private noteRole(): void {
+    const { role, term, leaderId } = this.state.consensus;
+    this.logger.info(`Now ${role.name} in term ${term}; leader ${leaderId ?? 'not known'}.`);
+    if (isLeader(this.state)) {
+      this.onLeading();
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/member-api.ts
@@ -0,0 +1,90 @@
+/**
+ * @file The interface for changes of the control machines themselves, HTTP with JSON.
+ *
+ * `GET /v1/members` tells the members and the machines that ask to be added, as this machine knows
+ * them; `POST /v1/members` with `{type, nodeId}` adds a learner, promotes one that has caught up, or
+ * removes a member. Both need `Authorization: Bearer TOKEN` with the admin token of the settings.
+ */
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
+import { timingSafeEqual } from 'node:crypto';
+import { z } from 'zod';
+import { operatorTokenHash } from '../control/command-hash.js';
+import type { CommandOutcome } from '../control/commands.js';
+import { controlStatus, type ControlStatus } from '../control/control-status.js';
+import type { MemberCommand } from '../control/control-events.js';
+import type { ControlState } from '../control/control-step.js';
+import { amberliftError } from '../flow/error-kinds.js';
+import { readBody, respondJson } from './http-json.js';
+import { respondError } from './operator-api.js';
+
+const PATH = '/v1/members';
+const memberCommandSchema = z.strictObject({
+  type: z.enum(['add-member', 'promote-member', 'remove-member']),
+  nodeId: z.string().min(1),
+});
+
+/** What the interface needs of the control machine. */
+export interface MemberApiOptions {
+  readonly state: ControlState;
+  /** Undefined where changes are not allowed. */
+  readonly adminToken: string | undefined;
+  nowMs(): number;
+  changeMembers(command: MemberCommand): Promise<CommandOutcome>;
+}
+
+/**
+ * @param next takes the requests for other pages
+ * @returns a request listener
+ */
+export function memberApi(options: MemberApiOptions, next: RequestListener): RequestListener {
+  return (incoming, response) => {
+    if (incoming.url !== PATH) {
+      next(incoming, response);
+      return;
+    }
+    handle(options, incoming, response).catch((cause: unknown) =>
+      respondError(response, amberliftError('internal', String(cause))),
+    );
+  };
+}
+
+async function handle(
+  options: MemberApiOptions,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  if (!isAdmin(options.adminToken, incoming)) {
+    respondError(response, amberliftError('unauthorized', 'The admin token is needed.'));
+    return;
+  }
+  if (incoming.method === 'GET') {
+    const status: ControlStatus = controlStatus(options.state, options.nowMs());
+    respondJson(response, 200, status);
+    return;
+  }
+  const body = await readBody(incoming);
+  const command = body.map((value) => memberCommandSchema.safeParse(value));
+  if (command.isErr() || !command.value.success) {
+    const message = 'A body {"type": "add-member" | "promote-member" | "remove-member", "nodeId"}.';
+    respondError(response, amberliftError('invalid-command', message));
+    return;
+  }
+  const outcome = await options.changeMembers(command.value.data);
+  if (outcome.accepted) {
+    respondJson(response, 200, outcome);
+  } else {
+    respondError(response, outcome.error, outcome.leader);
+  }
+}
+
+/** Hashes have one length, as the comparison in constant time needs. */
+function isAdmin(adminToken: string | undefined, incoming: IncomingMessage): boolean {
+  const given = /^Bearer (.+)$/.exec(incoming.headers.authorization ?? '')?.[1] ?? '';
+  return (
+    adminToken !== undefined &&
+    timingSafeEqual(
+      Buffer.from(operatorTokenHash(given)),
+      Buffer.from(operatorTokenHash(adminToken)),
+    )
+  );
+}
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
+import type { Address } from '../common/address.js';
 import type { ClusterState, Operator } from '../control/cluster-state.js';
 import { operatorTokenHash } from '../control/command-hash.js';
 import {
@@ -28,9 +29,18 @@
 export interface OperatorApiOptions {
   readonly state: ClusterState;
   propose(entry: CommandEntry): Promise<CommandOutcome>;
+  /** Resolves once a quorum has confirmed that the state here is current, or with why it may not be. */
+  query(): Promise<QueryAnswer>;
   subscribers(): readonly Subscriber[];
 }
 
+/** Whether a question may be answered here. */
+export interface QueryAnswer {
+  readonly error?: AmberliftError;
+  /** Operator address of the leader, where another machine leads. */
+  readonly leader?: Address;
+}
+
 /**
  * @returns the request listener of the operator interface
  */
@@ -57,7 +67,12 @@
     return;
   }
   if (incoming.method === 'GET' && incoming.url === '/v1/show') {
-    respondJson(response, 200, describeState(options, operator.value));
+    const { error, leader } = await options.query();
+    if (error === undefined) {
+      respondJson(response, 200, describeState(options, operator.value));
+    } else {
+      respondError(response, error, leader);
+    }
     return;
   }
   respondError(response, amberliftError('not-found', 'There is no such page.'));
@@ -78,7 +93,7 @@
   if (outcome.accepted) {
     respondJson(response, 200, outcome);
   } else {
-    respondError(response, outcome.error);
+    respondError(response, outcome.error, outcome.leader);
   }
 }
 
@@ -131,6 +146,13 @@
   };
 }
 
-function respondError(response: ServerResponse, error: AmberliftError): void {
-  respondJson(response, answerFor(error.kind).httpStatus, { error });
+/**
+ * Answers with an error, and with the leader's operator address where it is known.
+ */
+export function respondError(
+  response: ServerResponse,
+  error: AmberliftError,
+  leader?: Address,
+): void {
+  respondJson(response, answerFor(error.kind).httpStatus, { error, leader });
 }
--- a/src/daemon/record-file.ts
+++ b/src/daemon/record-file.ts
@@ -1,89 +1,77 @@
 /**
- * @file An append-only file of checksummed records. Each record: length 4 bytes, CRC-32 of the
- * payload 4 bytes, payload. A torn tail, left by a crash in the middle of a write, is cut off when
- * the file is opened.
+ * @file The form of record files: each record has a marker, its length, a CRC-32 of its payload and the
+ * payload. One record is one synced write, so that a crash can leave only the last one incomplete; a
+ * bad record with good ones after it means damage, not a crash.
  */
-import { open, type FileHandle } from 'node:fs/promises';
-import { dirname } from 'node:path';
 import CRC32 from 'crc-32';
 
-const HEADER_BYTES = 8;
-const CRC_OFFSET = 4;
+const MARKER = Buffer.from('ALR1', 'latin1');
+const LENGTH_OFFSET = 4;
+const CRC_OFFSET = 8;
 
-/** An open record file. */
-export interface RecordFile {
-  /** The records found when the file was opened. */
-  readonly recovered: readonly Buffer[];
-  /** Appends records and syncs them; they last once this resolves. */
-  append(payloads: readonly Uint8Array[]): Promise<void>;
-  close(): Promise<void>;
-}
-
-/**
- * Opens or creates a record file.
- */
-export async function openRecordFile(path: string): Promise<RecordFile> {
-  const handle = await open(path, 'a+');
-  const content = await handle.readFile();
-  const { records, validBytes } = scanRecords(content);
-  if (validBytes < content.length) {
-    await handle.truncate(validBytes);
-  }
-  await handle.sync();
-  await syncFolder(dirname(path));
-  return {
-    recovered: records,
-    append: (payloads) => appendRecords(handle, payloads),
-    close: () => handle.close(),
-  };
-}
+/** Bytes that stand before each payload. */
+export const RECORD_HEADER_BYTES = 12;
 
 /**
+ * @param payload the content; not empty
  * @returns the bytes of one record
  */
 export function encodeRecord(payload: Uint8Array): Buffer {
-  const header = Buffer.alloc(HEADER_BYTES);
-  header.writeUInt32BE(payload.length);
-  header.writeInt32BE(CRC32.buf(payload), CRC_OFFSET);
-  return Buffer.concat([header, payload]);
+  const record = Buffer.allocUnsafe(RECORD_HEADER_BYTES + payload.length);
+  MARKER.copy(record);
+  record.writeUInt32BE(payload.length, LENGTH_OFFSET);
+  record.writeInt32BE(CRC32.buf(payload), CRC_OFFSET);
+  record.set(payload, RECORD_HEADER_BYTES);
+  return record;
 }
 
 /** The whole records at the start of some bytes. */
 export interface ScannedRecords {
   readonly records: Buffer[];
-  /** How many bytes the whole records take; what follows is torn. */
+  /** How many bytes the whole records take; what follows is torn or damaged. */
   readonly validBytes: number;
+  /** Where a whole record begins after the bad bytes; undefined where the bad bytes are a torn tail. */
+  readonly laterRecordAt: number | undefined;
 }
 
 /**
- * @returns the records up to the first torn or corrupt one
+ * @returns the records up to the first torn or damaged one
  */
 export function scanRecords(content: Buffer): ScannedRecords {
   const records: Buffer[] = [];
   let offset = 0;
-  while (offset + HEADER_BYTES <= content.length) {
-    const end = offset + HEADER_BYTES + content.readUInt32BE(offset);
-    if (end > content.length) {
-      break;
-    }
-    const payload = content.subarray(offset + HEADER_BYTES, end);
-    if (CRC32.buf(payload) !== content.readInt32BE(offset + CRC_OFFSET)) {
+  for (;;) {
+    const payload = payloadAt(content, offset);
+    if (payload === undefined) {
       break;
     }
     records.push(payload);
-    offset = end;
+    offset += RECORD_HEADER_BYTES + payload.length;
   }
-  return { records, validBytes: offset };
+  return { records, validBytes: offset, laterRecordAt: findRecord(content, offset + 1) };
 }
 
-async function appendRecords(handle: FileHandle, payloads: readonly Uint8Array[]): Promise<void> {
-  await handle.appendFile(Buffer.concat(payloads.map(encodeRecord)));
-  await handle.datasync();
+function payloadAt(content: Buffer, offset: number): Buffer | undefined {
+  const start = offset + RECORD_HEADER_BYTES;
+  const hasMarker =
+    start <= content.length && content.subarray(offset, offset + MARKER.length).equals(MARKER);
+  if (!hasMarker) {
+    return undefined;
+  }
+  const end = start + content.readUInt32BE(offset + LENGTH_OFFSET);
+  if (end > content.length || end === start) {
+    return undefined;
+  }
+  const payload = content.subarray(start, end);
+  const isIntact = CRC32.buf(payload) === content.readInt32BE(offset + CRC_OFFSET);
+  return isIntact ? payload : undefined;
 }
 
-/** Makes a new file name last. */
-async function syncFolder(folder: string): Promise<void> {
-  const handle = await open(folder, 'r');
-  await handle.sync();
-  await handle.close();
+function findRecord(content: Buffer, from: number): number | undefined {
+  for (let at = content.indexOf(MARKER, from); at >= 0; at = content.indexOf(MARKER, at + 1)) {
+    if (payloadAt(content, at) !== undefined) {
+      return at;
+    }
+  }
+  return undefined;
 }
--- a/src/dissemination/publisher.ts
+++ b/src/dissemination/publisher.ts
@@ -83,6 +83,14 @@
   }));
 }
 
+/**
+ * Jumps to a position that was reached without its changes; subscribers are sent a snapshot.
+ */
+export function skipToPosition(state: PublisherState, position: ConfigPosition): void {
+  state.deltas.length = 0;
+  state.committed = position;
+}
+
 /**
  * Takes a message from a balancer.
  * @param config the committed configuration, for snapshots
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -45,6 +45,15 @@
   linkAddress: addressText.prefault('127.0.0.1:0'),
   /** HTTP address of the operator interface. */
   operatorAddress: addressText.prefault('127.0.0.1:0'),
+  /**
+   * The other control machines with which a new cluster begins, the same list on all; a machine with
+   * an empty disk announces itself to them.
+   */
+  peers: z
+    .array(z.strictObject({ nodeId: z.string().min(1), linkAddress: addressText }))
+    .default([]),
+  /** Bearer token for changes of the control machines themselves; without it there are none. */
+  adminToken: z.string().min(MIN_KEY_LENGTH).optional(),
   /** Operators and their bearer tokens, taken at the first start of a cluster. */
   operators: z
     .array(z.strictObject({ name: z.string().min(1), token: z.string().min(MIN_KEY_LENGTH) }))
