--- /dev/null
+++ b/src/experiment/bench-forward-config.ts
@@ -0,0 +1,124 @@
+/**
+ * @file The configuration and the datagrams of the forwarding bench: services of ten back ends each,
+ * all back ends at loopback numbers of their own and one port, so that one socket receives for all.
+ */
+import type { Address } from '../common/address.js';
+import type { Backend, Service, TokenKey } from '../control/cluster-state.js';
+import type { ConfigSnapshot } from '../control/config-update.js';
+import { encodeEnvelope } from '../flow/envelope.js';
+import { encodeLongHeader, encodeShortHeader, FLOW_ID_LENGTH_BYTES } from '../flow/header.js';
+import { encodeMessage } from '../flow/messages.js';
+import { mintToken, prepareTokenKey, TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
+
+const BACKENDS_PER_SERVICE = 10;
+const KEY_ID = 1;
+const SERVICE_PORT = 7_000;
+const CLIENT_PORT_COUNT = 50_000;
+const FIRST_CLIENT_PORT = 10_000;
+const OPEN_DEADLINE_MS = 2_000;
+/** Length in bytes of the opaque body of an established flow's packet. */
+const BODY_BYTES = 64;
+/** What every back end of the bench says that its incarnation is. */
+export const BENCH_INCARNATION = 1;
+
+const secret = Uint8Array.from({ length: TOKEN_KEY_LENGTH_BYTES }, (_, index) => index + 1);
+const tokenKey: TokenKey = { id: KEY_ID, secret, state: 'current' };
+
+/** Where the back ends of the bench are. */
+export interface BackendPlaces {
+  readonly port: number;
+  readonly healthAddress: Address;
+}
+
+/**
+ * @returns a whole configuration with that many back ends
+ */
+export function benchConfig(backendCount: number, places: BackendPlaces): ConfigSnapshot {
+  const serviceCount = Math.ceil(backendCount / BACKENDS_PER_SERVICE);
+  return {
+    type: 'snapshot',
+    to: { term: 1, index: 1 },
+    services: Array.from({ length: serviceCount }, (_, number) => benchService(number)),
+    backends: Array.from({ length: backendCount }, (_, number) => benchBackend(number, places)),
+    keys: [tokenKey],
+  };
+}
+
+/**
+ * @returns datagrams as the fabric hands them over, one for each established flow, spread over all
+ *   back ends
+ */
+export function establishedDatagrams(flowCount: number, backendCount: number): Buffer[] {
+  const key = prepareTokenKey(secret);
+  const body = Buffer.alloc(BODY_BYTES, 1);
+  return Array.from({ length: flowCount }, (_, number) => {
+    const backendNumber = number % backendCount;
+    const serviceNumber = Math.floor(backendNumber / BACKENDS_PER_SERVICE);
+    const fields = {
+      keyId: KEY_ID,
+      serviceId: serviceNumber + 1,
+      backendId: backendNumber + 1,
+      incarnation: BENCH_INCARNATION,
+      flowId: flowIdOf(number),
+    };
+    const packet = encodeShortHeader(mintToken(fields, key), body);
+    return encodeEnvelope({
+      client: clientOf(number),
+      service: benchService(serviceNumber).address,
+      packet,
+    });
+  });
+}
+
+/**
+ * @returns the datagram that opens flow `number` at the first service
+ */
+export function openDatagram(number: number): Buffer {
+  const body = encodeMessage({ type: 'open', deadlineMs: OPEN_DEADLINE_MS });
+  const packet = encodeLongHeader(new Uint8Array(0), flowIdOf(number), body);
+  return encodeEnvelope({ client: clientOf(number), service: benchService(0).address, packet });
+}
+
+/**
+ * @returns the flow ID of flow `number`
+ */
+export function flowIdOf(number: number): Buffer {
+  const flowId = Buffer.alloc(FLOW_ID_LENGTH_BYTES);
+  flowId.writeUInt32BE(number, FLOW_ID_LENGTH_BYTES - 4);
+  return flowId;
+}
+
+/**
+ * @returns the number of the flow with this ID
+ */
+export function flowNumberOf(flowId: Uint8Array): number {
+  return Buffer.from(flowId).readUInt32BE(FLOW_ID_LENGTH_BYTES - 4);
+}
+
+function clientOf(number: number): Address {
+  const host = `10.9.${Math.floor(number / CLIENT_PORT_COUNT) % 256}.1`;
+  return { host, port: FIRST_CLIENT_PORT + (number % CLIENT_PORT_COUNT) };
+}
+
+function benchService(number: number): Service {
+  return {
+    id: number + 1,
+    name: `service-${number}`,
+    owner: 'bench',
+    address: { host: `10.1.${number >> 8}.${number & 255}`, port: SERVICE_PORT },
+    policy: 'adaptive',
+    limits: {},
+    version: 1,
+  };
+}
+
+function benchBackend(number: number, places: BackendPlaces): Backend {
+  return {
+    id: number + 1,
+    serviceId: Math.floor(number / BACKENDS_PER_SERVICE) + 1,
+    address: { host: `127.1.${number >> 8}.${number & 255}`, port: places.port },
+    healthAddress: places.healthAddress,
+    zone: 'zone-a',
+    adminState: 'active',
+  };
+}
--- /dev/null
+++ b/src/experiment/bench-forward-control.ts
@@ -0,0 +1,85 @@
+/**
+ * @file What a balancer needs around it in the forwarding bench: a link that hands it one
+ * configuration, and one HTTP endpoint that answers the probes of all back ends.
+ */
+import type { Address } from '../common/address.js';
+import { listenHttp } from '../daemon/http-server.js';
+import { respondJson } from '../daemon/http-json.js';
+import { listenForLinks } from '../daemon/message-link.js';
+import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
+import { BENCH_INCARNATION, benchConfig } from './bench-forward-config.js';
+import { processorTimeMs } from './bench-forward-process.js';
+
+const SETTLE_POLL_MS = 500;
+const SETTLE_LIMIT_MS = 30_000;
+/** Share of one processor below which a balancer counts as idle. */
+const IDLE_SHARE = 0.3;
+const CONNECTION_LIMIT = 1_000_000;
+const loopback: Address = { host: '127.0.0.1', port: 0 };
+
+/** A configuration source with the endpoints of its back ends. */
+export interface BenchControl {
+  readonly linkAddress: Address;
+  /** Resolves once the configuration is in force and the balancer process is about idle. */
+  settle(balancerPid: number): Promise<void>;
+  close(): Promise<void>;
+}
+
+/**
+ * Starts the link and the HTTP endpoint.
+ * @param backendPort UDP port at which all back ends receive
+ */
+export async function startBenchControl(
+  backendCount: number,
+  backendPort: number,
+): Promise<BenchControl> {
+  let inForce = false;
+  const health = await listenHttp(loopback, (request, response) => {
+    const isHealth = request.url?.startsWith('/health') ?? false;
+    respondJson(response, 200, isHealth ? readyReport : idleReport);
+  });
+  const config = benchConfig(backendCount, { port: backendPort, healthAddress: health.address });
+  const links = await listenForLinks(loopback, {
+    onMessage: (message, link) => {
+      const { type } = message as BalancerToControlMessage;
+      inForce ||= type === 'acknowledge';
+      if (type === 'subscribe') {
+        link.send({ type: 'update', update: config });
+      }
+    },
+    onClose: () => undefined,
+  });
+  return {
+    linkAddress: links.address,
+    settle: (balancerPid) => settle(balancerPid, () => inForce),
+    close: async () => {
+      await Promise.all([links.close(), health.close()]);
+    },
+  };
+}
+
+async function settle(balancerPid: number, isInForce: () => boolean): Promise<void> {
+  const endsAtMs = performance.now() + SETTLE_LIMIT_MS;
+  let usedMs = processorTimeMs(balancerPid);
+  for (;;) {
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_POLL_MS));
+    const nowUsedMs = processorTimeMs(balancerPid);
+    if (isInForce() && nowUsedMs - usedMs < IDLE_SHARE * SETTLE_POLL_MS) {
+      return;
+    }
+    if (performance.now() > endsAtMs) {
+      throw new Error('The balancer did not come to rest with its configuration in force.');
+    }
+    usedMs = nowUsedMs;
+  }
+}
+
+const readyReport = { incarnation: BENCH_INCARNATION, state: 'ready' };
+
+const idleReport = {
+  connections: 0,
+  connectionLimit: CONNECTION_LIMIT,
+  busySlots: 0,
+  slots: 2,
+  queuedRequests: 0,
+};
