Send datagrams without the resolver and without a callback

Cause: the resolver hands an IP number back one turn later, and each callback costs another turn, for every datagram. Change: the socket takes numbers as they are, and sends without a callback.

--- a/src/daemon/udp-socket.ts
+++ b/src/daemon/udp-socket.ts
@@ -6,6 +6,8 @@
 import { isIPv6 } from 'node:net';
 import type { Address } from '../common/address.js';
 
+const IPV4_FAMILY = 4;
+const IPV6_FAMILY = 6;
 const BUFFER_BYTES = 4 * 1024 * 1024;
 
 /** A bound UDP socket. */
@@ -29,14 +31,16 @@
   const type = isIPv6(address.host) ? 'udp6' : 'udp4';
   const socket = createSocket({
     type,
+    lookup: takeNumberAsItIs,
     recvBufferSize: BUFFER_BYTES,
     sendBufferSize: BUFFER_BYTES,
   });
   socket.on('message', (datagram, sender) =>
     onDatagram(datagram, { host: sender.address, port: sender.port }),
   );
+  const listening = once(socket, 'listening');
   socket.bind(address.port, address.host);
-  await once(socket, 'listening');
+  await listening;
   socket.on('error', ignoreSendError);
   return wrapSocket(socket, address.host);
 }
@@ -47,7 +51,7 @@
     address: { host, port: socket.address().port },
     send: (datagram, to) => {
       if (!closed) {
-        socket.send(datagram, to.port, to.host, ignoreSendError);
+        socket.send(datagram, to.port, to.host);
       }
     },
     close: async () => {
@@ -57,6 +61,18 @@
   };
 }
 
+/**
+ * An address is always an IP number here; the resolver would hand it back one turn later, at a cost
+ * for each datagram.
+ */
+function takeNumberAsItIs(
+  host: string,
+  _options: object,
+  callback: (error: null, host: string, family: number) => void,
+): void {
+  callback(null, host, isIPv6(host) ? IPV6_FAMILY : IPV4_FAMILY);
+}
+
 /** A datagram that can't be sent is a lost datagram; its sender retransmits. */
 function ignoreSendError(): void {
   return undefined;
