Hand addresses over as numbers in the envelope

Cause: each packet made two strings of its addresses, and a third one to look its service up. Change: an IPv4 host travels as its 32 bits, services are looked up by a whole number, and text is made only for opens. The packet is a view, not a copy.

--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -2,7 +2,7 @@
  * @file The state of a balancer: the configuration in force, tables derived from it, what is known
  * of each back end, and pending opens. Nothing here grows with established flows.
  */
-import { formatAddress, type Address } from '../common/address.js';
+import { addressKey, type Address, type AddressKey } from '../common/address.js';
 import {
   emptyRoutingConfig,
   type Backend,
@@ -77,8 +77,7 @@
   readonly options: BalancerOptions;
   readonly config: RoutingConfig;
   position: ConfigPosition;
-  /** Service by the text form of its address. */
-  readonly servicesByAddress: Map<string, Service>;
+  readonly servicesByAddress: Map<AddressKey, Service>;
   readonly preparedKeys: Map<number, PreparedTokenKey>;
   currentKeyId: number | undefined;
   readonly views: Map<number, BackendView>;
@@ -172,7 +171,7 @@
 function rebuildTables(state: BalancerState): void {
   state.servicesByAddress.clear();
   for (const service of state.config.services.values()) {
-    state.servicesByAddress.set(formatAddress(service.address), service);
+    state.servicesByAddress.set(addressKey(service.address), service);
   }
   rebuildKeys(state);
   rebuildViews(state);
--- a/src/balancer/balancer-step.ts
+++ b/src/balancer/balancer-step.ts
@@ -12,7 +12,7 @@
   handleLinkOpened,
   subscriptionTick,
 } from '../dissemination/subscription.js';
-import { decodeEnvelope } from '../flow/envelope.js';
+import { toEnvelope, unpackEnvelope } from '../flow/envelope.js';
 import { hasLongHeader } from '../flow/header.js';
 import { dueProbes, probeEnded } from '../health/probe-schedule.js';
 import { applyConfigUpdate, countError, type BalancerState } from './balancer-state.js';
@@ -64,13 +64,13 @@
   replyTo: Address,
   context: StepContext,
 ): BalancerEffect[] {
-  const envelope = decodeEnvelope(datagram);
+  const envelope = unpackEnvelope(datagram);
   if (envelope.isErr()) {
     countError(state, envelope.error.kind);
     return [];
   }
   if (hasLongHeader(envelope.value.packet)) {
-    return handleOpen(state, envelope.value, replyTo, context);
+    return handleOpen(state, toEnvelope(envelope.value), replyTo, context);
   }
   const target = routeEstablished(state, envelope.value);
   if (target.isErr()) {
--- a/src/balancer/forwarding.ts
+++ b/src/balancer/forwarding.ts
@@ -3,8 +3,8 @@
  * alone.
  */
 import { err, ok, type Result } from 'neverthrow';
-import { formatAddress, type Address } from '../common/address.js';
-import type { Envelope } from '../flow/envelope.js';
+import { packedAddressKey, type Address } from '../common/address.js';
+import type { PackedEnvelope } from '../flow/envelope.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import { parseShortHeader } from '../flow/header.js';
 import { hasValidMac, readToken, TOKEN_LENGTH_BYTES } from '../flow/token.js';
@@ -17,7 +17,7 @@
  */
 export function routeEstablished(
   state: BalancerState,
-  envelope: Envelope,
+  envelope: PackedEnvelope,
 ): Result<Address, AmberliftError> {
   const packet = parseShortHeader(envelope.packet, TOKEN_LENGTH_BYTES);
   if (packet.isErr()) {
@@ -32,7 +32,9 @@
   if (!hasValidMac(token, key)) {
     return err(amberliftError('forged-token', 'The token was not made with its key.'));
   }
-  const service = state.servicesByAddress.get(formatAddress(envelope.service));
+  const service = state.servicesByAddress.get(
+    packedAddressKey(envelope.serviceHost, envelope.servicePort),
+  );
   if (service === undefined) {
     return err(amberliftError('unknown-service', 'No service has this address.'));
   }
--- a/src/balancer/open-handling.ts
+++ b/src/balancer/open-handling.ts
@@ -4,7 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import type { Address } from '../common/address.js';
-import { formatAddress } from '../common/address.js';
+import { addressKey, formatAddress } from '../common/address.js';
 import type { StepContext } from '../common/step.js';
 import { decodeEnvelope, encodeEnvelope, type Envelope } from '../flow/envelope.js';
 import { amberliftError, type AmberliftError, type ErrorKind } from '../flow/error-kinds.js';
@@ -49,7 +49,7 @@
     countError(state, parsed.error.kind);
     return [];
   }
-  const service = state.servicesByAddress.get(formatAddress(envelope.service));
+  const service = state.servicesByAddress.get(addressKey(envelope.service));
   if (service === undefined) {
     countError(state, 'unknown-service');
     return [];
--- a/src/common/address.ts
+++ b/src/common/address.ts
@@ -42,3 +42,52 @@
   }
   return { host, port };
 }
+
+const IPV4_PART_COUNT = 4;
+const BYTE_VALUES = 256;
+const PORT_VALUES = 65_536;
+
+/**
+ * An address as a key of tables: a whole number for IPv4, the text form for IPv6. Two addresses have
+ * the same key only where they are equal.
+ */
+export type AddressKey = number | string;
+
+/** A host in short: the 32 bits of an IPv4 number, or an IPv6 number as text. */
+export type PackedHost = number | string;
+
+/**
+ * @returns the key of an address
+ */
+export function addressKey(address: Address): AddressKey {
+  return packedAddressKey(packHost(address.host), address.port);
+}
+
+/**
+ * @returns the key of an address whose host is packed
+ */
+export function packedAddressKey(host: PackedHost, port: number): AddressKey {
+  return typeof host === 'number' ? host * PORT_VALUES + port : formatAddress({ host, port });
+}
+
+/**
+ * @param host IPv4 or IPv6 number
+ * @returns the host in short
+ */
+export function packHost(host: string): PackedHost {
+  if (host.includes(':')) {
+    return host;
+  }
+  return host.split('.').reduce((number, part) => number * BYTE_VALUES + Number(part), 0);
+}
+
+/**
+ * @returns the IP number as text
+ */
+export function unpackHost(host: PackedHost): string {
+  if (typeof host === 'string') {
+    return host;
+  }
+  const parts = Array.from({ length: IPV4_PART_COUNT }, (_, index) => (host >>> (8 * index)) & 255);
+  return parts.reverse().join('.');
+}
--- a/src/flow/envelope.ts
+++ b/src/flow/envelope.ts
@@ -4,7 +4,7 @@
  */
 import { Packr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
-import type { Address } from '../common/address.js';
+import { packHost, unpackHost, type Address, type PackedHost } from '../common/address.js';
 import { amberliftError, type AmberliftError } from './error-kinds.js';
 
 /** A packet with the two ends of its flow. */
@@ -14,21 +14,55 @@
   readonly packet: Uint8Array;
 }
 
-const packr = new Packr({ useRecords: false });
+/**
+ * An envelope as it comes out of the decoder, before addresses become text: what the hot path needs.
+ */
+export interface PackedEnvelope {
+  readonly clientHost: PackedHost;
+  readonly clientPort: number;
+  readonly serviceHost: PackedHost;
+  readonly servicePort: number;
+  readonly packet: Uint8Array;
+}
+
+const packr = new Packr({ useRecords: false, copyBuffers: false });
 const FIELD_COUNT = 5;
+const MAX_IPV4_HOST = 0xffff_ffff;
+const MAX_PORT = 65_535;
 
 /**
  * @returns the datagram that carries the envelope
  */
 export function encodeEnvelope(envelope: Envelope): Buffer {
   const { client, service, packet } = envelope;
-  return packr.pack([client.host, client.port, service.host, service.port, packet]);
+  const clientHost = packHost(client.host);
+  return packr.pack([clientHost, client.port, packHost(service.host), service.port, packet]);
 }
 
 /**
  * @returns the envelope, or `malformed-datagram`; never throws
  */
 export function decodeEnvelope(datagram: Uint8Array): Result<Envelope, AmberliftError> {
+  return unpackEnvelope(datagram).map(toEnvelope);
+}
+
+/**
+ * @returns the envelope with its addresses as text
+ */
+export function toEnvelope(packed: PackedEnvelope): Envelope {
+  const { clientHost, clientPort, serviceHost, servicePort, packet } = packed;
+  return {
+    client: { host: unpackHost(clientHost), port: clientPort },
+    service: { host: unpackHost(serviceHost), port: servicePort },
+    packet,
+  };
+}
+
+/**
+ * @returns the envelope with its packet as a view into the datagram, or `malformed-datagram`; never
+ *   throws
+ */
+export function unpackEnvelope(datagram: Uint8Array): Result<PackedEnvelope, AmberliftError> {
   let fields: unknown;
   try {
     fields = packr.unpack(datagram);
@@ -40,17 +74,24 @@
   }
   const [clientHost, clientPort, serviceHost, servicePort, packet] = fields as unknown[];
   if (
-    typeof clientHost !== 'string' ||
-    typeof clientPort !== 'number' ||
-    typeof serviceHost !== 'string' ||
-    typeof servicePort !== 'number' ||
+    !isHost(clientHost) ||
+    !isPort(clientPort) ||
+    !isHost(serviceHost) ||
+    !isPort(servicePort) ||
     !(packet instanceof Uint8Array)
   ) {
     return err(amberliftError('malformed-datagram', 'Envelope has a field of a wrong type.'));
   }
-  return ok({
-    client: { host: clientHost, port: clientPort },
-    service: { host: serviceHost, port: servicePort },
-    packet,
-  });
+  return ok({ clientHost, clientPort, serviceHost, servicePort, packet });
+}
+
+function isHost(value: unknown): value is PackedHost {
+  if (typeof value === 'number') {
+    return value >= 0 && value <= MAX_IPV4_HOST && Number.isInteger(value);
+  }
+  return typeof value === 'string' && value.includes(':');
+}
+
+function isPort(value: unknown): value is number {
+  return typeof value === 'number' && value >= 0 && value <= MAX_PORT && Number.isInteger(value);
 }
