--- /dev/null
+++ b/src/cli/bench.ts
@@ -0,0 +1,113 @@
+/**
+ * @file `amberlift bench <name>`: runs one of the benches and prints its figures.
+ */
+import { execFileSync } from 'node:child_process';
+import { writeFileSync } from 'node:fs';
+import type { CAC } from 'cac';
+import Table from 'cli-table3';
+import type { Bench, BenchResult, BenchTable } from '../experiment/bench.js';
+import { placementBench } from '../experiment/bench-placement.js';
+import { exitCodes } from '../flow/error-kinds.js';
+
+/** Every bench, in the order of the help. */
+const benches: readonly Bench[] = [placementBench];
+
+const DEFAULT_SEED = 1;
+const MAX_ROUNDS = 1_000;
+
+interface BenchFlags {
+  readonly json?: boolean;
+  readonly rounds?: number;
+  readonly seed?: number;
+  readonly out?: string;
+  readonly set?: string[];
+}
+
+/**
+ * Registers the subcommand.
+ */
+export function registerBench(cli: CAC): void {
+  const names = benches.map(({ name, summary }) => `${name}: ${summary}`).join('; ');
+  cli
+    .command('bench <name>', `Measure one part (${names})`)
+    .option('--json', 'Print the figures as one line of JSON, last')
+    .option('--rounds <count>', 'How many rounds each figure is the median of')
+    .option('--seed <number>', 'Seed of all that is random', { default: DEFAULT_SEED })
+    .option('--out <file>', 'Keep the figures in this file, with command and commit')
+    .option('--set <name=value>', 'An option of this bench; may be repeated', { type: [String] })
+    .action(run);
+}
+
+async function run(name: string, flags: BenchFlags): Promise<void> {
+  const bench = benches.find((candidate) => candidate.name === name);
+  if (bench === undefined) {
+    const known = benches.map((candidate) => candidate.name).join(', ');
+    throw new RangeError(`there is no bench ${name}; there are: ${known}.`);
+  }
+  const result = await bench.run({
+    rounds: optionalRounds(flags.rounds),
+    seed: wholeSeed(flags.seed ?? DEFAULT_SEED),
+    settings: parseSettings(flags.set ?? []),
+    progress: (message) => process.stderr.write(`${message}\n`),
+  });
+  process.stdout.write(`${describe(result.table)}\n`);
+  result.missed.forEach((target) => process.stdout.write(`Not reached: ${target}\n`));
+  if (flags.out !== undefined) {
+    writeFileSync(flags.out, `${JSON.stringify(withOrigin(name, result), undefined, 2)}\n`);
+  }
+  if (flags.json === true) {
+    process.stdout.write(`${JSON.stringify(result.figures)}\n`);
+  }
+  process.exitCode = result.missed.length === 0 ? exitCodes.success : exitCodes.failure;
+}
+
+function optionalRounds(value: number | undefined): number | undefined {
+  if (value !== undefined && !(Number.isInteger(value) && value >= 1 && value <= MAX_ROUNDS)) {
+    throw new RangeError(`--rounds is a whole number from 1 to ${MAX_ROUNDS}.`);
+  }
+  return value;
+}
+
+function wholeSeed(value: number): number {
+  if (!Number.isInteger(value)) {
+    throw new RangeError('--seed is a whole number.');
+  }
+  return value;
+}
+
+function parseSettings(texts: readonly string[]): Map<string, string> {
+  const settings = new Map<string, string>();
+  for (const text of texts.filter((given) => given !== 'undefined')) {
+    const separator = text.indexOf('=');
+    if (separator < 1) {
+      throw new RangeError(`--set takes name=value, not ${text}.`);
+    }
+    settings.set(text.slice(0, separator), text.slice(separator + 1));
+  }
+  return settings;
+}
+
+function describe(content: BenchTable): string {
+  const table = new Table({ head: [...content.head] });
+  content.rows.forEach((row) => table.push([...row]));
+  return table.toString();
+}
+
+function withOrigin(name: string, result: BenchResult): object {
+  const flags = process.argv.slice(process.argv.indexOf(name) + 1).join(' ');
+  return {
+    command: `amberlift bench ${name} ${flags}`.trim(),
+    commit: currentCommit(),
+    missed: result.missed,
+    figures: result.figures,
+  };
+}
+
+/** The commit that stands checked out; `unknown` outside of a repository. */
+function currentCommit(): string {
+  try {
+    return execFileSync('git', ['rev-parse', 'HEAD'], { encoding: 'utf8' }).trim();
+  } catch {
+    return 'unknown';
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { exitCodes } from '../flow/error-kinds.js';
 import { registerBackend } from './backend.js';
 import { registerBalancer } from './balancer.js';
+import { registerBench } from './bench.js';
 import { registerCallers } from './callers.js';
 import { registerControl } from './control.js';
 import { registerCtl } from './ctl.js';
@@ -21,6 +22,7 @@
   registerControl,
   registerCtl,
   registerDemo,
+  registerBench,
   registerBackend,
   registerFabric,
   registerCallers,
--- /dev/null
+++ b/src/experiment/placement-backend.ts
@@ -0,0 +1,116 @@
+/**
+ * @file A back end of the placement bench: connections, slots, a queue, and load reports that lag.
+ */
+import type { RandomSource } from '../common/step.js';
+import type { Backend } from '../control/cluster-state.js';
+import type { LoadReport } from '../health/backend-report.js';
+import type { VirtualAgenda } from './virtual-agenda.js';
+
+/** Queued requests beyond which a back end refuses opens. */
+const MAX_QUEUED_REQUESTS = 200;
+
+/** The shape of a back end. */
+export interface PlacementBackendShape {
+  readonly slots: number;
+  readonly connectionLimit: number;
+  /** Mean time that a request holds a slot; times are exponential. */
+  readonly serviceMs: number;
+  /** How old the state is that a load report tells. */
+  readonly reportLagMs: number;
+}
+
+interface TimedReport {
+  readonly atMs: number;
+  readonly report: LoadReport;
+}
+
+/** One back end. */
+export class PlacementBackend {
+  connections = 0;
+  /** Slot time used since the last call of `takeBusySlotMs`, in milliseconds. */
+  private busySlotMs = 0;
+  private busySlots = 0;
+  private busySinceMs = 0;
+  private queuedRequests = 0;
+  private readonly history: TimedReport[] = [];
+
+  constructor(
+    readonly backend: Backend,
+    readonly incarnation: number,
+    private readonly shape: PlacementBackendShape,
+    private readonly agenda: VirtualAgenda,
+    private readonly random: RandomSource,
+  ) {}
+
+  /** @returns true where the open is accepted, and then holds a connection */
+  open(): boolean {
+    const full = this.connections >= this.shape.connectionLimit;
+    if (full || this.queuedRequests >= MAX_QUEUED_REQUESTS) {
+      return false;
+    }
+    this.connections += 1;
+    return true;
+  }
+
+  close(): void {
+    this.connections -= 1;
+  }
+
+  /** A request takes a slot, or waits for one. */
+  request(): void {
+    if (this.busySlots >= this.shape.slots) {
+      this.queuedRequests += 1;
+      return;
+    }
+    this.countBusyTime();
+    this.busySlots += 1;
+    const serviceMs = -Math.log(1 - this.random.nextFloat()) * this.shape.serviceMs;
+    this.agenda.after(serviceMs, () => this.finishRequest());
+  }
+
+  /** Keeps the present load for reports to come. */
+  recordLoad(): void {
+    this.history.push({ atMs: this.agenda.nowMs, report: this.presentLoad() });
+    const oldestMs = this.agenda.nowMs - this.shape.reportLagMs;
+    while ((this.history[1]?.atMs ?? Infinity) <= oldestMs) {
+      this.history.shift();
+    }
+  }
+
+  /** @returns the load as it was a report lag ago, or as early as is known */
+  reportedLoad(): LoadReport {
+    return this.history[0]?.report ?? this.presentLoad();
+  }
+
+  /** @returns slot time used since the last call, in milliseconds */
+  takeBusySlotMs(): number {
+    this.countBusyTime();
+    const used = this.busySlotMs;
+    this.busySlotMs = 0;
+    return used;
+  }
+
+  private finishRequest(): void {
+    this.countBusyTime();
+    this.busySlots -= 1;
+    if (this.queuedRequests > 0) {
+      this.queuedRequests -= 1;
+      this.request();
+    }
+  }
+
+  private countBusyTime(): void {
+    this.busySlotMs += this.busySlots * (this.agenda.nowMs - this.busySinceMs);
+    this.busySinceMs = this.agenda.nowMs;
+  }
+
+  private presentLoad(): LoadReport {
+    return {
+      connections: this.connections,
+      connectionLimit: this.shape.connectionLimit,
+      busySlots: this.busySlots,
+      slots: this.shape.slots,
+      queuedRequests: this.queuedRequests,
+    };
+  }
+}
--- /dev/null
+++ b/test/routing/bench-placement.test.ts
@@ -0,0 +1,36 @@
+import { test } from 'tap';
+import { median } from '../../src/experiment/bench.js';
+import { runPlacement } from '../../src/experiment/placement-run.js';
+import type { PlacementScenario } from '../../src/experiment/placement-world.js';
+
+const scenario: PlacementScenario = {
+  policy: 'random',
+  seed: 3,
+  balancers: 3,
+  backends: 4,
+  shape: { slots: 2, connectionLimit: 200, serviceMs: 10, reportLagMs: 500 },
+  reportIntervalMs: 500,
+  opensPerSecond: 20,
+  surgeFactor: 10,
+  surgeStartMs: 2_000,
+  endMs: 6_000,
+  flowLifeMs: 3_000,
+  requestIntervalMs: 1_000,
+};
+
+test('a run of the placement bench', async (t) => {
+  const figures = runPlacement(scenario);
+  t.same(runPlacement(scenario), figures, 'the same seed gives the same figures');
+  t.ok(figures.opened > 600, 'opens rise tenfold in the surge');
+  t.equal(figures.brokenFlows, 0, 'flows are found by their tokens');
+  t.equal(figures.refused, 0);
+  t.ok(figures.peakOverMeanConnections > 1);
+  const small = runPlacement({ ...scenario, shape: { ...scenario.shape, connectionLimit: 20 } });
+  t.ok(small.refused > 100, 'full back ends refuse');
+});
+
+test('the median', async (t) => {
+  t.equal(median([5, 1, 9]), 5);
+  t.equal(median([4, 1, 3, 2]), 2, 'of an even count the lower of the two in the middle');
+  t.throws(() => median([]));
+});
