Change a balancer's tables by each delta instead of rebuilding them

Each delta rebuilt the tables of all services, keys and back ends, so one change cost a balancer time that grows with the whole configuration.

--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -2,6 +2,7 @@
  * @file The state of a balancer: the configuration in force, tables derived from it, what is known
  * of each back end, and pending opens. Nothing here grows with established flows.
  */
+import { match } from 'ts-pattern';
 import { formatAddress, type Address } from '../common/address.js';
 import {
   emptyRoutingConfig,
@@ -13,6 +14,7 @@
 import {
   applyConfigChange,
   isNewerPosition,
+  type ConfigChange,
   type ConfigPosition,
   type ConfigUpdate,
 } from '../control/config-update.js';
@@ -149,14 +151,41 @@
   }
   if (update.type === 'snapshot') {
     replaceConfig(state.config, update);
+    rebuildTables(state);
   } else {
-    update.changes.forEach((change) => applyConfigChange(state.config, change));
+    update.changes.forEach((change) => applyChange(state, change));
   }
   state.position = update.to;
-  rebuildTables(state);
   return true;
 }
 
+/** Changes the configuration and what is derived from it; the rest of the tables is not looked at. */
+function applyChange(state: BalancerState, change: ConfigChange): void {
+  const { config, views } = state;
+  if (change.type === 'service-set') {
+    forgetServiceAddress(state, change.service.id);
+    state.servicesByAddress.set(formatAddress(change.service.address), change.service);
+  } else if (change.type === 'service-removed') {
+    forgetServiceAddress(state, change.serviceId);
+  }
+  applyConfigChange(config, change);
+  match(change)
+    .with({ type: 'backend-set' }, ({ backend }) => setView(state, backend))
+    .with({ type: 'backend-removed' }, ({ backendId }) => views.delete(backendId))
+    .with({ type: 'key-set' }, { type: 'key-removed' }, () => rebuildKeys(state))
+    .with({ type: 'service-set' }, { type: 'service-removed' }, () => undefined)
+    .exhaustive();
+}
+
+/** Another service may have taken the address already. */
+function forgetServiceAddress(state: BalancerState, serviceId: number): void {
+  const known = state.config.services.get(serviceId);
+  const key = known === undefined ? undefined : formatAddress(known.address);
+  if (key !== undefined && state.servicesByAddress.get(key)?.id === serviceId) {
+    state.servicesByAddress.delete(key);
+  }
+}
+
 function replaceConfig(
   config: RoutingConfig,
   snapshot: Extract<ConfigUpdate, { type: 'snapshot' }>,
@@ -196,12 +225,16 @@
     }
   }
   for (const backend of state.config.backends.values()) {
-    const view = state.views.get(backend.id);
-    if (view === undefined) {
-      state.views.set(backend.id, newView(backend));
-    } else {
-      view.backend = backend;
-    }
+    setView(state, backend);
+  }
+}
+
+function setView(state: BalancerState, backend: Backend): void {
+  const view = state.views.get(backend.id);
+  if (view === undefined) {
+    state.views.set(backend.id, newView(backend));
+  } else {
+    view.backend = backend;
   }
 }
 
