Grant leases to balancers and fence reused addresses by them

Cause: the leader's duties were given zeros for the indexes in force and fenced, so an address that left a service never came free and token keys were never rotated; and a balancer that was cut off went on sending to addresses that might belong to another service.

Change: a balancer asks for a lease every 2 s and counts it from the asking. A leader grants it from read-index rounds that a quorum confirmed. Each grant names a floor index; one lease after the first grant with a floor, that index is fenced, without a list of balancers. A balancer past its lease uses only back ends that said within 3 s which one they are. Few lines in the control step, the member state, forwarding, candidates, the error table and the operator interface wire it in.

--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -16,10 +16,11 @@
   type ConfigPosition,
   type ConfigUpdate,
 } from '../control/config-update.js';
+import { mayUseBackend } from '../dissemination/lease.js';
 import { createSubscription, type SubscriptionState } from '../dissemination/subscription.js';
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
-import type { HealthReport, LoadReport } from '../health/backend-report.js';
+import type { HealthReport, LoadReport, ProbeResult } from '../health/backend-report.js';
 import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
@@ -56,6 +57,8 @@
   loadReceivedAtMs: number;
   pendingOpens: number;
   opensSinceReport: number;
+  /** When the back end was asked what it last answered to with its own ID. */
+  identityConfirmedAtMs: number;
 }
 
 /** An open that waits for a back end's answer. */
@@ -136,6 +139,30 @@
   return policy;
 }
 
+/**
+ * Notes which back end answered a probe. What it says holds from when it was asked: an answer may have
+ * waited while this process was paused.
+ */
+export function recordIdentity(
+  state: BalancerState,
+  { backendId, health }: ProbeResult,
+  startedAtMs: number | undefined,
+): void {
+  const view = state.views.get(backendId);
+  if (view === undefined || health?.backendId === undefined) {
+    return;
+  }
+  view.identityConfirmedAtMs =
+    health.backendId === backendId ? (startedAtMs ?? -Infinity) : -Infinity;
+}
+
+/**
+ * @returns true where packets may be sent to the back end, see `mayUseBackend`
+ */
+export function isBackendUsable(state: BalancerState, view: BackendView, nowMs: number): boolean {
+  return mayUseBackend(state.subscription.lease, view.identityConfirmedAtMs, nowMs);
+}
+
 /**
  * Takes a configuration update where it is newer and, for a delta, follows on what is in force.
  * @returns true where it was taken
@@ -213,5 +240,6 @@
     loadReceivedAtMs: 0,
     pendingOpens: 0,
     opensSinceReport: 0,
+    identityConfirmedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/src/balancer/balancer-step.ts
+++ b/src/balancer/balancer-step.ts
@@ -15,7 +15,12 @@
 import { decodeEnvelope } from '../flow/envelope.js';
 import { hasLongHeader } from '../flow/header.js';
 import { dueProbes, probeEnded } from '../health/probe-schedule.js';
-import { applyConfigUpdate, countError, type BalancerState } from './balancer-state.js';
+import {
+  applyConfigUpdate,
+  countError,
+  recordIdentity,
+  type BalancerState,
+} from './balancer-state.js';
 import type { BalancerEffect, BalancerEvent } from './balancer-events.js';
 import { recordProbe } from './candidates.js';
 import { routeEstablished } from './forwarding.js';
@@ -36,7 +41,7 @@
     )
     .with({ type: 'backend-datagram' }, ({ datagram }) => handleOpenReply(state, datagram, context))
     .with({ type: 'link-opened' }, ({ linkId }) =>
-      handleLinkOpened(state.subscription, linkId, state.position),
+      handleLinkOpened(state.subscription, linkId, state.position, context.nowMs),
     )
     .with({ type: 'link-message' }, ({ linkId, message }) =>
       handleLinkMessage(state, linkId, message, context),
@@ -46,8 +51,9 @@
       return [];
     })
     .with({ type: 'probe-result' }, ({ result }) => {
-      probeEnded(state.probes, result.backendId);
+      const startedAtMs = probeEnded(state.probes, result.backendId);
       recordProbe(state, result, context);
+      recordIdentity(state, result, startedAtMs);
       return [];
     })
     .with({ type: 'tick' }, () => handleTick(state, context))
@@ -72,7 +78,7 @@
   if (hasLongHeader(envelope.value.packet)) {
     return handleOpen(state, envelope.value, replyTo, context);
   }
-  const target = routeEstablished(state, envelope.value);
+  const target = routeEstablished(state, envelope.value, context.nowMs);
   if (target.isErr()) {
     countError(state, target.error.kind);
     return [];
@@ -100,7 +106,7 @@
   applyConfigUpdate(state, update);
   return [
     ...effects,
-    ...acknowledge(state.subscription, state.position),
+    ...acknowledge(state.subscription, state.position, context.nowMs),
     ...dueProbes(state.probes, state.config.backends.values(), context.nowMs),
   ];
 }
@@ -108,7 +114,7 @@
 function handleTick(state: BalancerState, context: StepContext): BalancerEffect[] {
   return [
     ...expireOpens(state, context),
-    ...subscriptionTick(state.subscription, context.nowMs),
+    ...subscriptionTick(state.subscription, state.position, context.nowMs),
     ...dueProbes(state.probes, state.config.backends.values(), context.nowMs),
   ];
 }
--- a/src/balancer/candidates.ts
+++ b/src/balancer/candidates.ts
@@ -5,6 +5,7 @@
 import type { ProbeResult } from '../health/backend-report.js';
 import type { PlacementCandidate } from '../routing/placement-policy.js';
 import {
+  isBackendUsable,
   policyFor,
   type BackendView,
   type BalancerState,
@@ -21,7 +22,7 @@
 ): BackendView | undefined {
   const candidates: PlacementCandidate[] = [];
   for (const view of state.views.values()) {
-    if (isCandidate(view, open)) {
+    if (isCandidate(view, open) && isBackendUsable(state, view, context.nowMs)) {
       candidates.push(toCandidate(view));
     }
   }
--- a/src/balancer/forwarding.ts
+++ b/src/balancer/forwarding.ts
@@ -8,7 +8,7 @@
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import { parseShortHeader } from '../flow/header.js';
 import { hasValidMac, readToken, TOKEN_LENGTH_BYTES } from '../flow/token.js';
-import type { BalancerState } from './balancer-state.js';
+import { isBackendUsable, type BalancerState } from './balancer-state.js';
 
 /**
  * Finds where a packet of an established flow goes. The destination service must be the one that
@@ -18,6 +18,7 @@
 export function routeEstablished(
   state: BalancerState,
   envelope: Envelope,
+  nowMs: number,
 ): Result<Address, AmberliftError> {
   const packet = parseShortHeader(envelope.packet, TOKEN_LENGTH_BYTES);
   if (packet.isErr()) {
@@ -36,12 +37,18 @@
   if (service === undefined) {
     return err(amberliftError('unknown-service', 'No service has this address.'));
   }
-  const backend = state.views.get(fields.backendId)?.backend;
-  if (backend === undefined) {
+  const view = state.views.get(fields.backendId);
+  const backend = view?.backend;
+  if (view === undefined || backend === undefined) {
     return err(amberliftError('unknown-backend', 'The token names no known back end.'));
   }
   if (service.id !== fields.serviceId || backend.serviceId !== service.id) {
     return err(amberliftError('wrong-service', 'The token belongs to another service.'));
   }
+  if (!isBackendUsable(state, view, nowMs)) {
+    return err(
+      amberliftError('lease-expired', 'The back end may have another one at its address.'),
+    );
+  }
   return ok(backend.address);
 }
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -9,7 +9,7 @@
   type ConsensusOptions,
   type ConsensusState,
 } from '../consensus/consensus-state.js';
-import { findMember, type NodeId } from '../consensus/membership.js';
+import { findMember, type Member, type NodeId } from '../consensus/membership.js';
 import type { RecoveredState } from '../consensus/persisted-state.js';
 import type { LogEntry } from '../consensus/log.js';
 import {
@@ -138,9 +138,19 @@
  * @returns the operator address of the leader, where another machine leads and is known
  */
 export function leaderOperatorAddress(state: ControlState): Address | undefined {
+  return otherLeader(state)?.operatorAddress;
+}
+
+/**
+ * @returns the link address of the leader, where another machine leads and is known
+ */
+export function leaderLinkAddress(state: ControlState): Address | undefined {
+  return otherLeader(state)?.linkAddress;
+}
+
+function otherLeader(state: ControlState): Member | undefined {
   const { leaderId, nodeId } = state.consensus;
-  if (leaderId === undefined || leaderId === nodeId) {
-    return undefined;
-  }
-  return findMember(currentMembership(state.consensus), leaderId)?.operatorAddress;
+  return leaderId === undefined || leaderId === nodeId
+    ? undefined
+    : findMember(currentMembership(state.consensus), leaderId);
 }
--- a/src/control/control-step.ts
+++ b/src/control/control-step.ts
@@ -12,10 +12,11 @@
   RefusalKind,
 } from '../consensus/consensus-events.js';
 import type { MemberChange } from '../consensus/membership.js';
+import { leaseAuthorityTick, takeConfirmation } from '../dissemination/lease-authority.js';
 import {
+  disseminationStatus,
   handleSubscriberGone,
   handleSubscriberMessage,
-  publisherTick,
 } from '../dissemination/publisher.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import {
@@ -31,6 +32,7 @@
 import {
   applyEntry,
   isLeader,
+  leaderLinkAddress,
   leaderOperatorAddress,
   restoreState,
   type ControlState,
@@ -82,7 +84,13 @@
       runConsensus(state, ended, context),
     )
     .with({ type: 'link-message' }, ({ linkId, message }) =>
-      handleSubscriberMessage(state.publisher, linkId, message, state.cluster.routing),
+      handleSubscriberMessage(
+        state.publisher,
+        linkId,
+        message,
+        state.cluster.routing,
+        context.nowMs,
+      ),
     )
     .with({ type: 'link-closed' }, ({ linkId }) => {
       handleSubscriberGone(state.publisher, linkId);
@@ -200,11 +208,26 @@
     effects.push(...peers);
   }
   effects.push(...runConsensus(state, { type: 'tick' }, context));
+  effects.push(...confirmLeadership(state, context));
   effects.push(...performDuties(state, clock, context));
-  effects.push(...publisherTick(state.publisher, context.nowMs));
   return effects;
 }
 
+/** Lets a quorum confirm now and then that this machine leads; leases are granted from that. */
+function confirmLeadership(state: ControlState, context: StepContext): ControlEffect[] {
+  const { consensus, publisher } = state;
+  const { role, term, commitIndex } = consensus;
+  const isLeading = role.name === 'leader' && commitIndex >= role.termStartIndex;
+  publisher.leader = leaderLinkAddress(state);
+  const readId = leaseAuthorityTick(publisher.authority, {
+    isLeading,
+    term,
+    commitIndex,
+    nowMs: context.nowMs,
+  });
+  return readId === undefined ? [] : runConsensus(state, { type: 'read', readId }, context);
+}
+
 /** The leader's own commands, one round of them at a time. */
 function performDuties(
   state: ControlState,
@@ -221,8 +244,7 @@
   const duties = leaderDuties(state.cluster, {
     nowMs: clock.wallTimeMs,
     freshSecret: clock.freshSecret,
-    inForceIndex: 0,
-    fencedIndex: 0,
+    ...disseminationStatus(state.publisher, context.nowMs),
   });
   return duties.flatMap((entry) => propose(state, entry, context));
 }
@@ -262,10 +284,14 @@
     .with({ type: 'proposal-refused' }, ({ proposalId, kind, reason }) =>
       replyTo(proposalId, refusedOutcome(state, kind, reason)),
     )
-    .with({ type: 'read-ready' }, ({ readId }): ControlEffect[] => [
-      { type: 'query-reply', requestId: readId },
-    ])
-    .with({ type: 'read-refused' }, ({ readId, kind }) => refuseQuery(state, readId, kind))
+    .with({ type: 'read-ready' }, ({ readId }): ControlEffect[] =>
+      takeConfirmation(state.publisher.authority, readId)
+        ? []
+        : [{ type: 'query-reply', requestId: readId }],
+    )
+    .with({ type: 'read-refused' }, ({ readId, kind }) =>
+      readId < 0 ? [] : refuseQuery(state, readId, kind),
+    )
     .with({ type: 'leadership-lost' }, ({ kind }) => refusePending(state, kind))
     .exhaustive();
 }
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -10,6 +10,7 @@
 import { operatorTokenHash } from '../control/command-hash.js';
 import { SYSTEM_OPERATOR } from '../control/commands.js';
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
+import { balancerReports } from '../dissemination/publisher.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
 import type { Settings } from '../settings/settings-schema.js';
@@ -101,7 +102,7 @@
     state: state.cluster,
     propose: (entry) => edge.propose(entry),
     query: () => edge.query(),
-    subscribers: () => [...state.publisher.subscribers.values()],
+    balancerReports: () => balancerReports(state.publisher),
   });
   return memberApi(
     {
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -16,7 +16,7 @@
   type CommandOutcome,
 } from '../control/commands.js';
 import { amberliftError, answerFor, type AmberliftError } from '../flow/error-kinds.js';
-import type { Subscriber } from '../dissemination/publisher.js';
+import type { BalancerReport } from '../dissemination/in-force.js';
 import { readBody, respondJson } from './http-json.js';
 
 const MAX_COMMAND_ID_LENGTH = 128;
@@ -31,7 +31,8 @@
   propose(entry: CommandEntry): Promise<CommandOutcome>;
   /** Resolves once a quorum has confirmed that the state here is current, or with why it may not be. */
   query(): Promise<QueryAnswer>;
-  subscribers(): readonly Subscriber[];
+  /** What balancers reported last. */
+  balancerReports(): readonly BalancerReport[];
 }
 
 /** Whether a question may be answered here. */
@@ -129,17 +130,14 @@
     (service) => service.owner === operator.name,
   );
   const owned = new Set(services.map((service) => service.id));
-  const subscribers = options.subscribers();
+  const reports = options.balancerReports();
   return {
     committed: { term, index },
-    inForceEverywhere: Math.min(
-      index,
-      ...subscribers.map((subscriber) => subscriber.acknowledged.index),
-    ),
-    balancers: subscribers.map((subscriber) => ({
-      balancerId: subscriber.balancerId,
-      zone: subscriber.zone,
-      index: subscriber.acknowledged.index,
+    inForceEverywhere: Math.min(index, ...reports.map(({ position }) => position.index)),
+    balancers: reports.map(({ balancerId, zone, position }) => ({
+      balancerId,
+      zone,
+      index: position.index,
     })),
     services,
     backends: [...routing.backends.values()].filter((backend) => owned.has(backend.serviceId)),
--- a/src/dissemination/link-messages.ts
+++ b/src/dissemination/link-messages.ts
@@ -1,7 +1,9 @@
 /**
  * @file Messages between balancers and control machines, over TCP, as MessagePack.
  */
+import type { Address } from '../common/address.js';
 import type { ConfigPosition, ConfigUpdate } from '../control/config-update.js';
+import type { LeaseGrant } from './lease.js';
 
 /** Balancer to control: asks for the configuration from a position on; the first message. */
 export interface SubscribeMessage {
@@ -11,18 +13,26 @@
   readonly balancerId: string;
   readonly zone: string;
   readonly position: ConfigPosition;
+  /** When it was sent, on the balancer's clock, in milliseconds; asks for a lease from then on. */
+  readonly sentAtMs: number;
 }
 
-/** Balancer to control: this position is in force here. */
+/** Balancer to control: this position is in force here; answered by a heartbeat. */
 export interface AcknowledgeMessage {
   readonly type: 'acknowledge';
   readonly position: ConfigPosition;
+  /** As in `SubscribeMessage`. */
+  readonly sentAtMs: number;
 }
 
 /** Control to balancer: the committed position, so that a balancer that lags knows it. */
 export interface HeartbeatMessage {
   readonly type: 'heartbeat';
   readonly committed: ConfigPosition;
+  /** Absent where the sender may not extend a lease. */
+  readonly lease?: LeaseGrant;
+  /** Link address of the leader, where the sender is another machine and knows it. */
+  readonly leader?: Address;
 }
 
 /** Control to balancer: an update of the configuration. */
--- a/src/dissemination/publisher.ts
+++ b/src/dissemination/publisher.ts
@@ -3,6 +3,7 @@
  * Each subscriber gets the deltas that it lacks, or a snapshot where the kept deltas don't reach, and
  * acknowledges what it has in force.
  */
+import type { Address } from '../common/address.js';
 import type { RoutingConfig } from '../control/cluster-state.js';
 import {
   snapshotOf,
@@ -10,6 +11,19 @@
   type ConfigDelta,
   type ConfigPosition,
 } from '../control/config-update.js';
+import {
+  expireReports,
+  inForceIndex,
+  type BalancerReport,
+  type BalancerReports,
+} from './in-force.js';
+import {
+  createLeaseAuthority,
+  fencedIndex,
+  grantLease,
+  hasOutlivedEarlierLeases,
+  type LeaseAuthority,
+} from './lease-authority.js';
 import type {
   BalancerToControlMessage,
   ControlToBalancerMessage,
@@ -18,8 +32,6 @@
 
 /** How many deltas are kept for subscribers that lag. */
 const MAX_KEPT_DELTAS = 1_000;
-/** Time between two heartbeats to a subscriber, in milliseconds. */
-const HEARTBEAT_INTERVAL_MS = 500;
 
 /** Names a link of this process; never used again while the process runs. */
 export type LinkId = number;
@@ -28,7 +40,6 @@
 export interface Subscriber {
   readonly balancerId: string;
   readonly zone: string;
-  acknowledged: ConfigPosition;
 }
 
 /** Sends a message over a link. */
@@ -45,7 +56,10 @@
   /** Oldest first; each follows on the one before. */
   readonly deltas: ConfigDelta[];
   committed: ConfigPosition;
-  nextHeartbeatAtMs: number;
+  readonly authority: LeaseAuthority;
+  readonly reports: BalancerReports;
+  /** Link address of the leader, where it is another machine and known. */
+  leader: Address | undefined;
 }
 
 /**
@@ -57,7 +71,9 @@
     subscribers: new Map(),
     deltas: [],
     committed: { term: 0, index: 0 },
-    nextHeartbeatAtMs: 0,
+    authority: createLeaseAuthority(),
+    reports: new Map(),
+    leader: undefined,
   };
 }
 
@@ -100,34 +116,67 @@
   linkId: LinkId,
   message: BalancerToControlMessage,
   config: RoutingConfig,
+  nowMs: number,
 ): LinkSendEffect[] {
-  if (message.type === 'subscribe') {
-    return subscribe(state, linkId, message, config);
-  }
+  const updates = message.type === 'subscribe' ? subscribe(state, linkId, message, config) : [];
   const subscriber = state.subscribers.get(linkId);
-  if (subscriber !== undefined) {
-    subscriber.acknowledged = message.position;
+  if (subscriber === undefined) {
+    return updates;
   }
-  return [];
+  const { position, sentAtMs } = message;
+  state.reports.set(subscriber.balancerId, { ...subscriber, position, reportedAtMs: nowMs });
+  return [...updates, heartbeat(state, linkId, sentAtMs, nowMs)];
 }
 
 /**
- * Forgets a subscriber whose link is closed.
+ * Forgets a link that is closed. Its balancer is counted until it is past its lease.
  */
 export function handleSubscriberGone(state: PublisherState, linkId: LinkId): void {
   state.subscribers.delete(linkId);
 }
 
+/** How far the configuration has come. */
+export interface DisseminationStatus {
+  /** Every balancer that is not past its lease has this log index in force. */
+  readonly inForceIndex: number;
+  /** Every balancer has this log index in force, or is past its lease. */
+  readonly fencedIndex: number;
+}
+
 /**
- * @returns the heartbeats that are due
+ * @returns how far the configuration has come; zeros until the leader has outlived earlier leases
  */
-export function publisherTick(state: PublisherState, nowMs: number): LinkSendEffect[] {
-  if (nowMs < state.nextHeartbeatAtMs) {
-    return [];
-  }
-  state.nextHeartbeatAtMs = nowMs + HEARTBEAT_INTERVAL_MS;
-  const message: ControlToBalancerMessage = { type: 'heartbeat', committed: state.committed };
-  return [...state.subscribers.keys()].map((linkId) => ({ type: 'link-send', linkId, message }));
+export function disseminationStatus(state: PublisherState, nowMs: number): DisseminationStatus {
+  const { authority, reports, committed } = state;
+  expireReports(reports, nowMs);
+  const heardAll = hasOutlivedEarlierLeases(authority, nowMs);
+  return {
+    inForceIndex: heardAll ? inForceIndex(reports, committed.index) : 0,
+    fencedIndex: fencedIndex(authority, nowMs),
+  };
+}
+
+/**
+ * @returns what each balancer reported last, in no order
+ */
+export function balancerReports(state: PublisherState): BalancerReport[] {
+  return [...state.reports.values()];
+}
+
+function heartbeat(
+  state: PublisherState,
+  linkId: LinkId,
+  askedAtMs: number,
+  nowMs: number,
+): LinkSendEffect {
+  const lease = grantLease(state.authority, askedAtMs, nowMs);
+  const message: ControlToBalancerMessage = {
+    type: 'heartbeat',
+    committed: state.committed,
+    ...(lease !== undefined && { lease }),
+    ...(state.leader !== undefined && { leader: state.leader }),
+  };
+  return { type: 'link-send', linkId, message };
 }
 
 function subscribe(
@@ -142,7 +191,7 @@
     ];
   }
   const { balancerId, zone, position } = message;
-  state.subscribers.set(linkId, { balancerId, zone, acknowledged: position });
+  state.subscribers.set(linkId, { balancerId, zone });
   return catchUp(state, position, config).map((update) => ({
     type: 'link-send',
     linkId,
--- a/src/flow/error-kinds.ts
+++ b/src/flow/error-kinds.ts
@@ -15,6 +15,7 @@
   'unknown-key',
   'forged-token',
   'unknown-backend',
+  'lease-expired',
   'stale-incarnation',
   'unknown-flow',
   // Opens and requests.
@@ -125,6 +126,7 @@
       'unknown-key',
       'forged-token',
       'unknown-backend',
+      'lease-expired',
       dropped,
     )
     .with('stale-incarnation', 'unknown-flow', 'outcome-unknown', closed)
--- a/src/health/probe-schedule.ts
+++ b/src/health/probe-schedule.ts
@@ -8,8 +8,8 @@
   readonly intervalMs: number;
   /** When the next probe is due, by back end ID. */
   readonly dueAtMs: Map<number, number>;
-  /** Back ends whose probe is under way. */
-  readonly running: Set<number>;
+  /** When the probe that is under way began, by back end ID. */
+  readonly running: Map<number, number>;
 }
 
 /** Probe this back end; answered by a `probe-result` event. */
@@ -22,7 +22,7 @@
  * @returns an empty schedule
  */
 export function createProbeSchedule(intervalMs: number): ProbeSchedule {
-  return { intervalMs, dueAtMs: new Map(), running: new Set() };
+  return { intervalMs, dueAtMs: new Map(), running: new Map() };
 }
 
 /**
@@ -37,7 +37,7 @@
   for (const backend of backends) {
     const due = schedule.dueAtMs.get(backend.id) ?? 0;
     if (due <= nowMs && !schedule.running.has(backend.id)) {
-      schedule.running.add(backend.id);
+      schedule.running.set(backend.id, nowMs);
       schedule.dueAtMs.set(backend.id, nowMs + schedule.intervalMs);
       effects.push({ type: 'probe', backend });
     }
@@ -47,7 +47,10 @@
 
 /**
  * Notes that a probe has ended.
+ * @returns when it began; undefined where none was under way
  */
-export function probeEnded(schedule: ProbeSchedule, backendId: number): void {
+export function probeEnded(schedule: ProbeSchedule, backendId: number): number | undefined {
+  const startedAtMs = schedule.running.get(backendId);
   schedule.running.delete(backendId);
+  return startedAtMs;
 }
--- /dev/null
+++ b/test/balancer/cut-off.test.ts
@@ -0,0 +1,107 @@
+/** @file What a balancer without a lease does with packets and opens. */
+import t from 'tap';
+import {
+  applyConfigUpdate,
+  createBalancerState,
+  defaultBalancerOptions,
+  type BalancerState,
+} from '../../src/balancer/balancer-state.js';
+import { balancerStep } from '../../src/balancer/balancer-step.js';
+import { routeEstablished } from '../../src/balancer/forwarding.js';
+import { seededRandom } from '../../src/common/random.js';
+import { IDENTITY_LIFETIME_MS, takeGrant } from '../../src/dissemination/lease.js';
+import { encodeShortHeader, FLOW_ID_LENGTH_BYTES } from '../../src/flow/header.js';
+import { mintToken, prepareTokenKey } from '../../src/flow/token.js';
+
+const CLIENT = { host: '10.9.0.1', port: 4000 };
+const SERVICE = { host: '10.1.0.1', port: 5000 };
+const BACKEND = { host: '10.5.0.1', port: 9000 };
+const SECRET = Buffer.alloc(16, 7);
+
+function balancerWithoutLease(): BalancerState {
+  const state = createBalancerState({
+    ...defaultBalancerOptions,
+    balancerId: 'balancer-1',
+    zone: 'zone-a',
+    controlAddresses: [],
+    clusterKey: 'test-cluster-key',
+  });
+  applyConfigUpdate(state, {
+    type: 'snapshot',
+    to: { term: 1, index: 1 },
+    services: [
+      {
+        id: 1,
+        name: 'authd',
+        owner: 'tarjeta',
+        address: SERVICE,
+        policy: 'random',
+        limits: {},
+        version: 1,
+      },
+    ],
+    backends: [
+      {
+        id: 7,
+        serviceId: 1,
+        address: BACKEND,
+        healthAddress: BACKEND,
+        zone: 'zone-a',
+        adminState: 'active',
+      },
+    ],
+    keys: [{ id: 1, secret: SECRET, state: 'current' }],
+  });
+  return state;
+}
+
+/** Probes back end 7, and lets whoever is at its address answer with an ID. */
+function probe(state: BalancerState, askedAtMs: number, answeredAtMs: number, backendId: number) {
+  const random = seededRandom(1);
+  balancerStep(state, { type: 'tick' }, { nowMs: askedAtMs, random });
+  const health = { backendId, incarnation: 3, state: 'ready' as const };
+  const result = { backendId: 7, health, load: undefined };
+  balancerStep(state, { type: 'probe-result', result }, { nowMs: answeredAtMs, random });
+}
+
+/** @returns how a packet of an established flow fares: forwarded, or the error kind */
+function route(state: BalancerState, nowMs: number): string {
+  const flowId = Buffer.alloc(FLOW_ID_LENGTH_BYTES, 5);
+  const fields = { keyId: 1, serviceId: 1, backendId: 7, incarnation: 3, flowId };
+  const packet = encodeShortHeader(mintToken(fields, prepareTokenKey(SECRET)), new Uint8Array([1]));
+  const target = routeEstablished(state, { client: CLIENT, service: SERVICE, packet }, nowMs);
+  return target.match(
+    () => 'forwarded',
+    ({ kind }) => kind,
+  );
+}
+
+t.test('established flows go on to a back end that says who it is', async (t) => {
+  const state = balancerWithoutLease();
+  t.equal(route(state, 0), 'lease-expired', 'nobody has said anything yet');
+  probe(state, 1_000, 1_010, 7);
+  t.equal(route(state, 1_020), 'forwarded');
+  t.equal(route(state, 1_000 + IDENTITY_LIFETIME_MS), 'lease-expired');
+  t.equal(state.pendingOpens.size, 0);
+});
+
+t.test('nothing goes to an address where another back end answers', async (t) => {
+  const state = balancerWithoutLease();
+  probe(state, 1_000, 1_010, 7);
+  probe(state, 2_000, 2_010, 9);
+  t.equal(route(state, 2_020), 'lease-expired');
+});
+
+t.test('an answer that waited while the balancer was paused confirms nothing', async (t) => {
+  const state = balancerWithoutLease();
+  probe(state, 1_000, 3_601_000, 7);
+  t.equal(route(state, 3_601_000), 'lease-expired');
+});
+
+t.test('with a lease, silence of the back end changes nothing', async (t) => {
+  const state = balancerWithoutLease();
+  const grant = { askedAtMs: 0, remainingMs: 5_000, floorIndex: 1 };
+  takeGrant(state.subscription.lease, grant, state.position.index);
+  t.equal(route(state, 4_999), 'forwarded');
+  t.equal(route(state, 5_000), 'lease-expired');
+});
--- /dev/null
+++ b/test/dissemination/lease-world.ts
@@ -0,0 +1,286 @@
+/**
+ * @file Control machines and balancers on a virtual clock, with links that can be cut, processes that
+ * can be paused, and clocks that run a little fast or slow.
+ */
+import type { ConfigPosition } from '../../src/control/config-update.js';
+import { emptyRoutingConfig } from '../../src/control/cluster-state.js';
+import { isLeaseHeld } from '../../src/dissemination/lease.js';
+import { leaseAuthorityTick, takeConfirmation } from '../../src/dissemination/lease-authority.js';
+import {
+  createPublisher,
+  disseminationStatus,
+  handleSubscriberGone,
+  handleSubscriberMessage,
+  publishChanges,
+  skipToPosition,
+  type LinkSendEffect,
+  type PublisherState,
+} from '../../src/dissemination/publisher.js';
+import {
+  acknowledge,
+  createSubscription,
+  handleControlMessage,
+  handleLinkClosed,
+  handleLinkOpened,
+  subscriptionTick,
+  type SubscriptionEffect,
+  type SubscriptionState,
+} from '../../src/dissemination/subscription.js';
+
+const TICK_MS = 50;
+const HOP_MS = 1;
+const KEY = 'test-cluster-key';
+
+/** A control machine; only one at a time reaches a quorum. */
+export interface Control {
+  readonly publisher: PublisherState;
+  readonly port: number;
+  term: number;
+  believesToLead: boolean;
+}
+
+/** A balancer with its own clock. */
+export interface Balancer {
+  readonly subscription: SubscriptionState;
+  position: ConfigPosition;
+  /** How fast its clock runs; 1 is right. */
+  readonly clockRate: number;
+  isPaused: boolean;
+  /** Control machines that it does not reach, by port. */
+  readonly cutFrom: Set<number>;
+  /** What came while it was paused. */
+  readonly inbox: (() => void)[];
+}
+
+interface Link {
+  readonly balancer: Balancer;
+  readonly control: Control;
+  /** The balancer's number of it. */
+  readonly linkId: number;
+}
+
+interface Action {
+  readonly atMs: number;
+  readonly run: () => void;
+}
+
+/** The world; the first control machine leads from the start. */
+export class LeaseWorld {
+  nowMs = 0;
+  committed: ConfigPosition = { term: 1, index: 1 };
+  readonly controls: Control[];
+  readonly balancers: Balancer[];
+  private leader: Control | undefined;
+  private readonly links = new Map<number, Link>();
+  private nextLink = 1;
+  private actions: Action[] = [];
+
+  constructor(clockRates: readonly number[], controlCount = 2) {
+    this.controls = Array.from({ length: controlCount }, (_, number) => ({
+      publisher: createPublisher(KEY),
+      port: number + 1,
+      term: 0,
+      believesToLead: false,
+    }));
+    const controlAddresses = this.controls.map(({ port }) => ({ host: '10.0.0.1', port }));
+    this.balancers = clockRates.map((clockRate, number) => ({
+      subscription: createSubscription({
+        controlAddresses,
+        clusterKey: KEY,
+        balancerId: `balancer-${number}`,
+        zone: 'zone-a',
+      }),
+      position: { term: 0, index: 0 },
+      clockRate,
+      isPaused: false,
+      cutFrom: new Set(),
+      inbox: [],
+    }));
+    this.elect(0);
+  }
+
+  /** Another machine is elected; the one before may go on believing that it leads. */
+  elect(number: number, formerKnows = true): void {
+    if (this.leader !== undefined && formerKnows) {
+      this.leader.believesToLead = false;
+    }
+    this.leader = this.controls[number];
+    if (this.leader !== undefined) {
+      skipToPosition(this.leader.publisher, this.committed);
+      this.leader.believesToLead = true;
+      this.leader.term = this.committed.term + 1;
+      this.commit(this.leader.term);
+    }
+  }
+
+  /** An entry is committed; control machines that believe in a former leader don't hear of it. */
+  commit(term = this.committed.term): void {
+    this.committed = { term, index: this.committed.index + 1 };
+    for (const control of this.controls) {
+      if (!control.believesToLead || control === this.leader) {
+        this.sendAll(control, publishChanges(control.publisher, this.committed, []));
+      }
+    }
+  }
+
+  /** The highest index that a leader would release addresses for, by a command that is committed. */
+  get fencedIndex(): number {
+    return this.leader === undefined ? 0 : this.status(this.leader).fencedIndex;
+  }
+
+  get inForceIndex(): number {
+    return this.leader === undefined ? 0 : this.status(this.leader).inForceIndex;
+  }
+
+  balancer(number: number): Balancer {
+    const balancer = this.balancers[number];
+    if (balancer === undefined) {
+      throw new Error(`There is no balancer ${number}.`);
+    }
+    return balancer;
+  }
+
+  isHolder(balancer: Balancer): boolean {
+    return isLeaseHeld(balancer.subscription.lease, this.clockOf(balancer));
+  }
+
+  cut(balancer: Balancer, ports: readonly number[]): void {
+    ports.forEach((port) => balancer.cutFrom.add(port));
+  }
+
+  heal(balancer: Balancer): void {
+    balancer.cutFrom.clear();
+  }
+
+  resume(balancer: Balancer): void {
+    balancer.isPaused = false;
+    balancer.inbox.splice(0).forEach((run) => run());
+  }
+
+  run(durationMs: number, check: () => void = () => undefined): void {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += TICK_MS;
+      this.deliver();
+      this.controls.forEach((control) => this.tickControl(control));
+      this.balancers.forEach((balancer) => this.tickBalancer(balancer));
+      check();
+    }
+  }
+
+  private status(control: Control) {
+    return disseminationStatus(control.publisher, this.nowMs);
+  }
+
+  private clockOf(balancer: Balancer): number {
+    return 5_000_000 + this.nowMs * balancer.clockRate;
+  }
+
+  private deliver(): void {
+    const due = this.actions.filter(({ atMs }) => atMs <= this.nowMs);
+    this.actions = this.actions.filter(({ atMs }) => atMs > this.nowMs);
+    due.forEach(({ run }) => run());
+  }
+
+  private tickControl(control: Control): void {
+    const { publisher, term, believesToLead } = control;
+    const hasQuorum = control === this.leader;
+    publisher.leader =
+      this.leader === undefined || believesToLead
+        ? undefined
+        : { host: '10.0.0.1', port: this.leader.port };
+    const readId = leaseAuthorityTick(publisher.authority, {
+      isLeading: believesToLead,
+      term,
+      commitIndex: publisher.committed.index,
+      nowMs: this.nowMs,
+    });
+    if (readId !== undefined && hasQuorum) {
+      takeConfirmation(publisher.authority, readId);
+    }
+  }
+
+  private tickBalancer(balancer: Balancer): void {
+    if (!balancer.isPaused) {
+      const { subscription, position } = balancer;
+      this.perform(balancer, subscriptionTick(subscription, position, this.clockOf(balancer)));
+    }
+  }
+
+  private perform(balancer: Balancer, effects: readonly SubscriptionEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === 'link-open') {
+        this.openLink(balancer, effect.linkId, effect.address.port);
+      } else {
+        this.sendUp(balancer, effect);
+      }
+    }
+  }
+
+  private openLink(balancer: Balancer, linkId: number, port: number): void {
+    const control = this.controls.find((candidate) => candidate.port === port);
+    if (control === undefined || balancer.cutFrom.has(port)) {
+      handleLinkClosed(balancer.subscription, linkId, this.clockOf(balancer));
+      return;
+    }
+    for (const [id, link] of this.links) {
+      if (link.balancer === balancer) {
+        this.links.delete(id);
+        handleSubscriberGone(link.control.publisher, id);
+      }
+    }
+    this.links.set(this.nextLink, { balancer, control, linkId });
+    this.nextLink += 1;
+    const now = this.clockOf(balancer);
+    const { subscription, position } = balancer;
+    this.perform(balancer, handleLinkOpened(subscription, linkId, position, now));
+  }
+
+  private sendUp(balancer: Balancer, effect: Extract<SubscriptionEffect, { type: 'link-send' }>) {
+    for (const [id, { control, linkId, balancer: owner }] of this.links) {
+      if (owner === balancer && linkId === effect.linkId && !balancer.cutFrom.has(control.port)) {
+        this.after(() => {
+          const { publisher } = control;
+          const config = emptyRoutingConfig();
+          const { message } = effect;
+          const sends = handleSubscriberMessage(publisher, id, message, config, this.nowMs);
+          this.sendAll(control, sends);
+        });
+      }
+    }
+  }
+
+  private sendAll(control: Control, effects: readonly LinkSendEffect[]): void {
+    for (const effect of effects) {
+      const link = this.links.get(effect.linkId);
+      if (link !== undefined && !link.balancer.cutFrom.has(control.port)) {
+        this.after(() => this.receive(link, effect));
+      }
+    }
+  }
+
+  private receive(link: Link, effect: LinkSendEffect): void {
+    const { balancer, linkId } = link;
+    if (balancer.isPaused) {
+      balancer.inbox.push(() => this.receive(link, effect));
+      return;
+    }
+    const now = this.clockOf(balancer);
+    const { subscription, position } = balancer;
+    const reaction = handleControlMessage(subscription, linkId, effect.message, position, now);
+    this.perform(balancer, reaction.effects);
+    const { update } = reaction;
+    if (update === undefined) {
+      return;
+    }
+    const follows = update.type === 'snapshot' || update.from.index === balancer.position.index;
+    if (follows && update.to.index > balancer.position.index) {
+      balancer.position = update.to;
+    }
+    this.perform(balancer, acknowledge(subscription, balancer.position, now));
+  }
+
+  private after(run: () => void): void {
+    this.actions.push({ atMs: this.nowMs + HOP_MS, run });
+  }
+}
