Add the operators' language: grammar, parser, completion, reference

Operators had to write commands as JSON. A peggy grammar now turns statements into the commands of the replicated step and into typed queries. Each word is a named rule, so an error stands at the word at fault and lists what the grammar would accept there; completion uses the same list. The generated parser and docs/COMMANDS.md are committed; tests check both against their sources, parse each example of the reference and read back the statement of any command.

--- /dev/null
+++ b/scripts/generate.mjs
@@ -0,0 +1,12 @@
+// Writes the files that are made from others: the statement parser and the command reference.
+// Usage: npm run generate
+import { writeFileSync } from 'node:fs';
+import { PARSER_FILE, parserSource } from '../dist/test/language/parser-source.js';
+
+writeFileSync(PARSER_FILE, parserSource());
+console.log(`Wrote ${PARSER_FILE}.`);
+
+// Loaded only now: the reference needs no parser, but a build without a parser has gaps.
+const reference = await import('../dist/test/language/reference-source.js');
+writeFileSync(reference.REFERENCE_FILE, await reference.referenceSource());
+console.log(`Wrote ${reference.REFERENCE_FILE}.`);
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -8,15 +8,22 @@
 import type { AmberliftError } from '../flow/error-kinds.js';
 import { placementPolicyNames } from './cluster-state.js';
 
-const MAX_NAME_LENGTH = 63;
+/** Length of the longest name of a service, zone or operator. */
+export const MAX_NAME_LENGTH = 63;
+/** What a name of a service, zone or operator looks like. */
+export const NAME_PATTERN = /^[a-z][a-z0-9-]*$/;
+/** Length of the longest command ID. */
+export const MAX_COMMAND_ID_LENGTH = 128;
 const MAX_KEY_ID = 255;
-/** A planned change lies at most a year ahead. */
-const MAX_PLAN_DELAY_MS = 366 * 24 * 60 * 60 * 1000;
+/** A delay after which a planned change is due is at most a year, in milliseconds. */
+export const MAX_PLAN_DELAY_MS = 366 * 24 * 60 * 60 * 1000;
 
-const name = z
+/** Schema of a name of a service, zone or operator. */
+export const nameSchema = z
   .string()
   .max(MAX_NAME_LENGTH)
-  .regex(/^[a-z][a-z0-9-]*$/, 'lower-case letters, digits and hyphens');
+  .regex(NAME_PATTERN, 'lower-case letters, digits and hyphens');
+const name = nameSchema;
 const positive = z.number().int().positive();
 const limits = z.strictObject({
   opensPerSecond: positive.optional(),
--- /dev/null
+++ b/test/language/parser-source.ts
@@ -0,0 +1,14 @@
+/** @file Makes the source of the statement parser from its grammar; used to write and to check it. */
+import { readFileSync } from 'node:fs';
+import peggy from 'peggy';
+
+export const GRAMMAR_FILE = 'src/language/statement.peggy';
+export const PARSER_FILE = 'src/language/generated/statement-parser.ts';
+
+const HEADER =
+  '// @ts-nocheck\n// Made from statement.peggy by "npm run generate"; not to be edited.\n';
+
+export function parserSource(): string {
+  const grammar = readFileSync(GRAMMAR_FILE, 'utf8');
+  return HEADER + peggy.generate(grammar, { output: 'source', format: 'es' });
+}
--- /dev/null
+++ b/test/language/reference-source.ts
@@ -0,0 +1,10 @@
+/** @file Makes docs/COMMANDS.md as it is committed: the reference text in the formatter's layout. */
+import { format, resolveConfig } from 'prettier';
+import { referenceText } from '../../src/language/reference-text.js';
+
+export const REFERENCE_FILE = 'docs/COMMANDS.md';
+
+export async function referenceSource(): Promise<string> {
+  const config = await resolveConfig(REFERENCE_FILE);
+  return format(referenceText(), { ...config, parser: 'markdown' });
+}
