--- a/src/experiment/bench-forward-control.ts
+++ b/src/experiment/bench-forward-control.ts
@@ -6,6 +6,7 @@
 import { listenHttp } from '../daemon/http-server.js';
 import { respondJson } from '../daemon/http-json.js';
 import { listenForLinks } from '../daemon/message-link.js';
+import { LEASE_DURATION_MS, type LeaseGrant } from '../dissemination/lease.js';
 import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
 import { BENCH_INCARNATION, benchConfig } from './bench-forward-config.js';
 import { processorTimeMs } from './bench-forward-process.js';
@@ -41,11 +42,12 @@
   const config = benchConfig(backendCount, { port: backendPort, healthAddress: health.address });
   const links = await listenForLinks(loopback, {
     onMessage: (message, link) => {
-      const { type } = message as BalancerToControlMessage;
+      const { type, sentAtMs } = message as BalancerToControlMessage;
       inForce ||= type === 'acknowledge';
       if (type === 'subscribe') {
         link.send({ type: 'update', update: config });
       }
+      link.send({ type: 'heartbeat', committed: config.to, lease: grantLease(sentAtMs) });
     },
     onClose: () => undefined,
   });
@@ -58,6 +60,11 @@
   };
 }
 
+/** The configuration never changes here, so every lease may be extended. */
+function grantLease(askedAtMs: number): LeaseGrant {
+  return { askedAtMs, remainingMs: LEASE_DURATION_MS, floorIndex: 0 };
+}
+
 async function settle(balancerPid: number, isInForce: () => boolean): Promise<void> {
   const endsAtMs = performance.now() + SETTLE_LIMIT_MS;
   let usedMs = processorTimeMs(balancerPid);
--- a/src/experiment/bench-forward-memory.ts
+++ b/src/experiment/bench-forward-memory.ts
@@ -42,6 +42,7 @@
     controlAddresses: [],
   });
   applyConfigUpdate(state, benchConfig(BACKEND_COUNT, { port: 1, healthAddress: loopback }));
+  state.subscription.lease.expiresAtMs = Infinity;
   const context = { nowMs: 0, random: seededRandom(1) };
   const pass = (datagram: Buffer): void => {
     // A copy, as each datagram is fresh from the socket; decoders may keep a view with a buffer.
