--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -20,6 +20,7 @@
 import { seededRandom } from '../common/random.js';
 import type { RandomSource, StepContext } from '../common/step.js';
 import type { Backend, PlacementPolicyName, Service, TokenKey } from '../control/cluster-state.js';
+import { LEASE_DURATION_MS, takeGrant } from '../dissemination/lease.js';
 import { encodeShortHeader } from '../flow/header.js';
 import { mintToken, prepareTokenKey } from '../flow/token.js';
 import { PlacementBackend, type PlacementBackendShape } from './placement-backend.js';
@@ -162,6 +163,17 @@
     const health = { backendId: backend.id, incarnation, state: 'ready' } as const;
     const result = { backendId: backend.id, health, load: target.reportedLoad() };
     recordProbe(balancer, result, this.context());
+    this.extendLease(balancer);
+  }
+
+  /** Control is reachable throughout. */
+  private extendLease(balancer: BalancerState): void {
+    const grant = {
+      askedAtMs: this.agenda.nowMs,
+      remainingMs: LEASE_DURATION_MS,
+      floorIndex: this.position,
+    };
+    takeGrant(balancer.subscription.lease, grant, balancer.position.index);
   }
 
   private context(): StepContext {
@@ -240,7 +252,7 @@
       return;
     }
     const envelope = { client: CLIENT, service: SERVICE_ADDRESS, packet: flow.packet };
-    const routed = routeEstablished(this.anyBalancer(), envelope);
+    const routed = routeEstablished(this.anyBalancer(), envelope, this.agenda.nowMs);
     if (routed.isErr() || routed.value.port !== flow.target.backend.address.port) {
       this.counts.brokenFlows += 1;
       this.endFlow(flow);
