Test agreement on a virtual network and mend what it found

The consensus, the control step and the storage stood without tests.

Faults found by reading and mended, each with a test unless said: - A new cluster sent its first pre-vote before its beginning was on disk; a crash then left the others members of a cluster that nobody could begin again.

--- a/src/consensus/consensus-state.ts
+++ b/src/consensus/consensus-state.ts
@@ -237,6 +237,11 @@
     // The crash came between writing the snapshot and replacing the log, which it supersedes.
     log.reset({ index: snapshot.index, term: snapshot.term });
   }
+  if (log.last.term > state.term) {
+    // The same crash lost the term in which the snapshot came; no vote was given in it.
+    state.term = log.last.term;
+    state.votedFor = undefined;
+  }
   const known = Math.max(state.commitIndex, snapshot?.index ?? 0);
   state.commitIndex = Math.min(known, log.last.index);
   state.persistedIndex = log.last.index;
--- a/src/consensus/election.ts
+++ b/src/consensus/election.ts
@@ -19,7 +19,6 @@
   becomeFollower,
   freshProgress,
   resetElectionDeadline,
-  sendNow,
   sendPersisted,
 } from './roles.js';
 
@@ -53,7 +52,8 @@
   }
   const { index: lastIndex, term: lastTerm } = state.log.last;
   for (const nodeId of otherVoters(state)) {
-    sendNow(scope, nodeId, {
+    // The first message of a new cluster makes its receiver a member for good, so it waits for the disk.
+    sendPersisted(scope, nodeId, {
       type: 'pre-vote-request',
       term: state.term + 1,
       lastIndex,
--- a/src/consensus/follower.ts
+++ b/src/consensus/follower.ts
@@ -7,8 +7,13 @@
 import type { LogEntry } from './log.js';
 import type { AppendRequest, Sender } from './messages.js';
 import { truncateLog } from './persistence.js';
-import { advanceCommit } from './replication.js';
-import { appendEntries, becomeFollower, resetElectionDeadline, sendPersisted } from './roles.js';
+import {
+  advanceCommit,
+  appendEntries,
+  becomeFollower,
+  resetElectionDeadline,
+  sendPersisted,
+} from './roles.js';
 
 /**
  * Follows the sender of a message that only the leader of `term` sends.
--- a/src/consensus/proposals.ts
+++ b/src/consensus/proposals.ts
@@ -4,8 +4,14 @@
 import type { RefusalKind, StepScope } from './consensus-events.js';
 import { currentMembership, type ConsensusState, type LeaderRole } from './consensus-state.js';
 import type { EntryContent } from './log.js';
-import { changedMembership, findMember, type MemberChange, type NodeId } from './membership.js';
-import { replicateToAll } from './replication.js';
+import {
+  changedMembership,
+  findMember,
+  type MemberChange,
+  type Membership,
+  type NodeId,
+} from './membership.js';
+import { hasHeardFromQuorum, replicateToAll } from './replication.js';
 import { appendOwnEntry, refreshProgress } from './roles.js';
 
 /** How far a learner may lag behind to be promoted, in entries. */
@@ -34,21 +40,27 @@
   if (role === undefined) {
     return;
   }
-  const obstacle = obstacleOf(state, role, change);
   const membership = changedMembership(currentMembership(state), change);
-  if (obstacle !== undefined || membership === undefined) {
-    const reason = obstacle ?? 'The members are not such that this change applies.';
+  if (membership === undefined) {
+    const reason = 'The members are not such that this change applies.';
     refuse(scope, proposalId, 'conflict', reason);
     return;
   }
+  const obstacle = obstacleOf(scope, role, change, membership);
+  if (obstacle !== undefined) {
+    refuse(scope, proposalId, 'conflict', obstacle);
+    return;
+  }
   appendProposal(scope, proposalId, { type: 'membership', membership });
 }
 
 function obstacleOf(
-  state: ConsensusState,
+  scope: StepScope,
   role: LeaderRole,
   change: MemberChange,
+  membership: Membership,
 ): string | undefined {
+  const { state } = scope;
   const pending = state.memberships.at(-1)?.index ?? 0;
   if (pending > state.commitIndex || state.commitIndex < role.termStartIndex) {
     return 'Another membership change is under way.';
@@ -56,6 +68,9 @@
   if (change.type === 'promote-member' && !hasCaughtUp(state, role, change.nodeId)) {
     return `Member ${change.nodeId} has not caught up.`;
   }
+  if (!hasHeardFromQuorum(scope, role, membership)) {
+    return 'Too few of the voters that this leaves answer now.';
+  }
   return undefined;
 }
 
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -10,10 +10,10 @@
   type Progress,
 } from './consensus-state.js';
 import type { LogEntry } from './log.js';
-import { findMember, quorumSize, votersOf, type NodeId } from './membership.js';
+import { findMember, quorumSize, votersOf, type Membership, type NodeId } from './membership.js';
 import type { AppendResponse, Sender } from './messages.js';
 import { confirmReads, releaseWaitingReads } from './read-index.js';
-import { becomeFollower, sendNow } from './roles.js';
+import { advanceCommit, becomeFollower, sendNow } from './roles.js';
 import { resendSnapshotChunk, sendSnapshotChunk } from './snapshot-transfer.js';
 import { continueTransfer } from './transfer.js';
 
@@ -203,19 +203,6 @@
     : (role.progress.get(nodeId)?.matchIndex ?? 0);
 }
 
-/**
- * Hands entries up to `index` to the state machine.
- */
-export function advanceCommit(scope: StepScope, index: number): void {
-  const { state, effects } = scope;
-  if (index <= state.commitIndex) {
-    return;
-  }
-  const entries = state.log.slice(state.commitIndex + 1, index);
-  state.commitIndex = index;
-  effects.push({ type: 'committed', entries });
-}
-
 /** A leader that a committed change removed leads on until then, and no longer. */
 function stepDownWhereRemoved(scope: StepScope): void {
   const { state } = scope;
@@ -235,7 +222,7 @@
   if (role.name !== 'leader') {
     return;
   }
-  if (!hasHeardFromQuorum(scope, role)) {
+  if (!hasHeardFromQuorum(scope, role, currentMembership(state))) {
     becomeFollower(scope, state.term, undefined, 'no-quorum');
     return;
   }
@@ -246,8 +233,14 @@
   continueTransfer(scope);
 }
 
-function hasHeardFromQuorum({ state, context }: StepScope, role: LeaderRole): boolean {
-  const membership = currentMembership(state);
+/**
+ * @returns true where enough voters of a membership have answered within an election timeout
+ */
+export function hasHeardFromQuorum(
+  { state, context }: StepScope,
+  role: LeaderRole,
+  membership: Membership,
+): boolean {
   const since = context.nowMs - state.options.electionTimeoutMs;
   const heard = votersOf(membership).filter(
     ({ nodeId }) => nodeId === state.nodeId || (role.progress.get(nodeId)?.heardAtMs ?? 0) >= since,
--- a/src/consensus/roles.ts
+++ b/src/consensus/roles.ts
@@ -45,6 +45,7 @@
   if (term > state.term) {
     state.term = term;
     state.votedFor = undefined;
+    state.incomingSnapshot = undefined;
     queueVote(state);
   }
   state.role = restingRole(state);
@@ -77,6 +78,19 @@
   queueRecord(state, { type: 'entries', entries });
 }
 
+/**
+ * Hands entries up to `index` to the state machine.
+ */
+export function advanceCommit(scope: StepScope, index: number): void {
+  const { state, effects } = scope;
+  if (index <= state.commitIndex) {
+    return;
+  }
+  const entries = state.log.slice(state.commitIndex + 1, index);
+  state.commitIndex = index;
+  effects.push({ type: 'committed', entries });
+}
+
 /**
  * @returns what a new leader knows of a member: nothing
  */
--- a/src/consensus/snapshot-transfer.ts
+++ b/src/consensus/snapshot-transfer.ts
@@ -12,7 +12,7 @@
 import { findMember, noMembers, type NodeId } from './membership.js';
 import type { Sender, SnapshotChunk, SnapshotChunkResponse } from './messages.js';
 import type { Snapshot } from './persisted-state.js';
-import { sendNow, sendPersisted } from './roles.js';
+import { advanceCommit, sendNow, sendPersisted } from './roles.js';
 
 /**
  * Takes a snapshot of the state machine and drops the log before it, but for a tail.
@@ -103,7 +103,12 @@
  */
 export function handleSnapshotChunk(scope: StepScope, from: Sender, chunk: SnapshotChunk): void {
   const { state } = scope;
+  if (state.log.termAt(chunk.snapshotIndex) === chunk.snapshotTerm) {
+    // The log has all that the snapshot holds, and may have acknowledged entries after it.
+    advanceCommit(scope, chunk.snapshotIndex);
+  }
   if (chunk.snapshotIndex <= state.commitIndex) {
+    state.incomingSnapshot = undefined;
     acknowledgeSnapshot(scope, from, state.commitIndex);
     return;
   }
--- a/src/consensus/transfer.ts
+++ b/src/consensus/transfer.ts
@@ -6,6 +6,9 @@
 import { votersOf, type NodeId } from './membership.js';
 import { sendNow } from './roles.js';
 
+/** A voter that is silent for longer is not asked to take over. */
+const MAX_SILENT_HEARTBEATS = 3;
+
 /**
  * Begins to hand over to the voter that is furthest along; no proposals are taken meanwhile.
  */
@@ -43,10 +46,11 @@
   }
 }
 
-function bestSuccessor({ state }: StepScope, role: LeaderRole): NodeId | undefined {
+function bestSuccessor({ state, context }: StepScope, role: LeaderRole): NodeId | undefined {
+  const since = context.nowMs - MAX_SILENT_HEARTBEATS * state.options.heartbeatIntervalMs;
   const matchOf = (nodeId: NodeId) => role.progress.get(nodeId)?.matchIndex ?? 0;
   const others = votersOf(currentMembership(state))
     .map(({ nodeId }) => nodeId)
-    .filter((nodeId) => nodeId !== state.nodeId);
+    .filter((nodeId) => (role.progress.get(nodeId)?.heardAtMs ?? -Infinity) >= since);
   return others.sort((a, b) => matchOf(b) - matchOf(a))[0];
 }
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -6,6 +6,7 @@
 import {
   createConsensusState,
   currentMembership,
+  defaultConsensusOptions,
   type ConsensusOptions,
   type ConsensusState,
 } from '../consensus/consensus-state.js';
@@ -25,8 +26,12 @@
 import { decodeCommandEntry } from './command-codec.js';
 import type { JoinState, PeerAddress } from './cluster-join.js';
 import type { CommandOutcome } from './commands.js';
+import type { FirstOperator } from './first-commands.js';
 import { clusterProof } from './peer-messages.js';
 
+/** Entries after which a snapshot is taken. */
+const SNAPSHOT_INTERVAL_ENTRIES = 2_000;
+
 /** Names a request of an operator while this process runs. */
 export type RequestId = number;
 
@@ -46,6 +51,11 @@
   readonly proof: string;
   /** By index of the log entry. */
   readonly pendingProposals: Map<number, PendingProposal>;
+  /** The operators of a new cluster. */
+  readonly firstOperators: readonly FirstOperator[];
+  readonly snapshotIntervalEntries: number;
+  /** Unix time in milliseconds as the last tick told it; undefined before the first. */
+  wallTimeMs: number | undefined;
 }
 
 /** Options of a control machine. */
@@ -58,8 +68,12 @@
   readonly operatorAddress: Address;
   /** The other machines of the cluster's first membership; empty for a machine that stands alone. */
   readonly peers: readonly PeerAddress[];
+  /** The operators of a new cluster; without effect in one that has operators. */
+  readonly operators?: readonly FirstOperator[];
   readonly recovered: RecoveredState;
-  readonly consensus?: ConsensusOptions;
+  readonly consensus?: Partial<ConsensusOptions>;
+  /** Entries after which a snapshot is taken. Default 2,000. */
+  readonly snapshotIntervalEntries?: number;
 }
 
 /**
@@ -67,7 +81,10 @@
  */
 export function createControlState(options: ControlOptions): ControlState {
   const { nodeId, clusterKey, linkAddress, operatorAddress, peers, recovered } = options;
-  const consensus = createConsensusState(nodeId, recovered, options.consensus);
+  const consensus = createConsensusState(nodeId, recovered, {
+    ...defaultConsensusOptions,
+    ...options.consensus,
+  });
   const state: ControlState = {
     cluster: emptyClusterState(),
     publisher: createPublisher(clusterKey),
@@ -83,6 +100,9 @@
     },
     proof: clusterProof(clusterKey),
     pendingProposals: new Map(),
+    firstOperators: options.operators ?? [],
+    snapshotIntervalEntries: options.snapshotIntervalEntries ?? SNAPSHOT_INTERVAL_ENTRIES,
+    wallTimeMs: undefined,
   };
   if (recovered.snapshot !== undefined) {
     restoreState(state, recovered.snapshot.data);
--- a/src/control/control-step.ts
+++ b/src/control/control-step.ts
@@ -28,6 +28,7 @@
 import { encodeCommandEntry } from './command-codec.js';
 import type { CommandEntry, CommandOutcome } from './commands.js';
 import type { ControlEffect, ControlEvent, MemberCommand } from './control-events.js';
+import { firstCommands } from './first-commands.js';
 import {
   applyEntry,
   isLeader,
@@ -49,8 +50,6 @@
   type RequestId,
 } from './control-state.js';
 
-/** Entries after which a snapshot is taken. */
-const SNAPSHOT_INTERVAL_ENTRIES = 2_000;
 /** Proposal ID of the leader's own commands, for which nobody waits. */
 const OWN_PROPOSAL = 0;
 
@@ -101,10 +100,17 @@
   context: StepContext,
   requestId: RequestId = OWN_PROPOSAL,
 ): ControlEffect[] {
-  const data = encodeCommandEntry(entry);
+  const data = encodeCommandEntry({ ...entry, atMs: entry.atMs ?? entryTimeMs(state) });
   return runConsensus(state, { type: 'propose', proposalId: requestId, data }, context);
 }
 
+/** The leader's time of day, but never earlier than an entry that was applied before. */
+function entryTimeMs(state: ControlState): number | undefined {
+  return state.wallTimeMs === undefined
+    ? undefined
+    : Math.max(state.wallTimeMs, state.cluster.timeMs);
+}
+
 function changeMembers(
   state: ControlState,
   requestId: RequestId,
@@ -189,6 +195,7 @@
 function tick(state: ControlState, clock: ClockReading, context: StepContext): ControlEffect[] {
   const { join, consensus } = state;
   const effects: ControlEffect[] = [];
+  state.wallTimeMs = clock.wallTimeMs;
   const bootstrap = bootstrapEvent(join, consensus, context.nowMs);
   if (bootstrap !== undefined) {
     effects.push(...runConsensus(state, bootstrap, context));
@@ -218,13 +225,19 @@
   if (role.name !== 'leader' || commitIndex < role.termStartIndex || isBusy) {
     return [];
   }
+  const { wallTimeMs: nowMs, freshSecret } = clock;
+  const first = firstCommands(state.cluster, {
+    operators: state.firstOperators,
+    freshSecret,
+    nowMs,
+  });
   const duties = leaderDuties(state.cluster, {
-    nowMs: clock.wallTimeMs,
-    freshSecret: clock.freshSecret,
+    nowMs,
+    freshSecret,
     inForceIndex: 0,
     fencedIndex: 0,
   });
-  return duties.flatMap((entry) => propose(state, entry, context));
+  return [...first, ...duties].flatMap((entry) => propose(state, entry, context));
 }
 
 /** Runs the consensus step and takes its effects, among them those that change the state here. */
@@ -331,7 +344,7 @@
 function takeSnapshotWhereDue(state: ControlState, context: StepContext): ControlEffect[] {
   const { consensus, cluster } = state;
   const since = cluster.index - (consensus.snapshot?.index ?? 0);
-  if (since < SNAPSHOT_INTERVAL_ENTRIES || cluster.index > consensus.commitIndex) {
+  if (since < state.snapshotIntervalEntries || cluster.index > consensus.commitIndex) {
     return [];
   }
   const data = encodeClusterState(cluster);
--- a/src/daemon/consensus-storage.ts
+++ b/src/daemon/consensus-storage.ts
@@ -126,7 +126,7 @@
     throw new Error(`The file ${IDENTITY_FILE} is missing beside a ${SNAPSHOT_FILE}.`);
   }
   const log = await folder.read(LOG_FILE);
-  if (log !== undefined && scanRecords(log).records.length > 1) {
+  if (log !== undefined && !log.equals(encodeRecord(packr.pack(EMPTY_LOG)))) {
     throw new Error(`The file ${IDENTITY_FILE} is missing beside a ${LOG_FILE}.`);
   }
   await replaceFile(folder, LOG_FILE, EMPTY_LOG);
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -2,16 +2,13 @@
  * @file The control daemon: starts disk, links and the operator interface around the control machine's
  * decision step, and stops them in order.
  */
-import { randomBytes } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, type Result } from 'neverthrow';
 import type { Address } from '../common/address.js';
 import { loggerFor } from '../common/logger.js';
 import { operatorTokenHash } from '../control/command-hash.js';
-import { SYSTEM_OPERATOR } from '../control/commands.js';
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
-import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
 import type { Settings } from '../settings/settings-schema.js';
 import { ConsensusStorage } from './consensus-storage.js';
 import { ControlEdge } from './control-edge.js';
@@ -21,7 +18,6 @@
 import { operatorApi } from './operator-api.js';
 import { openStorageFolder } from './storage-folder.js';
 
-const FIRST_KEY_ID = 1;
 const POLL_INTERVAL_MS = 5;
 /** How long a planned stop waits for another machine to lead, in milliseconds. */
 const TRANSFER_TIMEOUT_MS = 2_000;
@@ -78,13 +74,13 @@
     linkAddress: links.address,
     operatorAddress: http.address,
     peers: control.peers.filter((peer) => peer.nodeId !== nodeId),
+    operators: control.operators.map(({ name, token }) => ({
+      name,
+      tokenHash: operatorTokenHash(token),
+    })),
     recovered: storage.recovered,
   });
-  const edge = new ControlEdge(state, storage, () => {
-    if (state.cluster.operators.size === 0) {
-      proposeFirstCommands(edge, settings);
-    }
-  });
+  const edge = new ControlEdge(state, storage);
   holder.edge = edge;
   holder.http = requestListener(edge, settings);
   return {
@@ -145,26 +141,3 @@
     await sleep(POLL_INTERVAL_MS);
   }
 }
-
-/** Puts operators and the first token key into the log of a new cluster. */
-function proposeFirstCommands(edge: ControlEdge, settings: Settings): void {
-  const operators = settings.control.operators.map(({ name, token }) => ({
-    name,
-    tokenHash: operatorTokenHash(token),
-  }));
-  void edge.propose({
-    commandId: 'bootstrap-operators',
-    operator: SYSTEM_OPERATOR,
-    command: { type: 'set-operators', operators },
-  });
-  void edge.propose({
-    commandId: 'bootstrap-token-key',
-    operator: SYSTEM_OPERATOR,
-    command: {
-      type: 'set-token-key',
-      id: FIRST_KEY_ID,
-      secret: randomBytes(TOKEN_KEY_LENGTH_BYTES),
-      state: 'current',
-    },
-  });
-}
--- a/src/daemon/control-edge.ts
+++ b/src/daemon/control-edge.ts
@@ -10,7 +10,6 @@
 import type { MemberCommand } from '../control/control-events.js';
 import {
   controlStep,
-  isLeader,
   type ControlEffect,
   type ControlEvent,
   type ControlState,
@@ -43,7 +42,6 @@
   constructor(
     readonly state: ControlState,
     private readonly storage: ConsensusStorage,
-    private readonly onLeading: () => void,
   ) {
     this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
   }
@@ -166,8 +164,5 @@
   private noteRole(): void {
     const { role, term, leaderId } = this.state.consensus;
     this.logger.info(`Now ${role.name} in term ${term}; leader ${leaderId ?? 'not known'}.`);
-    if (isLeader(this.state)) {
-      this.onLeading();
-    }
   }
 }
--- a/src/daemon/storage-folder.ts
+++ b/src/daemon/storage-folder.ts
@@ -3,7 +3,7 @@
  * any of them fail or crash.
  */
 import { mkdir, open, readFile, rename, rm, type FileHandle } from 'node:fs/promises';
-import { join } from 'node:path';
+import { dirname, join, resolve } from 'node:path';
 
 /** Files of one folder. What is not synced may be lost in a crash. */
 export interface StorageFolder {
@@ -23,13 +23,28 @@
 }
 
 /**
- * Opens a folder of the real disk; creates it where it is missing.
+ * Opens a folder of the real disk; creates it, and makes its name last, where it is missing.
  */
 export async function openStorageFolder(path: string): Promise<StorageFolder> {
-  await mkdir(path, { recursive: true });
+  const firstCreated = await mkdir(path, { recursive: true });
+  if (firstCreated !== undefined) {
+    const outermost = dirname(resolve(firstCreated));
+    for (let parent = dirname(resolve(path)); ; parent = dirname(parent)) {
+      await syncFolderAt(parent);
+      if (parent === outermost) {
+        break;
+      }
+    }
+  }
   return new DiskFolder(path);
 }
 
+async function syncFolderAt(path: string): Promise<void> {
+  const handle = await open(path, 'r');
+  await handle.sync();
+  await handle.close();
+}
+
 class DiskFolder implements StorageFolder {
   private readonly handles = new Map<string, FileHandle>();
 
@@ -80,9 +95,7 @@
   }
 
   async syncFolder(): Promise<void> {
-    const handle = await open(this.path, 'r');
-    await handle.sync();
-    await handle.close();
+    await syncFolderAt(this.path);
   }
 
   async close(): Promise<void> {
--- /dev/null
+++ b/test/consensus/control-network.ts
@@ -0,0 +1,405 @@
+/** @file Control machines with virtual disks, network and clock; all is decided by one seed. */
+import { seededRandom } from '../../src/common/random.js';
+import { formatAddress, type Address } from '../../src/common/address.js';
+import type { RandomSource } from '../../src/common/step.js';
+import type { NodeId } from '../../src/consensus/membership.js';
+import type { Command, CommandOutcome } from '../../src/control/commands.js';
+import type { ControlEvent, MemberCommand } from '../../src/control/control-events.js';
+import type { PersistEffect } from '../../src/consensus/persisted-state.js';
+import {
+  controlStep,
+  createControlState,
+  isLeader,
+  type ControlEffect,
+  type ControlState,
+} from '../../src/control/control-step.js';
+import type { PeerEnvelope } from '../../src/control/peer-messages.js';
+import type { AmberliftError } from '../../src/flow/error-kinds.js';
+import { EventQueue } from './event-queue.js';
+import { Invariants } from './invariants.js';
+import { VirtualDisk } from './virtual-disk.js';
+
+const START_TIME_MS = 1_000;
+const WALL_CLOCK_OFFSET_MS = Date.UTC(2026, 11, 2);
+const MAX_DELAY_MS = 10;
+const MAX_SYNC_MS = 4;
+/** The operator who sends the commands of tests. */
+export const OPERATOR = 'tarjeta';
+
+/** How a network behaves. */
+export interface NetworkOptions {
+  readonly seed: number;
+  /** Machines that begin the cluster. */
+  readonly nodeIds: readonly NodeId[];
+  /** Part of the messages that are lost. */
+  readonly lossRate?: number;
+  /** Part of the messages that come twice. */
+  readonly duplicateRate?: number;
+  readonly tickMs?: number;
+  readonly snapshotIntervalEntries?: number;
+  readonly trailingEntries?: number;
+  readonly clusterKey?: string;
+}
+
+/** A command or a question and, once it came, its answer. */
+export interface Pending {
+  readonly commandId: string;
+  outcome?: CommandOutcome;
+  /** Of a question: answered, with an error or without. */
+  answer?: { readonly error?: AmberliftError; readonly index: number };
+}
+
+/** One control machine; `state` is undefined while it is down. */
+export interface Machine {
+  readonly nodeId: NodeId;
+  disk: VirtualDisk;
+  state: ControlState | undefined;
+  /** Counts the starts; what an earlier run set off is dropped. */
+  run: number;
+  /** It gets no ticks and no messages until it is released. */
+  isFrozen: boolean;
+  readonly pending: Map<number, Pending>;
+  readonly clusterKey: string;
+  readonly peers: readonly NodeId[];
+}
+
+/** Control machines on one network. */
+export class ControlNetwork {
+  readonly machines = new Map<NodeId, Machine>();
+  readonly random: RandomSource;
+  readonly invariants = new Invariants();
+  nowMs = START_TIME_MS;
+  /** Part of the messages that are lost from now on. */
+  lossRate: number;
+  private readonly queue = new EventQueue();
+  private readonly tickMs: number;
+  private groups: readonly (readonly NodeId[])[] | undefined;
+  private nextId = 1;
+
+  constructor(readonly options: NetworkOptions) {
+    this.random = seededRandom(options.seed);
+    this.lossRate = options.lossRate ?? 0;
+    this.tickMs = options.tickMs ?? 20;
+    for (const nodeId of options.nodeIds) {
+      this.addMachine(nodeId, options.nodeIds);
+    }
+  }
+
+  /** Adds a machine with an empty disk and starts it. */
+  addMachine(nodeId: NodeId, peers: readonly NodeId[], clusterKey?: string): Machine {
+    const machine: Machine = {
+      nodeId,
+      disk: this.newDisk(nodeId),
+      state: undefined,
+      run: 0,
+      isFrozen: false,
+      pending: new Map(),
+      clusterKey: clusterKey ?? this.options.clusterKey ?? 'cluster-key',
+      peers: peers.filter((peer) => peer !== nodeId),
+    };
+    this.machines.set(nodeId, machine);
+    this.start(nodeId);
+    return machine;
+  }
+
+  machine(nodeId: NodeId): Machine {
+    const machine = this.machines.get(nodeId);
+    if (machine === undefined) {
+      throw new Error(`There is no machine ${nodeId}.`);
+    }
+    return machine;
+  }
+
+  stateOf(nodeId: NodeId): ControlState {
+    const { state } = this.machine(nodeId);
+    if (state === undefined) {
+      throw new Error(`Machine ${nodeId} is down.`);
+    }
+    return state;
+  }
+
+  start(nodeId: NodeId): void {
+    const machine = this.machine(nodeId);
+    machine.run += 1;
+    const { trailingEntries, snapshotIntervalEntries } = this.options;
+    machine.state = createControlState({
+      nodeId,
+      clusterKey: machine.clusterKey,
+      linkAddress: linkAddressOf(nodeId),
+      operatorAddress: { ...linkAddressOf(nodeId), port: 8000 },
+      peers: machine.peers.map((peer) => ({ nodeId: peer, linkAddress: linkAddressOf(peer) })),
+      operators: [{ name: OPERATOR, tokenHash: 'hash' }],
+      recovered: machine.disk.recover(),
+      ...(trailingEntries !== undefined && { consensus: { trailingEntries } }),
+      ...(snapshotIntervalEntries !== undefined && { snapshotIntervalEntries }),
+    });
+    this.scheduleTick(machine, machine.run);
+  }
+
+  crash(nodeId: NodeId): void {
+    const machine = this.machine(nodeId);
+    machine.run += 1;
+    machine.state = undefined;
+    machine.isFrozen = false;
+    machine.pending.clear();
+    machine.disk.crash(this.random);
+  }
+
+  restart(nodeId: NodeId): void {
+    this.crash(nodeId);
+    this.start(nodeId);
+  }
+
+  /** The machine loses its disk; it is started again with an empty one. */
+  loseDisk(nodeId: NodeId): void {
+    this.crash(nodeId);
+    this.machine(nodeId).disk = this.newDisk(nodeId);
+    this.start(nodeId);
+  }
+
+  /** Only machines of one group reach each other; a machine in no group reaches none. */
+  partition(...groups: readonly (readonly NodeId[])[]): void {
+    this.groups = groups;
+  }
+
+  heal(): void {
+    this.groups = undefined;
+  }
+
+  /** Lets time pass. */
+  run(durationMs: number): void {
+    this.runUntil(() => false, durationMs);
+  }
+
+  /** @returns true where the condition held before the time was over */
+  runUntil(condition: () => boolean, limitMs = 20_000): boolean {
+    const endMs = this.nowMs + limitMs;
+    while (!condition()) {
+      const event = this.queue.takeDue(endMs);
+      if (event === undefined) {
+        this.nowMs = endMs;
+        return condition();
+      }
+      this.nowMs = Math.max(this.nowMs, event.atMs);
+      event.run();
+    }
+    return true;
+  }
+
+  /** The machine that leads in the highest term. */
+  leader(): NodeId | undefined {
+    const leaders = [...this.machines.values()].filter(
+      ({ state }) => state !== undefined && isLeader(state),
+    );
+    leaders.sort((a, b) => termOf(b) - termOf(a));
+    return leaders[0]?.nodeId;
+  }
+
+  /** Waits for a leader that has applied the cluster's first commands, and that others follow. */
+  awaitLeader(): NodeId {
+    const isReady = () => {
+      const leader = this.leader();
+      const cluster = leader === undefined ? undefined : this.stateOf(leader).cluster;
+      return cluster !== undefined && cluster.operators.size > 0 && cluster.routing.keys.size > 0;
+    };
+    if (!this.runUntil(isReady)) {
+      throw new Error('No machine came to lead.');
+    }
+    return this.leader() ?? '';
+  }
+
+  /** Sends a command to one machine. */
+  propose(nodeId: NodeId, command: Command, id = this.takeId()): Pending {
+    const pending: Pending = { commandId: `command-${id}` };
+    const machine = this.machine(nodeId);
+    const requestId = this.takeId();
+    machine.pending.set(requestId, pending);
+    const entry = { commandId: pending.commandId, operator: OPERATOR, command };
+    this.step(machine, { type: 'propose', requestId, entry });
+    return pending;
+  }
+
+  /** Proposes a service with a name and an address of its own. */
+  define(nodeId: NodeId, number = this.takeId()): Pending {
+    const address = {
+      host: `127.${1 + (number >> 16)}.${(number >> 8) & 255}.${number & 255}`,
+      port: 7000,
+    };
+    const service = serviceName(number);
+    const policy = 'adaptive';
+    return this.propose(
+      nodeId,
+      { type: 'define-service', service, address, policy, limits: {} },
+      number,
+    );
+  }
+
+  /** Sends a change to whoever leads until it is accepted. */
+  defineSurely(number = this.takeId()): void {
+    for (;;) {
+      const pending = this.define(this.awaitLeader(), number);
+      this.runUntil(() => pending.outcome !== undefined, 5_000);
+      if (pending.outcome?.accepted === true) {
+        return;
+      }
+    }
+  }
+
+  query(nodeId: NodeId): Pending {
+    const pending: Pending = { commandId: '' };
+    const requestId = this.takeId();
+    const machine = this.machine(nodeId);
+    machine.pending.set(requestId, pending);
+    this.step(machine, { type: 'query', requestId });
+    return pending;
+  }
+
+  changeMembers(nodeId: NodeId, command: MemberCommand): Pending {
+    const pending: Pending = { commandId: '' };
+    const requestId = this.takeId();
+    const machine = this.machine(nodeId);
+    machine.pending.set(requestId, pending);
+    this.step(machine, { type: 'change-members', requestId, command });
+    return pending;
+  }
+
+  /** Sends a change of the members to whoever leads until it is accepted. */
+  changeMembersSurely(command: MemberCommand): void {
+    for (;;) {
+      const pending = this.changeMembers(this.awaitLeader(), command);
+      this.runUntil(() => pending.outcome !== undefined, 5_000);
+      if (pending.outcome?.accepted === true) {
+        return;
+      }
+      this.run(100);
+    }
+  }
+
+  step(machine: Machine, event: ControlEvent): void {
+    if (machine.state === undefined) {
+      return;
+    }
+    const { state } = machine;
+    const context = { nowMs: this.nowMs, random: this.random };
+    const effects = controlStep(state, event, context);
+    this.invariants.check(state.consensus);
+    effects.forEach((effect) => this.perform(machine, state, effect));
+  }
+
+  /** The consensus states of all machines that are up. */
+  consensusStates() {
+    return [...this.machines.values()].flatMap(({ state }) => (state ? [state.consensus] : []));
+  }
+
+  takeId(): number {
+    const id = this.nextId;
+    this.nextId += 1;
+    return id;
+  }
+
+  private perform(machine: Machine, state: ControlState, effect: ControlEffect): void {
+    switch (effect.type) {
+      case 'persist':
+      case 'persist-snapshot':
+        this.persist(machine, effect);
+        return;
+      case 'peer-send':
+        this.send(machine, effect.address, effect.envelope);
+        return;
+      case 'operator-reply': {
+        const pending = machine.pending.get(effect.requestId);
+        machine.pending.delete(effect.requestId);
+        if (pending !== undefined) {
+          pending.outcome = effect.outcome;
+        }
+        return;
+      }
+      case 'query-reply': {
+        const pending = machine.pending.get(effect.requestId);
+        machine.pending.delete(effect.requestId);
+        if (pending !== undefined) {
+          const { error } = effect;
+          pending.answer = { index: state.cluster.index, ...(error !== undefined && { error }) };
+        }
+        return;
+      }
+      case 'link-send':
+      case 'role-changed':
+        return;
+    }
+  }
+
+  private persist(machine: Machine, write: PersistEffect): void {
+    const { disk, run } = machine;
+    const { writeId } = write;
+    disk.begin(write);
+    this.queue.add(this.nowMs + 1 + this.random.nextInt(MAX_SYNC_MS), () => {
+      if (machine.run !== run) {
+        return;
+      }
+      if (disk.isFull) {
+        this.step(machine, { type: 'persist-failed', writeId, reason: 'no space left' });
+        return;
+      }
+      disk.finish();
+      this.step(machine, { type: 'persisted', writeId });
+    });
+  }
+
+  private send(from: Machine, address: Address, envelope: PeerEnvelope): void {
+    const { duplicateRate = 0 } = this.options;
+    const copies = this.random.nextFloat() < duplicateRate ? 2 : 1;
+    for (let copy = 0; copy < copies; copy += 1) {
+      const isLost = this.random.nextFloat() < this.lossRate;
+      const atMs = this.nowMs + 1 + this.random.nextInt(MAX_DELAY_MS);
+      const text = formatAddress(address);
+      if (!isLost) {
+        this.queue.add(atMs, () => this.deliver(from.nodeId, text, envelope));
+      }
+    }
+  }
+
+  private deliver(from: NodeId, address: string, envelope: PeerEnvelope): void {
+    const machine = [...this.machines.values()].find(
+      ({ nodeId }) => formatAddress(linkAddressOf(nodeId)) === address,
+    );
+    const reaches =
+      this.groups === undefined ||
+      this.groups.some((group) => group.includes(from) && group.includes(machine?.nodeId ?? ''));
+    if (machine !== undefined && reaches && !machine.isFrozen) {
+      this.step(machine, { type: 'peer-message', envelope });
+    }
+  }
+
+  private scheduleTick(machine: Machine, run: number): void {
+    this.queue.add(this.nowMs + this.tickMs, () => {
+      if (machine.run !== run) {
+        return;
+      }
+      if (!machine.isFrozen) {
+        const wallTimeMs = WALL_CLOCK_OFFSET_MS + this.nowMs;
+        const freshSecret = Uint8Array.from({ length: 16 }, () => this.random.nextInt(256));
+        this.step(machine, { type: 'tick', wallTimeMs, freshSecret });
+      }
+      this.scheduleTick(machine, run);
+    });
+  }
+
+  private newDisk(nodeId: NodeId): VirtualDisk {
+    return new VirtualDisk(`${nodeId}/disk-${this.takeId()}`);
+  }
+}
+
+/** The name of the service that `define` proposes under a number. */
+export function serviceName(number: number): string {
+  return `service-${number}`;
+}
+
+function linkAddressOf(nodeId: NodeId): Address {
+  const number = Number(nodeId.replace(/\D/g, ''));
+  return { host: `127.0.9.${number}`, port: 7100 };
+}
+
+function termOf(machine: Machine): number {
+  return machine.state?.consensus.term ?? 0;
+}
--- /dev/null
+++ b/test/consensus/invariants.ts
@@ -0,0 +1,63 @@
+/** @file What must hold among control machines at any moment; a breach throws. */
+import { isDeepStrictEqual } from 'node:util';
+import type { ConsensusState } from '../../src/consensus/consensus-state.js';
+import type { LogEntry } from '../../src/consensus/log.js';
+
+/** Watches the consensus states of all machines. */
+export class Invariants {
+  private readonly leaderOfTerm = new Map<string, string>();
+  private readonly committed = new Map<string, LogEntry>();
+  private readonly checkedUpTo = new WeakMap<ConsensusState, number>();
+
+  /** Election safety, and every committed entry the same everywhere; after each step. */
+  check(state: ConsensusState): void {
+    this.checkLeader(state);
+    this.checkCommitted(state);
+  }
+
+  /** Log matching: where two logs agree on the term at an index, they agree on all before it. */
+  checkLogMatching(states: readonly ConsensusState[]): void {
+    for (const [position, one] of states.entries()) {
+      for (const other of states.slice(position + 1)) {
+        checkPair(one, other);
+      }
+    }
+  }
+
+  private checkLeader({ role, term, storageId, clusterId }: ConsensusState): void {
+    if (role.name !== 'leader') {
+      return;
+    }
+    const key = `${clusterId}, term ${term}`;
+    const known = this.leaderOfTerm.get(key) ?? storageId;
+    if (known !== storageId) {
+      throw new Error(`Both ${known} and ${storageId} lead in ${key}.`);
+    }
+    this.leaderOfTerm.set(key, storageId);
+  }
+
+  private checkCommitted(state: ConsensusState): void {
+    const from = Math.max(this.checkedUpTo.get(state) ?? 0, state.log.base.index);
+    for (const entry of state.log.slice(from + 1, state.commitIndex)) {
+      const key = `${state.clusterId}, index ${entry.index}`;
+      const known = this.committed.get(key) ?? entry;
+      if (known.term !== entry.term || !isDeepStrictEqual(known.content, entry.content)) {
+        throw new Error(`${state.nodeId} committed another entry ${entry.index}.`);
+      }
+      this.committed.set(key, entry);
+    }
+    this.checkedUpTo.set(state, state.commitIndex);
+  }
+}
+
+function checkPair(one: ConsensusState, other: ConsensusState): void {
+  const first = Math.max(one.log.base.index, other.log.base.index) + 1;
+  let agrees = false;
+  for (let index = Math.min(one.log.last.index, other.log.last.index); index >= first; index -= 1) {
+    const isSame = one.log.termAt(index) === other.log.termAt(index);
+    if (agrees && !isSame) {
+      throw new Error(`${one.nodeId} and ${other.nodeId} differ at ${index}, but not after it.`);
+    }
+    agrees ||= isSame;
+  }
+}
--- /dev/null
+++ b/test/daemon/consensus-storage.test.ts
@@ -0,0 +1,202 @@
+/** @file The disk of a control machine: what is found again after a crash, and what is refused. */
+import { mkdtemp, readFile, rm, truncate, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import t from 'tap';
+import { createConsensusState } from '../../src/consensus/consensus-state.js';
+import type { LogEntry } from '../../src/consensus/log.js';
+import type { LogRecord, PersistEffect } from '../../src/consensus/persisted-state.js';
+import { ConsensusStorage } from '../../src/daemon/consensus-storage.js';
+import { openStorageFolder, type StorageFolder } from '../../src/daemon/storage-folder.js';
+import { MemoryFolder } from './memory-folder.js';
+
+function entry(index: number, term = 1): LogEntry {
+  return { index, term, content: { type: 'command', data: Buffer.from(`change ${index}`) } };
+}
+
+function append(writeId: number, ...entries: LogEntry[]): PersistEffect {
+  return { type: 'persist', writeId, records: [{ type: 'entries', entries }] };
+}
+
+async function opened(folder: StorageFolder): Promise<ConsensusStorage> {
+  const storage = await ConsensusStorage.open(folder, 'c1', () => 'disk-1');
+  if (storage.isErr()) {
+    throw new Error(storage.error.message);
+  }
+  return storage.value;
+}
+
+/** The entries that a member starts with. */
+async function recoveredEntries(folder: StorageFolder): Promise<LogEntry[]> {
+  const { recovered } = await opened(folder);
+  const { log } = createConsensusState('c1', recovered);
+  return log.slice(log.base.index + 1, log.last.index);
+}
+
+async function withThreeWrites(): Promise<MemoryFolder> {
+  const folder = new MemoryFolder();
+  const storage = await opened(folder);
+  await storage.persist(append(1, entry(1)));
+  await storage.persist(append(2, entry(2), entry(3)));
+  await storage.persist(append(3, entry(4)));
+  return folder;
+}
+
+async function logOf(folder: StorageFolder): Promise<Buffer> {
+  return (await folder.read('log')) ?? Buffer.alloc(0);
+}
+
+t.test('a log that is torn at any byte of its last write holds all writes before', async (t) => {
+  const whole = await logOf(await withThreeWrites());
+  const lastStart = whole.lastIndexOf('ALR1');
+  for (let length = lastStart; length < whole.length; length += 1) {
+    const folder = await withThreeWrites();
+    folder.put('log', whole.subarray(0, length));
+    t.strictSame(await recoveredEntries(folder), [entry(1), entry(2), entry(3)], `${length}`);
+  }
+});
+
+t.test('a record appended after a torn tail is found again after reopening', async (t) => {
+  const whole = await logOf(await withThreeWrites());
+  const lastStart = whole.lastIndexOf('ALR1');
+  for (let length = lastStart; length < whole.length; length += 1) {
+    const folder = await withThreeWrites();
+    folder.put('log', whole.subarray(0, length));
+    const storage = await opened(folder);
+    await storage.persist(append(1, entry(4, 2)));
+    const entries = await recoveredEntries(folder.crashed());
+    t.strictSame(entries, [entry(1), entry(2), entry(3), entry(4, 2)], `cut at byte ${length}`);
+  }
+});
+
+t.test('the same on a real disk', async (t) => {
+  const path = await mkdtemp(join(tmpdir(), 'amberlift-storage-'));
+  t.teardown(() => rm(path, { recursive: true }));
+  const first = await opened(await openStorageFolder(path));
+  await first.persist(append(1, entry(1)));
+  await first.persist(append(2, entry(2)));
+  await first.close();
+  const log = join(path, 'log');
+  await truncate(log, (await readFile(log)).length - 3);
+  const second = await opened(await openStorageFolder(path));
+  await second.persist(append(1, entry(2, 2)));
+  await second.close();
+  t.strictSame(await recoveredEntries(await openStorageFolder(path)), [entry(1), entry(2, 2)]);
+  await writeFile(log, Buffer.concat([await readFile(log), Buffer.from('ALR1')]));
+  t.strictSame(await recoveredEntries(await openStorageFolder(path)), [entry(1), entry(2, 2)]);
+});
+
+t.test('damage before the last write is refused as storage-failed, at any byte', async (t) => {
+  const whole = await logOf(await withThreeWrites());
+  const lastStart = whole.lastIndexOf('ALR1');
+  for (let offset = 0; offset < lastStart; offset += 1) {
+    const folder = await withThreeWrites();
+    const damaged = Buffer.from(whole);
+    damaged[offset] = (damaged[offset] ?? 0) ^ 0x10;
+    folder.put('log', damaged);
+    const storage = await ConsensusStorage.open(folder, 'c1');
+    t.match(storage, { error: { kind: 'storage-failed' } }, `byte ${offset}`);
+    t.ok(damaged.equals(await logOf(folder)), 'and left as it is');
+  }
+});
+
+t.test('a file of another machine, or a missing one, is refused', async (t) => {
+  const folder = await withThreeWrites();
+  t.match(await ConsensusStorage.open(folder, 'c2'), { error: { kind: 'storage-failed' } });
+  for (const name of ['identity', 'log']) {
+    const partial = await withThreeWrites();
+    await partial.remove(name);
+    t.match(
+      await ConsensusStorage.open(partial, 'c1'),
+      { error: { kind: 'storage-failed' } },
+      name,
+    );
+  }
+});
+
+t.test('a damaged log without an identity is not taken for an empty disk', async (t) => {
+  const folder = await withThreeWrites();
+  const log = await logOf(folder);
+  log[0] = 0;
+  folder.put('log', log);
+  await folder.remove('identity');
+  t.match(await ConsensusStorage.open(folder, 'c1'), { error: { kind: 'storage-failed' } });
+});
+
+const snapshot = {
+  index: 3,
+  term: 1,
+  membership: { members: [] },
+  data: Buffer.from('the state'),
+};
+const rest: LogRecord[] = [
+  { type: 'base', base: { index: 2, term: 1 } },
+  { type: 'vote', term: 5, votedFor: undefined },
+  { type: 'entries', entries: [entry(3), entry(4)] },
+];
+const replaceAll: PersistEffect = { type: 'persist-snapshot', writeId: 4, snapshot, records: rest };
+
+t.test('a crash at any operation of a snapshot loses nothing that was synced', async (t) => {
+  const counted = await withThreeWrites();
+  const storage = await opened(counted);
+  counted.operationsLeft = 100;
+  await storage.persist(replaceAll);
+  const operations = 100 - counted.operationsLeft;
+  t.ok(operations >= 8);
+  for (let count = 0; count <= operations; count += 1) {
+    const folder = await withThreeWrites();
+    const crashing = await opened(folder);
+    folder.operationsLeft = count;
+    await crashing.persist(replaceAll).catch(() => undefined);
+    const { recovered } = await opened(folder.crashed());
+    const { log, snapshot: found } = createConsensusState('c1', recovered);
+    t.equal(log.last.index, 4, `after ${count} operations`);
+    t.ok(found !== undefined || log.base.index === 0, 'the log begins where the snapshot ends');
+    const next = await opened(folder.crashed());
+    await next.persist(append(5, entry(5)));
+    t.equal(next.recovered.storageId, 'disk-1');
+  }
+});
+
+t.test('a crash at any operation of the first start leaves a disk that can be used', async (t) => {
+  for (let count = 0; count < 10; count += 1) {
+    const folder = new MemoryFolder();
+    folder.operationsLeft = count;
+    await ConsensusStorage.open(folder, 'c1', () => 'disk-1');
+    const storage = await ConsensusStorage.open(folder.crashed(), 'c1', () => 'disk-2');
+    t.ok(storage.isOk(), `after ${count} operations`);
+  }
+});
+
+t.test('a snapshot of a later term that came before a crash keeps its term', async (t) => {
+  const folder = await withThreeWrites();
+  const storage = await opened(folder);
+  folder.operationsLeft = 4;
+  const later = { ...snapshot, index: 90, term: 7 };
+  await storage.persist({ ...replaceAll, snapshot: later }).catch(() => undefined);
+  const { recovered } = await opened(folder.crashed());
+  const state = createConsensusState('c1', recovered);
+  t.strictSame(state.log.last, { index: 90, term: 7 });
+  t.equal(state.term, 7);
+});
+
+t.test('after a failed write nothing is written any more', async (t) => {
+  const folder = await withThreeWrites();
+  const storage = await opened(folder);
+  folder.operationsLeft = 1;
+  await t.rejects(storage.persist(append(5, entry(5))), 'the sync fails');
+  folder.operationsLeft = Infinity;
+  await t.rejects(storage.persist(append(6, entry(6))), 'so the next one must not go');
+  t.strictSame((await recoveredEntries(folder.crashed())).length, 4);
+});
+
+t.test('what a crash leaves of an unsynced write is taken or dropped as a whole', async (t) => {
+  for (let kept = 0; kept < 80; kept += 1) {
+    const folder = await withThreeWrites();
+    const storage = await opened(folder);
+    folder.operationsLeft = 1;
+    await storage.persist(append(5, entry(5), entry(6))).catch(() => undefined);
+    const entries = await recoveredEntries(folder.crashed(kept));
+    t.ok([4, 6].includes(entries.length), `${kept} bytes`);
+  }
+});
