Judge back ends by several kinds of evidence and place flows by policy

Cause: every service got random placement, whatever its policy's name, and a back end was ready as soon as its health endpoint said so. An open looked at the back ends of all services.

Change: policies random, maglev, least-reported and adaptive; a judgement of each back end (starting, ready, busy, draining, down) from probes, load reports and own opens, none believed alone; ejection bounded by share; slow start; reports that stand still or contradict the answers are not believed; the reason and history of each state for operators (`explainBackend`); an index of back ends per service. The open handling passes its context on, and the state holds the index, the size of the fleet and the unlogged changes.

--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -5,7 +5,6 @@
 import { formatAddress, type Address } from '../common/address.js';
 import {
   emptyRoutingConfig,
-  type Backend,
   type PlacementPolicyName,
   type RoutingConfig,
   type Service,
@@ -19,10 +18,12 @@
 import { createSubscription, type SubscriptionState } from '../dissemination/subscription.js';
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
-import type { HealthReport, LoadReport } from '../health/backend-report.js';
 import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
+import { createBackendView, type BackendView } from './backend-view.js';
+import type { BackendChange } from './candidates.js';
+import { createServiceGroups, type ServiceGroups } from './service-groups.js';
 
 /** Options of a balancer; times in milliseconds. */
 export interface BalancerOptions {
@@ -48,14 +49,12 @@
   probeIntervalMs: 500,
 } as const;
 
-/** What a balancer knows of one back end. */
-export interface BackendView {
-  backend: Backend;
-  health: HealthReport | undefined;
-  load: LoadReport | undefined;
-  loadReceivedAtMs: number;
-  pendingOpens: number;
-  opensSinceReport: number;
+/** How many balancers share the traffic, as far as this one knows. */
+export interface FleetSize {
+  /** All live balancers, this one included. */
+  balancerCount: number;
+  /** Those of this one's zone, this one included. */
+  localBalancerCount: number;
 }
 
 /** An open that waits for a back end's answer. */
@@ -82,6 +81,10 @@
   readonly preparedKeys: Map<number, PreparedTokenKey>;
   currentKeyId: number | undefined;
   readonly views: Map<number, BackendView>;
+  readonly groups: ServiceGroups;
+  /** Changes of judged states that are not yet logged. */
+  readonly backendChanges: BackendChange[];
+  readonly fleet: FleetSize;
   readonly policies: Map<PlacementPolicyName, PlacementPolicy>;
   readonly pendingOpens: Map<string, PendingOpen>;
   /** Datagrams and opens that ended in each error kind. */
@@ -105,6 +108,9 @@
     preparedKeys: new Map(),
     currentKeyId: undefined,
     views: new Map(),
+    groups: createServiceGroups(),
+    backendChanges: [],
+    fleet: { balancerCount: 1, localBalancerCount: 1 },
     policies: new Map(),
     pendingOpens: new Map(),
     errorCounts: new Map(),
@@ -198,20 +204,9 @@
   for (const backend of state.config.backends.values()) {
     const view = state.views.get(backend.id);
     if (view === undefined) {
-      state.views.set(backend.id, newView(backend));
+      state.views.set(backend.id, createBackendView(backend));
     } else {
       view.backend = backend;
     }
   }
 }
-
-function newView(backend: Backend): BackendView {
-  return {
-    backend,
-    health: undefined,
-    load: undefined,
-    loadReceivedAtMs: 0,
-    pendingOpens: 0,
-    opensSinceReport: 0,
-  };
-}
--- a/src/balancer/candidates.ts
+++ b/src/balancer/candidates.ts
@@ -1,36 +1,54 @@
 /**
- * @file Which back ends may receive a new flow, and the choice among them by the service's policy.
+ * @file What a balancer learns of back ends, and its choice among those that may receive a new flow,
+ * by the service's placement policy.
  */
 import type { StepContext } from '../common/step.js';
 import type { ProbeResult } from '../health/backend-report.js';
-import type { PlacementCandidate } from '../routing/placement-policy.js';
+import { explainJudgement, type BackendExplanation } from '../health/explanation.js';
+import { judgeOutcome, judgeProbe, type OpenOutcome } from '../health/judgement.js';
+import type { JudgementTransition } from '../health/judgement-state.js';
 import {
-  policyFor,
-  type BackendView,
-  type BalancerState,
-  type PendingOpen,
-} from './balancer-state.js';
+  estimateFailure,
+  estimateOpen,
+  estimateReport,
+  resetEstimate,
+} from '../routing/load-estimate.js';
+import type { PlacementRequest } from '../routing/placement-policy.js';
+import type { BackendView } from './backend-view.js';
+import { policyFor, type BalancerState, type PendingOpen } from './balancer-state.js';
+import { candidatesOf, groupOf, type ServiceGroup } from './service-groups.js';
+
+/** Changes of state that wait to be logged; further ones push out the oldest. */
+const MAX_UNLOGGED_CHANGES = 1_000;
+/** Weight of the newest report in the typical use of a service's back ends. */
+const TYPICAL_USE_GAIN = 0.1;
+
+/** How an attempt ended. */
+export type AttemptOutcome = OpenOutcome;
+
+/** A change of a back end's judged state. */
+export interface BackendChange extends JudgementTransition {
+  readonly backendId: number;
+}
 
 /**
- * @returns the back end for the next attempt of an open, or undefined where none is ready
+ * @returns the back end for the next attempt of an open, or undefined where none is left
  */
 export function chooseBackend(
   state: BalancerState,
   open: PendingOpen,
   context: StepContext,
 ): BackendView | undefined {
-  const candidates: PlacementCandidate[] = [];
-  for (const view of state.views.values()) {
-    if (isCandidate(view, open)) {
-      candidates.push(toCandidate(view));
-    }
-  }
-  if (candidates.length === 0) {
-    return undefined;
-  }
-  const request = { flowId: open.flowId, localZone: state.options.zone, balancerCount: 1 };
+  const candidates = candidatesOf(groupOf(state, open.service.id, context.nowMs));
+  const request: PlacementRequest = {
+    flowId: open.flowId,
+    localZone: state.options.zone,
+    balancerCount: state.fleet.balancerCount,
+    localBalancerCount: state.fleet.localBalancerCount,
+    triedBackendIds: open.triedBackendIds,
+  };
   const chosen = policyFor(state, open.service.policy).choose(candidates, request, context);
-  return state.views.get(chosen.backendId);
+  return chosen === undefined ? undefined : state.views.get(chosen.backend.id);
 }
 
 /**
@@ -41,57 +59,108 @@
   if (view === undefined) {
     return;
   }
-  view.health = result.health;
-  if (result.load !== undefined) {
-    view.load = result.load;
-    view.loadReceivedAtMs = context.nowMs;
-    view.opensSinceReport = 0;
-  }
+  const group = groupOf(state, view.backend.serviceId, context.nowMs);
+  noteIncarnation(view, result.health?.incarnation);
+  const change = judgeProbe(view.judgement, result, group.judgements, context.nowMs);
+  view.health = view.judgement.health;
+  noteChange(state, view, group, change);
+  noteLoad(view, result, group, context);
 }
 
 /**
  * An attempt to open a flow there begins.
  */
-export function recordAttempt(view: BackendView): void {
+export function recordAttempt(state: BalancerState, view: BackendView, context: StepContext): void {
   view.pendingOpens += 1;
-  view.opensSinceReport += 1;
+  estimateOpen(view.estimate, balancersLike(state, view), context.nowMs);
 }
 
-/** How an attempt ended. */
-export type AttemptOutcome = 'accepted' | 'refused' | 'timed-out';
-
 /**
  * An attempt to open a flow there has ended.
  * @param incarnation the back end's present incarnation, where it told it
  */
 export function recordAttemptEnd(
+  state: BalancerState,
   view: BackendView,
-  _outcome: AttemptOutcome,
+  outcome: AttemptOutcome,
   incarnation: number | undefined,
+  context: StepContext,
 ): void {
   view.pendingOpens = Math.max(0, view.pendingOpens - 1);
-  if (view.health !== undefined && incarnation !== undefined) {
-    view.health = { ...view.health, incarnation };
+  if (outcome !== 'accepted') {
+    estimateFailure(view.estimate, balancersLike(state, view), context.nowMs);
   }
+  const group = groupOf(state, view.backend.serviceId, context.nowMs);
+  noteIncarnation(view, incarnation);
+  const { judgement } = view;
+  const change = judgeOutcome(judgement, outcome, incarnation, group.judgements, context.nowMs);
+  view.health = judgement.health;
+  noteChange(state, view, group, change);
 }
 
-function isCandidate(view: BackendView, open: PendingOpen): boolean {
-  return (
-    view.backend.serviceId === open.service.id &&
-    view.backend.adminState === 'active' &&
-    view.health?.state === 'ready' &&
-    !open.triedBackendIds.includes(view.backend.id)
-  );
+/**
+ * @returns why the back end is in its judged state, or undefined where it is not known
+ */
+export function explainBackend(
+  state: BalancerState,
+  backendId: number,
+  nowMs: number,
+): BackendExplanation | undefined {
+  const view = state.views.get(backendId);
+  return view === undefined ? undefined : explainJudgement(backendId, view.judgement, nowMs);
 }
 
-function toCandidate(view: BackendView): PlacementCandidate {
-  return {
-    backendId: view.backend.id,
-    zone: view.backend.zone,
-    weight: 1,
-    load: view.load,
-    loadReceivedAtMs: view.loadReceivedAtMs,
-    pendingOpens: view.pendingOpens,
-    opensSinceReport: view.opensSinceReport,
-  };
+/**
+ * @returns the changes of state since the last call, oldest first, for the log
+ */
+export function takeBackendChanges(state: BalancerState): BackendChange[] {
+  return state.backendChanges.splice(0);
+}
+
+function noteChange(
+  state: BalancerState,
+  view: BackendView,
+  group: ServiceGroup,
+  change: JudgementTransition | undefined,
+): void {
+  if (change === undefined) {
+    return;
+  }
+  group.candidates = undefined;
+  state.backendChanges.push({ backendId: view.backend.id, ...change });
+  if (state.backendChanges.length > MAX_UNLOGGED_CHANGES) {
+    state.backendChanges.shift();
+  }
+}
+
+function noteIncarnation(view: BackendView, incarnation: number | undefined): void {
+  const known = view.health?.incarnation;
+  if (known !== undefined && incarnation !== undefined && known !== incarnation) {
+    resetEstimate(view.estimate);
+  }
+}
+
+/** A report that is not believed is replaced by the typical one of the service. */
+function noteLoad(
+  view: BackendView,
+  { load }: ProbeResult,
+  group: ServiceGroup,
+  { nowMs }: StepContext,
+): void {
+  if (load === undefined) {
+    return;
+  }
+  const limit = Math.max(1, load.connectionLimit);
+  if (view.judgement.trust.distrust === undefined) {
+    group.typicalUse += TYPICAL_USE_GAIN * (load.connections / limit - group.typicalUse);
+    estimateReport(view.estimate, load, nowMs);
+  } else {
+    const connections = group.typicalUse * limit;
+    estimateReport(view.estimate, { ...load, connections, queuedRequests: 0 }, nowMs);
+  }
+}
+
+/** How many balancers send their flows as this one does: those of the zone for a local back end. */
+function balancersLike({ options, fleet }: BalancerState, { backend }: BackendView): number {
+  return backend.zone === options.zone ? fleet.localBalancerCount : fleet.balancerCount;
 }
--- a/src/balancer/open-handling.ts
+++ b/src/balancer/open-handling.ts
@@ -98,14 +98,14 @@
     return [];
   }
   if (message.type === 'accept') {
-    endAttempt(state, open, 'accepted', message.incarnation);
+    endAttempt(state, open, 'accepted', message.incarnation, context);
     state.pendingOpens.delete(open.key);
     state.acceptedOpens += 1;
     return [{ type: 'send', to: open.replyTo, via: 'fabric', datagram }];
   }
   if (message.type === 'refuse') {
     countError(state, message.kind);
-    endAttempt(state, open, 'refused', message.incarnation);
+    endAttempt(state, open, 'refused', message.incarnation, context);
     return [retryOpen(state, open, message.kind, context)];
   }
   return [];
@@ -118,7 +118,7 @@
   const effects: BalancerEffect[] = [];
   for (const open of state.pendingOpens.values()) {
     if (open.attemptEndsAtMs <= context.nowMs) {
-      endAttempt(state, open, 'timed-out', undefined);
+      endAttempt(state, open, 'timed-out', undefined, context);
       effects.push(retryOpen(state, open, 'deadline-exceeded', context));
     }
   }
@@ -167,7 +167,7 @@
     context.nowMs + state.options.openAttemptTimeoutMs,
     open.deadlineAtMs,
   );
-  recordAttempt(view);
+  recordAttempt(state, view, context);
   const fields = {
     keyId,
     serviceId: open.service.id,
@@ -200,10 +200,11 @@
   open: PendingOpen,
   outcome: AttemptOutcome,
   incarnation: number | undefined,
+  context: StepContext,
 ): void {
   const view = state.views.get(open.triedBackendIds.at(-1) ?? 0);
   if (view !== undefined) {
-    recordAttemptEnd(view, outcome, incarnation);
+    recordAttemptEnd(state, view, outcome, incarnation, context);
   }
 }
 
--- /dev/null
+++ b/src/balancer/service-groups.ts
@@ -0,0 +1,110 @@
+/**
+ * @file The back ends of each service, and which of them may receive new flows: an index that is
+ * made once per configuration, so that an open looks at no other service's back ends.
+ */
+import type { JudgementGroup } from '../health/judgement-state.js';
+import { probesFail } from '../health/judgement-rules.js';
+import { judgeAdminState } from '../health/judgement.js';
+import type { BackendView } from './backend-view.js';
+import type { BalancerState } from './balancer-state.js';
+
+/** The back ends of one service. */
+export interface ServiceGroup {
+  readonly views: BackendView[];
+  readonly judgements: JudgementGroup;
+  /** Those that may receive new flows; undefined where that must be worked out anew. */
+  candidates: readonly BackendView[] | undefined;
+  /** Connections over limit, averaged over the reports of late that are believed. */
+  typicalUse: number;
+}
+
+/** The back ends of all services, as of one configuration. */
+export interface ServiceGroups {
+  /** Log index of the configuration that the index was made from; undefined before the first. */
+  configIndex: number | undefined;
+  readonly byServiceId: Map<number, ServiceGroup>;
+}
+
+/**
+ * @returns an index of nothing
+ */
+export function createServiceGroups(): ServiceGroups {
+  return { configIndex: undefined, byServiceId: new Map() };
+}
+
+/**
+ * @returns the back ends of the service under the configuration in force
+ */
+export function groupOf(state: BalancerState, serviceId: number, nowMs: number): ServiceGroup {
+  if (state.groups.configIndex !== state.position.index) {
+    rebuildGroups(state, nowMs);
+  }
+  return state.groups.byServiceId.get(serviceId) ?? createGroup();
+}
+
+/**
+ * @returns the back ends that may receive a new flow: those that are ready, or where none is, those
+ *   that are busy; the same array until that changes
+ */
+export function candidatesOf(group: ServiceGroup): readonly BackendView[] {
+  if (group.candidates === undefined) {
+    const ready = group.views.filter(({ judgement }) => judgement.state === 'ready');
+    group.candidates =
+      ready.length > 0 ? ready : group.views.filter(({ judgement }) => judgement.state === 'busy');
+  }
+  return group.candidates;
+}
+
+function rebuildGroups(state: BalancerState, nowMs: number): void {
+  const { groups } = state;
+  const previous = new Map(groups.byServiceId);
+  groups.byServiceId.clear();
+  groups.configIndex = state.position.index;
+  for (const view of state.views.values()) {
+    addToGroup(groups, view);
+  }
+  for (const [serviceId, group] of groups.byServiceId) {
+    settleGroup(group, previous.get(serviceId), nowMs);
+  }
+}
+
+function addToGroup({ byServiceId }: ServiceGroups, view: BackendView): void {
+  const { serviceId } = view.backend;
+  const group = byServiceId.get(serviceId) ?? createGroup();
+  group.views.push(view);
+  byServiceId.set(serviceId, group);
+}
+
+function createGroup(): ServiceGroup {
+  const judgements = { size: 0, ejected: 0, failingProbes: 0 };
+  return { views: [], judgements, candidates: undefined, typicalUse: 0 };
+}
+
+/** Takes over what stays, so that an unchanged list of candidates remains the same array. */
+function settleGroup(group: ServiceGroup, previous: ServiceGroup | undefined, nowMs: number): void {
+  const { views, judgements } = group;
+  judgements.size = views.length;
+  judgements.ejected = countWhere(views, ({ judgement }) => judgement.reason === 'opens-time-out');
+  judgements.failingProbes = countWhere(views, ({ judgement }) => probesFail(judgement));
+  for (const { judgement, backend } of views) {
+    if (judgement.adminState !== backend.adminState) {
+      judgeAdminState(judgement, backend.adminState, judgements, nowMs);
+    }
+  }
+  group.typicalUse = previous?.typicalUse ?? 0;
+  const candidates = candidatesOf(group);
+  if (previous?.candidates !== undefined && isSameList(candidates, previous.candidates)) {
+    group.candidates = previous.candidates;
+  }
+}
+
+function countWhere(
+  views: readonly BackendView[],
+  condition: (view: BackendView) => boolean,
+): number {
+  return views.reduce((count, view) => count + Number(condition(view)), 0);
+}
+
+function isSameList(left: readonly BackendView[], right: readonly BackendView[]): boolean {
+  return left.length === right.length && left.every((view, index) => view === right[index]);
+}
--- /dev/null
+++ b/src/routing/maglev-policy.ts
@@ -0,0 +1,52 @@
+/**
+ * @file Placement by a Maglev table over the flow ID. A baseline: it ties a new flow to a hash,
+ * whatever the load.
+ */
+import type { StepContext } from '../common/step.js';
+import { buildMaglevTable, lookUpMaglev } from './maglev-table.js';
+import {
+  isUntried,
+  type PlacementCandidate,
+  type PlacementPolicy,
+  type PlacementRequest,
+} from './placement-policy.js';
+
+/** Kept for each list of candidates, so that a service's opens don't rebuild another's table. */
+interface DerivedTable {
+  readonly table: Int32Array;
+  readonly byId: ReadonlyMap<number, PlacementCandidate>;
+}
+
+/** Chooses by a hash of the flow ID; a retry takes one of the others at random. */
+export class MaglevPolicy implements PlacementPolicy {
+  readonly name = 'maglev';
+  private readonly derived = new WeakMap<readonly PlacementCandidate[], DerivedTable>();
+
+  choose(
+    candidates: readonly PlacementCandidate[],
+    request: PlacementRequest,
+    context: StepContext,
+  ): PlacementCandidate | undefined {
+    if (candidates.length === 0) {
+      return undefined;
+    }
+    const { table, byId } = this.tableFor(candidates);
+    const chosen = byId.get(lookUpMaglev(table, request.flowId));
+    if (chosen !== undefined && isUntried(chosen, request)) {
+      return chosen;
+    }
+    const untried = candidates.filter((candidate) => isUntried(candidate, request));
+    return untried.length === 0 ? undefined : untried[context.random.nextInt(untried.length)];
+  }
+
+  private tableFor(candidates: readonly PlacementCandidate[]): DerivedTable {
+    const existing = this.derived.get(candidates);
+    if (existing !== undefined) {
+      return existing;
+    }
+    const byId = new Map(candidates.map((candidate) => [candidate.backend.id, candidate]));
+    const derived = { table: buildMaglevTable([...byId.keys()]), byId };
+    this.derived.set(candidates, derived);
+    return derived;
+  }
+}
--- /dev/null
+++ b/src/routing/maglev-table.ts
@@ -0,0 +1,69 @@
+/**
+ * @file The lookup table of Maglev (Eisenbud and others, NSDI 2016): every back end fills nearly
+ * the same share of the table, and a changed set of back ends changes few other entries.
+ */
+import siphash from 'siphash';
+
+/** Number of entries; a prime well above 100 entries for each of the back ends of a service. */
+export const MAGLEV_TABLE_SIZE = 65_537;
+
+/** A fixed key, since all balancers must build the same table. */
+const OFFSET_KEY = Uint32Array.of(1, 0, 0, 0);
+const SKIP_KEY = Uint32Array.of(2, 0, 0, 0);
+const FLOW_KEY = Uint32Array.of(3, 0, 0, 0);
+const EMPTY = -1;
+
+interface Permutation {
+  readonly position: number;
+  readonly skip: number;
+  next: number;
+}
+
+/**
+ * @param backendIds at least one, each once; the table does not depend on their order
+ * @returns for each entry the ID of its back end
+ */
+export function buildMaglevTable(backendIds: readonly number[]): Int32Array {
+  const ids = [...backendIds].sort((left, right) => left - right);
+  const permutations = ids.map(permutationOf);
+  const table = new Int32Array(MAGLEV_TABLE_SIZE).fill(EMPTY);
+  let filled = 0;
+  for (let turn = 0; filled < MAGLEV_TABLE_SIZE; turn = (turn + 1) % ids.length) {
+    const permutation = permutations[turn];
+    const id = ids[turn];
+    if (permutation === undefined || id === undefined) {
+      throw new RangeError('A Maglev table needs at least one back end.');
+    }
+    table[nextFreeEntry(table, permutation)] = id;
+    filled += 1;
+  }
+  return table;
+}
+
+/**
+ * @returns the ID of the flow's back end
+ */
+export function lookUpMaglev(table: Int32Array, flowId: Uint8Array): number {
+  return table[siphash.hash(FLOW_KEY, flowId).l % MAGLEV_TABLE_SIZE] ?? EMPTY;
+}
+
+function permutationOf(id: number): Permutation {
+  const name = Buffer.alloc(4);
+  name.writeUInt32BE(id);
+  return {
+    position: siphash.hash(OFFSET_KEY, name).l % MAGLEV_TABLE_SIZE,
+    skip: 1 + (siphash.hash(SKIP_KEY, name).l % (MAGLEV_TABLE_SIZE - 1)),
+    next: 0,
+  };
+}
+
+function nextFreeEntry(table: Int32Array, permutation: Permutation): number {
+  for (;;) {
+    const { position, skip } = permutation;
+    const entry = (position + permutation.next * skip) % MAGLEV_TABLE_SIZE;
+    permutation.next += 1;
+    if (table[entry] === EMPTY) {
+      return entry;
+    }
+  }
+}
--- a/src/routing/placement-policy.ts
+++ b/src/routing/placement-policy.ts
@@ -3,22 +3,19 @@
  * name, see `policy-registry.ts`.
  */
 import type { StepContext } from '../common/step.js';
-import type { LoadReport } from '../health/backend-report.js';
+import type { Backend } from '../control/cluster-state.js';
+import type { Judgement } from '../health/judgement-state.js';
+import type { LoadEstimate } from './load-estimate.js';
 
 /** A back end that may receive a new flow, with what is known of its load. */
 export interface PlacementCandidate {
-  readonly backendId: number;
-  readonly zone: string;
-  /** Share of new flows against its peers: 1 for a warm back end, less during slow start. */
-  readonly weight: number;
-  /** The last load report; undefined where none has come. */
-  readonly load: LoadReport | undefined;
-  /** When that report came, on the clock of the step. */
-  readonly loadReceivedAtMs: number;
+  readonly backend: Backend;
+  /** Its judged state, and its load reports with how far they are believed. */
+  readonly judgement: Judgement;
+  /** Those reports corrected for what this balancer has done since. */
+  readonly estimate: LoadEstimate;
   /** Opens that this balancer sent there and that are not yet answered. */
   readonly pendingOpens: number;
-  /** Opens that this balancer sent there since the last load report came. */
-  readonly opensSinceReport: number;
 }
 
 /** What is known of the new flow and of the balancer that places it. */
@@ -28,18 +25,31 @@
   readonly localZone: string;
   /** How many balancers share the traffic, this one included. */
   readonly balancerCount: number;
+  /** How many of them are in the local zone, this one included. */
+  readonly localBalancerCount: number;
+  /** Back ends that this open has been tried on, which are not chosen again. */
+  readonly triedBackendIds: readonly number[];
 }
 
 /** Chooses a back end for each new flow. */
 export interface PlacementPolicy {
   readonly name: string;
   /**
-   * Called once for each open and each retry; never with an empty list.
-   * @returns the chosen candidate
+   * Called once for each open and each retry.
+   * @param candidates the back ends of the service that may receive a flow; the same array as long
+   *   as they are the same back ends in the same order, so that a policy may keep what it derives
+   * @returns the chosen candidate, or undefined where all have been tried
    */
   choose(
     candidates: readonly PlacementCandidate[],
     request: PlacementRequest,
     context: StepContext,
-  ): PlacementCandidate;
+  ): PlacementCandidate | undefined;
+}
+
+/**
+ * @returns true where the open has not been tried on this candidate
+ */
+export function isUntried(candidate: PlacementCandidate, request: PlacementRequest): boolean {
+  return !request.triedBackendIds.includes(candidate.backend.id);
 }
--- a/src/routing/policy-registry.ts
+++ b/src/routing/policy-registry.ts
@@ -3,6 +3,9 @@
  */
 import { match } from 'ts-pattern';
 import type { PlacementPolicyName } from '../control/cluster-state.js';
+import { AdaptivePolicy } from './adaptive-policy.js';
+import { LeastReportedPolicy } from './least-reported-policy.js';
+import { MaglevPolicy } from './maglev-policy.js';
 import type { PlacementPolicy } from './placement-policy.js';
 import { RandomPolicy } from './random-policy.js';
 
@@ -11,6 +14,9 @@
  */
 export function createPolicy(name: PlacementPolicyName): PlacementPolicy {
   return match(name)
-    .with('random', 'maglev', 'least-reported', 'adaptive', () => new RandomPolicy())
+    .with('random', () => new RandomPolicy())
+    .with('maglev', () => new MaglevPolicy())
+    .with('least-reported', () => new LeastReportedPolicy())
+    .with('adaptive', () => new AdaptivePolicy())
     .exhaustive();
 }
--- a/src/routing/random-policy.ts
+++ b/src/routing/random-policy.ts
@@ -2,7 +2,12 @@
  * @file Random placement: every candidate alike. A baseline.
  */
 import type { StepContext } from '../common/step.js';
-import type { PlacementCandidate, PlacementPolicy, PlacementRequest } from './placement-policy.js';
+import {
+  isUntried,
+  type PlacementCandidate,
+  type PlacementPolicy,
+  type PlacementRequest,
+} from './placement-policy.js';
 
 /** Chooses uniformly at random. */
 export class RandomPolicy implements PlacementPolicy {
@@ -10,13 +15,11 @@
 
   choose(
     candidates: readonly PlacementCandidate[],
-    _request: PlacementRequest,
+    request: PlacementRequest,
     context: StepContext,
-  ): PlacementCandidate {
-    const chosen = candidates[context.random.nextInt(candidates.length)];
-    if (chosen === undefined) {
-      throw new RangeError('A policy is never called with an empty list.');
-    }
-    return chosen;
+  ): PlacementCandidate | undefined {
+    const first = request.triedBackendIds.length === 0;
+    const untried = first ? candidates : candidates.filter((one) => isUntried(one, request));
+    return untried.length === 0 ? undefined : untried[context.random.nextInt(untried.length)];
   }
 }
