--- a/src/daemon/balancer-daemon.ts
+++ b/src/daemon/balancer-daemon.ts
@@ -7,7 +7,9 @@
 import type { BalancerEffect, BalancerEvent } from '../balancer/balancer-events.js';
 import { createBalancerState, type BalancerState } from '../balancer/balancer-state.js';
 import { balancerStep } from '../balancer/balancer-step.js';
+import { takeBackendChanges } from '../balancer/candidates.js';
 import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
+import { reasonSentence } from '../health/explanation.js';
 import type { Settings } from '../settings/settings-schema.js';
 import { probeBackend } from './health-probe.js';
 import { connectLink, type MessageLink } from './message-link.js';
@@ -53,6 +55,7 @@
 /** Input and output of a balancer. */
 class BalancerEdge {
   private readonly contexts = systemContextSource();
+  private readonly healthLogger = loggerFor('health');
   private fabricSocket: UdpSocket | undefined;
   private backendSocket: UdpSocket | undefined;
   private link: MessageLink | undefined;
@@ -66,6 +69,7 @@
     for (const effect of balancerStep(this.state, event, this.contexts.now())) {
       this.perform(effect);
     }
+    this.logBackendChanges();
   }
 
   async bind(front: Address, back: Address): Promise<Address> {
@@ -87,6 +91,12 @@
     await Promise.all([this.fabricSocket?.close(), this.backendSocket?.close()]);
   }
 
+  private logBackendChanges(): void {
+    for (const { backendId, to, reason } of takeBackendChanges(this.state)) {
+      this.healthLogger.info(`Back end ${backendId}. ${reasonSentence(to, reason)}`);
+    }
+  }
+
   private perform(effect: BalancerEffect): void {
     match(effect)
       .with({ type: 'send' }, ({ via, datagram, to }) => {
--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -100,6 +100,7 @@
       this.addBalancer(number);
     }
     this.configure();
+    this.tellFleetSize();
     this.agenda.every(LOAD_SAMPLE_MS, () => this.backends.forEach((one) => one.recordLoad()));
     this.balancers.forEach((balancer) => this.startProbes(balancer));
     this.agenda.every(1, () => this.openFlows());
@@ -146,6 +147,15 @@
     this.balancers.forEach((balancer) => applyConfigUpdate(balancer, update));
   }
 
+  /** Each balancer learns how many there are; in the daemon membership tells it. */
+  private tellFleetSize(): void {
+    for (const { fleet, options } of this.balancers) {
+      const local = this.balancers.filter((other) => other.options.zone === options.zone);
+      fleet.balancerCount = this.balancers.length;
+      fleet.localBalancerCount = local.length;
+    }
+  }
+
   /** Each balancer probes each back end, evenly over the interval. */
   private startProbes(balancer: BalancerState): void {
     for (const backend of this.backends) {
@@ -205,10 +215,11 @@
       return;
     }
     open.triedBackendIds.push(view.backend.id);
-    recordAttempt(view);
+    recordAttempt(balancer, view, this.context());
     this.agenda.after(OPEN_ROUND_TRIP_MS, () => {
       const accepted = target.open();
-      recordAttemptEnd(view, accepted ? 'accepted' : 'refused', target.incarnation);
+      const outcome = accepted ? 'accepted' : 'refused';
+      recordAttemptEnd(balancer, view, outcome, target.incarnation, this.context());
       if (accepted) {
         this.startFlow(open.flowId, target);
       } else {
