--- a/src/balancer/backend-view.ts
+++ b/src/balancer/backend-view.ts
@@ -13,6 +13,8 @@
   /** The last health report, with the incarnation that the back end told last. */
   health: HealthReport | undefined;
   pendingOpens: number;
+  /** When the back end was asked what it last answered to with its own ID. */
+  identityConfirmedAtMs: number;
   readonly judgement: Judgement;
   readonly estimate: LoadEstimate;
 }
@@ -25,6 +27,7 @@
     backend,
     health: undefined,
     pendingOpens: 0,
+    identityConfirmedAtMs: Number.NEGATIVE_INFINITY,
     judgement: createJudgement(backend.adminState),
     estimate: createLoadEstimate(),
   };
--- a/src/balancer/candidates.ts
+++ b/src/balancer/candidates.ts
@@ -16,7 +16,7 @@
 import type { PlacementRequest } from '../routing/placement-policy.js';
 import type { BackendView } from './backend-view.js';
 import { policyFor, type BalancerState, type PendingOpen } from './balancer-state.js';
-import { candidatesOf, groupOf, type ServiceGroup } from './service-groups.js';
+import { groupOf, usableCandidatesOf, type ServiceGroup } from './service-groups.js';
 
 /** Changes of state that wait to be logged; further ones push out the oldest. */
 const MAX_UNLOGGED_CHANGES = 1_000;
@@ -39,7 +39,8 @@
   open: PendingOpen,
   context: StepContext,
 ): BackendView | undefined {
-  const candidates = candidatesOf(groupOf(state, open.service.id, context.nowMs));
+  const group = groupOf(state, open.service.id, context.nowMs);
+  const candidates = usableCandidatesOf(state, group, context.nowMs);
   const request: PlacementRequest = {
     flowId: open.flowId,
     localZone: state.options.zone,
--- a/src/balancer/service-groups.ts
+++ b/src/balancer/service-groups.ts
@@ -2,11 +2,12 @@
  * @file The back ends of each service, and which of them may receive new flows: an index that is
  * made once per configuration, so that an open looks at no other service's back ends.
  */
+import { isLeaseHeld } from '../dissemination/lease.js';
 import type { JudgementGroup } from '../health/judgement-state.js';
 import { probesFail } from '../health/judgement-rules.js';
 import { judgeAdminState } from '../health/judgement.js';
 import type { BackendView } from './backend-view.js';
-import type { BalancerState } from './balancer-state.js';
+import { isBackendUsable, type BalancerState } from './balancer-state.js';
 
 /** The back ends of one service. */
 export interface ServiceGroup {
@@ -14,6 +15,8 @@
   readonly judgements: JudgementGroup;
   /** Those that may receive new flows; undefined where that must be worked out anew. */
   candidates: readonly BackendView[] | undefined;
+  /** Those of them that may be used without a lease, as of the last open without one. */
+  usableCandidates: readonly BackendView[];
   /** Connections over limit, averaged over the reports of late that are believed. */
   typicalUse: number;
 }
@@ -55,6 +58,26 @@
   return group.candidates;
 }
 
+/**
+ * @returns those candidates that packets may be sent to: all while the lease is held, else those that
+ *   have confirmed their identity of late
+ */
+export function usableCandidatesOf(
+  state: BalancerState,
+  group: ServiceGroup,
+  nowMs: number,
+): readonly BackendView[] {
+  const candidates = candidatesOf(group);
+  if (isLeaseHeld(state.subscription.lease, nowMs)) {
+    return candidates;
+  }
+  const usable = candidates.filter((view) => isBackendUsable(state, view, nowMs));
+  if (!isSameList(usable, group.usableCandidates)) {
+    group.usableCandidates = usable;
+  }
+  return group.usableCandidates;
+}
+
 function rebuildGroups(state: BalancerState, nowMs: number): void {
   const { groups } = state;
   const previous = new Map(groups.byServiceId);
@@ -77,7 +100,7 @@
 
 function createGroup(): ServiceGroup {
   const judgements = { size: 0, ejected: 0, failingProbes: 0 };
-  return { views: [], judgements, candidates: undefined, typicalUse: 0 };
+  return { views: [], judgements, candidates: undefined, usableCandidates: [], typicalUse: 0 };
 }
 
 /** Takes over what stays, so that an unchanged list of candidates remains the same array. */
