--- a/src/control/cluster-join.ts
+++ b/src/control/cluster-join.ts
@@ -27,8 +27,8 @@
   readonly linkAddress: Address;
   readonly operatorAddress: Address;
   readonly clusterId: string | undefined;
-  /** True where it answered this very machine, with this very disk. */
-  readonly answeredUs: boolean;
+  /** When it last answered this very machine, with this very disk; undefined where it never did. */
+  readonly answeredUsAtMs: number | undefined;
   readonly heardAtMs: number;
 }
 
@@ -57,12 +57,15 @@
   nowMs: number,
 ): void {
   const { from, to, clusterId } = envelope;
+  const known = join.announced.get(from.nodeId);
+  const earlier = known?.storageId === from.storageId ? known.answeredUsAtMs : undefined;
+  const answersUs = to.storageId === consensus.storageId;
   join.announced.set(from.nodeId, {
     ...from,
     linkAddress: envelope.replyTo,
     operatorAddress: announcement.operatorAddress,
     clusterId,
-    answeredUs: to.storageId === consensus.storageId,
+    answeredUsAtMs: answersUs ? nowMs : earlier,
     heardAtMs: nowMs,
   });
 }
@@ -114,10 +117,11 @@
   nowMs: number,
 ): Omit<Member, 'role'> | undefined {
   const machine = join.announced.get(nodeId);
-  if (machine === undefined || !machine.answeredUs || machine.clusterId !== undefined) {
+  const answeredAtMs = machine?.answeredUsAtMs;
+  if (machine === undefined || answeredAtMs === undefined || machine.clusterId !== undefined) {
     return undefined;
   }
-  if (nowMs - machine.heardAtMs > ANNOUNCEMENT_LIFETIME_MS) {
+  if (nowMs - answeredAtMs > ANNOUNCEMENT_LIFETIME_MS) {
     return undefined;
   }
   const { storageId, linkAddress, operatorAddress } = machine;
--- /dev/null
+++ b/src/sim/scenarios/operator-changes.ts
@@ -0,0 +1,82 @@
+/**
+ * @file What operators do in scenarios: changes of services and back ends, questions, and changes that
+ * race each other.
+ */
+import type { PlacementPolicyName } from '../../control/cluster-state.js';
+import { between, pick, type ScenarioScope } from './scenario.js';
+
+const MIN_ACTIVE_BACKENDS = 2;
+const MAX_BACKENDS = 5;
+const POLICIES: readonly PlacementPolicyName[] = ['random', 'adaptive'];
+
+/**
+ * One operator does one thing.
+ */
+export function changeSomething(scope: ScenarioScope): void {
+  const { random } = scope;
+  switch (random.nextInt(6)) {
+    case 0:
+    case 1:
+      changePolicy(scope);
+      break;
+    case 2:
+      racePolicies(scope);
+      break;
+    case 3:
+      replaceBackend(scope);
+      break;
+    default:
+      show(scope);
+  }
+}
+
+function changePolicy({ world, random }: ScenarioScope): void {
+  const service = pick(random, world.plan.services);
+  const policy = pick(random, POLICIES);
+  if (service !== undefined && policy !== undefined) {
+    const change = { type: 'change-service' as const, service: service.name, policy };
+    world.command(service, service.name, change);
+  }
+}
+
+/** Two changes on an equal version: at most one of them is accepted. */
+export function racePolicies({ world, random }: ScenarioScope): void {
+  const service = pick(random, world.plan.services);
+  const state = world.controls.find(({ leads }) => leads)?.state;
+  const current = [...(state?.cluster.routing.services.values() ?? [])].find(
+    ({ name }) => name === service?.name,
+  );
+  if (service === undefined || current === undefined) {
+    return;
+  }
+  for (const policy of POLICIES) {
+    const basedOnVersion = current.version;
+    const change = { type: 'change-service' as const, service: service.name, policy };
+    world.command(service, service.name, { ...change, basedOnVersion });
+  }
+}
+
+function replaceBackend({ world, faults, random }: ScenarioScope): void {
+  const service = pick(random, world.plan.services);
+  const own = world.backends.filter(
+    (placed) => placed.service === service && placed.wish !== 'retired',
+  );
+  const active = own.filter(({ wish, backendId }) => wish === 'active' && backendId !== undefined);
+  const chosen = pick(random, active);
+  if (chosen === undefined || own.length >= MAX_BACKENDS) {
+    return;
+  }
+  if (active.length > MIN_ACTIVE_BACKENDS && random.nextInt(2) === 0) {
+    faults.leave(chosen);
+  } else {
+    faults.replace(chosen, between(random, 500, 2_000));
+  }
+}
+
+function show({ world, random }: ScenarioScope): void {
+  const operator = pick(random, [...world.operators.values()]);
+  const control = pick(random, world.controls);
+  if (control !== undefined) {
+    operator?.show(control);
+  }
+}
--- /dev/null
+++ b/src/sim/scenarios/planned-scenarios.ts
@@ -0,0 +1,56 @@
+/**
+ * @file Scenarios of planned changes alone: nothing may be broken by them.
+ */
+import { smallWorld } from '../world-plan.js';
+import { pick, publishRegularly, type Scenario } from './scenario.js';
+
+/** Nothing is done. */
+export const quiet: Scenario = {
+  name: 'quiet',
+  description: 'Requests and feeds without any change.',
+  plan: smallWorld,
+  durationMs: 8_000,
+  schedule: (scope) => publishRegularly(scope, 8_000, 300),
+};
+
+/** A third of the back ends is drained and replaced. */
+export const drain: Scenario = {
+  name: 'drain',
+  description: 'One back end of each service is replaced, drained and retired.',
+  plan: smallWorld,
+  durationMs: 14_000,
+  schedule: (scope) => {
+    const { world, faults, random } = scope;
+    publishRegularly(scope, 14_000, 300);
+    world.plan.services.forEach((service, position) => {
+      world.after(500 + position * 700, () => {
+        const own = world.backends.filter((placed) => placed.service === service);
+        const chosen = pick(random, own);
+        if (chosen !== undefined) {
+          faults.replace(chosen, 1_000);
+        }
+      });
+    });
+  },
+};
+
+/** Every balancer and every control machine is restarted, one after the other. */
+export const rollingRestart: Scenario = {
+  name: 'rolling-restart',
+  description: 'Every balancer, then every control machine, is stopped and started again.',
+  plan: smallWorld,
+  durationMs: 42_000,
+  schedule: (scope) => {
+    const { world, faults } = scope;
+    publishRegularly(scope, 42_000, 300);
+    let atMs = 500;
+    for (const balancer of world.balancers) {
+      world.after(atMs, () => faults.restartBalancer(balancer, 500));
+      atMs += 6_000;
+    }
+    for (const control of world.controls) {
+      world.after(atMs, () => faults.restartControl(control, 1_500));
+      atMs += 4_000;
+    }
+  },
+};
--- /dev/null
+++ b/src/sim/simulated-backend.ts
@@ -0,0 +1,152 @@
+/**
+ * @file A simulated back end: the stand-in's step over virtual sockets. It comes back under a new
+ * incarnation with nothing that it held.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import type { Backend } from '../control/cluster-state.js';
+import type { ProbeResult } from '../health/backend-report.js';
+import type { BackendOptions } from '../standins/backend-options.js';
+import {
+  createBackendState,
+  hasUnfinishedRequest,
+  healthReport,
+  loadReport,
+  type BackendState,
+} from '../standins/backend-state.js';
+import type { BackendEvent } from '../standins/backend-step.js';
+import { readPacket, serviceOf } from './packet-notes.js';
+import { SimulatedProcess } from './simulated-process.js';
+import type { Simulation } from './simulation.js';
+import type { DatagramHandler } from './virtual-network.js';
+
+const TICK_INTERVAL_MS = 20;
+const INCARNATION_BOUND = 2 ** 32 - 1;
+
+/** What a simulated back end is started with. */
+export interface SimulatedBackendOptions {
+  readonly name: string;
+  readonly zone: string;
+  readonly address: Address;
+  readonly options: BackendOptions;
+}
+
+/** A back end. */
+export class SimulatedBackend extends SimulatedProcess {
+  readonly address: Address;
+  readonly options: BackendOptions;
+  state: BackendState;
+  private readonly onDatagram: DatagramHandler;
+
+  constructor(
+    simulation: Simulation,
+    { name, zone, address, options }: SimulatedBackendOptions,
+    /** Names the balancer at an address. */
+    private readonly nameOf: (address: Address) => string,
+  ) {
+    super(simulation, 'backend', name, address.host, zone);
+    this.address = address;
+    this.options = options;
+    this.state = this.newState();
+    this.onDatagram = (datagram, from) => this.takeDatagram(datagram, from);
+  }
+
+  /** What the process answers to a probe. */
+  answerProbe(backend: Backend): ProbeResult {
+    const assignment = { serviceId: backend.serviceId, backendId: backend.id };
+    if (backend.adminState === 'draining') {
+      this.step({ type: 'drain' });
+    }
+    this.step({ type: 'assign', assignment });
+    const health = healthReport(this.state, this.simulation.nowMs);
+    return { backendId: backend.id, health, load: loadReport(this.state) };
+  }
+
+  publish(number: number, payload: Uint8Array): void {
+    this.step({ type: 'publish', number, payload });
+  }
+
+  /** A planned end of a process that is thought to be empty. */
+  endPlanned(): void {
+    if (this.status !== 'down') {
+      this.stopped(this.unfinishedRequests());
+    }
+  }
+
+  protected onStart(): void {
+    this.state = this.newState();
+    this.simulation.network.bind(this.address, this.onDatagram);
+    this.every(TICK_INTERVAL_MS, () => this.step({ type: 'tick' }));
+  }
+
+  protected onDown(): void {
+    this.simulation.network.release(this.address, this.onDatagram);
+  }
+
+  private newState(): BackendState {
+    const incarnation = 1 + this.random.nextInt(INCARNATION_BOUND);
+    return createBackendState(this.options, incarnation, this.simulation.nowMs);
+  }
+
+  private unfinishedRequests(): number {
+    return [...this.state.flows.values()].filter(hasUnfinishedRequest).length;
+  }
+
+  private takeDatagram(datagram: Uint8Array, from: Address): void {
+    const sender = this.nameOf(from);
+    const arrivedAt = formatAddress(this.options.serviceAddress);
+    const { keepsPackets } = this.simulation.trace;
+    const packet =
+      keepsPackets || serviceOf(datagram) !== arrivedAt
+        ? readPacket(this.simulation, datagram)
+        : undefined;
+    if (packet !== undefined) {
+      this.simulation.note({
+        type: 'packet',
+        from: sender,
+        to: this.name,
+        arrivedAt,
+        ...packet,
+      });
+    }
+    this.step({ type: 'datagram', datagram, from }, sender);
+  }
+
+  private step(event: BackendEvent, sender = ''): void {
+    this.perform(() => {
+      const { runs, flows } = this.state;
+      const runsBefore = runs.length;
+      const flowsBefore = flows.size;
+      const context = this.simulation.contextFor(this.random);
+      const effects = this.simulation.steps.backend(this.state, event, context);
+      this.noteNewFlow(flowsBefore, sender);
+      this.noteRuns(runsBefore);
+      for (const { to, datagram } of effects) {
+        this.simulation.network.send(this.address, to, datagram);
+      }
+    });
+  }
+
+  /** One datagram opens at most one flow, which is then the newest. */
+  private noteNewFlow(flowsBefore: number, via: string): void {
+    const { flows } = this.state;
+    const newest = flows.size > flowsBefore ? [...flows.values()].at(-1) : undefined;
+    if (newest !== undefined) {
+      const flowId = this.simulation.flowName(Buffer.from(newest.flowId).toString('hex'));
+      this.simulation.note({ type: 'flow-accepted', backend: this.name, flowId, via });
+    }
+  }
+
+  private noteRuns(before: number): void {
+    const { runs, running } = this.state;
+    for (const requestNumber of runs.slice(before)) {
+      const record = [...running].find(({ work }) => work?.requestNumber === requestNumber);
+      const flowId = Buffer.from(record?.flow.flowId ?? []).toString('hex');
+      this.simulation.note({
+        type: 'run',
+        backend: this.name,
+        flowId: this.simulation.flowName(flowId),
+        requestNumber,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/sim/simulated-balancer.ts
@@ -0,0 +1,171 @@
+/**
+ * @file A simulated balancer: the daemon's step over virtual sockets and links. It comes back empty.
+ */
+import { match } from 'ts-pattern';
+import type { BalancerEffect, BalancerEvent } from '../balancer/balancer-events.js';
+import {
+  createBalancerState,
+  defaultBalancerOptions,
+  type BalancerState,
+} from '../balancer/balancer-state.js';
+import { formatAddress, type Address } from '../common/address.js';
+import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
+import type { ProbeEffect } from '../health/probe-schedule.js';
+import { configDigest } from './config-digest.js';
+import { SimulatedProcess } from './simulated-process.js';
+import type { Simulation } from './simulation.js';
+import { probeSimulatedBackend, type BackendDirectory } from './simulated-probe.js';
+import { connectVirtualLink, type VirtualLinkEnd } from './virtual-links.js';
+import type { DatagramHandler } from './virtual-network.js';
+
+const TICK_INTERVAL_MS = 20;
+const STOP_POLL_INTERVAL_MS = 50;
+const PORT = 5000;
+
+/** What a simulated balancer is started with. */
+export interface SimulatedBalancerOptions {
+  readonly name: string;
+  readonly host: string;
+  readonly zone: string;
+  readonly controlAddresses: readonly Address[];
+  readonly clusterKey: string;
+  /** Time for which a planned stop forwards on. */
+  readonly stopGraceMs: number;
+}
+
+/** A balancer. */
+export class SimulatedBalancer extends SimulatedProcess {
+  readonly front: Address;
+  readonly back: Address;
+  state: BalancerState;
+  private link: VirtualLinkEnd | undefined;
+  private notedIndex = 0;
+  private isStopping = false;
+  private readonly onFront: DatagramHandler;
+  private readonly onBack: DatagramHandler;
+
+  constructor(
+    simulation: Simulation,
+    private readonly options: SimulatedBalancerOptions,
+    private readonly directory: BackendDirectory,
+  ) {
+    super(simulation, 'balancer', options.name, options.host, options.zone);
+    this.front = { host: options.host, port: PORT };
+    this.back = { host: options.host, port: PORT + 1 };
+    this.state = this.emptyState();
+    this.onFront = (datagram, replyTo) => this.step({ type: 'client-datagram', datagram, replyTo });
+    this.onBack = (datagram) => this.step({ type: 'backend-datagram', datagram });
+  }
+
+  /** True while the platform counts it as live: it runs, and has not been told to stop. */
+  get isListed(): boolean {
+    return this.status !== 'down' && !this.isStopping;
+  }
+
+  /** A planned stop: no new opens, forwards on for the grace time, then ends. */
+  stop(): void {
+    if (this.isStopping) {
+      return;
+    }
+    this.isStopping = true;
+    this.step({ type: 'stop' });
+    this.later(this.options.stopGraceMs, () => this.endOnceFinished());
+  }
+
+  protected onStart(): void {
+    this.state = this.emptyState();
+    this.notedIndex = 0;
+    this.isStopping = false;
+    const { network } = this.simulation;
+    network.bind(this.front, this.onFront);
+    network.bind(this.back, this.onBack);
+    this.every(TICK_INTERVAL_MS, () => this.step({ type: 'tick' }));
+  }
+
+  protected onDown(): void {
+    const { network } = this.simulation;
+    network.release(this.front, this.onFront);
+    network.release(this.back, this.onBack);
+    this.link?.close();
+    this.link = undefined;
+  }
+
+  private emptyState(): BalancerState {
+    const { name, zone, controlAddresses, clusterKey } = this.options;
+    return createBalancerState({
+      ...defaultBalancerOptions,
+      balancerId: name,
+      zone,
+      controlAddresses,
+      clusterKey,
+    });
+  }
+
+  private endOnceFinished(): void {
+    if (this.state.pendingOpens.size > 0) {
+      this.later(STOP_POLL_INTERVAL_MS, () => this.endOnceFinished());
+      return;
+    }
+    this.stopped(this.state.pendingOpens.size);
+  }
+
+  private step(event: BalancerEvent): void {
+    this.perform(() => {
+      const context = this.simulation.contextFor(this.random);
+      const effects = this.simulation.steps.balancer(this.state, event, context);
+      this.noteInForce();
+      effects.forEach((effect) => this.performEffect(effect));
+    });
+  }
+
+  private noteInForce(): void {
+    const { index } = this.state.position;
+    if (index !== this.notedIndex) {
+      this.notedIndex = index;
+      const digest = configDigest(this.state.config);
+      this.simulation.note({ type: 'in-force', balancer: this.name, index, digest });
+    }
+  }
+
+  private performEffect(effect: BalancerEffect): void {
+    match(effect)
+      .with({ type: 'send' }, ({ via, to, datagram }) => {
+        const from = via === 'fabric' ? this.front : this.back;
+        this.simulation.network.send(from, to, datagram);
+      })
+      .with({ type: 'link-open' }, ({ linkId, address }) => this.openLink(linkId, address))
+      .with({ type: 'link-send' }, ({ message }) => this.link?.send(message))
+      .with({ type: 'probe' }, (probe) => this.probe(probe))
+      .exhaustive();
+  }
+
+  private probe({ backend }: ProbeEffect): void {
+    probeSimulatedBackend(this.simulation, this.directory, this.host, backend, (result) =>
+      this.step({ type: 'probe-result', result }),
+    );
+  }
+
+  private openLink(linkId: number, address: Address): void {
+    this.link?.close();
+    this.link = undefined;
+    const { clock, network, linkListeners } = this.simulation;
+    const listener = linkListeners.get(formatAddress(address));
+    const onClose = (): void => this.step({ type: 'link-closed', linkId });
+    if (listener?.isListening() !== true || network.isCut(this.host, listener.host)) {
+      this.later(network.delayBetween(this.host, address.host) * 2, onClose);
+      return;
+    }
+    const acceptor = listener.accept();
+    const hosts = { near: this.host, far: listener.host };
+    const onMessage = (message: unknown): void =>
+      this.step({
+        type: 'link-message',
+        linkId,
+        message: message as ControlToBalancerMessage,
+      });
+    const pair = connectVirtualLink(clock, network, hosts, { onMessage, onClose }, acceptor);
+    acceptor.opened(pair.far);
+    this.link = pair.near;
+    this.step({ type: 'link-opened', linkId });
+  }
+}
--- /dev/null
+++ b/src/sim/simulated-caller.ts
@@ -0,0 +1,168 @@
+/**
+ * @file A simulated caller: the stand-in's step, and notes of what it was told. Whether an answer is
+ * right is told by the stand-in itself, which compares bytes.
+ */
+import { match } from 'ts-pattern';
+import type { Address } from '../common/address.js';
+import { readToken } from '../flow/token.js';
+import {
+  createCallerState,
+  type CallerEffect,
+  type CallerOptions,
+  type CallerState,
+  type OpenFlow,
+  type RequestOutcome,
+} from '../standins/caller-state.js';
+import type { CallerEvent } from '../standins/caller-step.js';
+import { noticePayload } from './notice-payload.js';
+import type { SimulatedFabric } from './simulated-fabric.js';
+import { SimulatedProcess } from './simulated-process.js';
+import type { Simulation } from './simulation.js';
+
+const TICK_INTERVAL_MS = 50;
+const PORT = 6000;
+const ZONE = 'zone-a';
+
+/** What a simulated caller is started with. */
+export interface SimulatedCallerOptions {
+  readonly name: string;
+  readonly host: string;
+  readonly service: Address;
+  readonly options: CallerOptions;
+}
+
+interface StandingFlow {
+  readonly flow: OpenFlow;
+  readonly sinceMs: number;
+}
+
+/** A caller. */
+export class SimulatedCaller extends SimulatedProcess {
+  readonly address: Address;
+  state: CallerState;
+  private readonly service: Address;
+  private readonly standing = new Map<OpenFlow, StandingFlow>();
+
+  constructor(
+    simulation: Simulation,
+    { name, host, service, options }: SimulatedCallerOptions,
+    private readonly fabric: SimulatedFabric,
+    /** Names the process of a back end by its ID. */
+    private readonly backendName: (backendId: number) => string,
+  ) {
+    super(simulation, 'caller', name, host, ZONE);
+    this.address = { host, port: PORT };
+    this.service = service;
+    this.state = createCallerState(options, simulation.nowMs);
+  }
+
+  takePacket(packet: Uint8Array): void {
+    this.step({ type: 'packet', packet });
+  }
+
+  protected onStart(): void {
+    this.every(TICK_INTERVAL_MS, () => this.step({ type: 'tick' }));
+  }
+
+  protected onDown(): void {
+    this.standing.clear();
+  }
+
+  private step(event: CallerEvent): void {
+    this.perform(() => {
+      if (this.state.finished) {
+        return;
+      }
+      const { brokenFlows, wrongAnswers, request, feed } = this.state;
+      const requestFlow = request?.flow;
+      const feedFlow = feed?.current?.flow;
+      const context = this.simulation.contextFor(this.random);
+      const effects = this.simulation.steps.caller(this.state, event, context);
+      const isWrong = this.state.wrongAnswers > wrongAnswers;
+      for (const effect of effects) {
+        this.performEffect(effect, requestFlow, feedFlow, isWrong);
+      }
+      this.noteFlows(this.state.brokenFlows > brokenFlows);
+    });
+  }
+
+  private performEffect(
+    effect: CallerEffect,
+    requestFlow: OpenFlow | undefined,
+    feedFlow: OpenFlow | undefined,
+    isWrong: boolean,
+  ): void {
+    match(effect)
+      .with({ type: 'send' }, ({ packet }) => this.send(packet))
+      .with({ type: 'outcome' }, ({ outcome }) => this.noteOutcome(outcome, requestFlow, isWrong))
+      .with({ type: 'notice' }, ({ number, payload }) => {
+        const { serviceName } = this.state.options;
+        const intact = Buffer.compare(payload, noticePayload(serviceName, number)) === 0;
+        this.simulation.note({ type: 'notice', caller: this.name, number, intact });
+      })
+      .with({ type: 'notices-missed' }, ({ first, last }) => {
+        const backend = feedFlow === undefined ? '' : this.backendOf(feedFlow);
+        this.simulation.note({
+          type: 'notices-missed',
+          caller: this.name,
+          first,
+          last,
+          backend,
+        });
+      })
+      .exhaustive();
+  }
+
+  private send(packet: Uint8Array): void {
+    const { network } = this.simulation;
+    network.transmit(0, () => this.fabric.takeCallerPacket(packet, this.address, this.service));
+  }
+
+  private noteOutcome(outcome: RequestOutcome, flow: OpenFlow | undefined, isWrong: boolean): void {
+    const { type, requestNumber } = outcome;
+    this.simulation.note({
+      type: 'outcome',
+      caller: this.name,
+      requestNumber,
+      outcome: type,
+      ...(type !== 'answered' && { errorKind: outcome.kind }),
+      ...(flow !== undefined && { flowId: this.flowName(flow), backend: this.backendOf(flow) }),
+      intact: !isWrong,
+    });
+  }
+
+  /** Notes which established flows are gone though the session did not end them. */
+  private noteFlows(isBroken: boolean): void {
+    const { flow, oldFlows, closedFlows } = this.state;
+    const present = flow.phase === 'open' ? [...oldFlows, flow] : oldFlows;
+    for (const [known, { sinceMs }] of this.standing) {
+      if (present.includes(known)) {
+        continue;
+      }
+      this.standing.delete(known);
+      const wasEnded = closedFlows.includes(known) && !isBroken;
+      if (isBroken && !wasEnded) {
+        this.simulation.note({
+          type: 'flow-broken',
+          caller: this.name,
+          flowId: this.flowName(known),
+          backend: this.backendOf(known),
+          establishedAtMs: sinceMs,
+        });
+      }
+    }
+    for (const open of present) {
+      if (!this.standing.has(open)) {
+        this.standing.set(open, { flow: open, sinceMs: this.simulation.nowMs });
+      }
+    }
+  }
+
+  private flowName(flow: OpenFlow): string {
+    return this.simulation.flowName(Buffer.from(flow.flowId).toString('hex'));
+  }
+
+  private backendOf(flow: OpenFlow): string {
+    return this.backendName(readToken(flow.token).backendId);
+  }
+}
--- /dev/null
+++ b/src/sim/simulated-control.ts
@@ -0,0 +1,314 @@
+/**
+ * @file A simulated control machine: the daemon's step and the daemon's storage over a virtual disk and
+ * virtual links. It comes back with what its disk holds.
+ */
+import { match } from 'ts-pattern';
+import type { Address } from '../common/address.js';
+import type { PersistEffect } from '../consensus/persisted-state.js';
+import { operatorTokenHash } from '../control/command-hash.js';
+import { SYSTEM_OPERATOR, type CommandEntry, type CommandOutcome } from '../control/commands.js';
+import {
+  createControlState,
+  isLeader,
+  type ControlEffect,
+  type ControlEvent,
+  type ControlState,
+} from '../control/control-step.js';
+import type { PeerEnvelope } from '../control/peer-messages.js';
+import { ConsensusStorage } from '../daemon/consensus-storage.js';
+import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
+import type { AmberliftError } from '../flow/error-kinds.js';
+import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
+import { configDigest } from './config-digest.js';
+import { SimulatedPeerLinks } from './simulated-peer-links.js';
+import { SimulatedProcess } from './simulated-process.js';
+import type { LinkAcceptor, Simulation } from './simulation.js';
+import { VirtualDisk } from './virtual-disk.js';
+import type { VirtualLinkEnd } from './virtual-links.js';
+
+const TICK_INTERVAL_MS = 20;
+const STOP_POLL_INTERVAL_MS = 5;
+const TRANSFER_TIMEOUT_MS = 2_000;
+const RESTART_AFTER_FAILURE_MS = 500;
+/** The same secret is offered for a while, since drawing one at each tick takes long. */
+const SECRET_LIFETIME_MS = 1_000;
+const FIRST_KEY_ID = 1;
+const BYTE_VALUES = 256;
+const STORAGE_ID_BOUND = 2 ** 31;
+
+/** What a simulated control machine is started with. */
+export interface SimulatedControlOptions {
+  readonly name: string;
+  readonly zone: string;
+  readonly linkAddress: Address;
+  readonly operatorAddress: Address;
+  readonly peers: readonly { readonly nodeId: string; readonly linkAddress: Address }[];
+  readonly clusterKey: string;
+  readonly operators: readonly { readonly name: string; readonly token: string }[];
+}
+
+/** What a question of an operator gave. */
+export interface ShownState {
+  readonly index?: number;
+  readonly error?: AmberliftError;
+  readonly leader?: Address;
+}
+
+/** A control machine. */
+export class SimulatedControl extends SimulatedProcess {
+  readonly disk: VirtualDisk;
+  /** Undefined while it reads its disk. */
+  state: ControlState | undefined;
+  private storage: ConsensusStorage | undefined;
+  private readonly peerLinks: SimulatedPeerLinks;
+  private readonly links = new Map<number, VirtualLinkEnd>();
+  private readonly commands = new Map<number, (outcome: CommandOutcome) => void>();
+  private readonly queries = new Map<number, (shown: ShownState) => void>();
+  private nextLinkId = 1;
+  private nextRequestId = 1;
+  private notedIndex = 0;
+  private secret: Uint8Array = new Uint8Array(TOKEN_KEY_LENGTH_BYTES);
+  private renewSecretAtMs = 0;
+
+  constructor(
+    simulation: Simulation,
+    readonly options: SimulatedControlOptions,
+  ) {
+    super(simulation, 'control', options.name, options.linkAddress.host, options.zone);
+    this.disk = new VirtualDisk(simulation.clock, simulation.fork());
+    this.peerLinks = new SimulatedPeerLinks(simulation, this.host);
+    simulation.listen(options.linkAddress, {
+      host: this.host,
+      isListening: () => this.status !== 'down' && this.state !== undefined,
+      accept: () => this.acceptLink(),
+    });
+  }
+
+  /** True while it believes that it leads. */
+  get leads(): boolean {
+    return this.state !== undefined && isLeader(this.state);
+  }
+
+  /** Puts a command into the log, as the operator interface does. */
+  propose(entry: CommandEntry, done: (outcome: CommandOutcome) => void): void {
+    const requestId = this.takeRequestId();
+    this.commands.set(requestId, done);
+    this.step({ type: 'propose', requestId, entry });
+  }
+
+  /** Asks for the state, as the operator interface does. */
+  show(done: (shown: ShownState) => void): void {
+    const requestId = this.takeRequestId();
+    this.queries.set(requestId, done);
+    this.step({ type: 'query', requestId });
+  }
+
+  /** A planned stop: hands over leadership, then ends. */
+  stop(): void {
+    this.step({ type: 'stop' });
+    this.endOnceHandedOver(this.simulation.nowMs + TRANSFER_TIMEOUT_MS);
+  }
+
+  /** The machine loses power: what its disk had not synced may be lost. */
+  losePower(): void {
+    this.disk.crash();
+    this.links.forEach((link) => link.vanish());
+    this.links.clear();
+    this.peerLinks.vanish();
+    this.crash();
+  }
+
+  protected onStart(): void {
+    const folder = this.simulation.steps.storage(this.disk.open());
+    const makeStorageId = (): string => `disk-${this.random.nextInt(STORAGE_ID_BOUND)}`;
+    this.simulation.clock.notePromise();
+    void ConsensusStorage.open(folder, this.name, makeStorageId).then((storage) => {
+      this.simulation.clock.notePromise();
+      if (storage.isOk()) {
+        this.begin(storage.value);
+      } else {
+        // A damaged disk: the daemon refuses to start.
+        this.crash();
+      }
+    });
+  }
+
+  protected onDown(): void {
+    this.disk.processDied();
+    this.state = undefined;
+    this.storage = undefined;
+    this.commands.clear();
+    this.queries.clear();
+    this.links.forEach((link) => link.close());
+    this.links.clear();
+    this.peerLinks.close();
+  }
+
+  private begin(storage: ConsensusStorage): void {
+    const { linkAddress, operatorAddress, peers, clusterKey } = this.options;
+    this.storage = storage;
+    this.notedIndex = 0;
+    this.state = createControlState({
+      nodeId: this.name,
+      clusterKey,
+      linkAddress,
+      operatorAddress,
+      peers,
+      recovered: storage.recovered,
+    });
+    this.noteApplied();
+    this.every(TICK_INTERVAL_MS, () => this.tick());
+  }
+
+  private tick(): void {
+    const { nowMs, wallTimeMs } = this.simulation;
+    if (nowMs >= this.renewSecretAtMs) {
+      this.secret = this.freshSecret();
+      this.renewSecretAtMs = nowMs + SECRET_LIFETIME_MS;
+    }
+    this.step({ type: 'tick', wallTimeMs, freshSecret: this.secret });
+  }
+
+  private freshSecret(): Uint8Array {
+    return Uint8Array.from({ length: TOKEN_KEY_LENGTH_BYTES }, () =>
+      this.random.nextInt(BYTE_VALUES),
+    );
+  }
+
+  private step(event: ControlEvent): void {
+    this.perform(() => {
+      if (this.state === undefined) {
+        return;
+      }
+      const context = this.simulation.contextFor(this.random);
+      const effects = this.simulation.steps.control(this.state, event, context);
+      this.noteApplied();
+      effects.forEach((effect) => this.performEffect(effect));
+    });
+  }
+
+  private noteApplied(): void {
+    const index = this.state?.cluster.index ?? 0;
+    if (this.state !== undefined && index !== this.notedIndex) {
+      this.notedIndex = index;
+      const digest = configDigest(this.state.cluster.routing);
+      this.simulation.note({ type: 'applied', control: this.name, index, digest });
+    }
+  }
+
+  private performEffect(effect: ControlEffect): void {
+    match(effect)
+      .with({ type: 'persist' }, { type: 'persist-snapshot' }, (write) => this.persist(write))
+      .with({ type: 'peer-send' }, ({ address, envelope }) =>
+        this.peerLinks.send(address, envelope),
+      )
+      .with({ type: 'link-send' }, ({ linkId, message }) => this.links.get(linkId)?.send(message))
+      .with({ type: 'operator-reply' }, ({ requestId, outcome }) => {
+        const done = this.commands.get(requestId);
+        this.commands.delete(requestId);
+        done?.(outcome);
+      })
+      .with({ type: 'query-reply' }, ({ requestId, error, leader }) => {
+        const done = this.queries.get(requestId);
+        this.queries.delete(requestId);
+        const index = this.state?.cluster.index ?? 0;
+        done?.(error === undefined ? { index } : { error, ...(leader && { leader }) });
+      })
+      .with({ type: 'role-changed' }, () => this.noteRole())
+      .exhaustive();
+  }
+
+  private persist(effect: PersistEffect): void {
+    const { writeId } = effect;
+    const { storage } = this;
+    this.simulation.clock.notePromise();
+    storage?.persist(effect).then(
+      () => this.endWrite(storage, { type: 'persisted', writeId }),
+      (cause: unknown) =>
+        this.endWrite(storage, { type: 'persist-failed', writeId, reason: String(cause) }),
+    );
+  }
+
+  /** A machine whose disk fails takes part in nothing; the platform starts it again. */
+  private endWrite(storage: ConsensusStorage, event: ControlEvent): void {
+    if (storage !== this.storage) {
+      return;
+    }
+    this.simulation.clock.notePromise();
+    this.step(event);
+    if (event.type === 'persist-failed') {
+      this.later(RESTART_AFTER_FAILURE_MS, () => this.crash());
+    }
+  }
+
+  private noteRole(): void {
+    if (this.state === undefined) {
+      return;
+    }
+    const { role, term } = this.state.consensus;
+    this.simulation.note({ type: 'role', control: this.name, role: role.name, term });
+    if (isLeader(this.state) && this.state.cluster.operators.size === 0) {
+      this.proposeFirstCommands();
+    }
+  }
+
+  private proposeFirstCommands(): void {
+    const operators = this.options.operators.map(({ name, token }) => ({
+      name,
+      tokenHash: operatorTokenHash(token),
+    }));
+    const firstCommands: CommandEntry[] = [
+      {
+        commandId: 'bootstrap-operators',
+        operator: SYSTEM_OPERATOR,
+        command: { type: 'set-operators', operators },
+      },
+      {
+        commandId: 'bootstrap-token-key',
+        operator: SYSTEM_OPERATOR,
+        command: {
+          type: 'set-token-key',
+          id: FIRST_KEY_ID,
+          secret: this.freshSecret(),
+          state: 'current',
+        },
+      },
+    ];
+    firstCommands.forEach((entry) => this.propose(entry, () => undefined));
+  }
+
+  private acceptLink(): LinkAcceptor {
+    const linkId = this.nextLinkId;
+    this.nextLinkId += 1;
+    return {
+      opened: (end) => this.links.set(linkId, end),
+      onMessage: (message) => this.takeMessage(linkId, message),
+      onClose: () => {
+        this.links.delete(linkId);
+        this.step({ type: 'link-closed', linkId });
+      },
+    };
+  }
+
+  private takeMessage(linkId: number, message: unknown): void {
+    if ((message as { type?: unknown }).type === 'peer') {
+      this.step({ type: 'peer-message', envelope: message as PeerEnvelope });
+    } else {
+      this.step({ type: 'link-message', linkId, message: message as BalancerToControlMessage });
+    }
+  }
+
+  private takeRequestId(): number {
+    const requestId = this.nextRequestId;
+    this.nextRequestId += 1;
+    return requestId;
+  }
+
+  private endOnceHandedOver(deadlineAtMs: number): void {
+    if (this.leads && this.simulation.nowMs < deadlineAtMs) {
+      this.later(STOP_POLL_INTERVAL_MS, () => this.endOnceHandedOver(deadlineAtMs));
+      return;
+    }
+    this.stopped(0);
+  }
+}
--- /dev/null
+++ b/src/sim/simulated-fabric.ts
@@ -0,0 +1,88 @@
+/**
+ * @file The simulated fabric: the stand-in's step. Its list of balancers is the platform's, which lags.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import type { FabricEffect, FabricEvent, FabricState } from '../standins/fabric-step.js';
+import { readPacket } from './packet-notes.js';
+import type { SimulatedBalancer } from './simulated-balancer.js';
+import type { SimulatedCaller } from './simulated-caller.js';
+import { SimulatedProcess } from './simulated-process.js';
+import type { Simulation } from './simulation.js';
+
+const HOST = '10.2.0.1';
+const PORT = 5000;
+const ZONE = 'zone-a';
+
+/** The fabric. */
+export class SimulatedFabric extends SimulatedProcess {
+  readonly returnAddress: Address = { host: HOST, port: PORT };
+  private readonly state: FabricState;
+  private readonly callers = new Map<string, SimulatedCaller>();
+  private readonly balancerNames = new Map<string, string>();
+
+  constructor(simulation: Simulation) {
+    super(simulation, 'fabric', 'fabric', HOST, ZONE);
+    // Delays between hosts are the network's; the fabric adds the way to the callers.
+    const options = { zone: ZONE, crossZoneDelayMs: 0, callerDelayMs: 1 };
+    this.state = { options, balancers: [] };
+  }
+
+  addCaller(caller: SimulatedCaller): void {
+    this.callers.set(formatAddress(caller.address), caller);
+  }
+
+  /** A packet from a caller. */
+  takeCallerPacket(packet: Uint8Array, client: Address, service: Address): void {
+    this.step({ type: 'caller-packet', packet, client, service });
+  }
+
+  /** The list that the fabric sprays over from now on. */
+  setList(balancers: readonly SimulatedBalancer[]): void {
+    balancers.forEach(({ front, name }) => this.balancerNames.set(formatAddress(front), name));
+    this.simulation.note({ type: 'list', balancers: balancers.map(({ name }) => name) });
+    const list = balancers.map(({ front, zone }) => ({ address: front, zone }));
+    this.step({ type: 'list', balancers: list });
+  }
+
+  protected onStart(): void {
+    this.simulation.network.bind(this.returnAddress, (datagram) =>
+      this.step({ type: 'return-datagram', datagram }),
+    );
+  }
+
+  protected onDown(): void {
+    this.state.balancers = [];
+  }
+
+  private step(event: FabricEvent): void {
+    this.perform(() => {
+      const context = this.simulation.contextFor(this.random);
+      const effects = this.simulation.steps.fabric(this.state, event, context);
+      effects.forEach((effect) => this.performEffect(effect));
+    });
+  }
+
+  private performEffect(effect: FabricEffect): void {
+    const { network } = this.simulation;
+    if (effect.type === 'to-balancer') {
+      this.notePacket(effect.datagram, effect.to);
+      network.send(this.returnAddress, effect.to, effect.datagram, effect.delayMs);
+      return;
+    }
+    const { client, packet, delayMs } = effect;
+    const caller = this.callers.get(formatAddress(client));
+    if (caller !== undefined) {
+      network.transmit(delayMs, () => caller.takePacket(packet));
+    }
+  }
+
+  private notePacket(datagram: Uint8Array, to: Address): void {
+    const packet = this.simulation.trace.keepsPackets
+      ? readPacket(this.simulation, datagram)
+      : undefined;
+    if (packet !== undefined) {
+      const balancer = this.balancerNames.get(formatAddress(to)) ?? formatAddress(to);
+      this.simulation.note({ type: 'packet', from: 'fabric', to: balancer, ...packet });
+    }
+  }
+}
--- /dev/null
+++ b/src/sim/simulation.ts
@@ -0,0 +1,90 @@
+/**
+ * @file What all simulated processes share: clock, network, trace, random sources and the registry of
+ * those who listen.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import { seededRandom } from '../common/random.js';
+import type { RandomSource, StepContext } from '../common/step.js';
+import type { SimulatedSteps } from './simulated-steps.js';
+import { Trace, type TraceFact, type TraceListener } from './trace.js';
+import { VirtualClock } from './virtual-clock.js';
+import type { VirtualLinkEnd } from './virtual-links.js';
+import { VirtualNetwork } from './virtual-network.js';
+
+const SEED_BOUND = 2 ** 31;
+/** Time of day at the start, in Unix milliseconds. */
+const START_WALL_TIME_MS = Date.UTC(2026, 11, 2);
+const DELAYS = { withinZoneMs: 0.2, betweenZonesMs: 0.5 };
+
+/** Takes links that are opened to an address. */
+export interface LinkListener {
+  readonly host: string;
+  /** True while the process takes links. */
+  isListening(): boolean;
+  /** @returns the handlers of the listening end, and a way to be told that end */
+  accept(): LinkAcceptor;
+}
+
+/** The listening side of one new link. */
+export interface LinkAcceptor {
+  opened(end: VirtualLinkEnd): void;
+  onMessage(message: unknown): void;
+  onClose(): void;
+}
+
+/** The shared parts of one run. */
+export class Simulation {
+  readonly clock = new VirtualClock();
+  readonly network: VirtualNetwork;
+  readonly trace: Trace;
+  readonly random: RandomSource;
+  readonly linkListeners = new Map<string, LinkListener>();
+  private readonly flowIds = new Map<string, string>();
+
+  constructor(
+    seed: number,
+    readonly steps: SimulatedSteps,
+    listener: TraceListener,
+    keepsPackets: boolean,
+  ) {
+    this.random = seededRandom(seed);
+    this.network = new VirtualNetwork(this.clock, this.fork(), DELAYS);
+    this.trace = new Trace(() => this.clock.nowMs, listener, keepsPackets);
+  }
+
+  get nowMs(): number {
+    return this.clock.nowMs;
+  }
+
+  get wallTimeMs(): number {
+    return START_WALL_TIME_MS + Math.floor(this.clock.nowMs);
+  }
+
+  /** @returns a random source of its own, so that one process's draws don't shift another's */
+  fork(): RandomSource {
+    return seededRandom(this.random.nextInt(SEED_BOUND));
+  }
+
+  contextFor(random: RandomSource): StepContext {
+    return { nowMs: this.clock.nowMs, random };
+  }
+
+  note(fact: TraceFact): void {
+    this.trace.note(fact);
+  }
+
+  listen(address: Address, listener: LinkListener): void {
+    this.linkListeners.set(formatAddress(address), listener);
+  }
+
+  /** @returns the short name of a flow in the trace, by its ID in hex */
+  flowName(flowId: string): string {
+    const known = this.flowIds.get(flowId);
+    if (known !== undefined) {
+      return known;
+    }
+    const name = `flow-${this.flowIds.size + 1}`;
+    this.flowIds.set(flowId, name);
+    return name;
+  }
+}
--- /dev/null
+++ b/src/sim/world.ts
@@ -0,0 +1,334 @@
+/**
+ * @file A simulated world: control machines, balancers, back ends, callers, the fabric and the operators
+ * of both partners, all running the steps that the daemons run.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import type { CommandOutcome, OperatorCommand } from '../control/commands.js';
+import { noticePayload } from './notice-payload.js';
+import { SimulatedBackend } from './simulated-backend.js';
+import { SimulatedBalancer } from './simulated-balancer.js';
+import { SimulatedCaller } from './simulated-caller.js';
+import { SimulatedControl } from './simulated-control.js';
+import { SimulatedFabric } from './simulated-fabric.js';
+import { SimulatedOperator } from './simulated-operator.js';
+import { productSteps, type SimulatedSteps } from './simulated-steps.js';
+import { Simulation } from './simulation.js';
+import type { TraceListener } from './trace.js';
+import { zoneOf, type ServicePlan, type WorldPlan } from './world-plan.js';
+
+const CLUSTER_KEY = 'simulated-cluster-key';
+const PORT = 7000;
+const SETUP_LIMIT_MS = 20_000;
+const SETUP_STEP_MS = 100;
+const FIRST_LIST_DELAY_MS = 500;
+const ANSWER_BYTES = 2_500;
+const MAX_REQUESTS = 10_000;
+const REQUEST_NUMBERS_PER_CALLER = 100_000;
+const LAST_NOTICE = 1_000_000;
+const DAY_MS = 86_400_000;
+
+/** What a world is made with. */
+export interface WorldOptions {
+  readonly seed: number;
+  readonly plan: WorldPlan;
+  readonly listener: TraceListener;
+  readonly steps?: SimulatedSteps;
+  /** True where the trace keeps every packet. */
+  readonly keepsPackets?: boolean;
+}
+
+/** A back end as the operators know it. */
+export interface PlacedBackend {
+  readonly process: SimulatedBackend;
+  readonly service: ServicePlan;
+  /** Its ID, once the operator was told. */
+  backendId: number | undefined;
+  /** What its operator wants at present, as far as they sent it. */
+  wish: 'active' | 'draining' | 'retired';
+}
+
+/** Builds a world and gives its processes to scenarios. */
+export class World {
+  readonly simulation: Simulation;
+  readonly plan: WorldPlan;
+  readonly controls: SimulatedControl[] = [];
+  readonly balancers: SimulatedBalancer[] = [];
+  readonly backends: PlacedBackend[] = [];
+  readonly callers: SimulatedCaller[] = [];
+  readonly operators = new Map<string, SimulatedOperator>();
+  readonly fabric: SimulatedFabric;
+  private readonly directory = { byHealthAddress: new Map<string, SimulatedBackend>() };
+  private readonly backendNames = new Map<number, string>();
+  private nextNotice = 1;
+  private nextBackendNumber = 1;
+
+  constructor(options: WorldOptions) {
+    const { seed, plan, listener, steps = productSteps, keepsPackets = false } = options;
+    this.plan = plan;
+    this.simulation = new Simulation(seed, steps, listener, keepsPackets);
+    this.fabric = new SimulatedFabric(this.simulation);
+    this.createControls();
+    this.createOperators();
+    this.createBalancers();
+  }
+
+  /** Starts everything, and runs until the configuration is in force and callers call. */
+  async setUp(): Promise<void> {
+    const { controls, balancers, fabric, operators } = this;
+    fabric.start();
+    [...controls, ...operators.values()].forEach((process) => process.start());
+    await this.runUntilTrue(() => this.operatorsKnown());
+    this.plan.services.forEach((service, position) => this.defineService(service, position));
+    await this.runUntilTrue(() => this.isEverythingAnswered());
+    balancers.forEach((balancer) => balancer.start());
+    await this.runUntilTrue(() => this.isInForceEverywhere());
+    await this.run(FIRST_LIST_DELAY_MS);
+    fabric.setList(balancers);
+    this.plan.services.forEach((service, position) => this.startCallers(service, position));
+  }
+
+  async run(durationMs: number): Promise<void> {
+    await this.simulation.clock.runUntil(this.simulation.nowMs + durationMs);
+  }
+
+  after(delayMs: number, action: () => void): void {
+    this.simulation.clock.after(delayMs, action);
+  }
+
+  /** Sends a command of the operator who owns the service. */
+  command(
+    service: ServicePlan,
+    subject: string,
+    command: OperatorCommand,
+    done?: (outcome: CommandOutcome) => void,
+  ): void {
+    this.operators.get(service.owner)?.send({ command, subject, service: service.name }, done);
+  }
+
+  /** Adds a back end process and tells its operator to take it in. */
+  addBackend(service: ServicePlan, address?: Address): PlacedBackend {
+    const placed = this.placeBackend(service, address);
+    const { process } = placed;
+    const command: OperatorCommand = {
+      type: 'add-backend',
+      service: service.name,
+      address: process.address,
+      healthAddress: process.address,
+      zone: process.zone,
+    };
+    this.command(service, process.name, command, (outcome) => {
+      placed.backendId = outcome.accepted ? outcome.backendId : undefined;
+    });
+    return placed;
+  }
+
+  /** Publishes the next notice to the back ends of a service. */
+  publish(service: ServicePlan): void {
+    const number = this.nextNotice;
+    this.nextNotice += 1;
+    this.simulation.note({ type: 'published', service: service.name, number });
+    const payload = noticePayload(service.name, number);
+    const backends = this.backends.filter(({ service: of }) => of === service);
+    backends.forEach(({ process }) => process.publish(number, payload));
+  }
+
+  /** The platform tells the fabric, after its lag, which balancers live. */
+  updateList(): void {
+    const lagMs = this.simulation.random.nextFloat() * this.plan.platformLagMs;
+    const live = this.balancers.filter(({ isListed }) => isListed);
+    this.after(lagMs, () => this.fabric.setList(live));
+  }
+
+  /** @returns the process name of a back end by its ID, also once it is retired */
+  backendName(backendId: number): string {
+    const known = this.backendNames.get(backendId);
+    if (known !== undefined) {
+      return known;
+    }
+    for (const { state } of this.controls) {
+      const address = state?.cluster.routing.backends.get(backendId)?.address;
+      const process = address && this.directory.byHealthAddress.get(formatAddress(address));
+      if (process !== undefined) {
+        this.backendNames.set(backendId, process.name);
+        return process.name;
+      }
+    }
+    return `back end ${backendId}`;
+  }
+
+  /** Runs until a condition holds; throws where it does not in time. */
+  async runUntilTrue(condition: () => boolean, limitMs = SETUP_LIMIT_MS): Promise<void> {
+    const endMs = this.simulation.nowMs + limitMs;
+    while (!condition()) {
+      if (this.simulation.nowMs >= endMs) {
+        throw new Error(`The world was not as expected after ${limitMs} ms.`);
+      }
+      await this.run(SETUP_STEP_MS);
+    }
+  }
+
+  isEverythingAnswered(): boolean {
+    return [...this.operators.values()].every(({ unanswered }) => unanswered === 0);
+  }
+
+  /** The highest index that a control machine has applied. */
+  appliedIndex(): number {
+    return Math.max(0, ...this.controls.map(({ state }) => state?.cluster.index ?? 0));
+  }
+
+  private isInForceEverywhere(): boolean {
+    const index = this.appliedIndex();
+    return this.balancers.every(({ state }) => state.position.index === index);
+  }
+
+  private operatorsKnown(): boolean {
+    return this.controls.some(
+      ({ leads, state }) =>
+        leads &&
+        state !== undefined &&
+        state.cluster.operators.size > 0 &&
+        state.cluster.routing.keys.size > 0,
+    );
+  }
+
+  private createControls(): void {
+    const names = Array.from({ length: this.plan.controls }, (_, position) => ({
+      nodeId: `control-${position + 1}`,
+      linkAddress: { host: `10.4.0.${position + 1}`, port: PORT },
+      operatorAddress: { host: `10.4.0.${position + 1}`, port: PORT + 1 },
+    }));
+    const owners = new Set(this.plan.services.map(({ owner }) => owner));
+    const operators = [...owners].map((name) => ({ name, token: `token-${name}` }));
+    names.forEach(({ nodeId, linkAddress, operatorAddress }, position) => {
+      const control = new SimulatedControl(this.simulation, {
+        name: nodeId,
+        zone: zoneOf(position),
+        linkAddress,
+        operatorAddress,
+        peers: names.filter((other) => other.nodeId !== nodeId),
+        clusterKey: CLUSTER_KEY,
+        operators,
+      });
+      this.controls.push(control);
+    });
+  }
+
+  private createOperators(): void {
+    const owners = new Set(this.plan.services.map(({ owner }) => owner));
+    [...owners].forEach((name, position) => {
+      const host = `10.7.0.${position + 1}`;
+      const operator = new SimulatedOperator(this.simulation, name, host, this.controls);
+      this.operators.set(name, operator);
+    });
+  }
+
+  private createBalancers(): void {
+    const controlAddresses = this.controls.map(({ options }) => options.linkAddress);
+    for (let position = 0; position < this.plan.balancers; position += 1) {
+      const first = position % controlAddresses.length;
+      const options = {
+        name: `balancer-${position + 1}`,
+        host: `10.3.0.${position + 1}`,
+        zone: zoneOf(position),
+        controlAddresses: [...controlAddresses.slice(first), ...controlAddresses.slice(0, first)],
+        clusterKey: CLUSTER_KEY,
+        stopGraceMs: this.plan.stopGraceMs,
+      };
+      this.balancers.push(new SimulatedBalancer(this.simulation, options, this.directory));
+    }
+  }
+
+  private defineService(service: ServicePlan, position: number): void {
+    const define: OperatorCommand = {
+      type: 'define-service',
+      service: service.name,
+      address: serviceAddress(position),
+      policy: 'adaptive',
+      limits: {},
+    };
+    this.command(service, service.name, define, () => {
+      for (let number = 0; number < service.backends; number += 1) {
+        this.addBackend(service);
+      }
+    });
+  }
+
+  private placeBackend(service: ServicePlan, givenAddress?: Address): PlacedBackend {
+    const number = this.nextBackendNumber;
+    this.nextBackendNumber += 1;
+    const address = givenAddress ?? { host: `10.5.0.${number}`, port: PORT };
+    const faults = this.plan.backendFaults.get(number - 1);
+    const process = new SimulatedBackend(
+      this.simulation,
+      {
+        name: `${service.name}-${number}`,
+        zone: zoneOf(number),
+        address,
+        options: {
+          serviceName: service.name,
+          serviceAddress: serviceAddress(this.plan.services.indexOf(service)),
+          fabricAddress: this.fabric.returnAddress,
+          slots: 2,
+          connectionLimit: 2_000,
+          queueLimit: 100,
+          meanServiceTimeMs: this.plan.meanServiceTimeMs,
+          warmUpMs: 200,
+          halfOpenTimeoutMs: 10_000,
+          tuning: this.plan.backendTuning,
+          ...(faults !== undefined && { faults }),
+        },
+      },
+      (from) => this.balancerAt(from),
+    );
+    this.directory.byHealthAddress.set(formatAddress(address), process);
+    const placed: PlacedBackend = { process, service, backendId: undefined, wish: 'active' };
+    this.backends.push(placed);
+    process.start();
+    return placed;
+  }
+
+  private balancerAt(address: Address): string {
+    const balancer = this.balancers.find(({ host }) => host === address.host);
+    return balancer?.name ?? formatAddress(address);
+  }
+
+  private startCallers(service: ServicePlan, servicePosition: number): void {
+    for (let number = 0; number < service.callers + service.feeds; number += 1) {
+      this.startCaller(service, servicePosition, number >= service.callers);
+    }
+  }
+
+  private startCaller(service: ServicePlan, servicePosition: number, hasFeed: boolean): void {
+    const position = this.callers.length;
+    const feed = { afterNotice: 0, lastNotice: LAST_NOTICE, deadlineMs: DAY_MS };
+    const caller = new SimulatedCaller(
+      this.simulation,
+      {
+        name: `caller-${position + 1}`,
+        host: `10.6.0.${position + 1}`,
+        service: serviceAddress(servicePosition),
+        options: {
+          serviceName: service.name,
+          requestCount: MAX_REQUESTS,
+          firstRequestNumber: position * REQUEST_NUMBERS_PER_CALLER,
+          answerBytes: ANSWER_BYTES,
+          pauseMs: this.plan.pauseMs,
+          requestDeadlineMs: this.plan.requestDeadlineMs,
+          openDeadlineMs: 2_000,
+          retransmitMs: 250,
+          retransmitMaxMs: 1_000,
+          ...(hasFeed && { feed }),
+        },
+      },
+      this.fabric,
+      (backendId) => this.backendName(backendId),
+    );
+    this.callers.push(caller);
+    this.fabric.addCaller(caller);
+    caller.start();
+  }
+}
+
+function serviceAddress(position: number): Address {
+  return { host: `10.1.0.${position + 1}`, port: PORT };
+}
--- /dev/null
+++ b/test/sim/scenarios.test.ts
@@ -0,0 +1,52 @@
+/** @file Scenarios on the product's own steps: one seed gives one trace, and no check is violated. */
+import t from 'tap';
+import { runScenario } from '../../src/sim/run-scenario.js';
+import { findScenario, scenarios } from '../../src/sim/scenarios/index.js';
+import type { Scenario } from '../../src/sim/scenarios/scenario.js';
+import { World } from '../../src/sim/world.js';
+import { smallWorld } from '../../src/sim/world-plan.js';
+
+function scenarioNamed(name: string): Scenario {
+  const scenario = findScenario(name);
+  if (scenario === undefined) {
+    throw new Error(`There is no scenario ${name}.`);
+  }
+  return scenario;
+}
+
+t.test('one seed gives one trace, byte for byte, packets included', async (t) => {
+  const chaos = { ...scenarioNamed('chaos'), durationMs: 8_000 };
+  const first = await runScenario(chaos, 5, { keepsPackets: true });
+  const second = await runScenario(chaos, 5, { keepsPackets: true });
+  const other = await runScenario(chaos, 6, { keepsPackets: true });
+  t.ok(first.events > 500);
+  t.equal(second.digest, first.digest);
+  t.not(other.digest, first.digest);
+});
+
+t.test('a cluster of three empty machines forms from every seed', async (t) => {
+  const services = smallWorld.services.map((service) => ({
+    ...service,
+    backends: 0,
+    callers: 0,
+    feeds: 0,
+  }));
+  const plan = { ...smallWorld, services, balancers: 0 };
+  for (let seed = 1; seed <= 12; seed += 1) {
+    const world = new World({ seed, plan, listener: { note: () => undefined } });
+    await t.resolves(world.setUp(), `seed ${seed}`);
+  }
+});
+
+for (const name of ['quiet', 'drain', 'rolling-restart']) {
+  t.test(`planned changes do no harm: ${name}`, async (t) => {
+    const report = await runScenario(scenarioNamed(name), 1);
+    t.strictSame(report.violations, []);
+    t.ok(report.outcomes > 100);
+  });
+}
+
+t.test('every scenario has a name of its own and a description', async (t) => {
+  t.equal(new Set(scenarios.map(({ name }) => name)).size, scenarios.length);
+  t.ok(scenarios.every(({ description }) => description.length > 0));
+});
