--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 import { registerCtl } from './ctl.js';
 import { registerDemo } from './demo.js';
 import { registerFabric } from './fabric.js';
+import { registerSimulate } from './simulate.js';
 
 const ARGUMENTS_BEFORE_COMMAND = 2;
 
@@ -26,6 +27,7 @@
   registerBackend,
   registerFabric,
   registerCallers,
+  registerSimulate,
 ];
 
 /**
--- /dev/null
+++ b/src/cli/simulate.ts
@@ -0,0 +1,121 @@
+/**
+ * @file `amberlift simulate`: runs scenarios on the simulator, and has the oracle judge them.
+ */
+import type { CAC } from 'cac';
+import { Presets, SingleBar } from 'cli-progress';
+import Table from 'cli-table3';
+import { exitCodes } from '../flow/error-kinds.js';
+import { findScenario, scenarios } from '../sim/scenarios/index.js';
+import type { Scenario } from '../sim/scenarios/scenario.js';
+import {
+  planRuns,
+  simulate,
+  type SimulationProgress,
+  type SimulationReport,
+} from '../sim/simulate.js';
+import { writeTraceFile } from '../sim/violation-file.js';
+
+interface SimulateFlags {
+  readonly seed: number;
+  readonly runs: number;
+  readonly scenario: string;
+  readonly jobs: number;
+  readonly traces: string;
+  readonly record?: boolean;
+  readonly json?: boolean;
+}
+
+const ALL = 'all';
+const MAX_TRACE_FILES = 3;
+
+/**
+ * Registers the subcommand.
+ */
+export function registerSimulate(cli: CAC): void {
+  const names = [...scenarios.map(({ name }) => name), ALL].join(', ');
+  cli
+    .command('simulate', 'Run scenarios in the simulator and check what must always hold')
+    .option('--seed <n>', 'Seed of the first run; each run takes the next one', { default: 1 })
+    .option('--runs <count>', 'Runs', { default: 20 })
+    .option('--scenario <name>', `One of ${names}`, { default: ALL })
+    .option('--jobs <count>', 'Worker threads', { default: 3 })
+    .option('--traces <folder>', 'Where traces of failed runs go', { default: 'simulate-traces' })
+    .option('--record', 'Write the trace of the first run whatever came of it')
+    .option('--json', 'Print the figures as one line of JSON, last')
+    .action(run);
+}
+
+async function run(flags: SimulateFlags): Promise<void> {
+  const chosen = chooseScenarios(flags.scenario);
+  const requests = planRuns(chosen, flags.runs, flags.seed);
+  const report = await simulate(requests, flags.jobs, terminalProgress());
+  process.stdout.write(`${describe(report)}\n`);
+  await writeTraces(flags, report);
+  if (flags.json === true) {
+    process.stdout.write(`${JSON.stringify(report)}\n`);
+  }
+  process.exitCode = report.violations === 0 ? exitCodes.success : exitCodes.failure;
+}
+
+function chooseScenarios(name: string): readonly Scenario[] {
+  if (name === ALL) {
+    return scenarios;
+  }
+  const found = findScenario(name);
+  if (found === undefined) {
+    throw new Error(`--scenario: there is no scenario ${name}.`);
+  }
+  return [found];
+}
+
+async function writeTraces(flags: SimulateFlags, report: SimulationReport): Promise<void> {
+  const failed = report.failedRuns.slice(0, MAX_TRACE_FILES);
+  const first = { scenario: chooseScenarios(flags.scenario)[0]?.name ?? '', seed: flags.seed };
+  for (const { scenario, seed } of flags.record === true ? [first, ...failed] : failed) {
+    const found = findScenario(scenario);
+    if (found !== undefined) {
+      const path = await writeTraceFile(flags.traces, found, seed);
+      process.stdout.write(`Trace of ${scenario} with seed ${seed}: ${path}\n`);
+    }
+  }
+}
+
+function describe(report: SimulationReport): string {
+  const table = new Table({ head: ['figure', 'value'] });
+  const { runs, faults, outcomes, virtualSeconds, wallSeconds, violations } = report;
+  const figures = { runs, faults, outcomes, virtualSeconds, wallSeconds, violations };
+  for (const [figure, value] of Object.entries(figures)) {
+    table.push([figure, value]);
+  }
+  for (const [check, count] of Object.entries(report.violationsByCheck)) {
+    table.push([`violations of ${check}`, count]);
+  }
+  const failed = report.failedRuns.flatMap(({ scenario, seed, violations: found }) =>
+    found
+      .slice(0, MAX_TRACE_FILES)
+      .map(
+        ({ check, atMs, text }) =>
+          `${scenario} ${seed}: ${check} at ${Math.round(atMs)} ms: ${text}`,
+      ),
+  );
+  return [table.toString(), ...failed].join('\n');
+}
+
+/** A progress bar on a terminal, nothing elsewhere. */
+function terminalProgress(): SimulationProgress {
+  if (!process.stderr.isTTY) {
+    return () => undefined;
+  }
+  const bar = new SingleBar({ format: 'Runs {bar} {value}/{total}' }, Presets.legacy);
+  let barStarted = false;
+  return (done, total) => {
+    if (!barStarted) {
+      bar.start(total, 0);
+      barStarted = true;
+    }
+    bar.update(done);
+    if (done === total) {
+      bar.stop();
+    }
+  };
+}
--- /dev/null
+++ b/test/sim/simulate.test.ts
@@ -0,0 +1,30 @@
+/** @file `amberlift simulate`: which runs are done, and what is written of a failed one. */
+import { mkdtempSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import t from 'tap';
+import { findScenario, scenarios } from '../../src/sim/scenarios/index.js';
+import { planRuns, summarizeRun } from '../../src/sim/simulate.js';
+import { writeTraceFile, type TraceFileHeader } from '../../src/sim/violation-file.js';
+
+const quiet = findScenario('quiet');
+
+t.test('scenarios take turns and seeds go up', async (t) => {
+  const runs = planRuns(scenarios, scenarios.length + 1, 7);
+  t.strictSame(runs.at(-1), { scenario: scenarios[0]?.name, seed: 7 + scenarios.length });
+});
+
+t.test('the trace file holds the run: seed, digest and every event', async (t) => {
+  if (quiet === undefined) {
+    throw new Error('There is no scenario quiet.');
+  }
+  const scenario = { ...quiet, durationMs: 500 };
+  const folder = mkdtempSync(join(tmpdir(), 'amberlift-trace-'));
+  t.teardown(() => rmSync(folder, { recursive: true }));
+  const path = await writeTraceFile(folder, scenario, 3);
+  const [first = '', ...events] = readFileSync(path, 'utf8').trimEnd().split('\n');
+  const header = JSON.parse(first) as TraceFileHeader;
+  t.match(header, { scenario: 'quiet', seed: 3, violations: [] });
+  t.ok(events.some((line) => line.includes('"type":"packet"')));
+  t.equal((await summarizeRun(scenario, 3)).seed, 3);
+});
