Give the placement world's balancers a lease that never runs out

Change: its balancers hold a lease for good, and the time is passed. Behaviour of the bench is as before.

--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -122,15 +122,16 @@
 
   private addBalancer(number: number): void {
     const zone = ZONES[number % ZONES.length] ?? ZONES[0];
-    this.balancers.push(
-      createBalancerState({
-        ...defaultBalancerOptions,
-        balancerId: `balancer-${number}`,
-        zone,
-        controlAddresses: [],
-        clusterKey: '',
-      }),
-    );
+    const balancer = createBalancerState({
+      ...defaultBalancerOptions,
+      balancerId: `balancer-${number}`,
+      zone,
+      controlAddresses: [],
+      clusterKey: '',
+    });
+    // No control machine is a part of this world, so the lease never runs out.
+    balancer.subscription.lease.expiresAtMs = Number.POSITIVE_INFINITY;
+    this.balancers.push(balancer);
   }
 
   /** Sends the present configuration to all balancers. */
@@ -240,7 +241,7 @@
       return;
     }
     const envelope = { client: CLIENT, service: SERVICE_ADDRESS, packet: flow.packet };
-    const routed = routeEstablished(this.anyBalancer(), envelope);
+    const routed = routeEstablished(this.anyBalancer(), envelope, this.agenda.nowMs);
     if (routed.isErr() || routed.value.port !== flow.target.backend.address.port) {
       this.counts.brokenFlows += 1;
       this.endFlow(flow);
