Add membership among balancers by SWIM, a zone dense and other zones thin

Cause: balancers knew nothing of each other; sharing of probes, relays and limits need to know who is alive in the zone and how many there are in all.

Datagrams carry a hash under the cluster key. Not wired into the daemon yet.

--- /dev/null
+++ b/src/membership/gossip-codec.ts
@@ -0,0 +1,178 @@
+/**
+ * @file The datagrams of membership as bytes: 8 bytes of SipHash-2-4 under a key made from the cluster
+ * key, then MessagePack. Records are arrays, since names of fields would be most of a datagram.
+ */
+import { createHash } from 'node:crypto';
+import { Packr } from 'msgpackr';
+import { err, ok, type Result } from 'neverthrow';
+import siphash from 'siphash';
+import { z } from 'zod';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
+import type { GossipMessage, ZoneSummary } from './gossip-messages.js';
+import type { MemberAddresses, MemberRecord, MemberStatus } from './member.js';
+
+const MAC_LENGTH_BYTES = 8;
+const KEY_LENGTH_BYTES = 16;
+const MAX_PORT = 65_535;
+const STATUSES: readonly MemberStatus[] = ['alive', 'suspect', 'dead', 'left'];
+const TYPES: readonly GossipMessage['type'][] = ['ping', 'ping-request', 'ack', 'sync', 'zones'];
+
+const packr = new Packr({ useRecords: false });
+
+const count = z.number().int().min(0);
+const port = count.max(MAX_PORT);
+const addressFields = z.tuple([z.string(), port, port]);
+const recordFields = z.tuple([
+  z.string().min(1),
+  count,
+  count.max(STATUSES.length - 1),
+  z.string(),
+  port,
+  port,
+]);
+const zoneFields = z.tuple([z.string(), count, count, z.array(addressFields)]);
+const messageFields = z.tuple([
+  count.max(TYPES.length - 1),
+  z.string(),
+  recordFields,
+  z.array(recordFields),
+  z.array(zoneFields),
+  /** Sequence; 0 where the type has none. */
+  count,
+  /** Digest, target or whether an answer is wanted, by type. */
+  z.union([count, addressFields, z.boolean()]),
+]);
+
+type AddressFields = z.infer<typeof addressFields>;
+type RecordFields = z.infer<typeof recordFields>;
+type ZoneFields = z.infer<typeof zoneFields>;
+type MessageFields = z.infer<typeof messageFields>;
+
+/** The key under which a cluster's datagrams are hashed. */
+export type GossipKey = PreparedTokenKey;
+
+/**
+ * @returns the key that belongs to a cluster key
+ */
+export function gossipKey(clusterKey: string): GossipKey {
+  const digest = createHash('sha256').update(`gossip:${clusterKey}`).digest();
+  return prepareTokenKey(digest.subarray(0, KEY_LENGTH_BYTES));
+}
+
+/**
+ * @returns the datagram
+ */
+export function encodeGossip(message: GossipMessage, key: GossipKey): Buffer {
+  const body = packr.pack(toFields(message));
+  return Buffer.concat([macOf(body, key), body]);
+}
+
+/**
+ * @returns the message; `wrong-cluster` where the hash does not fit, `malformed-datagram` where the
+ *   rest does not; never throws
+ */
+export function decodeGossip(
+  datagram: Uint8Array,
+  key: GossipKey,
+): Result<GossipMessage, AmberliftError> {
+  const body = datagram.subarray(MAC_LENGTH_BYTES);
+  const mac = datagram.subarray(0, MAC_LENGTH_BYTES);
+  if (!macOf(body, key).equals(mac)) {
+    return err(amberliftError('wrong-cluster', 'The datagram was made with another cluster key.'));
+  }
+  const parsed = messageFields.safeParse(unpack(body));
+  if (!parsed.success) {
+    return err(amberliftError('malformed-datagram', 'The datagram is no gossip message.'));
+  }
+  return fromFields(parsed.data);
+}
+
+function unpack(body: Uint8Array): unknown {
+  try {
+    return packr.unpack(body);
+  } catch {
+    return undefined;
+  }
+}
+
+function macOf(body: Uint8Array, key: GossipKey): Buffer {
+  const { h, l } = siphash.hash(key, body);
+  const mac = Buffer.alloc(MAC_LENGTH_BYTES);
+  mac.writeUInt32BE(h, 0);
+  mac.writeUInt32BE(l, MAC_LENGTH_BYTES / 2);
+  return mac;
+}
+
+function toFields(message: GossipMessage): MessageFields {
+  const { type, zone, sender, updates, zones } = message;
+  return [
+    TYPES.indexOf(type),
+    zone,
+    recordToFields(sender),
+    updates.map(recordToFields),
+    zones.map(zoneToFields),
+    'sequence' in message ? message.sequence : 0,
+    lastField(message),
+  ];
+}
+
+function lastField(message: GossipMessage): MessageFields[6] {
+  switch (message.type) {
+    case 'ping':
+    case 'ack':
+      return message.digest;
+    case 'ping-request':
+      return addressToFields(message.target);
+    case 'sync':
+    case 'zones':
+      return message.wantsAnswer;
+  }
+}
+
+function fromFields(fields: MessageFields): Result<GossipMessage, AmberliftError> {
+  const [typeIndex, zone, sender, updates, zones, sequence, last] = fields;
+  const type = TYPES[typeIndex];
+  const header = {
+    zone,
+    sender: recordFromFields(sender),
+    updates: updates.map(recordFromFields),
+    zones: zones.map(zoneFromFields),
+  };
+  if ((type === 'ping' || type === 'ack') && typeof last === 'number') {
+    return ok({ type, ...header, sequence, digest: last });
+  }
+  if (type === 'ping-request' && Array.isArray(last)) {
+    return ok({ type, ...header, sequence, target: addressFromFields(last) });
+  }
+  if ((type === 'sync' || type === 'zones') && typeof last === 'boolean') {
+    return ok({ type, ...header, wantsAnswer: last });
+  }
+  return err(amberliftError('malformed-datagram', 'The datagram does not fit its type.'));
+}
+
+function recordToFields(record: MemberRecord): RecordFields {
+  const { id, incarnation, status, host, gossipPort, linkPort } = record;
+  return [id, incarnation, STATUSES.indexOf(status), host, gossipPort, linkPort];
+}
+
+function recordFromFields(fields: RecordFields): MemberRecord {
+  const [id, incarnation, status, host, gossipPort, linkPort] = fields;
+  return { id, incarnation, status: STATUSES[status] ?? 'alive', host, gossipPort, linkPort };
+}
+
+function addressToFields({ host, gossipPort, linkPort }: MemberAddresses): AddressFields {
+  return [host, gossipPort, linkPort];
+}
+
+function addressFromFields([host, gossipPort, linkPort]: AddressFields): MemberAddresses {
+  return { host, gossipPort, linkPort };
+}
+
+function zoneToFields({ zone, version, liveCount, contacts }: ZoneSummary): ZoneFields {
+  return [zone, version, liveCount, contacts.map(addressToFields)];
+}
+
+function zoneFromFields([zone, version, liveCount, contacts]: ZoneFields): ZoneSummary {
+  return { zone, version, liveCount, contacts: contacts.map(addressFromFields) };
+}
--- /dev/null
+++ b/src/membership/member-list.ts
@@ -0,0 +1,137 @@
+/**
+ * @file The members of a zone as one balancer knows them, with the news that it still has to spread.
+ */
+import { hashText } from './rendezvous.js';
+import { isPresent, supersedes, type MemberRecord, type MemberStatus } from './member.js';
+
+/** Each piece of news is sent this many times the logarithm of the number of members. */
+const SPREAD_FACTOR = 3;
+
+/** A member with what this balancer notes about it. */
+export interface KnownMember {
+  record: MemberRecord;
+  /** Since when the status is what it is, in milliseconds. */
+  changedAtMs: number;
+}
+
+/** News that is being spread. */
+interface News {
+  sentCount: number;
+}
+
+/** The members of a zone, without the balancer itself. */
+export interface MemberList {
+  readonly members: Map<string, KnownMember>;
+  /** News by member ID; the record is the list's. */
+  readonly news: Map<string, News>;
+  /** Combines the hashes of all records, whatever their order. */
+  digest: number;
+  /** Counts the changes of who is present or where; dependants recompute when it differs. */
+  version: number;
+}
+
+/**
+ * @returns a list without members
+ */
+export function createMemberList(): MemberList {
+  return { members: new Map(), news: new Map(), digest: 0, version: 0 };
+}
+
+/**
+ * Takes a record where it is later knowledge.
+ * @returns true where it was taken
+ */
+export function takeRecord(list: MemberList, record: MemberRecord, nowMs: number): boolean {
+  const known = list.members.get(record.id);
+  if (known !== undefined && !supersedes(record, known.record)) {
+    return false;
+  }
+  const before = known?.record;
+  list.members.set(record.id, { record, changedAtMs: nowMs });
+  list.news.set(record.id, { sentCount: 0 });
+  list.digest = (list.digest ^ recordHash(before) ^ recordHash(record)) >>> 0;
+  if (changesPresence(before, record)) {
+    list.version += 1;
+  }
+  return true;
+}
+
+/**
+ * Changes what is believed of a member, at the incarnation that is known.
+ */
+export function setStatus(list: MemberList, id: string, status: MemberStatus, nowMs: number): void {
+  const known = list.members.get(id);
+  if (known !== undefined) {
+    takeRecord(list, { ...known.record, status }, nowMs);
+  }
+}
+
+/**
+ * Forgets a member.
+ */
+export function forgetMember(list: MemberList, id: string): void {
+  const known = list.members.get(id);
+  if (known !== undefined) {
+    list.members.delete(id);
+    list.news.delete(id);
+    list.digest = (list.digest ^ recordHash(known.record)) >>> 0;
+  }
+}
+
+/**
+ * @returns the members that may still take part
+ */
+export function presentMembers(list: MemberList): MemberRecord[] {
+  return [...list.members.values()].map(({ record }) => record).filter(isPresent);
+}
+
+/**
+ * Takes the news that was sent least often, and counts it as sent once more.
+ * @param first a member whose record goes first, such as the receiver, so that it may refute it
+ */
+export function takeNews(list: MemberList, bound: number, first?: string): MemberRecord[] {
+  const limit = SPREAD_FACTOR * Math.ceil(Math.log2(list.members.size + 2));
+  const urgent = first !== undefined && isDoubted(list, first) ? [first] : [];
+  const rest = [...list.news]
+    .filter(([id]) => id !== urgent[0])
+    .sort(([, one], [, other]) => one.sentCount - other.sentCount)
+    .map(([id]) => id);
+  const ids = [...urgent, ...rest].slice(0, bound);
+  ids.forEach((id) => countSent(list, id, limit));
+  return ids.flatMap((id) => list.members.get(id)?.record ?? []);
+}
+
+/**
+ * @returns the part of a record in digests; it differs where incarnation or presence differ
+ */
+export function recordHash(record: MemberRecord | undefined): number {
+  if (record === undefined || !isPresent(record)) {
+    return 0;
+  }
+  return hashText(`${record.id}/${record.incarnation}`);
+}
+
+function isDoubted(list: MemberList, id: string): boolean {
+  const known = list.members.get(id);
+  return known !== undefined && known.record.status !== 'alive';
+}
+
+function countSent(list: MemberList, id: string, limit: number): void {
+  const news = list.news.get(id);
+  if (news === undefined) {
+    return;
+  }
+  news.sentCount += 1;
+  if (news.sentCount >= limit) {
+    list.news.delete(id);
+  }
+}
+
+function changesPresence(before: MemberRecord | undefined, after: MemberRecord): boolean {
+  const wasPresent = before !== undefined && isPresent(before);
+  const moved =
+    before?.host !== after.host ||
+    before.gossipPort !== after.gossipPort ||
+    before.linkPort !== after.linkPort;
+  return wasPresent !== isPresent(after) || (isPresent(after) && moved);
+}
--- /dev/null
+++ b/src/membership/membership-state.ts
@@ -0,0 +1,137 @@
+/**
+ * @file What a balancer knows of the other balancers: the members of its own zone one by one, other
+ * zones by a summary.
+ */
+import type { Address } from '../common/address.js';
+import type { GossipMessage, ZoneSummary } from './gossip-messages.js';
+import { gossipAddress, type MemberAddresses, type MemberRecord } from './member.js';
+import { createMemberList, presentMembers, type MemberList } from './member-list.js';
+
+/** A summary of another zone that has not been renewed for this time is not counted, in ms. */
+export const ZONE_LIFETIME_MS = 60_000;
+
+/** Options of a member. */
+export interface MembershipOptions extends MemberAddresses {
+  readonly id: string;
+  readonly zone: string;
+  /** Above that of any earlier run of this balancer, such as the Unix time of the start in seconds. */
+  readonly incarnation: number;
+  /** Gossip addresses of balancers from the platform's list, of any zone; may lag. */
+  readonly seeds: readonly Address[];
+}
+
+/** The ping that waits for an acknowledgement. */
+export interface PendingPing {
+  readonly targetId: string;
+  readonly sequence: number;
+  readonly sentAtMs: number;
+  askedOthers: boolean;
+  acknowledged: boolean;
+}
+
+/** A ping on behalf of another member. */
+export interface ForwardedPing {
+  readonly origin: Address;
+  readonly originSequence: number;
+  readonly expiresAtMs: number;
+}
+
+/** A summary of a zone and when its version last rose. */
+export interface KnownZone {
+  readonly summary: ZoneSummary;
+  readonly renewedAtMs: number;
+}
+
+/** The state of a member. */
+export interface MembershipState {
+  readonly options: MembershipOptions;
+  self: MemberRecord;
+  readonly list: MemberList;
+  readonly zones: Map<string, KnownZone>;
+  /** Addresses in the own zone as others told them last; they help to find the zone. */
+  ownZoneContacts: readonly MemberAddresses[];
+  pending: PendingPing | undefined;
+  readonly forwarded: Map<number, ForwardedPing>;
+  /** Members still to be pinged in this turn. */
+  turn: string[];
+  nextSequence: number;
+  nextRoundAtMs: number;
+  nextSeedAtMs: number;
+  nextZonesAtMs: number;
+  nextSummaryAtMs: number;
+  /** Whole lists are not sent before this time. */
+  nextSyncAtMs: number;
+  /** Whose turn it is among the zones that are spread along with pings. */
+  zoneCursor: number;
+  lastTickAtMs: number | undefined;
+}
+
+/** Sends a datagram to another balancer. */
+export interface GossipSendEffect {
+  readonly type: 'gossip-send';
+  readonly to: Address;
+  readonly message: GossipMessage;
+}
+
+/**
+ * @returns a member that knows only itself
+ */
+export function createMembership(options: MembershipOptions): MembershipState {
+  const { id, host, gossipPort, linkPort, incarnation } = options;
+  return {
+    options,
+    self: { id, host, gossipPort, linkPort, incarnation, status: 'alive' },
+    list: createMemberList(),
+    zones: new Map(),
+    ownZoneContacts: [],
+    pending: undefined,
+    forwarded: new Map(),
+    turn: [],
+    nextSequence: 1,
+    nextRoundAtMs: 0,
+    nextSeedAtMs: 0,
+    nextZonesAtMs: 0,
+    nextSummaryAtMs: 0,
+    nextSyncAtMs: 0,
+    zoneCursor: 0,
+    lastTickAtMs: undefined,
+  };
+}
+
+/**
+ * @returns the members of the own zone that are believed to be alive, with this balancer
+ */
+export function zoneMembers(state: MembershipState): MemberRecord[] {
+  const others = presentMembers(state.list);
+  return state.self.status === 'alive' ? [state.self, ...others] : others;
+}
+
+/**
+ * @returns how many balancers are alive, in all zones; the other zones' part may lag by a minute
+ */
+export function liveBalancerCount(state: MembershipState, nowMs: number): number {
+  let count = zoneMembers(state).length;
+  for (const [zone, { summary, renewedAtMs }] of state.zones) {
+    if (zone !== state.options.zone && nowMs - renewedAtMs < ZONE_LIFETIME_MS) {
+      count += summary.liveCount;
+    }
+  }
+  return count;
+}
+
+/**
+ * @returns addresses of balancers in other zones, those of zones heard of last first
+ */
+export function otherZoneContacts(state: MembershipState): MemberAddresses[] {
+  return [...state.zones]
+    .filter(([zone]) => zone !== state.options.zone)
+    .sort(([, one], [, other]) => other.renewedAtMs - one.renewedAtMs)
+    .flatMap(([, { summary }]) => summary.contacts);
+}
+
+/**
+ * @returns the effect that sends a message to a member
+ */
+export function sendTo(to: MemberAddresses, message: GossipMessage): GossipSendEffect {
+  return { type: 'gossip-send', to: gossipAddress(to), message };
+}
--- /dev/null
+++ b/src/membership/membership-step.ts
@@ -0,0 +1,214 @@
+/**
+ * @file The decision step of membership: datagrams of other balancers and time in, datagrams out.
+ */
+import { match } from 'ts-pattern';
+import { formatAddress, type Address } from '../common/address.js';
+import type { StepContext } from '../common/step.js';
+import {
+  ackMessage,
+  detectorTick,
+  forwardPing,
+  ownDigest,
+  pingMessage,
+  shuffled,
+  takeAck,
+  zoneHeader,
+} from './failure-detector.js';
+import { MAX_RECORDS, type GossipMessage } from './gossip-messages.js';
+import { gossipAddress, type MemberRecord } from './member.js';
+import { presentMembers, takeRecord } from './member-list.js';
+import { sendTo, type GossipSendEffect, type MembershipState } from './membership-state.js';
+import { summaryOf, takeSummaries, zonesMessage, zonesTick } from './zone-summaries.js';
+
+/** Time between two tries to find members, in milliseconds: while alone, and otherwise. */
+const LONELY_SEED_INTERVAL_MS = 500;
+const SEED_INTERVAL_MS = 10_000;
+/** Addresses that are tried at a time while alone. */
+const SEEDS_AT_A_TIME = 5;
+/** Time between two whole lists sent, in milliseconds. */
+const SYNC_INTERVAL_MS = 5_000;
+/** Members that are told of a leave directly. */
+const LEAVE_MESSAGES = 5;
+
+/** What can happen to a member. */
+export type MembershipEvent =
+  | { readonly type: 'gossip'; readonly message: GossipMessage; readonly from: Address }
+  /** Time has passed; comes at least every 100 ms. */
+  | { readonly type: 'tick' }
+  /** This balancer stops; the others needn't find out. */
+  | { readonly type: 'leave' };
+
+/**
+ * Takes one event.
+ * @returns the datagrams to send
+ */
+export function membershipStep(
+  state: MembershipState,
+  event: MembershipEvent,
+  context: StepContext,
+): GossipSendEffect[] {
+  return match(event)
+    .with({ type: 'gossip' }, ({ message, from }) => handleGossip(state, message, from, context))
+    .with({ type: 'tick' }, () => tick(state, context))
+    .with({ type: 'leave' }, () => leave(state, context))
+    .exhaustive();
+}
+
+function tick(state: MembershipState, context: StepContext): GossipSendEffect[] {
+  if (state.self.status === 'left') {
+    return [];
+  }
+  return [
+    ...detectorTick(state, context),
+    ...zonesTick(state, context),
+    ...findMembers(state, context),
+  ];
+}
+
+function handleGossip(
+  state: MembershipState,
+  message: GossipMessage,
+  from: Address,
+  context: StepContext,
+): GossipSendEffect[] {
+  takeSummaries(state, message.zones, context.nowMs);
+  if (message.zone !== state.options.zone) {
+    return handleOtherZone(state, message, from, context);
+  }
+  [message.sender, ...message.updates].forEach((record) =>
+    takeNewsOf(state, record, context.nowMs),
+  );
+  return match(message)
+    .with({ type: 'ping' }, ({ sequence, sender, digest }) => [
+      reply(from, ackMessage(state, sequence, sender.id)),
+      ...syncWhereDifferent(state, digest, from, context),
+    ])
+    .with({ type: 'ping-request' }, (request) => forwardPing(state, request, from, context.nowMs))
+    .with({ type: 'ack' }, (ack) => [
+      ...takeAck(state, ack),
+      ...syncWhereDifferent(state, ack.digest, from, context),
+    ])
+    .with({ type: 'sync' }, ({ wantsAnswer }) =>
+      wantsAnswer ? sendWholeList(state, from, false) : [],
+    )
+    .with({ type: 'zones' }, () => [])
+    .exhaustive();
+}
+
+/** A balancer of another zone learns about zones, and where its own zone is. */
+function handleOtherZone(
+  state: MembershipState,
+  message: GossipMessage,
+  from: Address,
+  context: StepContext,
+): GossipSendEffect[] {
+  const { zone, sender } = message;
+  const { host, gossipPort, linkPort } = sender;
+  const contacts = [{ host, gossipPort, linkPort }];
+  // Taken only where nothing is known of the zone.
+  takeSummaries(state, [{ zone, version: 0, liveCount: 1, contacts }], context.nowMs);
+  const wantsAnswer = message.type === 'ping' || (message.type === 'zones' && message.wantsAnswer);
+  if (!wantsAnswer) {
+    return [];
+  }
+  const answer = zonesMessage(state, false);
+  const first = [...summaryOf(state, zone), ...summaryOf(state, state.options.zone)];
+  const rest = answer.zones.filter((summary) => !first.includes(summary));
+  return [reply(from, { ...answer, zones: [...first, ...rest] })];
+}
+
+/** What others say of this very balancer is refuted by a higher incarnation. */
+function takeNewsOf(state: MembershipState, record: MemberRecord, nowMs: number): void {
+  const { self } = state;
+  if (record.id !== self.id) {
+    takeRecord(state.list, asTaken(state, record), nowMs);
+    return;
+  }
+  const isLater = record.incarnation > self.incarnation;
+  const isDoubt = record.incarnation === self.incarnation && record.status !== 'alive';
+  if (self.status === 'alive' && (isLater || isDoubt)) {
+    state.self = { ...self, incarnation: record.incarnation + 1 };
+  }
+}
+
+/**
+ * A member that is alive here gets its time to refute, whoever believes it dead: after a cut, both
+ * sides hear such news from each other.
+ */
+function asTaken(state: MembershipState, record: MemberRecord): MemberRecord {
+  const known = state.list.members.get(record.id)?.record;
+  return record.status === 'dead' && known?.status === 'alive'
+    ? { ...record, status: 'suspect' }
+    : record;
+}
+
+function syncWhereDifferent(
+  state: MembershipState,
+  digest: number,
+  to: Address,
+  { nowMs }: StepContext,
+): GossipSendEffect[] {
+  if (digest === ownDigest(state) || nowMs < state.nextSyncAtMs) {
+    return [];
+  }
+  state.nextSyncAtMs = nowMs + SYNC_INTERVAL_MS;
+  return sendWholeList(state, to, true);
+}
+
+/** The dead are sent too: a list without them would be taken for one that has not heard of them. */
+function sendWholeList(
+  state: MembershipState,
+  to: Address,
+  wantsAnswer: boolean,
+): GossipSendEffect[] {
+  const records = [...state.list.members.values()].map(({ record }) => record);
+  const parts = Math.max(1, Math.ceil(records.length / MAX_RECORDS));
+  const header = zoneHeader(state);
+  return Array.from({ length: parts }, (_, part) =>
+    reply(to, {
+      ...header,
+      type: 'sync',
+      updates: records.slice(part * MAX_RECORDS, (part + 1) * MAX_RECORDS),
+      wantsAnswer: wantsAnswer && part === parts - 1,
+    }),
+  );
+}
+
+/**
+ * Looks for members: among the seeds, and among those believed dead, so that parts of a zone that
+ * believe each other dead find together again.
+ */
+function findMembers(state: MembershipState, context: StepContext): GossipSendEffect[] {
+  if (context.nowMs < state.nextSeedAtMs) {
+    return [];
+  }
+  const present = presentMembers(state.list);
+  const isAlone = present.length === 0;
+  const intervalMs = isAlone ? LONELY_SEED_INTERVAL_MS : SEED_INTERVAL_MS;
+  state.nextSeedAtMs = context.nowMs + intervalMs;
+  const known = new Set(
+    [state.self, ...present].map((member) => formatAddress(gossipAddress(member))),
+  );
+  const unknown = candidateAddresses(state).filter((address) => !known.has(formatAddress(address)));
+  return shuffled(unknown, context)
+    .slice(0, isAlone ? SEEDS_AT_A_TIME : 1)
+    .map((to) => reply(to, pingMessage(state)));
+}
+
+function candidateAddresses(state: MembershipState): Address[] {
+  const dead = [...state.list.members.values()]
+    .map(({ record }) => record)
+    .filter(({ status }) => status === 'dead');
+  return [...state.options.seeds, ...[...dead, ...state.ownZoneContacts].map(gossipAddress)];
+}
+
+function leave(state: MembershipState, context: StepContext): GossipSendEffect[] {
+  state.self = { ...state.self, status: 'left' };
+  return shuffled(presentMembers(state.list), context)
+    .slice(0, LEAVE_MESSAGES)
+    .map((member) => sendTo(member, pingMessage(state, member.id)));
+}
+
+function reply(to: Address, message: GossipMessage): GossipSendEffect {
+  return { type: 'gossip-send', to, message };
+}
--- /dev/null
+++ b/test/membership/membership-world.ts
@@ -0,0 +1,148 @@
+/**
+ * @file Members of several zones on a virtual network that loses datagrams, and can be cut in parts.
+ */
+import { formatAddress, type Address } from '../../src/common/address.js';
+import { decodeGossip, encodeGossip, gossipKey } from '../../src/membership/gossip-codec.js';
+import {
+  createMembership,
+  zoneMembers,
+  type GossipSendEffect,
+  type MembershipState,
+} from '../../src/membership/membership-state.js';
+import { membershipStep, type MembershipEvent } from '../../src/membership/membership-step.js';
+import { goodNetwork, VirtualNetwork } from '../flows/network.js';
+
+const TICK_MS = 100;
+const HOP_MS = 1;
+const KEY = gossipKey('test-cluster-key');
+
+export interface Node {
+  state: MembershipState;
+  readonly address: Address;
+  isRunning: boolean;
+  /** Nodes of different parts don't reach each other. */
+  part: number;
+  sentBytes: number;
+  largestDatagram: number;
+}
+
+/** Runs members; node 0 is everybody's seed. */
+export class MembershipWorld {
+  readonly network: VirtualNetwork;
+  readonly nodes: Node[] = [];
+  private readonly byAddress = new Map<string, Node>();
+
+  constructor(zoneSizes: readonly number[], lossShare = 0) {
+    this.network = new VirtualNetwork(7, { ...goodNetwork, lossShare, jitterMs: 2 });
+    zoneSizes.forEach((size, zone) => {
+      for (let number = 0; number < size; number += 1) {
+        this.addNode(`zone-${zone}`);
+      }
+    });
+  }
+
+  node(number: number): Node {
+    const node = this.nodes[number];
+    if (node === undefined) {
+      throw new Error(`There is no node ${number}.`);
+    }
+    return node;
+  }
+
+  run(durationMs: number): void {
+    this.network.runUntil(this.network.nowMs + durationMs);
+  }
+
+  step(node: Node, event: MembershipEvent): void {
+    if (node.isRunning) {
+      const effects = membershipStep(node.state, event, this.network.context);
+      effects.forEach((effect) => this.send(node, effect));
+    }
+  }
+
+  /** Starts a node again, with nothing but its settings. */
+  restart(node: Node, incarnation: number): void {
+    node.state = createMembership({ ...node.state.options, incarnation });
+    node.isRunning = true;
+  }
+
+  /** @returns the time until the condition holds, in milliseconds; throws after the limit */
+  timeUntil(condition: () => boolean, limitMs: number): number {
+    const startMs = this.network.nowMs;
+    while (!condition()) {
+      if (this.network.nowMs - startMs > limitMs) {
+        throw new Error(`It took longer than ${limitMs} ms.`);
+      }
+      this.run(TICK_MS);
+    }
+    return this.network.nowMs - startMs;
+  }
+
+  /** @returns whether all running nodes of a zone believe exactly the running ones to be present */
+  isAgreed(zone = 'zone-0'): boolean {
+    const running = this.nodes.filter(
+      ({ isRunning, state }) => isRunning && state.options.zone === zone,
+    );
+    const expected = running.map(({ state }) => state.options.id).sort();
+    return running.every(({ state }) => {
+      const ids = zoneMembers(state)
+        .map(({ id }) => id)
+        .sort();
+      return ids.join() === expected.join();
+    });
+  }
+
+  /** @returns what any node believes of a member */
+  beliefs(id: string): string[] {
+    return this.nodes.flatMap(({ state, isRunning }) => {
+      const known = isRunning ? state.list.members.get(id) : undefined;
+      return known === undefined ? [] : [known.record.status];
+    });
+  }
+
+  private addNode(zone: string): void {
+    const number = this.nodes.length;
+    const address = { host: `10.${Math.floor(number / 250)}.${number % 250}.1`, port: 7000 };
+    const seeds = this.nodes[0] === undefined ? [] : [this.nodes[0].address];
+    const state = createMembership({
+      id: `balancer-${number}`,
+      zone,
+      incarnation: 1,
+      host: address.host,
+      gossipPort: address.port,
+      linkPort: 7001,
+      seeds,
+    });
+    const node: Node = {
+      state,
+      address,
+      isRunning: true,
+      part: 0,
+      sentBytes: 0,
+      largestDatagram: 0,
+    };
+    this.nodes.push(node);
+    this.byAddress.set(formatAddress(address), node);
+    // Ticks of different nodes fall on different moments.
+    this.network.after(number % TICK_MS, () =>
+      this.network.every(TICK_MS, () => this.step(node, { type: 'tick' })),
+    );
+  }
+
+  private send(sender: Node, { to, message }: GossipSendEffect): void {
+    const datagram = encodeGossip(message, KEY);
+    sender.sentBytes += datagram.length;
+    sender.largestDatagram = Math.max(sender.largestDatagram, datagram.length);
+    const receiver = this.byAddress.get(formatAddress(to));
+    if (receiver?.part !== sender.part) {
+      return;
+    }
+    this.network.transmit(HOP_MS, () => {
+      const decoded = decodeGossip(datagram, KEY);
+      if (decoded.isErr()) {
+        throw new Error(decoded.error.message);
+      }
+      this.step(receiver, { type: 'gossip', message: decoded.value, from: sender.address });
+    });
+  }
+}
