--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -124,15 +124,16 @@
 
   private addBalancer(number: number): void {
     const zone = ZONES[number % ZONES.length] ?? ZONES[0];
-    this.balancers.push(
-      createBalancerState({
-        ...defaultBalancerOptions,
-        balancerId: `balancer-${number}`,
-        zone,
-        controlAddresses: [],
-        clusterKey: '',
-      }),
-    );
+    const balancer = createBalancerState({
+      ...defaultBalancerOptions,
+      balancerId: `balancer-${number}`,
+      zone,
+      controlAddresses: [],
+      clusterKey: '',
+    });
+    // No control machine is a part of this world, so the lease never runs out.
+    balancer.subscription.lease.expiresAtMs = Number.POSITIVE_INFINITY;
+    this.balancers.push(balancer);
   }
 
   /** Sends the present configuration to all balancers. */
