Hold the lease of the placement bench in one place

Cause: three branches each gave the bench's balancers a lease. Change: one lease that never runs out, since no control machine is a part of that world.

--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -20,7 +20,6 @@
 import { seededRandom } from '../common/random.js';
 import type { RandomSource, StepContext } from '../common/step.js';
 import type { Backend, PlacementPolicyName, Service, TokenKey } from '../control/cluster-state.js';
-import { LEASE_DURATION_MS, takeGrant } from '../dissemination/lease.js';
 import { encodeShortHeader } from '../flow/header.js';
 import { mintToken, prepareTokenKey } from '../flow/token.js';
 import { PlacementBackend, type PlacementBackendShape } from './placement-backend.js';
@@ -149,10 +148,9 @@
     this.balancers.forEach((balancer) => applyConfigUpdate(balancer, update));
   }
 
-  /** Each balancer learns how many there are; and holds its lease. */
+  /** Each balancer learns how many there are. */
   private tellFleetSize(): void {
-    for (const { fleet, options, subscription } of this.balancers) {
-      subscription.lease.expiresAtMs = Infinity;
+    for (const { fleet, options } of this.balancers) {
       const local = this.balancers.filter((other) => other.options.zone === options.zone);
       fleet.balancerCount = this.balancers.length;
       fleet.localBalancerCount = local.length;
@@ -175,17 +173,6 @@
     const health = { backendId: backend.id, incarnation, state: 'ready' } as const;
     const result = { backendId: backend.id, health, load: target.reportedLoad() };
     recordProbe(balancer, result, this.context());
-    this.extendLease(balancer);
-  }
-
-  /** Control is reachable throughout. */
-  private extendLease(balancer: BalancerState): void {
-    const grant = {
-      askedAtMs: this.agenda.nowMs,
-      remainingMs: LEASE_DURATION_MS,
-      floorIndex: this.position,
-    };
-    takeGrant(balancer.subscription.lease, grant, balancer.position.index);
   }
 
   private context(): StepContext {
