--- a/test/daemon/consensus-storage.test.ts
+++ b/test/daemon/consensus-storage.test.ts
@@ -28,8 +28,9 @@
 
 /** The entries that a member starts with. */
 async function recoveredEntries(folder: StorageFolder): Promise<LogEntry[]> {
-  const { recovered } = await opened(folder);
-  const { log } = createConsensusState('c1', recovered);
+  const storage = await opened(folder);
+  await storage.close();
+  const { log } = createConsensusState('c1', storage.recovered);
   return log.slice(log.base.index + 1, log.last.index);
 }
 
