--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -8,6 +8,7 @@
 import { loggerFor } from '../common/logger.js';
 import { operatorTokenHash } from '../control/command-hash.js';
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
+import { balancerReports } from '../dissemination/publisher.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import type { Settings } from '../settings/settings-schema.js';
 import { ConsensusStorage } from './consensus-storage.js';
@@ -97,7 +98,7 @@
     state: state.cluster,
     propose: (entry) => edge.propose(entry),
     query: () => edge.query(),
-    subscribers: () => [...state.publisher.subscribers.values()],
+    balancerReports: () => balancerReports(state.publisher),
   });
   return memberApi(
     {
