--- a/src/experiment/hollow/hollow-world.ts
+++ b/src/experiment/hollow/hollow-world.ts
@@ -10,6 +10,7 @@
 import type { CommandOutcome, OperatorCommand } from '../../control/commands.js';
 import { EventQueue } from './event-queue.js';
 import {
+  addBackendCommand,
   firstDisk,
   HOLLOW_OPERATOR,
   HOLLOW_START_MS,
@@ -52,10 +53,14 @@
   readonly random: RandomSource;
   /** The highest index whose command was answered as accepted. */
   acceptedIndex = 0;
+  /** How many commands were accepted. */
+  acceptedCount = 0;
   private nextCommandNumber = 1;
+  private nextBackendNumber: number;
 
   constructor(readonly options: HollowWorldOptions) {
     this.random = seededRandom(options.seed);
+    this.nextBackendNumber = options.config.backends;
     this.places = makePlaces(options.regions, options.zones);
     this.network = new PlaceNetwork(options.regions);
     this.tracker = new InForceTracker(options.balancers);
@@ -107,6 +112,15 @@
     });
   }
 
+  /** Sends the command that adds one more back end. */
+  sendNewBackend(onOutcome?: (outcome: CommandOutcome) => void): void {
+    this.send(
+      addBackendCommand(this.nextBackendNumber, this.options.config, this.places),
+      onOutcome,
+    );
+    this.nextBackendNumber += 1;
+  }
+
   /** True where each balancer that is up and reachable has all that was accepted. */
   isConverged(): boolean {
     return this.balancers.every(
@@ -132,6 +146,7 @@
 
   private noteAccepted(index: number): void {
     this.acceptedIndex = Math.max(this.acceptedIndex, index);
+    this.acceptedCount += 1;
     const positions = this.balancers.map(({ isUp, state }) =>
       isUp ? state.position.index : undefined,
     );
--- a/src/experiment/hollow/meter.ts
+++ b/src/experiment/hollow/meter.ts
@@ -52,6 +52,11 @@
     addTraffic(this.of(role).received, kind, bytes);
   }
 
+  /** All bytes that the nodes of a role have sent. */
+  sentBytes(role: HollowRole): number {
+    return totalTraffic(this.of(role).sent).bytes;
+  }
+
   reset(): void {
     this.roles.clear();
   }
--- /dev/null
+++ b/src/experiment/in-force-cluster.ts
@@ -0,0 +1,167 @@
+/**
+ * @file Three control machines and some balancers as real processes on loopback, for measurements of the
+ * control plane alone: the back ends are only defined and do not run.
+ */
+import { createServer, type AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { OperatorClient } from '../client/operator-client.js';
+import { formatAddress, type Address } from '../common/address.js';
+import { startProcess, type ManagedProcess } from './child-process.js';
+
+const CLUSTER_KEY = 'in-force-cluster-key';
+const OPERATOR_TOKEN = 'in-force-operator-token';
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const START_BATCH = 5;
+const START_TIMEOUT_MS = 20_000;
+const END_TIMEOUT_MS = 5_000;
+const POLL_INTERVAL_MS = 50;
+/** Ticks of processor time per second in /proc. */
+const CLOCK_TICKS_PER_SECOND = 100;
+const UTIME_FIELD = 11;
+
+/** One balancer as the operator interface shows it. */
+export interface ShownBalancer {
+  readonly balancerId: string;
+  readonly index: number;
+}
+
+/** What one process has used. */
+export interface ProcessUsage {
+  readonly processorSeconds: number;
+  readonly residentBytes: number;
+}
+
+/** A running cluster. */
+export class InForceCluster {
+  private readonly processes: ManagedProcess[] = [];
+  private folder = '';
+  readonly balancers: ManagedProcess[] = [];
+  readonly controls: ManagedProcess[] = [];
+  private clientOrNone: OperatorClient | undefined;
+
+  /** The operators' client. */
+  get client(): OperatorClient {
+    if (this.clientOrNone === undefined) {
+      throw new Error('The cluster has not been started.');
+    }
+    return this.clientOrNone;
+  }
+
+  async start(balancerCount: number): Promise<void> {
+    this.folder = await mkdtemp(join(tmpdir(), 'amberlift-in-force-'));
+    const linkAddresses = await freeAddresses(ZONES.length);
+    await Promise.all(linkAddresses.map((_, number) => this.startControl(number, linkAddresses)));
+    const controlAddresses = this.controls.map(({ ready }) => ready.operatorAddress as Address);
+    this.clientOrNone = new OperatorClient({ controlAddresses, bearerToken: OPERATOR_TOKEN });
+    for (let first = 0; first < balancerCount; first += START_BATCH) {
+      const batch = Array.from(
+        { length: Math.min(START_BATCH, balancerCount - first) },
+        (_, offset) => this.startBalancer(first + offset, linkAddresses),
+      );
+      await Promise.all(batch);
+    }
+    await this.waitForBalancers(balancerCount);
+  }
+
+  /** Balancers that the leader knows, with what each has in force. */
+  async shownBalancers(): Promise<readonly ShownBalancer[]> {
+    const shown = (await this.client.show()).unwrapOr({}) as {
+      readonly balancers?: readonly ShownBalancer[];
+    };
+    return shown.balancers ?? [];
+  }
+
+  async stop(): Promise<void> {
+    this.processes.forEach((process) => process.signal('SIGTERM'));
+    const ended = Promise.all(this.processes.map(({ exited }) => exited));
+    await Promise.race([ended, sleep(END_TIMEOUT_MS, undefined, { ref: false })]);
+    this.processes.forEach((process) => process.signal('SIGKILL'));
+    await ended;
+    await rm(this.folder, { recursive: true, force: true });
+  }
+
+  private async startControl(number: number, linkAddresses: readonly Address[]): Promise<void> {
+    const peers = linkAddresses.map((address, other) => ({
+      nodeId: `control-${other + 1}`,
+      linkAddress: formatAddress(address),
+    }));
+    const own = peers[number];
+    const process = await startProcess(`control-${number + 1}`, [
+      'control',
+      ...settingArgs({
+        nodeId: `control-${number + 1}`,
+        zone: ZONES[number] ?? '',
+        clusterKey: CLUSTER_KEY,
+        logLevel: 'error',
+        dataFolder: join(this.folder, `control-${number + 1}`),
+        'control.linkAddress': own?.linkAddress ?? '',
+        'control.peers': JSON.stringify(peers.filter((peer) => peer !== own)),
+        'control.operators': JSON.stringify([{ name: 'bench', token: OPERATOR_TOKEN }]),
+      }),
+    ]);
+    this.processes.push(process);
+    this.controls.push(process);
+  }
+
+  private async startBalancer(number: number, controls: readonly Address[]): Promise<void> {
+    const addresses = controls.map((_, offset) => controls[(number + offset) % controls.length]);
+    const texts = addresses.flatMap((address) =>
+      address === undefined ? [] : [formatAddress(address)],
+    );
+    const process = await startProcess(`balancer-${number + 1}`, [
+      'balancer',
+      ...settingArgs({
+        nodeId: `balancer-${number + 1}`,
+        zone: ZONES[number % ZONES.length] ?? '',
+        clusterKey: CLUSTER_KEY,
+        logLevel: 'error',
+        'balancer.controlAddresses': JSON.stringify(texts),
+        'balancer.stopGraceMs': '0',
+      }),
+    ]);
+    this.processes.push(process);
+    this.balancers.push(process);
+  }
+
+  private async waitForBalancers(count: number): Promise<void> {
+    const endsAtMs = performance.now() + START_TIMEOUT_MS;
+    while ((await this.shownBalancers()).length < count) {
+      if (performance.now() > endsAtMs) {
+        throw new Error(`The leader does not know all ${count} balancers.`);
+      }
+      await sleep(POLL_INTERVAL_MS);
+    }
+  }
+}
+
+/**
+ * @returns what a process has used since its start, from /proc
+ */
+export async function usageOf(pid: number): Promise<ProcessUsage> {
+  const stat = await readFile(`/proc/${pid}/stat`, 'utf8');
+  const status = await readFile(`/proc/${pid}/status`, 'utf8');
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+  const ticks = Number(fields[UTIME_FIELD]) + Number(fields[UTIME_FIELD + 1]);
+  const kilobytes = Number(/^VmRSS:\s+(\d+)/m.exec(status)?.[1] ?? 0);
+  return {
+    processorSeconds: ticks / CLOCK_TICKS_PER_SECOND,
+    residentBytes: kilobytes * 1_024,
+  };
+}
+
+/** Ports that are free now; they are closed again, for the processes to bind. */
+async function freeAddresses(count: number): Promise<Address[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'));
+  await Promise.all(servers.map((server) => once(server, 'listening')));
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map((server) => once(server.close(), 'close')));
+  return ports.map((port) => ({ host: '127.0.0.1', port }));
+}
+
+function settingArgs(settings: Record<string, string>): string[] {
+  return Object.entries(settings).flatMap(([path, value]) => ['--set', `${path}=${value}`]);
+}
