Measure hollow worlds and real balancers by amberlift bench hollow and in-force

bench hollow runs the real steps of 5 control machines and up to 1,500 balancers with 12,000 back ends in virtual time, and prints figures per node by role, their slopes, and three failures. bench in-force starts 3 control machines and 3, 10 and 30 balancers as processes and measures accepted to in force everywhere.

--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -6,11 +6,13 @@
 import type { CAC } from 'cac';
 import Table from 'cli-table3';
 import type { Bench, BenchResult, BenchTable } from '../experiment/bench.js';
+import { hollowBench } from '../experiment/bench-hollow.js';
+import { inForceBench } from '../experiment/bench-in-force.js';
 import { placementBench } from '../experiment/bench-placement.js';
 import { exitCodes } from '../flow/error-kinds.js';
 
 /** Every bench, in the order of the help. */
-const benches: readonly Bench[] = [placementBench];
+const benches: readonly Bench[] = [placementBench, hollowBench, inForceBench];
 
 const DEFAULT_SEED = 1;
 const MAX_ROUNDS = 1_000;
