Know the family of a socket's numbers without a look at each

Cause: 2 % of the profile was the test for IPv6 in the lookup of each send. Change: the lookup is made for the socket's family.

--- a/src/daemon/udp-socket.ts
+++ b/src/daemon/udp-socket.ts
@@ -31,7 +31,7 @@
   const type = isIPv6(address.host) ? 'udp6' : 'udp4';
   const socket = createSocket({
     type,
-    lookup: takeNumberAsItIs,
+    lookup: numberLookup(type === 'udp6' ? IPV6_FAMILY : IPV4_FAMILY),
     recvBufferSize: BUFFER_BYTES,
     sendBufferSize: BUFFER_BYTES,
   });
@@ -65,12 +65,14 @@
  * An address is always an IP number here; the resolver would hand it back one turn later, at a cost
  * for each datagram.
  */
-function takeNumberAsItIs(
-  host: string,
-  _options: object,
-  callback: (error: null, host: string, family: number) => void,
-): void {
-  callback(null, host, isIPv6(host) ? IPV6_FAMILY : IPV4_FAMILY);
+function numberLookup(family: number) {
+  return (
+    host: string,
+    _options: object,
+    callback: (error: null, host: string, family: number) => void,
+  ): void => {
+    callback(null, host, family);
+  };
 }
 
 /** A datagram that can't be sent is a lost datagram; its sender retransmits. */
