Limit opens by service and owner, and retries by a budget

Cause: only the table of pending opens was bounded, one partner's surge could fill it, and each refused open was tried three times whatever happened. A refusal comes at once, with a time to come back that is spread at random. An answer to an open needs a valid token, and a late refusal ends no later attempt. An open that nobody answered before its deadline is no longer refused as deadline-exceeded, which told the caller not to come back. The linter's list of decision folders has src/limits.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,6 +15,7 @@
   'control',
   'dissemination',
   'language',
+  'limits',
   'membership',
 ];
 
--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -24,6 +24,7 @@
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
 import type { ProbeResult } from '../health/backend-report.js';
 import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
+import { createOpenLimits, type OpenLimitsState } from '../limits/open-limits.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
 import { createBackendView, type BackendView } from './backend-view.js';
@@ -36,6 +37,8 @@
   readonly zone: string;
   /** Bound of the open table; opens beyond it are refused as `overloaded`. Default 20,000. */
   readonly maxPendingOpens: number;
+  /** Opens a second that the balancer takes, shared among owners. Default 20,000. */
+  readonly maxOpensPerSecond: number;
   /** How long one back end may take to answer an open. Default 200. */
   readonly openAttemptTimeoutMs: number;
   /** How many back ends an open is tried on. Default 3. */
@@ -49,6 +52,7 @@
 /** Options that apply where settings give none. */
 export const defaultBalancerOptions = {
   maxPendingOpens: 20_000,
+  maxOpensPerSecond: 20_000,
   openAttemptTimeoutMs: 200,
   maxOpenAttempts: 3,
   probeIntervalMs: 500,
@@ -91,6 +95,7 @@
   readonly fleet: FleetSize;
   readonly policies: Map<PlacementPolicyName, PlacementPolicy>;
   readonly pendingOpens: Map<string, PendingOpen>;
+  readonly limits: OpenLimitsState;
   /** Datagrams and opens that ended in each error kind. */
   readonly errorCounts: Map<ErrorKind, number>;
   readonly subscription: SubscriptionState;
@@ -117,6 +122,7 @@
     fleet: { balancerCount: 1, localBalancerCount: 1 },
     policies: new Map(),
     pendingOpens: new Map(),
+    limits: createOpenLimits(),
     errorCounts: new Map(),
     subscription: createSubscription(options),
     probes: createProbeSchedule(options.probeIntervalMs),
--- a/src/balancer/candidates.ts
+++ b/src/balancer/candidates.ts
@@ -7,6 +7,7 @@
 import { explainJudgement, type BackendExplanation } from '../health/explanation.js';
 import { judgeOutcome, judgeProbe, type OpenOutcome } from '../health/judgement.js';
 import type { JudgementTransition } from '../health/judgement-state.js';
+import { fullBackendIds } from '../limits/backend-limits.js';
 import {
   estimateFailure,
   estimateOpen,
@@ -46,7 +47,7 @@
     localZone: state.options.zone,
     balancerCount: state.fleet.balancerCount,
     localBalancerCount: state.fleet.localBalancerCount,
-    triedBackendIds: open.triedBackendIds,
+    triedBackendIds: [...open.triedBackendIds, ...fullBackendIds(candidates, open.service.limits)],
   };
   const chosen = policyFor(state, open.service.policy).choose(candidates, request, context);
   return chosen === undefined ? undefined : state.views.get(chosen.backend.id);
--- a/src/balancer/open-handling.ts
+++ b/src/balancer/open-handling.ts
@@ -3,9 +3,11 @@
  * opens are the only state per flow; the table is bounded and its entries expire.
  */
 import { err, ok, type Result } from 'neverthrow';
+import { match } from 'ts-pattern';
 import type { Address } from '../common/address.js';
 import { addressKey, formatAddress } from '../common/address.js';
 import type { StepContext } from '../common/step.js';
+import type { Service } from '../control/cluster-state.js';
 import { decodeEnvelope, encodeEnvelope, type Envelope } from '../flow/envelope.js';
 import { amberliftError, type AmberliftError, type ErrorKind } from '../flow/error-kinds.js';
 import { answerFor } from '../flow/error-kinds.js';
@@ -16,7 +18,21 @@
   parseLongHeader,
 } from '../flow/header.js';
 import { decodeMessage, encodeMessage, type OpenMessage } from '../flow/messages.js';
-import { mintToken } from '../flow/token.js';
+import {
+  hasValidMac,
+  mintToken,
+  readBackendId,
+  readKeyId,
+  TOKEN_LENGTH_BYTES,
+} from '../flow/token.js';
+import {
+  admitOpen,
+  admitRetry,
+  noteServices,
+  OVERLOAD_RETRY_AFTER_MS,
+  releaseOpen,
+  type OpenRefusal,
+} from '../limits/open-limits.js';
 import type { BalancerEffect, SendEffect } from './balancer-events.js';
 import { countError, type BalancerState, type PendingOpen } from './balancer-state.js';
 import {
@@ -26,8 +42,6 @@
   type AttemptOutcome,
 } from './candidates.js';
 
-/** When a refused caller is told to come back, in milliseconds. */
-const RETRY_AFTER_MS = 500;
 const EMPTY_ID = new Uint8Array(0);
 
 interface ParsedOpen {
@@ -70,10 +84,11 @@
     attemptEndsAtMs: 0,
   };
   if (state.stopping) {
-    return [refuseOpen(state, open, 'balancer-stopping')];
+    return [refuseOpen(state, open, 'balancer-stopping', context)];
   }
-  if (state.pendingOpens.size >= state.options.maxPendingOpens) {
-    return [refuseOpen(state, open, 'overloaded')];
+  const refusal = admit(state, service, context);
+  if (refusal !== undefined) {
+    return [refuseOpen(state, open, refusal.kind, context, refusal.retryAfterMs)];
   }
   state.pendingOpens.set(key, open);
   return [attemptOpen(state, open, context)];
@@ -92,23 +107,34 @@
     countError(state, reply.error.kind);
     return [];
   }
-  const { envelope, flowId, message } = reply.value;
+  const { envelope, flowId, token, message } = reply.value;
   const open = state.pendingOpens.get(pendingKey(envelope.client, flowId));
   if (open === undefined) {
     return [];
   }
-  if (message.type === 'accept') {
-    endAttempt(state, open, 'accepted', message.incarnation, context);
-    state.pendingOpens.delete(open.key);
-    state.acceptedOpens += 1;
-    return [{ type: 'send', to: open.replyTo, via: 'fabric', datagram }];
-  }
-  if (message.type === 'refuse') {
-    countError(state, message.kind);
-    endAttempt(state, open, 'refused', message.incarnation, context);
-    return [retryOpen(state, open, message.kind, context)];
+  const key = state.preparedKeys.get(readKeyId(token, 0));
+  if (key === undefined || !hasValidMac(token, key)) {
+    countError(state, 'forged-token');
+    return [];
   }
-  return [];
+  return match(message)
+    .with({ type: 'accept' }, ({ incarnation }) => {
+      endAttempt(state, open, 'accepted', incarnation, context);
+      forgetOpen(state, open);
+      state.acceptedOpens += 1;
+      const effect: SendEffect = { type: 'send', to: open.replyTo, via: 'fabric', datagram };
+      return [effect];
+    })
+    .with({ type: 'refuse' }, ({ kind, incarnation }) => {
+      countError(state, kind);
+      // A late answer of a back end that was given up says nothing of the present one.
+      if (readBackendId(token, 0) !== open.triedBackendIds.at(-1)) {
+        return [];
+      }
+      endAttempt(state, open, 'refused', incarnation, context);
+      return [retryOpen(state, open, kind, context)];
+    })
+    .otherwise(() => []);
 }
 
 /**
@@ -119,7 +145,9 @@
   for (const open of state.pendingOpens.values()) {
     if (open.attemptEndsAtMs <= context.nowMs) {
       endAttempt(state, open, 'timed-out', undefined, context);
-      effects.push(retryOpen(state, open, 'deadline-exceeded', context));
+      const isLate = open.deadlineAtMs <= context.nowMs;
+      const cause = isLate ? 'deadline-exceeded' : 'no-backend-ready';
+      effects.push(retryOpen(state, open, cause, context));
     }
   }
   return effects;
@@ -143,8 +171,15 @@
     if (!hasLongHeader(envelope.packet)) {
       return err(amberliftError('malformed-datagram', 'An answer to an open has a long header.'));
     }
-    return parseLongHeader(envelope.packet).andThen(({ destinationId, body }) =>
-      decodeMessage(body).map((message) => ({ envelope, flowId: destinationId, message })),
+    return parseLongHeader(envelope.packet).andThen(({ destinationId, sourceId, body }) =>
+      sourceId.length === TOKEN_LENGTH_BYTES
+        ? decodeMessage(body).map((message) => ({
+            envelope,
+            flowId: destinationId,
+            token: sourceId,
+            message,
+          }))
+        : err(amberliftError('malformed-datagram', 'An answer to an open carries no token.')),
     );
   });
 }
@@ -158,8 +193,8 @@
   const key = keyId === undefined ? undefined : state.preparedKeys.get(keyId);
   const view = chooseBackend(state, open, context);
   if (view === undefined || keyId === undefined || key === undefined) {
-    state.pendingOpens.delete(open.key);
-    return refuseOpen(state, open, 'no-backend-ready');
+    forgetOpen(state, open);
+    return refuseOpen(state, open, 'no-backend-ready', context);
   }
   const backend = view.backend;
   open.triedBackendIds.push(backend.id);
@@ -168,6 +203,7 @@
     open.deadlineAtMs,
   );
   recordAttempt(state, view, context);
+  state.limits.sentOpens += 1;
   const fields = {
     keyId,
     serviceId: open.service.id,
@@ -188,9 +224,10 @@
   context: StepContext,
 ): SendEffect {
   const exhausted = open.triedBackendIds.length >= state.options.maxOpenAttempts;
-  if (exhausted || open.deadlineAtMs <= context.nowMs) {
-    state.pendingOpens.delete(open.key);
-    return refuseOpen(state, open, cause);
+  const isLate = open.deadlineAtMs <= context.nowMs;
+  if (exhausted || isLate || !admitRetry(state.limits, open.service.id)) {
+    forgetOpen(state, open);
+    return refuseOpen(state, open, cause, context);
   }
   return attemptOpen(state, open, context);
 }
@@ -208,14 +245,40 @@
   }
 }
 
-/** A refused open is truthfully "not run": an open runs nothing. */
-function refuseOpen(state: BalancerState, open: PendingOpen, kind: ErrorKind): SendEffect {
+function admit(
+  state: BalancerState,
+  service: Service,
+  { nowMs }: StepContext,
+): OpenRefusal | undefined {
+  noteServices(state.limits, state.config.services, state.position.index);
+  const { options: limits, fleet } = state;
+  const surroundings = { liveBalancerCount: fleet.balancerCount, limits, nowMs };
+  return admitOpen(state.limits, service, surroundings);
+}
+
+function forgetOpen(state: BalancerState, open: PendingOpen): void {
+  state.pendingOpens.delete(open.key);
+  releaseOpen(state.limits, open.service.owner);
+}
+
+/**
+ * A refused open is truthfully "not run": an open runs nothing. It is refused at once; when to come
+ * back is spread at random over as long again, so that refused callers don't come back all together.
+ */
+function refuseOpen(
+  state: BalancerState,
+  open: PendingOpen,
+  kind: ErrorKind,
+  { random }: StepContext,
+  retryAfterMs = OVERLOAD_RETRY_AFTER_MS,
+): SendEffect {
   countError(state, kind);
+  const spreadMs = Math.ceil(retryAfterMs * (1 + random.nextFloat()));
   const body = encodeMessage({
     type: 'refuse',
     kind,
     surelyNotRun: true,
-    ...(answerFor(kind).retryable && { retryAfterMs: RETRY_AFTER_MS }),
+    ...(answerFor(kind).retryable && { retryAfterMs: spreadMs }),
   });
   const packet = encodeLongHeader(open.flowId, EMPTY_ID, body);
   const datagram = encodeEnvelope({ client: open.client, service: open.service.address, packet });
--- /dev/null
+++ b/src/limits/backend-limits.ts
@@ -0,0 +1,21 @@
+/**
+ * @file How many connections a back end may hold by the service's limit.
+ */
+import type { ServiceLimits } from '../control/cluster-state.js';
+import type { PlacementCandidate } from '../routing/placement-policy.js';
+
+/**
+ * @returns IDs of the candidates that hold as many connections as the service allows each, by this
+ *   balancer's estimate
+ */
+export function fullBackendIds(
+  candidates: readonly PlacementCandidate[],
+  { connectionsPerBackend }: ServiceLimits,
+): number[] {
+  if (connectionsPerBackend === undefined) {
+    return [];
+  }
+  return candidates
+    .filter(({ estimate }) => estimate.connections >= connectionsPerBackend)
+    .map(({ backend }) => backend.id);
+}
--- /dev/null
+++ b/src/limits/open-limits.ts
@@ -0,0 +1,205 @@
+/**
+ * @file Whether a balancer takes an open: bounds of pending opens and of opens a second, by service
+ * and by owner. What is refused is refused at once, with the time after which to come back.
+ */
+import type { Service } from '../control/cluster-state.js';
+import type { ErrorKind } from '../flow/error-kinds.js';
+import { createOwnerShares, takeFromShare, type OwnerShares } from './owner-shares.js';
+import {
+  addToRetryBudget,
+  createRetryBudget,
+  takeRetry,
+  type RetryBudget,
+} from './retry-budget.js';
+import {
+  createTokenBucket,
+  fillBucket,
+  nextTokenInMs,
+  takeToken,
+  type TokenBucket,
+  type TokenRate,
+} from './token-bucket.js';
+
+/** How many seconds' worth of its rate a service may take at once. */
+const SERVICE_BURST_SECONDS = 1;
+/** When a caller comes back where no rate says it, in milliseconds. */
+export const OVERLOAD_RETRY_AFTER_MS = 500;
+
+/** The limits that hold for a whole balancer. */
+export interface BalancerOpenLimits {
+  /** Bound of pending opens; each owner has an equal part. */
+  readonly maxPendingOpens: number;
+  /** Opens a second; each owner has an equal part, and what others leave unused. */
+  readonly maxOpensPerSecond: number;
+}
+
+/** What the limits know. */
+export interface OpenLimitsState {
+  /** Log index of the configuration that `owners` is of; undefined before the first. */
+  configIndex: number | undefined;
+  /** Owners of all services in force. */
+  owners: ReadonlySet<string>;
+  /** Pending opens by owner. */
+  readonly pendingByOwner: Map<string, number>;
+  readonly ownerShares: OwnerShares;
+  /** By service ID; only for services that have a limit. */
+  readonly serviceBuckets: Map<number, TokenBucket>;
+  /** By service ID. */
+  readonly retryBudgets: Map<number, RetryBudget>;
+  /** Opens that came from callers. */
+  receivedOpens: number;
+  /** Opens that were sent to back ends, retries included. */
+  sentOpens: number;
+}
+
+/** What a decision on an open depends on, besides the state. */
+export interface OpenSurroundings {
+  /** How many balancers share the traffic of the cluster. */
+  readonly liveBalancerCount: number;
+  readonly limits: BalancerOpenLimits;
+  readonly nowMs: number;
+}
+
+/** Why an open is not taken. */
+export interface OpenRefusal {
+  readonly kind: ErrorKind;
+  /** When to come back, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/**
+ * @returns the state before the first open
+ */
+export function createOpenLimits(): OpenLimitsState {
+  return {
+    configIndex: undefined,
+    owners: new Set(),
+    pendingByOwner: new Map(),
+    ownerShares: createOwnerShares(),
+    serviceBuckets: new Map(),
+    retryBudgets: new Map(),
+    receivedOpens: 0,
+    sentOpens: 0,
+  };
+}
+
+/**
+ * Decides on an open that came from a caller.
+ * @returns undefined where it is taken; then it is pending until `releaseOpen`
+ */
+export function admitOpen(
+  state: OpenLimitsState,
+  service: Service,
+  surroundings: OpenSurroundings,
+): OpenRefusal | undefined {
+  state.receivedOpens += 1;
+  addToRetryBudget(budgetOf(state, service.id));
+  const refusal =
+    pendingRefusal(state, service.owner, surroundings) ??
+    serviceRefusal(state, service, surroundings) ??
+    ownerRefusal(state, service.owner, surroundings);
+  if (refusal === undefined) {
+    const pending = state.pendingByOwner.get(service.owner) ?? 0;
+    state.pendingByOwner.set(service.owner, pending + 1);
+  }
+  return refusal;
+}
+
+/**
+ * An open that was taken is no longer pending.
+ */
+export function releaseOpen(state: OpenLimitsState, owner: string): void {
+  const pending = (state.pendingByOwner.get(owner) ?? 0) - 1;
+  if (pending > 0) {
+    state.pendingByOwner.set(owner, pending);
+  } else {
+    state.pendingByOwner.delete(owner);
+  }
+}
+
+/**
+ * @returns true where an open of the service may be tried on another back end; counts it
+ */
+export function admitRetry(state: OpenLimitsState, serviceId: number): boolean {
+  return takeRetry(budgetOf(state, serviceId));
+}
+
+/**
+ * Takes over the services in force; does nothing where they are those of the last call.
+ * @param configIndex log index of the configuration
+ */
+export function noteServices(
+  state: OpenLimitsState,
+  services: ReadonlyMap<number, Service>,
+  configIndex: number,
+): void {
+  if (state.configIndex === configIndex) {
+    return;
+  }
+  state.configIndex = configIndex;
+  state.owners = new Set([...services.values()].map(({ owner }) => owner));
+  for (const table of [state.serviceBuckets, state.retryBudgets]) {
+    for (const id of table.keys()) {
+      if (!services.has(id)) {
+        table.delete(id);
+      }
+    }
+  }
+}
+
+function pendingRefusal(
+  state: OpenLimitsState,
+  owner: string,
+  { limits }: OpenSurroundings,
+): OpenRefusal | undefined {
+  const ownerCount = Math.max(1, state.owners.size);
+  const share = Math.max(1, Math.floor(limits.maxPendingOpens / ownerCount));
+  const pending = state.pendingByOwner.get(owner) ?? 0;
+  return pending < share
+    ? undefined
+    : { kind: 'overloaded', retryAfterMs: OVERLOAD_RETRY_AFTER_MS };
+}
+
+function serviceRefusal(
+  state: OpenLimitsState,
+  { id, limits: { opensPerSecond } }: Service,
+  { liveBalancerCount, nowMs }: OpenSurroundings,
+): OpenRefusal | undefined {
+  if (opensPerSecond === undefined) {
+    state.serviceBuckets.delete(id);
+    return undefined;
+  }
+  const rate = localRate(opensPerSecond, liveBalancerCount);
+  const bucket = state.serviceBuckets.get(id) ?? createTokenBucket(rate, nowMs);
+  state.serviceBuckets.set(id, bucket);
+  fillBucket(bucket, rate, nowMs);
+  return takeToken(bucket)
+    ? undefined
+    : { kind: 'rate-limited', retryAfterMs: nextTokenInMs(bucket, rate) };
+}
+
+function ownerRefusal(
+  state: OpenLimitsState,
+  owner: string,
+  { limits, nowMs }: OpenSurroundings,
+): OpenRefusal | undefined {
+  const rate = limits.maxOpensPerSecond;
+  const waitMs = takeFromShare(state.ownerShares, owner, state.owners, rate, nowMs);
+  return waitMs === undefined ? undefined : { kind: 'overloaded', retryAfterMs: waitMs };
+}
+
+/** A service's limit holds for the whole cluster, so each balancer takes its part. */
+function localRate(opensPerSecond: number, liveBalancerCount: number): TokenRate {
+  const tokensPerSecond = opensPerSecond / Math.max(1, liveBalancerCount);
+  return { tokensPerSecond, capacity: Math.max(1, tokensPerSecond * SERVICE_BURST_SECONDS) };
+}
+
+function budgetOf(state: OpenLimitsState, serviceId: number): RetryBudget {
+  const known = state.retryBudgets.get(serviceId);
+  if (known !== undefined) {
+    return known;
+  }
+  const budget = createRetryBudget();
+  state.retryBudgets.set(serviceId, budget);
+  return budget;
+}
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -28,8 +28,10 @@
   backAddress: addressText.prefault('127.0.0.1:0'),
   /** Addresses of the control machines. */
   controlAddresses: z.array(addressText).default([]),
-  /** Bound of pending opens. */
+  /** Bound of pending opens; each owner has an equal part. */
   maxPendingOpens: positive.default(defaultBalancerOptions.maxPendingOpens),
+  /** Opens a second; each owner has an equal part, and what the others leave unused. */
+  maxOpensPerSecond: positive.default(defaultBalancerOptions.maxOpensPerSecond),
   /** How long one back end may take to answer an open, in milliseconds. */
   openAttemptTimeoutMs: positive.default(defaultBalancerOptions.openAttemptTimeoutMs),
   /** How many back ends an open is tried on. */
