Run the demo on a cluster that a fleet can share

Cause: the demo's cluster knew its two services, one control machine and one zone; a fleet needs both partners' deployments, three zones, several control machines and replaced processes.

--- a/src/cli/callers.ts
+++ b/src/cli/callers.ts
@@ -3,7 +3,7 @@
  * request.
  */
 import type { CAC } from 'cac';
-import { runSession } from '../standins/caller-process.js';
+import { runSessions } from '../standins/caller-process.js';
 import type { CallerOptions } from '../standins/caller-state.js';
 import { addressFlag } from './address-flag.js';
 
@@ -20,9 +20,11 @@
   readonly feeds: number;
   readonly notices: number;
   readonly feedTime: number;
+  readonly stopAfter?: number;
+  readonly requestDeadline: number;
+  readonly retransmitMax: number;
 }
 
-const REQUEST_DEADLINE_MS = 5_000;
 const OPEN_DEADLINE_MS = 2_000;
 const RETRANSMIT_MS = 250;
 
@@ -44,44 +46,43 @@
     .option('--feeds <count>', 'Sessions that also hold a feed', { default: 0 })
     .option('--notices <n>', 'The notice with which a feed ends', { default: 0 })
     .option('--feed-time <ms>', 'Longest time of a feed', { default: 30000 })
+    .option('--stop-after <ms>', 'Begin no request later than this; without it, until all are made')
+    .option('--request-deadline <ms>', 'Time for one request, its open included', { default: 5000 })
+    .option('--retransmit-max <ms>', 'Longest time between two copies', { default: 2000 })
     .action(run);
 }
 
 async function run(flags: CallersFlags): Promise<void> {
-  const service = addressFlag('service-address', flags.serviceAddress);
-  const reports = await Promise.all(
-    Array.from({ length: flags.sessions }, async (_, session) => {
-      await new Promise((resolve) =>
-        setTimeout(resolve, (session * flags.spread) / flags.sessions),
-      );
-      return runSession(sessionOptions(flags, session), service, flags.host, (outcome) =>
-        printLine({ event: 'outcome', outcome }),
-      );
-    }),
+  const sessions = Array.from({ length: flags.sessions }, (_, session) =>
+    sessionOptions(flags, session),
   );
-  const sum = (pick: (report: (typeof reports)[number]) => number): number =>
-    reports.reduce((total, report) => total + pick(report), 0);
-  printLine({
-    event: 'finished',
-    brokenFlows: sum((report) => report.brokenFlows),
-    wrongAnswers: sum((report) => report.wrongAnswers),
-    noticesDelivered: sum((report) => report.noticesDelivered),
-    noticesLost: sum((report) => report.noticesLost),
-    noticesDoubled: sum((report) => report.noticesDoubled),
+  const report = await runSessions(sessions, {
+    service: addressFlag('service-address', flags.serviceAddress),
+    host: flags.host,
+    spreadMs: flags.spread,
+    onOutcome: (outcome) => printLine({ event: 'outcome', outcome }),
   });
+  printLine({ event: 'finished', ...report });
 }
 
 function sessionOptions(flags: CallersFlags, session: number): CallerOptions {
-  const feed = { afterNotice: 0, lastNotice: flags.notices, deadlineMs: flags.feedTime };
+  const startsAfterMs = (session * flags.spread) / flags.sessions;
+  const feed = {
+    afterNotice: 0,
+    lastNotice: flags.notices,
+    deadlineMs: Math.max(1, flags.feedTime - startsAfterMs),
+  };
   return {
     serviceName: flags.service,
     requestCount: flags.requests,
     firstRequestNumber: flags.firstNumber + session * flags.requests,
     answerBytes: flags.answerBytes,
     pauseMs: flags.pause,
-    requestDeadlineMs: REQUEST_DEADLINE_MS,
+    ...(flags.stopAfter !== undefined && { stopAfterMs: flags.stopAfter - startsAfterMs }),
+    requestDeadlineMs: flags.requestDeadline,
     openDeadlineMs: OPEN_DEADLINE_MS,
     retransmitMs: RETRANSMIT_MS,
+    retransmitMaxMs: flags.retransmitMax,
     ...(session < flags.feeds && { feed }),
   };
 }
--- a/src/cli/demo.ts
+++ b/src/cli/demo.ts
@@ -3,10 +3,10 @@
  */
 import type { CAC } from 'cac';
 import { Presets, SingleBar } from 'cli-progress';
-import Table from 'cli-table3';
-import { runDemo, type DemoProgress, type DemoReport } from '../experiment/demo.js';
+import { runDemo, type DemoProgress } from '../experiment/demo.js';
 import { isUnharmed } from '../experiment/harm-summary.js';
 import { exitCodes } from '../flow/error-kinds.js';
+import { describeFigures } from './figures-table.js';
 
 interface DemoFlags {
   readonly json?: boolean;
@@ -24,19 +24,14 @@
 
 async function run(flags: DemoFlags): Promise<void> {
   const report = await runDemo(terminalProgress());
-  process.stdout.write(`\n${describe(report)}\n`);
+  process.stdout.write(`\n${describeFigures(report)}\n`);
   if (flags.json === true) {
     process.stdout.write(`${JSON.stringify(report)}\n`);
   }
-  process.exitCode = isUnharmed(report) ? exitCodes.success : exitCodes.failure;
-}
-
-function describe(report: DemoReport): string {
-  const table = new Table({ head: ['figure', 'value'] });
-  for (const [figure, value] of Object.entries(report) as [string, number][]) {
-    table.push([figure, Number.isInteger(value) ? value : value.toFixed(2)]);
-  }
-  return table.toString();
+  process.exitCode =
+    isUnharmed(report) && report.answered === report.requests
+      ? exitCodes.success
+      : exitCodes.failure;
 }
 
 /** A progress bar on a terminal, lines elsewhere. */
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -33,6 +33,14 @@
   readonly waiting: readonly AnnouncedMachine[];
   /** Why a peer refused this machine. */
   readonly refusal: string | undefined;
+  /** Balancers that are linked to this machine, with the index that each has in force. */
+  readonly balancers: readonly LinkedBalancer[];
+}
+
+/** A balancer that is linked to a control machine. */
+export interface LinkedBalancer {
+  readonly balancerId: string;
+  readonly index: number;
 }
 
 /**
@@ -56,6 +64,10 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
+    balancers: [...state.publisher.subscribers.values()].map(({ balancerId, acknowledged }) => ({
+      balancerId,
+      index: acknowledged.index,
+    })),
   };
 }
 
--- /dev/null
+++ b/src/experiment/cluster.ts
@@ -0,0 +1,362 @@
+/**
+ * @file The processes of a deployment on loopback: fabric, control machines, back ends, balancers and
+ * callers, and the platform's list of balancers. The demo and the fleet run on it.
+ */
+import { mkdir } from 'node:fs/promises';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { OperatorClient } from '../client/operator-client.js';
+import { formatAddress, type Address } from '../common/address.js';
+import { sendJson } from '../daemon/http-json.js';
+import { startProcess, type ManagedProcess } from './child-process.js';
+import type { DaemonSettings, DeployedService, Deployment } from './deployment.js';
+import { findFreeAddress } from './free-address.js';
+
+const HTTP_TIMEOUT_MS = 2_000;
+/** Processes that are started at the same time. */
+const START_BATCH = 4;
+
+/** A control machine. */
+export interface ClusterControl {
+  readonly nodeId: string;
+  readonly linkAddress: Address;
+  readonly operatorAddress: Address;
+  readonly dataFolder: string;
+  /** Replaced when the machine starts again. */
+  process: ManagedProcess;
+  /** False while it is killed or paused. */
+  isUp: boolean;
+}
+
+/** A balancer. */
+export interface ClusterBalancer {
+  readonly nodeId: string;
+  readonly zone: string;
+  readonly address: Address;
+  readonly process: ManagedProcess;
+  /** False while it is paused or leaves. */
+  isUp: boolean;
+}
+
+/** A back end. */
+export interface ClusterBackend {
+  readonly name: string;
+  readonly service: DeployedService;
+  readonly process: ManagedProcess;
+  readonly healthAddress: Address;
+  readonly id: number;
+  /** Index of the configuration that has it. */
+  readonly addedAtIndex: number;
+  /** True once its operator has drained it. */
+  leaving: boolean;
+}
+
+/** What a cluster is made of. */
+export interface ClusterOptions {
+  readonly deployment: Deployment;
+  readonly settings: DaemonSettings;
+  /** Folder for the disks of the control machines. */
+  readonly dataFolder: string;
+  /** Called with each thing that happens. */
+  onEvent(text: string): void;
+}
+
+/** A running deployment. */
+export class Cluster {
+  readonly controls: ClusterControl[] = [];
+  readonly balancers: ClusterBalancer[] = [];
+  readonly backends: ClusterBackend[] = [];
+  readonly serviceAddresses = new Map<string, Address>();
+  /** Every process that was started, for the end. */
+  private readonly processes: ManagedProcess[] = [];
+  private readonly clients = new Map<string, OperatorClient>();
+  private readonly started = new Map<string, number>();
+  private fabric: ManagedProcess | undefined;
+
+  constructor(readonly options: ClusterOptions) {}
+
+  /** Starts all processes and defines all services and back ends. */
+  async start(): Promise<void> {
+    await this.startFabric();
+    await this.startControls();
+    const { deployment } = this.options;
+    for (const service of deployment.services) {
+      const command = { type: 'define-service', service: service.name, limits: {} } as const;
+      const { policy } = service;
+      const address = this.addressOf(service);
+      await this.send(service, `define-${service.name}`, { ...command, address, policy });
+    }
+    const starts = deployment.services.flatMap((service) =>
+      Array.from({ length: service.backends }, () => () => this.startBackend(service)),
+    );
+    await inBatches(starts);
+    const balancers = Array.from(
+      { length: deployment.balancers },
+      () => () => this.startBalancer(),
+    );
+    await inBatches(balancers);
+    await this.publishBalancers();
+  }
+
+  /** The address that callers use. */
+  addressOf(service: DeployedService): Address {
+    const address = this.serviceAddresses.get(service.name);
+    if (address === undefined) {
+      throw new RangeError(`There is no service ${service.name}.`);
+    }
+    return address;
+  }
+
+  /** Sends a command of a service's operator; throws where it is refused. */
+  async send(service: DeployedService, ...command: Parameters<OperatorClient['send']>) {
+    const result = await this.clientOf(service.operator).send(...command);
+    return result.match(
+      (outcome) => outcome,
+      (error) => {
+        throw new Error(`${command[0]} was refused: ${error.message}`);
+      },
+    );
+  }
+
+  /** The client of an operator. */
+  clientOf(operator: string): OperatorClient {
+    const known = this.clients.get(operator);
+    if (known !== undefined) {
+      return known;
+    }
+    const { operators } = this.options.settings.control.control;
+    const bearerToken = operators.find(({ name }) => name === operator)?.token ?? '';
+    const controlAddresses = this.controls.map((control) => control.operatorAddress);
+    const client = new OperatorClient({ controlAddresses, bearerToken });
+    this.clients.set(operator, client);
+    return client;
+  }
+
+  /** Starts a back end and adds it to its service. */
+  async startBackend(service: DeployedService): Promise<ClusterBackend> {
+    const { name, zone } = this.nextMember(service.name);
+    const process = await this.spawn(name, [
+      'backend',
+      ...['--service', service.name, '--service-address', formatAddress(this.addressOf(service))],
+      ...['--fabric', formatAddress(this.readyAddress(this.fabric, 'returnAddress'))],
+      ...['--slots', String(service.slots), '--connections', String(service.connections)],
+      ...['--queue', String(service.queue), '--service-time', String(service.serviceTimeMs)],
+      ...['--warm-up', String(service.warmUpMs)],
+    ]);
+    const healthAddress = this.readyAddress(process, 'healthAddress');
+    const address = this.readyAddress(process, 'address');
+    const command = { type: 'add-backend', service: service.name, address, healthAddress } as const;
+    const added = await this.send(service, `add-${name}`, { ...command, zone });
+    const backend: ClusterBackend = {
+      name,
+      service,
+      process,
+      healthAddress,
+      id: added.backendId ?? 0,
+      addedAtIndex: added.index,
+      leaving: false,
+    };
+    this.backends.push(backend);
+    return backend;
+  }
+
+  /** The operator of a back end drains it. */
+  async drain(backend: ClusterBackend): Promise<void> {
+    const command = { type: 'drain-backend', backendId: backend.id } as const;
+    await this.send(backend.service, `drain-${backend.name}`, command);
+    backend.leaving = true;
+  }
+
+  /** Where the back ends of a service take notices. */
+  healthAddressesOf(service: DeployedService): Address[] {
+    return this.backends
+      .filter((backend) => backend.service === service)
+      .map(({ healthAddress }) => healthAddress);
+  }
+
+  /** Starts a balancer; the platform's list has it once it is published. */
+  async startBalancer(): Promise<ClusterBalancer> {
+    const { name, zone } = this.nextMember('balancer');
+    const controlAddresses = this.controls.map(({ linkAddress }) => formatAddress(linkAddress));
+    const process = await this.spawn(name, [
+      'balancer',
+      ...settingsArgs(this.options.settings.balancerFile, {
+        nodeId: name,
+        zone,
+        'balancer.controlAddresses': JSON.stringify(controlAddresses),
+        ...(this.options.settings.balancerFile === undefined && this.commonSettings()),
+      }),
+    ]);
+    const address = this.readyAddress(process, 'frontAddress');
+    const balancer = { nodeId: name, zone, address, process, isUp: true };
+    this.balancers.push(balancer);
+    return balancer;
+  }
+
+  /** Takes a balancer out of the cluster's own list; the platform still has to hear of it. */
+  removeBalancer(balancer: ClusterBalancer): void {
+    balancer.isUp = false;
+    this.balancers.splice(this.balancers.indexOf(balancer), 1);
+  }
+
+  /** The platform tells the fabric which balancers there are. */
+  async publishBalancers(): Promise<void> {
+    const body = this.balancers.map(({ address, zone }) => ({ address, zone }));
+    await this.postToFabric('/balancers', body);
+  }
+
+  /** The platform's list follows later. */
+  async publishBalancersLate(): Promise<void> {
+    await sleep(this.options.deployment.platformLagMs);
+    await this.publishBalancers();
+  }
+
+  /** The fabric loses every packet to these addresses, though they stay listed. */
+  async cut(addresses: readonly Address[]): Promise<void> {
+    await this.postToFabric('/cut', addresses);
+  }
+
+  /** Starts a control machine anew at the addresses and on the disk that it had. */
+  async restartControl(control: ClusterControl): Promise<void> {
+    control.process = await this.spawnControl(control);
+    control.isUp = true;
+  }
+
+  /** Starts a control machine with an empty disk at the addresses of another one. */
+  async startControlInPlaceOf(former: ClusterControl): Promise<ClusterControl> {
+    const nodeId = this.nextMember('control').name;
+    const dataFolder = join(this.options.dataFolder, nodeId);
+    await mkdir(dataFolder, { recursive: true });
+    const successor = { ...former, nodeId, dataFolder, isUp: true };
+    this.controls.splice(this.controls.indexOf(former), 1, successor);
+    successor.process = await this.spawnControl(successor);
+    return successor;
+  }
+
+  /** Starts a process that ends with the cluster. */
+  async spawn(
+    name: string,
+    args: readonly string[],
+    onLine?: (line: string) => void,
+  ): Promise<ManagedProcess> {
+    const started = await startProcess(name, args, onLine);
+    this.processes.push(started);
+    this.options.onEvent(`Started ${name}.`);
+    return started;
+  }
+
+  /** Ends every process, the paused ones too. */
+  async stop(): Promise<void> {
+    for (const process of this.processes) {
+      process.signal('SIGCONT');
+      process.signal('SIGTERM');
+    }
+    const kill = setTimeout(() => {
+      this.processes.forEach((process) => process.signal('SIGKILL'));
+    }, STOP_TIMEOUT_MS);
+    await Promise.all(this.processes.map((process) => process.exited));
+    clearTimeout(kill);
+  }
+
+  private async startFabric(): Promise<void> {
+    const { deployment } = this.options;
+    const { services } = deployment;
+    this.fabric = await this.spawn('fabric', [
+      'fabric',
+      ...services.flatMap(() => ['--service', '127.0.0.1:0']),
+      ...['--zone', deployment.zones[0] ?? ''],
+      ...['--cross-zone-delay', String(deployment.crossZoneDelayMs)],
+      ...['--caller-delay', String(deployment.callerDelayMs)],
+    ]);
+    const addresses = this.fabric.ready.serviceAddresses as Address[];
+    services.forEach((service, position) => {
+      const address = addresses[position];
+      if (address !== undefined) {
+        this.serviceAddresses.set(service.name, address);
+      }
+    });
+  }
+
+  private async startControls(): Promise<void> {
+    const { deployment, dataFolder } = this.options;
+    const planned: Omit<ClusterControl, 'process'>[] = [];
+    for (let number = 0; number < deployment.controlMachines; number += 1) {
+      const nodeId = this.nextMember('control').name;
+      const linkAddress = await findFreeAddress();
+      const operatorAddress = await findFreeAddress();
+      const folder = join(dataFolder, nodeId);
+      await mkdir(folder, { recursive: true });
+      planned.push({ nodeId, linkAddress, operatorAddress, dataFolder: folder, isUp: true });
+    }
+    const started = planned.map(async (control) => ({
+      ...control,
+      process: await this.spawnControl(control, planned),
+    }));
+    this.controls.push(...(await Promise.all(started)));
+  }
+
+  private spawnControl(
+    control: Omit<ClusterControl, 'process'>,
+    all: readonly Omit<ClusterControl, 'process'>[] = this.controls,
+  ): Promise<ManagedProcess> {
+    const peers = all
+      .filter(({ nodeId }) => nodeId !== control.nodeId)
+      .map(({ nodeId, linkAddress }) => ({ nodeId, linkAddress: formatAddress(linkAddress) }));
+    const { controlFile, control: checked } = this.options.settings;
+    const inline = {
+      ...this.commonSettings(),
+      'control.operators': JSON.stringify(checked.control.operators),
+      'control.adminToken': checked.control.adminToken ?? '',
+    };
+    return this.spawn(control.nodeId, [
+      'control',
+      ...settingsArgs(controlFile, {
+        nodeId: control.nodeId,
+        dataFolder: control.dataFolder,
+        'control.linkAddress': formatAddress(control.linkAddress),
+        'control.operatorAddress': formatAddress(control.operatorAddress),
+        'control.peers': JSON.stringify(peers),
+        ...(controlFile === undefined && inline),
+      }),
+    ]);
+  }
+
+  private commonSettings(): Record<string, string> {
+    const { clusterKey, logLevel, balancer } = this.options.settings.control;
+    return { clusterKey, logLevel, 'balancer.stopGraceMs': String(balancer.stopGraceMs) };
+  }
+
+  private nextMember(kind: string): { name: string; zone: string } {
+    const { zones } = this.options.deployment;
+    const number = (this.started.get(kind) ?? 0) + 1;
+    this.started.set(kind, number);
+    const zone = zones[(number - 1) % zones.length] ?? '';
+    return { name: `${kind}-${number}`, zone };
+  }
+
+  private readyAddress(process: ManagedProcess | undefined, key: string): Address {
+    return process?.ready[key] as Address;
+  }
+
+  private async postToFabric(path: string, body: unknown): Promise<void> {
+    const to = this.readyAddress(this.fabric, 'platformAddress');
+    await sendJson({ to, method: 'POST', path, body, timeoutMs: HTTP_TIMEOUT_MS });
+  }
+}
+
+/** Time after which a process that does not stop is killed. */
+const STOP_TIMEOUT_MS = 15_000;
+
+function settingsArgs(file: string | undefined, settings: Record<string, string>): string[] {
+  const overrides = Object.entries(settings).flatMap(([path, value]) => [
+    '--set',
+    `${path}=${value}`,
+  ]);
+  return file === undefined ? overrides : ['--config', file, ...overrides];
+}
+
+async function inBatches(starts: readonly (() => Promise<unknown>)[]): Promise<void> {
+  for (let first = 0; first < starts.length; first += START_BATCH) {
+    await Promise.all(starts.slice(first, first + START_BATCH).map((start) => start()));
+  }
+}
--- /dev/null
+++ b/src/experiment/load-sampler.ts
@@ -0,0 +1,153 @@
+/**
+ * @file Samples what the back ends of a cluster really hold, once a second, and tells the imbalance.
+ */
+import { z } from 'zod';
+import { sendJson } from '../daemon/http-json.js';
+import type { Cluster, ClusterBackend } from './cluster.js';
+
+const HTTP_TIMEOUT_MS = 2_000;
+const SAMPLE_INTERVAL_MS = 1_000;
+/** Samples with fewer connections a back end tell nothing of the imbalance. */
+const MIN_MEAN_CONNECTIONS = 10;
+/** Slot time is compared over this many samples. */
+const SLOT_WINDOW_SAMPLES = 10;
+/** Windows with less busy time a back end tell nothing of the imbalance, in milliseconds. */
+const MIN_MEAN_BUSY_MS = 100;
+
+const observationSchema = z.object({ connections: z.number(), busySlotMs: z.number() });
+type Observation = z.infer<typeof observationSchema>;
+
+/** What one back end held in the course of a run. */
+export interface BackendSeries {
+  readonly name: string;
+  readonly service: string;
+  /** One number a sample; null where it did not tell. */
+  readonly connections: (number | null)[];
+}
+
+/** Highest over mean of the back ends of one service, the worst service counting. */
+export interface Imbalance {
+  /** Median over the samples of the run; null where no sample had enough. */
+  readonly peakOverMeanConnections: number | null;
+  /** Median over the windows of the run, of the time that slots were busy. */
+  readonly peakOverMeanSlots: number | null;
+}
+
+interface Sample {
+  readonly atSeconds: number;
+  readonly byBackend: ReadonlyMap<ClusterBackend, Observation>;
+  /** Back ends that were to take flows then. */
+  readonly active: ReadonlySet<ClusterBackend>;
+}
+
+/** Samples one cluster. */
+export class LoadSampler {
+  private readonly samples: Sample[] = [];
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly cluster: Cluster,
+    private readonly elapsedSeconds: () => number,
+  ) {}
+
+  /** Samples once a second from now on. */
+  start(): void {
+    this.timer = setInterval(() => void this.sample(), SAMPLE_INTERVAL_MS);
+  }
+
+  /** Samples no more. */
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  /** The time of each sample, in seconds from the start of the load. */
+  times(): number[] {
+    return this.samples.map(({ atSeconds }) => atSeconds);
+  }
+
+  /** Connections of each back end over time. */
+  series(): BackendSeries[] {
+    return this.cluster.backends.map((backend) => ({
+      name: backend.name,
+      service: backend.service.name,
+      connections: this.samples.map(({ byBackend }) => byBackend.get(backend)?.connections ?? null),
+    }));
+  }
+
+  /** The imbalance of the run. */
+  imbalance(): Imbalance {
+    const services = this.cluster.options.deployment.services.map(({ name }) => name);
+    const connections = services.map((name) => median(this.connectionRatios(name)));
+    const slots = services.map((name) => median(this.slotRatios(name)));
+    return { peakOverMeanConnections: worst(connections), peakOverMeanSlots: worst(slots) };
+  }
+
+  private async sample(): Promise<void> {
+    const atSeconds = this.elapsedSeconds();
+    const backends = [...this.cluster.backends];
+    const active = new Set(backends.filter((backend) => !backend.leaving));
+    const observations = await Promise.all(backends.map(observe));
+    const byBackend = new Map<ClusterBackend, Observation>();
+    backends.forEach((backend, position) => {
+      const observation = observations[position];
+      if (observation !== undefined) {
+        byBackend.set(backend, observation);
+      }
+    });
+    this.samples.push({ atSeconds, byBackend, active });
+  }
+
+  private connectionRatios(service: string): number[] {
+    return this.samples.flatMap((sample) => {
+      const counts = activeOf(sample, service).map(([, { connections }]) => connections);
+      return ratioOf(counts, MIN_MEAN_CONNECTIONS);
+    });
+  }
+
+  private slotRatios(service: string): number[] {
+    const ratios: number[] = [];
+    for (let end = SLOT_WINDOW_SAMPLES; end < this.samples.length; end += SLOT_WINDOW_SAMPLES) {
+      const first = this.samples[end - SLOT_WINDOW_SAMPLES];
+      const last = this.samples[end];
+      if (first !== undefined && last !== undefined) {
+        ratios.push(...ratioOf(busyTimes(first, last, service), MIN_MEAN_BUSY_MS));
+      }
+    }
+    return ratios;
+  }
+}
+
+async function observe(backend: ClusterBackend): Promise<Observation | undefined> {
+  const to = backend.healthAddress;
+  const request = { to, method: 'GET', path: '/observe', timeoutMs: HTTP_TIMEOUT_MS } as const;
+  const response = await sendJson(request);
+  return response.map(({ body }) => observationSchema.safeParse(body).data).unwrapOr(undefined);
+}
+
+function activeOf(sample: Sample, service: string): [ClusterBackend, Observation][] {
+  return [...sample.byBackend].filter(
+    ([backend]) => backend.service.name === service && sample.active.has(backend),
+  );
+}
+
+/** Of back ends that were to take flows over the whole window. */
+function busyTimes(first: Sample, last: Sample, service: string): number[] {
+  return activeOf(last, service).flatMap(([backend, { busySlotMs }]) => {
+    const before = first.active.has(backend) ? first.byBackend.get(backend) : undefined;
+    return before === undefined ? [] : [busySlotMs - before.busySlotMs];
+  });
+}
+
+function ratioOf(values: readonly number[], minMean: number): number[] {
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+  return mean >= minMean ? [Math.max(...values) / mean] : [];
+}
+
+function median(values: readonly number[]): number | undefined {
+  return [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)];
+}
+
+function worst(ratios: readonly (number | undefined)[]): number | null {
+  const known = ratios.filter((ratio) => ratio !== undefined);
+  return known.length === 0 ? null : Math.max(...known);
+}
--- a/src/standins/backend-process.ts
+++ b/src/standins/backend-process.ts
@@ -1,7 +1,8 @@
 /**
  * @file The stand-in back end as a process: a UDP socket for packets, and HTTP endpoints for health
  * (`GET /health`, whose query may tell `serviceId` and `backendId`), load (`GET /load`), drain
- * (`POST /drain`), notices (`POST /publish`), a crash (`POST /crash`) and the oracle (`GET /runs`).
+ * (`POST /drain`), notices (`POST /publish`), a crash (`POST /crash`) and the oracle (`GET /runs`, and
+ * `GET /observe` for what it really holds, whatever its load report says).
  */
 import { randomInt } from 'node:crypto';
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
@@ -17,6 +18,7 @@
   healthReport,
   isDown,
   loadReport,
+  noteBusySlots,
   type BackendState,
 } from './backend-state.js';
 import { backendStep, type BackendEvent } from './backend-step.js';
@@ -101,6 +103,10 @@
           return {};
         });
         break;
+      case '/observe':
+        noteBusySlots(state, performance.now());
+        respondJson(response, 200, { connections: state.flows.size, busySlotMs: state.busySlotMs });
+        break;
       case '/runs':
         respondJson(response, 200, { runs: state.runs, misrouted: state.misrouted });
         break;
--- a/src/standins/backend-requests.ts
+++ b/src/standins/backend-requests.ts
@@ -8,6 +8,7 @@
 import { REQUEST_ID_WINDOW, type Message, type RequestMessage } from '../flow/messages.js';
 import { RETRY_AFTER_MS, sendOnFlow, type BackendEffect } from './backend-send.js';
 import {
+  noteBusySlots,
   refusesWork,
   type BackendFlow,
   type BackendState,
@@ -212,6 +213,7 @@
   const uniform = 1 - context.random.nextFloat();
   record.phase = 'running';
   record.flow.hasRun = true;
+  noteBusySlots(state, context.nowMs);
   record.finishAtMs = context.nowMs - Math.log(uniform) * meanServiceTimeMs(state, context);
   state.runs.push(record.work.requestNumber);
   state.running.add(record);
@@ -228,6 +230,7 @@
   record: RequestRecord,
   context: StepContext,
 ): BackendEffect[] {
+  noteBusySlots(state, context.nowMs);
   state.running.delete(record);
   record.phase = 'done';
   const parts = record.work === undefined ? [] : answerParts(record.work);
--- a/src/standins/backend-state.ts
+++ b/src/standins/backend-state.ts
@@ -118,6 +118,9 @@
   readonly runs: number[];
   /** Packets or work that were meant for another service. */
   misrouted: number;
+  /** Time that requests have spent in slots up to `busyNotedAtMs`, added up, in milliseconds. */
+  busySlotMs: number;
+  busyNotedAtMs: number;
 }
 
 /**
@@ -149,6 +152,8 @@
     frozenLoad: undefined,
     runs: [],
     misrouted: 0,
+    busySlotMs: 0,
+    busyNotedAtMs: nowMs,
   };
 }
 
@@ -163,6 +168,7 @@
   downMs: number,
   nowMs: number,
 ): void {
+  noteBusySlots(state, nowMs);
   state.incarnation = incarnation;
   state.downUntilMs = nowMs + downMs;
   state.startedAtMs = state.downUntilMs;
@@ -176,6 +182,15 @@
   [state.flows, state.closedFlows, state.feeds, state.running].forEach((held) => held.clear());
 }
 
+/**
+ * Adds up the time in slots; called before the number of running requests changes, and before the sum
+ * is read.
+ */
+export function noteBusySlots(state: BackendState, nowMs: number): void {
+  state.busySlotMs += state.running.size * (nowMs - state.busyNotedAtMs);
+  state.busyNotedAtMs = nowMs;
+}
+
 /**
  * @returns true while the process is down after a crash: it takes nothing and answers nothing
  */
--- a/src/standins/caller-request.ts
+++ b/src/standins/caller-request.ts
@@ -7,6 +7,7 @@
 import type { AnswerMessage, RefuseMessage } from '../flow/messages.js';
 import {
   closeFlow,
+  hasBegunAllRequests,
   leaveFlow,
   sendOnFlow,
   startRetransmitTimer,
@@ -133,7 +134,7 @@
 
 function beginRequest(state: CallerState, context: StepContext): void {
   const { options } = state;
-  const isDone = state.requestsStarted >= options.requestCount;
+  const isDone = hasBegunAllRequests(state, context.nowMs);
   if (state.request !== undefined || isDone || context.nowMs < state.nextRequestAtMs) {
     return;
   }
--- a/src/standins/caller-state.ts
+++ b/src/standins/caller-state.ts
@@ -15,8 +15,10 @@
 /** Options of a caller; times in milliseconds. */
 export interface CallerOptions {
   readonly serviceName: string;
-  /** How many requests the session makes. */
+  /** How many requests the session makes at most. */
   readonly requestCount: number;
+  /** No request is begun later than this after the start of the session. Default: no such bound. */
+  readonly stopAfterMs?: number | undefined;
   /** Number of its first request; numbers are unique in a run. */
   readonly firstRequestNumber: number;
   readonly answerBytes: number;
@@ -142,6 +144,8 @@
   feed: CallerFeed | undefined;
   requestsStarted: number;
   nextRequestAtMs: number;
+  /** From then on no request is begun. */
+  readonly stopAtMs: number;
   /** IDs grow over all flows of the session, so that they grow in each. */
   nextRequestId: number;
   /** Established flows that were lost, not ended. */
@@ -174,6 +178,7 @@
     },
     requestsStarted: 0,
     nextRequestAtMs: nowMs,
+    stopAtMs: nowMs + (options.stopAfterMs ?? Infinity),
     nextRequestId: 1,
     brokenFlows: 0,
     wrongAnswers: 0,
@@ -181,6 +186,13 @@
   };
 }
 
+/**
+ * @returns true where the session begins no further request
+ */
+export function hasBegunAllRequests(state: CallerState, nowMs: number): boolean {
+  return state.requestsStarted >= state.options.requestCount || nowMs >= state.stopAtMs;
+}
+
 /**
  * @returns a timer for the copies of a packet that is sent now
  */
--- a/src/standins/caller-step.ts
+++ b/src/standins/caller-step.ts
@@ -13,6 +13,7 @@
 import {
   closeFlow,
   findFlow,
+  hasBegunAllRequests,
   leaveFlow,
   sendOnFlow,
   type CallerEffect,
@@ -60,8 +61,8 @@
 }
 
 function finishIfDone(state: CallerState, context: StepContext): CallerEffect[] {
-  const { options, request, feed, flow } = state;
-  const isDone = request === undefined && state.requestsStarted >= options.requestCount;
+  const { request, feed, flow } = state;
+  const isDone = request === undefined && hasBegunAllRequests(state, context.nowMs);
   if (!isDone || feed !== undefined) {
     return [];
   }
