--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import { registerCtl } from './ctl.js';
 import { registerDemo } from './demo.js';
 import { registerFabric } from './fabric.js';
+import { registerFleet } from './fleet.js';
 
 const ARGUMENTS_BEFORE_COMMAND = 2;
 
@@ -21,6 +22,7 @@
   registerControl,
   registerCtl,
   registerDemo,
+  registerFleet,
   registerBackend,
   registerFabric,
   registerCallers,
--- a/src/experiment/cluster.ts
+++ b/src/experiment/cluster.ts
@@ -13,6 +13,11 @@
 import { findFreeAddress } from './free-address.js';
 
 const HTTP_TIMEOUT_MS = 2_000;
+const POLL_INTERVAL_MS = 100;
+/** Time in which new control machines begin a cluster. */
+const CONTROL_TIMEOUT_MS = 20_000;
+/** Time after which a process that does not stop is killed. */
+const STOP_TIMEOUT_MS = 15_000;
 /** Processes that are started at the same time. */
 const START_BATCH = 4;
 
@@ -79,6 +84,7 @@
   async start(): Promise<void> {
     await this.startFabric();
     await this.startControls();
+    await this.waitForControl();
     const { deployment } = this.options;
     for (const service of deployment.services) {
       const command = { type: 'define-service', service: service.name, limits: {} } as const;
@@ -233,6 +239,11 @@
     return successor;
   }
 
+  /** How many processes were started, without callers. */
+  get startedCount(): number {
+    return this.processes.length;
+  }
+
   /** Starts a process that ends with the cluster. */
   async spawn(
     name: string,
@@ -295,6 +306,18 @@
     this.controls.push(...(await Promise.all(started)));
   }
 
+  /** The control machines know their operators once they have begun a cluster. */
+  private async waitForControl(): Promise<void> {
+    const operator = this.options.deployment.services[0]?.operator ?? '';
+    const endsAt = performance.now() + CONTROL_TIMEOUT_MS;
+    while ((await this.clientOf(operator).show()).isErr()) {
+      if (performance.now() > endsAt) {
+        throw new Error('The control machines did not begin a cluster in time.');
+      }
+      await sleep(POLL_INTERVAL_MS);
+    }
+  }
+
   private spawnControl(
     control: Omit<ClusterControl, 'process'>,
     all: readonly Omit<ClusterControl, 'process'>[] = this.controls,
@@ -344,9 +367,6 @@
   }
 }
 
-/** Time after which a process that does not stop is killed. */
-const STOP_TIMEOUT_MS = 15_000;
-
 function settingsArgs(file: string | undefined, settings: Record<string, string>): string[] {
   const overrides = Object.entries(settings).flatMap(([path, value]) => [
     '--set',
--- a/src/experiment/run-recorder.ts
+++ b/src/experiment/run-recorder.ts
@@ -54,6 +54,11 @@
   private readonly finished: Omit<RunRecord, 'outcomes'>[] = [];
   private startedAtMs = performance.now();
 
+  /**
+   * @param onNote called with each event that is noted
+   */
+  constructor(private readonly onNote: (text: string) => void = () => undefined) {}
+
   /** The load begins now. */
   start(): void {
     this.startedAtMs = performance.now();
@@ -77,6 +82,7 @@
   /** Notes that something happened now. */
   note(text: string): void {
     this.events.push({ atSeconds: this.elapsedSeconds, text });
+    this.onNote(`${this.elapsedSeconds.toFixed(1)} s: ${text}`);
   }
 
   /** The totals of all callers that have finished. */
