--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -33,12 +33,12 @@
   readonly waiting: readonly AnnouncedMachine[];
   /** Why a peer refused this machine. */
   readonly refusal: string | undefined;
-  /** Balancers that are linked to this machine, with the index that each has in force. */
-  readonly balancers: readonly LinkedBalancer[];
+  /** Balancers that report to this machine, with the index that each has in force. */
+  readonly balancers: readonly ReportingBalancer[];
 }
 
-/** A balancer that is linked to a control machine. */
-export interface LinkedBalancer {
+/** A balancer that reports to a control machine. */
+export interface ReportingBalancer {
   readonly balancerId: string;
   readonly index: number;
 }
@@ -64,9 +64,9 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
-    balancers: [...state.publisher.subscribers.values()].map(({ balancerId, acknowledged }) => ({
+    balancers: [...state.publisher.reports.values()].map(({ balancerId, position }) => ({
       balancerId,
-      index: acknowledged.index,
+      index: position.index,
     })),
   };
 }
