--- a/src/balancer/balancer-events.ts
+++ b/src/balancer/balancer-events.ts
@@ -2,9 +2,15 @@
  * @file What can happen to a balancer, and what its step asks of its surroundings.
  */
 import type { Address } from '../common/address.js';
-import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
+import type {
+  BalancerToControlMessage,
+  ControlToBalancerMessage,
+} from '../dissemination/link-messages.js';
+import type { LinkId } from '../dissemination/publisher.js';
 import type { SubscriptionEffect } from '../dissemination/subscription.js';
 import type { ProbeResult } from '../health/backend-report.js';
+import type { GossipMessage } from '../membership/gossip-messages.js';
+import type { GossipSendEffect } from '../membership/membership-state.js';
 import type { ProbeEffect } from '../health/probe-schedule.js';
 
 /** What can happen to a balancer. */
@@ -21,6 +27,15 @@
       readonly message: ControlToBalancerMessage;
     }
   | { readonly type: 'link-closed'; readonly linkId: number }
+  /** A message of a balancer that gets the configuration from this one. */
+  | {
+      readonly type: 'peer-message';
+      readonly linkId: LinkId;
+      readonly message: BalancerToControlMessage;
+    }
+  | { readonly type: 'peer-closed'; readonly linkId: LinkId }
+  /** A datagram of another balancer; `from` is the address that it came from. */
+  | { readonly type: 'gossip'; readonly message: GossipMessage; readonly from: Address }
   | { readonly type: 'probe-result'; readonly result: ProbeResult }
   /** Time has passed; comes at least every 50 ms. */
   | { readonly type: 'tick' }
@@ -36,5 +51,13 @@
   readonly datagram: Uint8Array;
 }
 
+/** Sends a message to a balancer that gets the configuration from this one. */
+export interface PeerSendEffect {
+  readonly type: 'peer-send';
+  readonly linkId: LinkId;
+  readonly message: ControlToBalancerMessage;
+}
+
 /** What a balancer's step asks of its surroundings. */
-export type BalancerEffect = SendEffect | SubscriptionEffect | ProbeEffect;
+export type BalancerEffect =
+  SendEffect | SubscriptionEffect | ProbeEffect | PeerSendEffect | GossipSendEffect;
--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -19,11 +19,18 @@
   type ConfigUpdate,
 } from '../control/config-update.js';
 import { mayUseBackend } from '../dissemination/lease.js';
+import { createPublisher, type PublisherState } from '../dissemination/publisher.js';
 import { createSubscription, type SubscriptionState } from '../dissemination/subscription.js';
+import { createTraffic, type Traffic } from '../dissemination/traffic.js';
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
 import type { ProbeResult } from '../health/backend-report.js';
 import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
+import {
+  createMembership,
+  type MembershipOptions,
+  type MembershipState,
+} from '../membership/membership-state.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
 import { createBackendView, type BackendView } from './backend-view.js';
@@ -44,6 +51,8 @@
   readonly probeIntervalMs: number;
   readonly controlAddresses: readonly Address[];
   readonly clusterKey: string;
+  /** Absent where the balancer takes no part in membership; then it links to control machines only. */
+  readonly membership?: Omit<MembershipOptions, 'id' | 'zone'>;
 }
 
 /** Options that apply where settings give none. */
@@ -94,6 +103,13 @@
   /** Datagrams and opens that ended in each error kind. */
   readonly errorCounts: Map<ErrorKind, number>;
   readonly subscription: SubscriptionState;
+  /** Passes the configuration on to balancers that are linked to this one. */
+  readonly publisher: PublisherState;
+  readonly membership: MembershipState | undefined;
+  /** Version of the members for which the links were planned last. */
+  plannedVersion: number;
+  /** Messages of the control plane; counted by whoever sends and receives them. */
+  readonly traffic: Traffic;
   readonly probes: ProbeSchedule;
   forwardedPackets: number;
   acceptedOpens: number;
@@ -104,6 +120,8 @@
  * @returns the state of a balancer that has no configuration yet
  */
 export function createBalancerState(options: BalancerOptions): BalancerState {
+  const { balancerId, zone, clusterKey, membership } = options;
+  const subscription = createSubscription(options);
   return {
     options,
     config: emptyRoutingConfig(),
@@ -118,7 +136,11 @@
     policies: new Map(),
     pendingOpens: new Map(),
     errorCounts: new Map(),
-    subscription: createSubscription(options),
+    subscription,
+    publisher: createPublisher(clusterKey, { type: 'held', lease: subscription.lease }),
+    membership: membership && createMembership({ ...membership, id: balancerId, zone }),
+    plannedVersion: -1,
+    traffic: createTraffic(),
     probes: createProbeSchedule(options.probeIntervalMs),
     forwardedPackets: 0,
     acceptedOpens: 0,
--- a/src/balancer/balancer-step.ts
+++ b/src/balancer/balancer-step.ts
@@ -4,25 +4,22 @@
 import { match } from 'ts-pattern';
 import { packedAddressKey, type Address } from '../common/address.js';
 import type { StepContext } from '../common/step.js';
-import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
-import {
-  acknowledge,
-  handleControlMessage,
-  handleLinkClosed,
-  handleLinkOpened,
-  subscriptionTick,
-} from '../dissemination/subscription.js';
+import { handleLinkClosed } from '../dissemination/subscription.js';
 import { toEnvelope, unpackEnvelope } from '../flow/envelope.js';
 import { hasLongHeader } from '../flow/header.js';
 import { dueProbes, probeEnded } from '../health/probe-schedule.js';
-import {
-  applyConfigUpdate,
-  countError,
-  recordIdentity,
-  type BalancerState,
-} from './balancer-state.js';
+import { countError, recordIdentity, type BalancerState } from './balancer-state.js';
 import type { BalancerEffect, BalancerEvent } from './balancer-events.js';
 import { recordProbe } from './candidates.js';
+import {
+  controlLinksTick,
+  gossipReceived,
+  leaveMembership,
+  linkMessage,
+  linkOpened,
+  peerClosed,
+  peerMessage,
+} from './control-links.js';
 import { routePacket } from './forwarding.js';
 import { expireOpens, handleOpen, handleOpenReply } from './open-handling.js';
 
@@ -40,16 +37,23 @@
       handleClientDatagram(state, datagram, replyTo, context),
     )
     .with({ type: 'backend-datagram' }, ({ datagram }) => handleOpenReply(state, datagram, context))
-    .with({ type: 'link-opened' }, ({ linkId }) =>
-      handleLinkOpened(state.subscription, linkId, state.position, context.nowMs),
-    )
-    .with({ type: 'link-message' }, ({ linkId, message }) =>
-      handleLinkMessage(state, linkId, message, context),
-    )
+    .with({ type: 'link-opened' }, ({ linkId }) => linkOpened(state, linkId, context))
+    .with({ type: 'link-message' }, ({ linkId, message }) => {
+      const { effects, hasChanged } = linkMessage(state, linkId, message, context);
+      return hasChanged ? [...effects, ...probesDue(state, context)] : effects;
+    })
     .with({ type: 'link-closed' }, ({ linkId }) => {
       handleLinkClosed(state.subscription, linkId, context.nowMs);
       return [];
     })
+    .with({ type: 'peer-message' }, ({ linkId, message }) =>
+      peerMessage(state, linkId, message, context),
+    )
+    .with({ type: 'peer-closed' }, ({ linkId }) => {
+      peerClosed(state, linkId);
+      return [];
+    })
+    .with({ type: 'gossip' }, ({ message, from }) => gossipReceived(state, message, from, context))
     .with({ type: 'probe-result' }, ({ result }) => {
       const startedAtMs = probeEnded(state.probes, result.backendId);
       recordProbe(state, result, context);
@@ -59,7 +63,7 @@
     .with({ type: 'tick' }, () => handleTick(state, context))
     .with({ type: 'stop' }, () => {
       state.stopping = true;
-      return [];
+      return leaveMembership(state, context);
     })
     .exhaustive();
 }
@@ -89,34 +93,14 @@
   return [{ type: 'send', to: target.value, via: 'backends', datagram }];
 }
 
-function handleLinkMessage(
-  state: BalancerState,
-  linkId: number,
-  message: ControlToBalancerMessage,
-  context: StepContext,
-): BalancerEffect[] {
-  const { update, effects } = handleControlMessage(
-    state.subscription,
-    linkId,
-    message,
-    state.position,
-    context.nowMs,
-  );
-  if (update === undefined) {
-    return effects;
-  }
-  applyConfigUpdate(state, update);
-  return [
-    ...effects,
-    ...acknowledge(state.subscription, state.position, context.nowMs),
-    ...dueProbes(state.probes, state.config.backends.values(), context.nowMs),
-  ];
-}
-
 function handleTick(state: BalancerState, context: StepContext): BalancerEffect[] {
   return [
     ...expireOpens(state, context),
-    ...subscriptionTick(state.subscription, state.position, context.nowMs),
-    ...dueProbes(state.probes, state.config.backends.values(), context.nowMs),
+    ...controlLinksTick(state, context),
+    ...probesDue(state, context),
   ];
 }
+
+function probesDue(state: BalancerState, { nowMs }: StepContext): BalancerEffect[] {
+  return dueProbes(state.probes, state.config.backends.values(), nowMs);
+}
--- /dev/null
+++ b/src/balancer/control-links.ts
@@ -0,0 +1,135 @@
+/**
+ * @file A balancer's part in the control plane: its link upwards, the balancers that are linked to it,
+ * and its membership.
+ */
+import type { Address } from '../common/address.js';
+import type { StepContext } from '../common/step.js';
+import type {
+  BalancerToControlMessage,
+  ControlToBalancerMessage,
+} from '../dissemination/link-messages.js';
+import { planLinks } from '../dissemination/link-plan.js';
+import {
+  handleSubscriberGone,
+  handleSubscriberMessage,
+  passOnUpdate,
+  type LinkId,
+  type LinkSendEffect,
+} from '../dissemination/publisher.js';
+import {
+  acknowledge,
+  handleControlMessage,
+  handleLinkOpened,
+  setLinkPlan,
+  subscriptionTick,
+  type ReportSource,
+} from '../dissemination/subscription.js';
+import { expireReports } from '../dissemination/subtree-report.js';
+import type { GossipMessage } from '../membership/gossip-messages.js';
+import { membershipStep } from '../membership/membership-step.js';
+import type { BalancerEffect, PeerSendEffect } from './balancer-events.js';
+import { applyConfigUpdate, type BalancerState } from './balancer-state.js';
+
+/**
+ * The link upwards stands.
+ */
+export function linkOpened(
+  state: BalancerState,
+  linkId: number,
+  { nowMs }: StepContext,
+): BalancerEffect[] {
+  return handleLinkOpened(state.subscription, linkId, reportSource(state), nowMs);
+}
+
+/**
+ * Takes a message over the link upwards, and passes on an update that is new.
+ * @returns the effects, and whether the configuration changed
+ */
+export function linkMessage(
+  state: BalancerState,
+  linkId: number,
+  message: ControlToBalancerMessage,
+  { nowMs }: StepContext,
+): { readonly effects: BalancerEffect[]; readonly hasChanged: boolean } {
+  const { subscription, publisher } = state;
+  const source = reportSource(state);
+  const { update, effects } = handleControlMessage(subscription, linkId, message, source, nowMs);
+  if (update === undefined) {
+    return { effects, hasChanged: false };
+  }
+  const hasChanged = applyConfigUpdate(state, update);
+  const passedOn = hasChanged ? passOnUpdate(publisher, update).map(toPeer) : [];
+  const acknowledged = acknowledge(subscription, reportSource(state), nowMs);
+  return { effects: [...effects, ...acknowledged, ...passedOn], hasChanged };
+}
+
+/**
+ * Takes a message of a balancer that is linked to this one.
+ */
+export function peerMessage(
+  state: BalancerState,
+  linkId: LinkId,
+  message: BalancerToControlMessage,
+  { nowMs }: StepContext,
+): BalancerEffect[] {
+  const { publisher, config } = state;
+  return handleSubscriberMessage(publisher, linkId, message, config, nowMs).map(toPeer);
+}
+
+/**
+ * The link of another balancer is closed.
+ */
+export function peerClosed(state: BalancerState, linkId: LinkId): void {
+  handleSubscriberGone(state.publisher, linkId);
+}
+
+/**
+ * Takes a datagram of another balancer.
+ */
+export function gossipReceived(
+  state: BalancerState,
+  message: GossipMessage,
+  from: Address,
+  context: StepContext,
+): BalancerEffect[] {
+  const { membership } = state;
+  return membership === undefined
+    ? []
+    : membershipStep(membership, { type: 'gossip', message, from }, context);
+}
+
+/**
+ * Time has passed.
+ */
+export function controlLinksTick(state: BalancerState, context: StepContext): BalancerEffect[] {
+  const { membership, subscription, publisher } = state;
+  const gossip =
+    membership === undefined ? [] : membershipStep(membership, { type: 'tick' }, context);
+  replanLinks(state);
+  expireReports(publisher.reports, context.nowMs);
+  return [...gossip, ...subscriptionTick(subscription, reportSource(state), context.nowMs)];
+}
+
+/**
+ * A planned stop begins: the others needn't find out.
+ */
+export function leaveMembership(state: BalancerState, context: StepContext): BalancerEffect[] {
+  const { membership } = state;
+  return membership === undefined ? [] : membershipStep(membership, { type: 'leave' }, context);
+}
+
+function replanLinks(state: BalancerState): void {
+  const { membership, subscription, options } = state;
+  if (membership !== undefined && membership.list.version !== state.plannedVersion) {
+    state.plannedVersion = membership.list.version;
+    setLinkPlan(subscription, planLinks(membership, options.controlAddresses));
+  }
+}
+
+function reportSource({ position, publisher }: BalancerState): ReportSource {
+  return { position, reports: publisher.reports };
+}
+
+function toPeer({ linkId, message }: LinkSendEffect): PeerSendEffect {
+  return { type: 'peer-send', linkId, message };
+}
--- a/src/control/control-state.ts
+++ b/src/control/control-state.ts
@@ -13,6 +13,7 @@
 import { findMember, type Member, type NodeId } from '../consensus/membership.js';
 import type { RecoveredState } from '../consensus/persisted-state.js';
 import type { LogEntry } from '../consensus/log.js';
+import { createLeaseAuthority, type LeaseAuthority } from '../dissemination/lease-authority.js';
 import {
   createPublisher,
   publishChanges,
@@ -20,6 +21,7 @@
   type LinkSendEffect,
   type PublisherState,
 } from '../dissemination/publisher.js';
+import { createTraffic, type Traffic } from '../dissemination/traffic.js';
 import { applyCommand } from './apply-command.js';
 import { emptyClusterState, type ClusterState } from './cluster-state.js';
 import { decodeClusterState } from './cluster-snapshot.js';
@@ -46,6 +48,9 @@
 export interface ControlState {
   readonly cluster: ClusterState;
   readonly publisher: PublisherState;
+  readonly leaseAuthority: LeaseAuthority;
+  /** Messages over links; counted by whoever sends and receives them. */
+  readonly traffic: Traffic;
   readonly consensus: ConsensusState;
   readonly join: JoinState;
   readonly proof: string;
@@ -81,13 +86,16 @@
  */
 export function createControlState(options: ControlOptions): ControlState {
   const { nodeId, clusterKey, linkAddress, operatorAddress, peers, recovered } = options;
+  const leaseAuthority = createLeaseAuthority();
   const consensus = createConsensusState(nodeId, recovered, {
     ...defaultConsensusOptions,
     ...options.consensus,
   });
   const state: ControlState = {
+    leaseAuthority,
+    traffic: createTraffic(),
     cluster: emptyClusterState(),
-    publisher: createPublisher(clusterKey),
+    publisher: createPublisher(clusterKey, { type: 'authority', authority: leaseAuthority }),
     consensus,
     join: {
       linkAddress,
--- a/src/control/control-step.ts
+++ b/src/control/control-step.ts
@@ -226,7 +226,7 @@
   const { role, term, commitIndex } = consensus;
   const isLeading = role.name === 'leader' && commitIndex >= role.termStartIndex;
   publisher.leader = leaderLinkAddress(state);
-  const readId = leaseAuthorityTick(publisher.authority, {
+  const readId = leaseAuthorityTick(state.leaseAuthority, {
     isLeading,
     term,
     commitIndex,
@@ -257,7 +257,7 @@
   const duties = leaderDuties(state.cluster, {
     nowMs,
     freshSecret,
-    ...disseminationStatus(state.publisher, context.nowMs),
+    ...disseminationStatus(state.publisher, state.leaseAuthority, context.nowMs),
   });
   return [...first, ...duties].flatMap((entry) => propose(state, entry, context));
 }
@@ -298,7 +298,7 @@
       replyTo(proposalId, refusedOutcome(state, kind, reason)),
     )
     .with({ type: 'read-ready' }, ({ readId }): ControlEffect[] =>
-      takeConfirmation(state.publisher.authority, readId)
+      takeConfirmation(state.leaseAuthority, readId)
         ? []
         : [{ type: 'query-reply', requestId: readId }],
     )
--- a/src/daemon/balancer-daemon.ts
+++ b/src/daemon/balancer-daemon.ts
@@ -11,17 +11,22 @@
 import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
 import { reasonSentence } from '../health/explanation.js';
 import type { Settings } from '../settings/settings-schema.js';
+import { gossipAddress } from '../membership/member.js';
+import { countTraffic, type TrafficDirection } from '../dissemination/traffic.js';
 import { probeBackend } from './health-probe.js';
 import { connectLink, type MessageLink } from './message-link.js';
+import { PeerSockets } from './peer-sockets.js';
 import { systemContextSource } from './system-context.js';
 import { bindUdp, type UdpSocket } from './udp-socket.js';
 
 const TICK_INTERVAL_MS = 20;
+const MILLISECONDS_PER_SECOND = 1_000;
 const STOP_POLL_INTERVAL_MS = 50;
 
 /** A running balancer daemon. */
 export interface BalancerDaemon {
   readonly frontAddress: Address;
+  readonly gossipAddress: Address;
   /** The state; to be read only. */
   readonly state: BalancerState;
   /** Stops: no new opens, then forwards on for the grace time, then ends. */
@@ -34,13 +39,27 @@
  */
 export async function startBalancerDaemon(settings: Settings): Promise<BalancerDaemon> {
   const { balancer, nodeId, zone, clusterKey } = settings;
-  const state = createBalancerState({ ...balancer, balancerId: nodeId, zone, clusterKey });
-  const edge = new BalancerEdge(state);
+  const holder: { edge?: BalancerEdge } = {};
+  const peers = await PeerSockets.bind(settings, () => holder.edge);
+  const state = createBalancerState({
+    ...balancer,
+    balancerId: nodeId,
+    zone,
+    clusterKey,
+    membership: {
+      ...peers.addresses,
+      incarnation: Math.floor(Date.now() / MILLISECONDS_PER_SECOND),
+      seeds: balancer.seeds,
+    },
+  });
+  const edge = new BalancerEdge(state, peers);
+  holder.edge = edge;
   const frontAddress = await edge.bind(balancer.frontAddress, balancer.backAddress);
   const logger = loggerFor('balancer');
   logger.info(`Balancer ${nodeId} is ready on port ${frontAddress.port}.`);
   return {
     frontAddress,
+    gossipAddress: gossipAddress(peers.addresses),
     state,
     stop: async (graceMs) => {
       edge.step({ type: 'stop' });
@@ -62,7 +81,10 @@
   private timer: NodeJS.Timeout | undefined;
   private closed = false;
 
-  constructor(private readonly state: BalancerState) {}
+  constructor(
+    private readonly state: BalancerState,
+    private readonly peers: PeerSockets,
+  ) {}
 
   /** Runs one step and performs its effects. */
   step(event: BalancerEvent): void {
@@ -72,6 +94,10 @@
     this.logBackendChanges();
   }
 
+  countTraffic(direction: TrafficDirection, kind: string, bytes: number): void {
+    countTraffic(this.state.traffic, direction, kind, bytes);
+  }
+
   async bind(front: Address, back: Address): Promise<Address> {
     this.fabricSocket = await bindUdp(front, (datagram, replyTo) =>
       this.step({ type: 'client-datagram', datagram, replyTo }),
@@ -88,7 +114,11 @@
     this.closed = true;
     clearInterval(this.timer);
     this.link?.close();
-    await Promise.all([this.fabricSocket?.close(), this.backendSocket?.close()]);
+    await Promise.all([
+      this.fabricSocket?.close(),
+      this.backendSocket?.close(),
+      this.peers.close(),
+    ]);
   }
 
   private logBackendChanges(): void {
@@ -105,6 +135,8 @@
       })
       .with({ type: 'link-open' }, ({ linkId, address }) => this.openLink(linkId, address))
       .with({ type: 'link-send' }, ({ message }) => this.link?.send(message))
+      .with({ type: 'peer-send' }, ({ linkId, message }) => this.peers.sendTo(linkId, message))
+      .with({ type: 'gossip-send' }, ({ to, message }) => this.peers.gossip(to, message))
       .with({ type: 'probe' }, ({ backend }) => {
         void probeBackend(backend).then((result) => this.step({ type: 'probe-result', result }));
       })
@@ -125,6 +157,7 @@
           this.step({ type: 'link-closed', linkId });
         }
       },
+      onTraffic: (direction, kind, bytes) => this.countTraffic(direction, kind, bytes),
     });
     this.step({ type: 'link-opened', linkId });
   }
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -68,6 +68,7 @@
   const links = await listenForLinks(control.linkAddress, {
     onMessage: (message, link) => holder.edge?.onMessage(message, link),
     onClose: (link) => holder.edge?.onClose(link),
+    onTraffic: (direction, kind, bytes) => holder.edge?.onTraffic(direction, kind, bytes),
   });
   const http = await listenHttp(control.operatorAddress, (incoming, response) =>
     holder.http?.(incoming, response),
--- a/src/daemon/control-edge.ts
+++ b/src/daemon/control-edge.ts
@@ -17,6 +17,7 @@
 } from '../control/control-step.js';
 import type { PeerEnvelope } from '../control/peer-messages.js';
 import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
+import { countTraffic, type TrafficDirection } from '../dissemination/traffic.js';
 import type { ConsensusStorage } from './consensus-storage.js';
 import type { LinkHandlers, MessageLink } from './message-link.js';
 import type { QueryAnswer } from './operator-api.js';
@@ -99,6 +100,10 @@
     }
   }
 
+  onTraffic(direction: TrafficDirection, kind: string, bytes: number): void {
+    countTraffic(this.state.traffic, direction, kind, bytes);
+  }
+
   close(): void {
     clearInterval(this.timer);
     this.peers.close();
--- a/src/daemon/message-link.ts
+++ b/src/daemon/message-link.ts
@@ -3,10 +3,12 @@
  */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { once } from 'node:events';
-import { PackrStream, UnpackrStream } from 'msgpackr';
+import { Packr, UnpackrStream } from 'msgpackr';
 import type { Address } from '../common/address.js';
+import type { TrafficDirection } from '../dissemination/traffic.js';
 
 const KEEP_ALIVE_MS = 5_000;
+const packr = new Packr({ useRecords: false });
 
 /** One end of a link. */
 export interface MessageLink {
@@ -18,6 +20,8 @@
 export interface LinkHandlers {
   onMessage(message: unknown, link: MessageLink): void;
   onClose(link: MessageLink): void;
+  /** Counts a message with its bytes; of messages that come at once, the first counts them all. */
+  onTraffic?(direction: TrafficDirection, kind: string, bytes: number): void;
 }
 
 /** A listening socket for links. */
@@ -60,23 +64,33 @@
 }
 
 function wrapLink(socket: Socket, handlers: LinkHandlers): MessageLink {
-  const encoder = new PackrStream({ useRecords: false });
   const decoder = new UnpackrStream({ useRecords: false });
   const link: MessageLink = {
     send: (message) => {
       if (socket.writable) {
-        encoder.write(message);
+        const bytes = packr.pack(message);
+        socket.write(bytes);
+        handlers.onTraffic?.('sent', kindOf(message), bytes.length);
       }
     },
     close: () => socket.destroy(),
   };
   socket.setNoDelay(true);
   socket.setKeepAlive(true, KEEP_ALIVE_MS);
-  encoder.pipe(socket);
   socket.pipe(decoder);
-  decoder.on('data', (message: unknown) => handlers.onMessage(message, link));
+  let countedBytes = 0;
+  decoder.on('data', (message: unknown) => {
+    handlers.onTraffic?.('received', kindOf(message), socket.bytesRead - countedBytes);
+    countedBytes = socket.bytesRead;
+    handlers.onMessage(message, link);
+  });
   decoder.on('error', () => socket.destroy());
   socket.on('error', () => socket.destroy());
   socket.on('close', () => handlers.onClose(link));
   return link;
 }
+
+function kindOf(message: unknown): string {
+  const { type } = message as { readonly type?: unknown };
+  return typeof type === 'string' ? type : 'unknown';
+}
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -16,7 +16,7 @@
   type CommandOutcome,
 } from '../control/commands.js';
 import { amberliftError, answerFor, type AmberliftError } from '../flow/error-kinds.js';
-import type { BalancerReport } from '../dissemination/in-force.js';
+import type { BalancerReport } from '../dissemination/subtree-report.js';
 import { readBody, respondJson } from './http-json.js';
 
 const MAX_COMMAND_ID_LENGTH = 128;
@@ -133,12 +133,8 @@
   const reports = options.balancerReports();
   return {
     committed: { term, index },
-    inForceEverywhere: Math.min(index, ...reports.map(({ position }) => position.index)),
-    balancers: reports.map(({ balancerId, zone, position }) => ({
-      balancerId,
-      zone,
-      index: position.index,
-    })),
+    inForceEverywhere: Math.min(index, ...reports.map((report) => report.index)),
+    balancers: reports,
     services,
     backends: [...routing.backends.values()].filter((backend) => owned.has(backend.serviceId)),
   };
--- a/src/dissemination/lease.ts
+++ b/src/dissemination/lease.ts
@@ -52,14 +52,16 @@
 /**
  * Takes a grant, where the balancer has in force what the grant asks for.
  * @param positionIndex the log index in force
+ * @returns true where it extended the lease
  */
-export function takeGrant(lease: Lease, grant: LeaseGrant, positionIndex: number): void {
+export function takeGrant(lease: Lease, grant: LeaseGrant, positionIndex: number): boolean {
   const expiresAtMs = grant.askedAtMs + Math.min(grant.remainingMs, LEASE_DURATION_MS);
   if (positionIndex < grant.floorIndex || expiresAtMs <= lease.expiresAtMs) {
-    return;
+    return false;
   }
   lease.expiresAtMs = expiresAtMs;
   lease.floorIndex = grant.floorIndex;
+  return true;
 }
 
 /**
--- a/src/dissemination/link-messages.ts
+++ b/src/dissemination/link-messages.ts
@@ -1,9 +1,11 @@
 /**
- * @file Messages between balancers and control machines, over TCP, as MessagePack.
+ * @file Messages between a balancer and the one that it gets the configuration from, over TCP, as
+ * MessagePack. That one is a control machine or another balancer, which passes on what it has.
  */
 import type { Address } from '../common/address.js';
 import type { ConfigPosition, ConfigUpdate } from '../control/config-update.js';
 import type { LeaseGrant } from './lease.js';
+import type { SubtreeReport } from './subtree-report.js';
 
 /** Balancer to control: asks for the configuration from a position on; the first message. */
 export interface SubscribeMessage {
@@ -15,6 +17,8 @@
   readonly position: ConfigPosition;
   /** When it was sent, on the balancer's clock, in milliseconds; asks for a lease from then on. */
   readonly sentAtMs: number;
+  /** What is in force at balancers that are linked to the sender. */
+  readonly subtree?: SubtreeReport;
 }
 
 /** Balancer to control: this position is in force here; answered by a heartbeat. */
@@ -23,6 +27,8 @@
   readonly position: ConfigPosition;
   /** As in `SubscribeMessage`. */
   readonly sentAtMs: number;
+  /** As in `SubscribeMessage`. */
+  readonly subtree?: SubtreeReport;
 }
 
 /** Control to balancer: the committed position, so that a balancer that lags knows it. */
@@ -33,6 +39,8 @@
   readonly lease?: LeaseGrant;
   /** Link address of the leader, where the sender is another machine and knows it. */
   readonly leader?: Address;
+  /** How many balancers the sender knows below the receiver; absent for none. */
+  readonly subtreeSize?: number;
 }
 
 /** Control to balancer: an update of the configuration. */
--- a/src/dissemination/publisher.ts
+++ b/src/dissemination/publisher.ts
@@ -1,5 +1,6 @@
 /**
- * @file Keeps balancers up to date: the control machine's side of dissemination, as decision steps.
+ * @file Keeps balancers up to date, as decision steps: on control machines, and on balancers that pass on
+ * what they have in force.
  * Each subscriber gets the deltas that it lacks, or a snapshot where the kept deltas don't reach, and
  * acknowledges what it has in force.
  */
@@ -10,15 +11,10 @@
   type ConfigChange,
   type ConfigDelta,
   type ConfigPosition,
+  type ConfigUpdate,
 } from '../control/config-update.js';
+import { passOnLease, type Lease, type LeaseGrant } from './lease.js';
 import {
-  expireReports,
-  inForceIndex,
-  type BalancerReport,
-  type BalancerReports,
-} from './in-force.js';
-import {
-  createLeaseAuthority,
   fencedIndex,
   grantLease,
   hasOutlivedEarlierLeases,
@@ -29,6 +25,16 @@
   ControlToBalancerMessage,
   SubscribeMessage,
 } from './link-messages.js';
+import {
+  allReports,
+  createSubtreeReports,
+  dropLink,
+  expireReports,
+  lowestIndex,
+  takeReport,
+  type BalancerReport,
+  type SubtreeReports,
+} from './subtree-report.js';
 
 /** How many deltas are kept for subscribers that lag. */
 const MAX_KEPT_DELTAS = 1_000;
@@ -49,6 +55,12 @@
   readonly message: ControlToBalancerMessage;
 }
 
+/** Where a publisher takes the leases from that it grants. */
+export type LeaseSource =
+  | { readonly type: 'authority'; readonly authority: LeaseAuthority }
+  /** A balancer's own lease, of which it passes on what is left. */
+  | { readonly type: 'held'; readonly lease: Lease };
+
 /** The state of a publisher. */
 export interface PublisherState {
   readonly clusterKey: string;
@@ -56,8 +68,8 @@
   /** Oldest first; each follows on the one before. */
   readonly deltas: ConfigDelta[];
   committed: ConfigPosition;
-  readonly authority: LeaseAuthority;
-  readonly reports: BalancerReports;
+  readonly leaseSource: LeaseSource;
+  readonly reports: SubtreeReports;
   /** Link address of the leader, where it is another machine and known. */
   leader: Address | undefined;
 }
@@ -65,14 +77,14 @@
 /**
  * @returns a publisher without subscribers
  */
-export function createPublisher(clusterKey: string): PublisherState {
+export function createPublisher(clusterKey: string, leaseSource: LeaseSource): PublisherState {
   return {
     clusterKey,
     subscribers: new Map(),
     deltas: [],
     committed: { term: 0, index: 0 },
-    authority: createLeaseAuthority(),
-    reports: new Map(),
+    leaseSource,
+    reports: createSubtreeReports(),
     leader: undefined,
   };
 }
@@ -99,6 +111,19 @@
   }));
 }
 
+/**
+ * Passes on an update that this balancer has taken.
+ * @returns what to send to subscribers
+ */
+export function passOnUpdate(state: PublisherState, update: ConfigUpdate): LinkSendEffect[] {
+  if (update.type === 'delta') {
+    return publishChanges(state, update.to, update.changes);
+  }
+  skipToPosition(state, update.to);
+  const message: ControlToBalancerMessage = { type: 'heartbeat', committed: update.to };
+  return [...state.subscribers.keys()].map((linkId) => ({ type: 'link-send', linkId, message }));
+}
+
 /**
  * Jumps to a position that was reached without its changes; subscribers are sent a snapshot.
  */
@@ -123,8 +148,9 @@
   if (subscriber === undefined) {
     return updates;
   }
-  const { position, sentAtMs } = message;
-  state.reports.set(subscriber.balancerId, { ...subscriber, position, reportedAtMs: nowMs });
+  const { position, sentAtMs, subtree } = message;
+  const report = { ...subscriber, index: position.index, ...(subtree && { subtree }) };
+  takeReport(state.reports, linkId, report, nowMs);
   return [...updates, heartbeat(state, linkId, sentAtMs, nowMs)];
 }
 
@@ -133,6 +159,7 @@
  */
 export function handleSubscriberGone(state: PublisherState, linkId: LinkId): void {
   state.subscribers.delete(linkId);
+  dropLink(state.reports, linkId);
 }
 
 /** How far the configuration has come. */
@@ -144,14 +171,18 @@
 }
 
 /**
+ * @param authority the leader's
  * @returns how far the configuration has come; zeros until the leader has outlived earlier leases
  */
-export function disseminationStatus(state: PublisherState, nowMs: number): DisseminationStatus {
-  const { authority, reports, committed } = state;
-  expireReports(reports, nowMs);
+export function disseminationStatus(
+  state: PublisherState,
+  authority: LeaseAuthority,
+  nowMs: number,
+): DisseminationStatus {
+  expireReports(state.reports, nowMs);
   const heardAll = hasOutlivedEarlierLeases(authority, nowMs);
   return {
-    inForceIndex: heardAll ? inForceIndex(reports, committed.index) : 0,
+    inForceIndex: heardAll ? lowestIndex(state.reports, state.committed.index) : 0,
     fencedIndex: fencedIndex(authority, nowMs),
   };
 }
@@ -160,7 +191,7 @@
  * @returns what each balancer reported last, in no order
  */
 export function balancerReports(state: PublisherState): BalancerReport[] {
-  return [...state.reports.values()];
+  return allReports(state.reports);
 }
 
 function heartbeat(
@@ -169,16 +200,24 @@
   askedAtMs: number,
   nowMs: number,
 ): LinkSendEffect {
-  const lease = grantLease(state.authority, askedAtMs, nowMs);
+  const lease = grantFrom(state.leaseSource, askedAtMs, nowMs);
+  const subtreeSize = state.reports.links.get(linkId)?.members.size ?? 0;
   const message: ControlToBalancerMessage = {
     type: 'heartbeat',
     committed: state.committed,
     ...(lease !== undefined && { lease }),
     ...(state.leader !== undefined && { leader: state.leader }),
+    ...(subtreeSize > 0 && { subtreeSize }),
   };
   return { type: 'link-send', linkId, message };
 }
 
+function grantFrom(source: LeaseSource, askedAtMs: number, nowMs: number): LeaseGrant | undefined {
+  return source.type === 'authority'
+    ? grantLease(source.authority, askedAtMs, nowMs)
+    : passOnLease(source.lease, askedAtMs, nowMs);
+}
+
 function subscribe(
   state: PublisherState,
   linkId: LinkId,
--- a/src/dissemination/subscription.ts
+++ b/src/dissemination/subscription.ts
@@ -1,25 +1,38 @@
 /**
- * @file A balancer's subscription to the configuration, as decision steps: one link to some control
- * machine, the next one when it fails.
+ * @file A balancer's subscription to the configuration, as decision steps: one link at a time to a
+ * control machine or to another balancer, the next candidate when it fails or extends no lease.
  */
 import { match } from 'ts-pattern';
 import { formatAddress, type Address } from '../common/address.js';
 import type { ConfigPosition, ConfigUpdate } from '../control/config-update.js';
 import { expiredLease, takeGrant, type Lease } from './lease.js';
 import type {
+  AcknowledgeMessage,
   BalancerToControlMessage,
   ControlToBalancerMessage,
   HeartbeatMessage,
 } from './link-messages.js';
+import { isSamePlan, placeInPlan, type LinkPlan } from './link-plan.js';
+import { subtreeReport, type SubtreeReports } from './subtree-report.js';
 
-/** Time before a link is opened again, in milliseconds. */
+/** Time before a link is opened after one failed, in milliseconds. */
 const RECONNECT_DELAY_MS = 200;
 /** Time between two requests to extend the lease, in milliseconds; five fall into one lease. */
 const RENEW_INTERVAL_MS = 2_000;
 /** A link that brings nothing for this time is given up, in milliseconds. */
 const SILENCE_LIMIT_MS = 5_000;
+/** The same for a link that has brought nothing yet. */
+const FIRST_SILENCE_LIMIT_MS = 1_500;
+/** The same while there is no configuration yet. */
+const JOIN_SILENCE_LIMIT_MS = 300;
+/** A link that extends no lease for this time is given up for another candidate, in milliseconds. */
+const BARREN_LIMIT_MS = 6_000;
 /** How long a leader whose link failed is not tried again, in milliseconds. */
 const LEADER_RETRY_INTERVAL_MS = 5_000;
+/** Time until a better candidate is tried again, in milliseconds. */
+const PREFERRED_RETRY_INTERVAL_MS = 30_000;
+/** How long reports from below are gathered before they are passed on, in milliseconds. */
+const GATHER_MS = 200;
 
 /** Options of a subscription. */
 export interface SubscriptionOptions {
@@ -32,29 +45,53 @@
 /** The state of a subscription. */
 export interface SubscriptionState {
   readonly options: SubscriptionOptions;
+  plan: LinkPlan;
+  /** Place in the plan of the link in use or tried next; wraps around. */
+  cursor: number;
   /** Number of the link in use or being opened; messages of an earlier link are ignored. */
   linkId: number;
   linked: boolean;
   /** The other end of the link in use or being opened. */
   address: Address | undefined;
   reconnectAtMs: number;
-  /** When the next request to extend the lease is due. */
-  renewAtMs: number;
-  /** Counts the links that were opened to `controlAddresses`, in turn. */
-  nextControl: number;
+  preferredRetryAtMs: number;
+  /** How often a better candidate was tried again. */
+  preferredTries: number;
+  /** The place of the candidate that worked, while a better one is tried again. */
+  returnTo: number | undefined;
+  sentAtMs: number;
+  /** Versions of the reports from below that were sent last, see `SubtreeReports`. */
+  sentMembersVersion: number;
+  sentIndexVersion: number;
+  /** How many balancers below were in the last report. */
+  sentMemberCount: number;
+  /** True where the other end does not know them all. */
+  mustSendMembers: boolean;
   /** Where the leader is, as a machine that does not lead told. */
   leader: Address | undefined;
   /** The leader whose link failed last, and until when it is not tried again. */
   failedLeader: { readonly address: Address; readonly untilMs: number } | undefined;
   /** The highest committed position that was heard of. */
   committed: ConfigPosition;
-  /** When a message last came from a control machine, or the link was opened. */
+  /** When a message last came, or the link was opened. */
   heardAtMs: number;
+  /** True once a message has come over the link. */
+  hasAnswered: boolean;
+  /** When the lease was last extended, or the link was opened. */
+  extendedAtMs: number;
   readonly lease: Lease;
-  /** True once a control machine refused this balancer: it belongs to another cluster. */
+  /** True where the link was refused: this balancer belongs to another cluster. */
   refused: boolean;
 }
 
+/** What a balancer reports upwards. */
+export interface ReportSource {
+  /** The position in force. */
+  readonly position: ConfigPosition;
+  /** What is in force at balancers that are linked to this one. */
+  readonly reports?: SubtreeReports;
+}
+
 /** What a subscription asks of its surroundings. */
 export type SubscriptionEffect =
   | { readonly type: 'link-open'; readonly linkId: number; readonly address: Address }
@@ -64,7 +101,7 @@
       readonly message: BalancerToControlMessage;
     };
 
-/** What a message from a control machine leads to. */
+/** What a message from above leads to. */
 export interface SubscriptionReaction {
   /** An update that the balancer should apply before the effects are performed. */
   readonly update?: ConfigUpdate;
@@ -75,62 +112,77 @@
  * @returns a subscription that links at its first tick
  */
 export function createSubscription(options: SubscriptionOptions): SubscriptionState {
+  const { controlAddresses } = options;
   return {
     options,
+    plan: {
+      candidates: controlAddresses,
+      preferredCount: controlAddresses.length,
+      isRelay: true,
+    },
+    cursor: 0,
     linkId: 0,
     linked: false,
     address: undefined,
     reconnectAtMs: 0,
-    renewAtMs: 0,
-    nextControl: 0,
+    preferredRetryAtMs: 0,
+    sentAtMs: 0,
+    sentMembersVersion: 0,
+    sentIndexVersion: 0,
+    sentMemberCount: 0,
+    mustSendMembers: false,
+    returnTo: undefined,
+    preferredTries: 0,
     leader: undefined,
     failedLeader: undefined,
     committed: { term: 0, index: 0 },
     heardAtMs: 0,
+    hasAnswered: false,
+    extendedAtMs: 0,
     lease: expiredLease(),
     refused: false,
   };
 }
 
 /**
- * Opens a link where none stands and it is time; gives up a silent one; asks to extend the lease.
- * @param position the position in force
+ * Takes new candidates. A link that is still as good as any stays.
+ */
+export function setLinkPlan(state: SubscriptionState, plan: LinkPlan): void {
+  if (isSamePlan(plan, state.plan)) {
+    return;
+  }
+  state.plan = plan;
+  const place = state.address && state.linked ? placeInPlan(plan, state.address) : -1;
+  const isAtLeader = state.leader !== undefined && plan.isRelay;
+  state.cursor = Math.max(0, place);
+  state.returnTo = undefined;
+  state.preferredRetryAtMs = 0;
+  if (place < 0 && !isAtLeader) {
+    state.linked = false;
+    state.leader = undefined;
+    state.reconnectAtMs = 0;
+  }
+}
+
+/**
+ * Opens a link where none stands and it is time; gives up a useless one; reports and asks to extend
+ * the lease.
  */
 export function subscriptionTick(
   state: SubscriptionState,
-  position: ConfigPosition,
+  source: ReportSource,
   nowMs: number,
 ): SubscriptionEffect[] {
-  if (state.linked && nowMs - state.heardAtMs > SILENCE_LIMIT_MS) {
+  if (state.linked && isUseless(state, source, nowMs)) {
     handleLinkClosed(state, state.linkId, nowMs);
   }
-  if (state.linked) {
-    return nowMs >= state.renewAtMs ? acknowledge(state, position, nowMs) : [];
-  }
-  return nowMs < state.reconnectAtMs || state.refused ? [] : openLink(state, nowMs);
-}
-
-function openLink(state: SubscriptionState, nowMs: number): SubscriptionEffect[] {
-  const address = nextAddress(state);
-  if (address === undefined) {
-    return [];
+  if (!state.linked) {
+    return nowMs < state.reconnectAtMs ? [] : openLink(state, nowMs);
   }
-  state.linkId += 1;
-  state.linked = true;
-  state.address = address;
-  state.heardAtMs = nowMs;
-  return [{ type: 'link-open', linkId: state.linkId, address }];
-}
-
-/** The leader where it is known, else the control machines in turn. */
-function nextAddress(state: SubscriptionState): Address | undefined {
-  const { leader, options } = state;
-  if (leader !== undefined) {
-    return leader;
+  if (shouldRetryPreferred(state, nowMs)) {
+    return retryPreferred(state, nowMs);
   }
-  const address = options.controlAddresses[state.nextControl % options.controlAddresses.length];
-  state.nextControl += 1;
-  return address;
+  return isReportDue(state, source, nowMs) ? acknowledge(state, source, nowMs) : [];
 }
 
 /**
@@ -139,14 +191,14 @@
 export function handleLinkOpened(
   state: SubscriptionState,
   linkId: number,
-  position: ConfigPosition,
+  source: ReportSource,
   nowMs: number,
 ): SubscriptionEffect[] {
-  return linkId === state.linkId ? [subscribeEffect(state, position, nowMs)] : [];
+  return linkId === state.linkId ? [subscribeEffect(state, source, nowMs)] : [];
 }
 
 /**
- * The link is closed: another one is opened later.
+ * The link is closed: the next candidate is tried a little later.
  */
 export function handleLinkClosed(state: SubscriptionState, linkId: number, nowMs: number): void {
   if (linkId !== state.linkId || !state.linked) {
@@ -154,98 +206,183 @@
   }
   state.linked = false;
   state.reconnectAtMs = nowMs + RECONNECT_DELAY_MS;
-  if (state.leader !== undefined) {
+  if (state.leader === undefined) {
+    state.cursor = state.returnTo ?? state.cursor + 1;
+    state.returnTo = undefined;
+  } else {
     state.failedLeader = { address: state.leader, untilMs: nowMs + LEADER_RETRY_INTERVAL_MS };
     state.leader = undefined;
   }
 }
 
 /**
- * Takes a message of a control machine.
- * @param position the position in force
+ * Takes a message from above.
  */
 export function handleControlMessage(
   state: SubscriptionState,
   linkId: number,
   message: ControlToBalancerMessage,
-  position: ConfigPosition,
+  source: ReportSource,
   nowMs: number,
 ): SubscriptionReaction {
   if (linkId !== state.linkId) {
     return { effects: [] };
   }
   state.heardAtMs = nowMs;
+  state.hasAnswered = true;
   return match(message)
     .with({ type: 'update' }, ({ update }): SubscriptionReaction => ({ update, effects: [] }))
     .with({ type: 'heartbeat' }, (heartbeat): SubscriptionReaction => ({
-      effects: takeHeartbeat(state, heartbeat, position, nowMs),
+      effects: takeHeartbeat(state, heartbeat, source, nowMs),
     }))
     .with({ type: 'link-refused' }, (): SubscriptionReaction => {
+      handleLinkClosed(state, linkId, nowMs);
       state.refused = true;
+      state.reconnectAtMs = nowMs + LEADER_RETRY_INTERVAL_MS;
       return { effects: [] };
     })
     .exhaustive();
 }
 
+/**
+ * @returns the message that tells what is in force, and asks for a lease
+ */
+export function acknowledge(
+  state: SubscriptionState,
+  source: ReportSource,
+  nowMs: number,
+): SubscriptionEffect[] {
+  if (!state.linked) {
+    return [];
+  }
+  const message: AcknowledgeMessage = {
+    type: 'acknowledge',
+    ...upwardReport(state, source, nowMs),
+  };
+  return [{ type: 'link-send', linkId: state.linkId, message }];
+}
+
+function subscribeEffect(
+  state: SubscriptionState,
+  source: ReportSource,
+  nowMs: number,
+): SubscriptionEffect {
+  const { clusterKey, balancerId, zone } = state.options;
+  const report = upwardReport(state, source, nowMs);
+  return {
+    type: 'link-send',
+    linkId: state.linkId,
+    message: { type: 'subscribe', clusterKey, balancerId, zone, ...report },
+  };
+}
+
+function upwardReport(state: SubscriptionState, source: ReportSource, nowMs: number) {
+  const { position, reports } = source;
+  state.sentAtMs = nowMs;
+  const withMembers = state.mustSendMembers || reports?.membersVersion !== state.sentMembersVersion;
+  const subtree = reports && subtreeReport(reports, withMembers);
+  if (reports !== undefined) {
+    state.sentMembersVersion = reports.membersVersion;
+    state.sentIndexVersion = reports.indexVersion;
+    state.sentMemberCount = subtree?.members?.length ?? state.sentMemberCount;
+    state.mustSendMembers = false;
+  }
+  return { position, sentAtMs: nowMs, ...(subtree && { subtree }) };
+}
+
+function isReportDue(state: SubscriptionState, { reports }: ReportSource, nowMs: number): boolean {
+  const hasNews =
+    reports !== undefined &&
+    (reports.membersVersion !== state.sentMembersVersion ||
+      reports.indexVersion !== state.sentIndexVersion);
+  return nowMs - state.sentAtMs >= (hasNews ? GATHER_MS : RENEW_INTERVAL_MS);
+}
+
+function isUseless(state: SubscriptionState, { position }: ReportSource, nowMs: number): boolean {
+  const isFirst = position.index === 0;
+  const firstLimitMs = isFirst ? JOIN_SILENCE_LIMIT_MS : FIRST_SILENCE_LIMIT_MS;
+  const silenceLimitMs = state.hasAnswered ? SILENCE_LIMIT_MS : firstLimitMs;
+  const hasOthers = state.plan.candidates.length > 1;
+  return (
+    nowMs - state.heardAtMs > silenceLimitMs ||
+    (hasOthers && nowMs - state.extendedAtMs > BARREN_LIMIT_MS)
+  );
+}
+
+function shouldRetryPreferred(state: SubscriptionState, nowMs: number): boolean {
+  const { plan, cursor, preferredRetryAtMs } = state;
+  const isPreferred = cursor < plan.preferredCount;
+  return !isPreferred && plan.preferredCount > 0 && nowMs >= preferredRetryAtMs;
+}
+
+/** Tries one of the better candidates; where it does not work, the one that does is taken again. */
+function retryPreferred(state: SubscriptionState, nowMs: number): SubscriptionEffect[] {
+  state.returnTo = state.cursor;
+  state.leader = undefined;
+  state.cursor = state.preferredTries % state.plan.preferredCount;
+  state.preferredTries += 1;
+  return openLink(state, nowMs);
+}
+
+function openLink(state: SubscriptionState, nowMs: number): SubscriptionEffect[] {
+  const { candidates, preferredCount } = state.plan;
+  if (candidates.length === 0) {
+    return [];
+  }
+  state.cursor %= candidates.length;
+  if (state.cursor < preferredCount) {
+    state.preferredRetryAtMs = nowMs + PREFERRED_RETRY_INTERVAL_MS;
+  }
+  const address = state.leader ?? candidates[state.cursor];
+  if (address === undefined) {
+    return [];
+  }
+  state.linkId += 1;
+  state.linked = true;
+  state.address = address;
+  state.heardAtMs = nowMs;
+  state.hasAnswered = false;
+  state.extendedAtMs = nowMs;
+  // The other end knows nobody below this balancer yet.
+  state.sentMembersVersion = 0;
+  state.sentMemberCount = 0;
+  state.mustSendMembers = false;
+  return [{ type: 'link-open', linkId: state.linkId, address }];
+}
+
 function takeHeartbeat(
   state: SubscriptionState,
   heartbeat: HeartbeatMessage,
-  position: ConfigPosition,
+  source: ReportSource,
   nowMs: number,
 ): SubscriptionEffect[] {
-  const { committed, lease, leader } = heartbeat;
+  const { committed, lease, leader, subtreeSize = 0 } = heartbeat;
+  const { position } = source;
   state.committed = committed;
-  if (lease !== undefined) {
-    takeGrant(state.lease, lease, position.index);
+  state.refused = false;
+  if (lease !== undefined && takeGrant(state.lease, lease, position.index)) {
+    state.extendedAtMs = nowMs;
+    state.returnTo = undefined;
   }
+  state.mustSendMembers = subtreeSize !== state.sentMemberCount;
   if (leader !== undefined && shouldMoveTo(state, leader, nowMs)) {
     state.leader = leader;
     return openLink(state, nowMs);
   }
-  return committed.index > position.index ? [subscribeEffect(state, position, nowMs)] : [];
+  return committed.index > position.index ? [subscribeEffect(state, source, nowMs)] : [];
 }
 
 /** Only a leader extends leases, so a balancer links to it where it can. */
 function shouldMoveTo(state: SubscriptionState, leader: Address, nowMs: number): boolean {
   const { address, failedLeader } = state;
-  const isThere = address !== undefined && sameAddress(leader, address);
+  const isThere = address !== undefined && isSameAddress(leader, address);
   const hasFailed =
     failedLeader !== undefined &&
     nowMs < failedLeader.untilMs &&
-    sameAddress(leader, failedLeader.address);
+    isSameAddress(leader, failedLeader.address);
   return !isThere && !hasFailed;
 }
 
-function sameAddress(one: Address, other: Address): boolean {
+function isSameAddress(one: Address, other: Address): boolean {
   return formatAddress(one) === formatAddress(other);
 }
-
-/**
- * @returns the message that tells the control machine what is in force, and asks for a lease
- */
-export function acknowledge(
-  state: SubscriptionState,
-  position: ConfigPosition,
-  nowMs: number,
-): SubscriptionEffect[] {
-  if (!state.linked) {
-    return [];
-  }
-  state.renewAtMs = nowMs + RENEW_INTERVAL_MS;
-  const message: BalancerToControlMessage = { type: 'acknowledge', position, sentAtMs: nowMs };
-  return [{ type: 'link-send', linkId: state.linkId, message }];
-}
-
-function subscribeEffect(
-  state: SubscriptionState,
-  position: ConfigPosition,
-  nowMs: number,
-): SubscriptionEffect {
-  const { clusterKey, balancerId, zone } = state.options;
-  state.renewAtMs = nowMs + RENEW_INTERVAL_MS;
-  return {
-    type: 'link-send',
-    linkId: state.linkId,
-    message: { type: 'subscribe', clusterKey, balancerId, zone, position, sentAtMs: nowMs },
-  };
-}
--- a/src/experiment/hollow/hollow-balancer.ts
+++ b/src/experiment/hollow/hollow-balancer.ts
@@ -134,7 +134,7 @@
       .with({ type: 'probe' }, () => {
         this.probeCount += 1;
       })
-      .with({ type: 'send' }, () => undefined)
+      .with({ type: 'send' }, { type: 'peer-send' }, { type: 'gossip-send' }, () => undefined)
       .exhaustive();
   }
 
--- a/src/membership/zone-summaries.ts
+++ b/src/membership/zone-summaries.ts
@@ -41,15 +41,28 @@
 ): void {
   for (const summary of summaries) {
     if (summary.zone === state.options.zone) {
-      state.ownZoneContacts = summary.contacts;
+      noteOwnZone(state, summary);
     }
     const known = state.zones.get(summary.zone)?.summary;
+    if (known === undefined) {
+      // Its contacts are candidates for links.
+      state.list.version += 1;
+    }
     if (known === undefined || summary.version > known.version) {
       state.zones.set(summary.zone, { summary, renewedAtMs: nowMs });
     }
   }
 }
 
+/** Whoever is still alone in its zone calls on the contacts at once. */
+function noteOwnZone(state: MembershipState, { contacts }: ZoneSummary): void {
+  const isFirst = state.ownZoneContacts.length === 0;
+  state.ownZoneContacts = contacts;
+  if (isFirst && state.list.members.size === 0) {
+    state.nextSeedAtMs = 0;
+  }
+}
+
 /**
  * @returns the next summaries in turn, for a datagram to any member
  */
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -26,6 +26,12 @@
   frontAddress: addressText.prefault('127.0.0.1:0'),
   /** UDP address from which back ends are spoken to. */
   backAddress: addressText.prefault('127.0.0.1:0'),
+  /** UDP address for gossip with other balancers. */
+  gossipAddress: addressText.prefault('127.0.0.1:0'),
+  /** TCP address at which other balancers get the configuration from this one. */
+  linkAddress: addressText.prefault('127.0.0.1:0'),
+  /** Gossip addresses of other balancers, from the platform's list; some of them may be gone. */
+  seeds: z.array(addressText).default([]),
   /** Addresses of the control machines. */
   controlAddresses: z.array(addressText).default([]),
   /** Bound of pending opens. */
--- a/src/sim/simulated-balancer.ts
+++ b/src/sim/simulated-balancer.ts
@@ -136,6 +136,8 @@
       .with({ type: 'link-open' }, ({ linkId, address }) => this.openLink(linkId, address))
       .with({ type: 'link-send' }, ({ message }) => this.link?.send(message))
       .with({ type: 'probe' }, (probe) => this.probe(probe))
+      // Simulated balancers take no part in membership, so nobody links to them.
+      .with({ type: 'peer-send' }, { type: 'gossip-send' }, () => undefined)
       .exhaustive();
   }
 
--- a/test/dissemination/lease-world.ts
+++ b/test/dissemination/lease-world.ts
@@ -5,7 +5,12 @@
 import type { ConfigPosition } from '../../src/control/config-update.js';
 import { emptyRoutingConfig } from '../../src/control/cluster-state.js';
 import { isLeaseHeld } from '../../src/dissemination/lease.js';
-import { leaseAuthorityTick, takeConfirmation } from '../../src/dissemination/lease-authority.js';
+import {
+  createLeaseAuthority,
+  leaseAuthorityTick,
+  takeConfirmation,
+  type LeaseAuthority,
+} from '../../src/dissemination/lease-authority.js';
 import {
   createPublisher,
   disseminationStatus,
@@ -34,11 +39,18 @@
 /** A control machine; only one at a time reaches a quorum. */
 export interface Control {
   readonly publisher: PublisherState;
+  readonly authority: LeaseAuthority;
   readonly port: number;
   term: number;
   believesToLead: boolean;
 }
 
+function createControl(port: number): Control {
+  const authority = createLeaseAuthority();
+  const publisher = createPublisher(KEY, { type: 'authority', authority });
+  return { publisher, authority, port, term: 0, believesToLead: false };
+}
+
 /** A balancer with its own clock. */
 export interface Balancer {
   readonly subscription: SubscriptionState;
@@ -76,12 +88,7 @@
   private actions: Action[] = [];
 
   constructor(clockRates: readonly number[], controlCount = 2) {
-    this.controls = Array.from({ length: controlCount }, (_, number) => ({
-      publisher: createPublisher(KEY),
-      port: number + 1,
-      term: 0,
-      believesToLead: false,
-    }));
+    this.controls = Array.from({ length: controlCount }, (_, number) => createControl(number + 1));
     const controlAddresses = this.controls.map(({ port }) => ({ host: '10.0.0.1', port }));
     this.balancers = clockRates.map((clockRate, number) => ({
       subscription: createSubscription({
@@ -169,7 +176,7 @@
   }
 
   private status(control: Control) {
-    return disseminationStatus(control.publisher, this.nowMs);
+    return disseminationStatus(control.publisher, control.authority, this.nowMs);
   }
 
   private clockOf(balancer: Balancer): number {
@@ -183,27 +190,27 @@
   }
 
   private tickControl(control: Control): void {
-    const { publisher, term, believesToLead } = control;
+    const { publisher, authority, term, believesToLead } = control;
     const hasQuorum = control === this.leader;
     publisher.leader =
       this.leader === undefined || believesToLead
         ? undefined
         : { host: '10.0.0.1', port: this.leader.port };
-    const readId = leaseAuthorityTick(publisher.authority, {
+    const readId = leaseAuthorityTick(authority, {
       isLeading: believesToLead,
       term,
       commitIndex: publisher.committed.index,
       nowMs: this.nowMs,
     });
     if (readId !== undefined && hasQuorum) {
-      takeConfirmation(publisher.authority, readId);
+      takeConfirmation(authority, readId);
     }
   }
 
   private tickBalancer(balancer: Balancer): void {
     if (!balancer.isPaused) {
       const { subscription, position } = balancer;
-      this.perform(balancer, subscriptionTick(subscription, position, this.clockOf(balancer)));
+      this.perform(balancer, subscriptionTick(subscription, { position }, this.clockOf(balancer)));
     }
   }
 
@@ -233,7 +240,7 @@
     this.nextLink += 1;
     const now = this.clockOf(balancer);
     const { subscription, position } = balancer;
-    this.perform(balancer, handleLinkOpened(subscription, linkId, position, now));
+    this.perform(balancer, handleLinkOpened(subscription, linkId, { position }, now));
   }
 
   private sendUp(balancer: Balancer, effect: Extract<SubscriptionEffect, { type: 'link-send' }>) {
@@ -267,7 +274,7 @@
     }
     const now = this.clockOf(balancer);
     const { subscription, position } = balancer;
-    const reaction = handleControlMessage(subscription, linkId, effect.message, position, now);
+    const reaction = handleControlMessage(subscription, linkId, effect.message, { position }, now);
     this.perform(balancer, reaction.effects);
     const { update } = reaction;
     if (update === undefined) {
@@ -277,7 +284,7 @@
     if (follows && update.to.index > balancer.position.index) {
       balancer.position = update.to;
     }
-    this.perform(balancer, acknowledge(subscription, balancer.position, now));
+    this.perform(balancer, acknowledge(subscription, { position: balancer.position }, now));
   }
 
   private after(run: () => void): void {
