--- a/test/consensus/member.ts
+++ b/test/consensus/member.ts
@@ -69,8 +69,8 @@
   }
 
   /** A message of another member. */
-  hear(from: string, message: ConsensusMessage): ConsensusEffect[] {
-    const sender = { nodeId: from, storageId: `${from}-disk` };
+  hear(from: string, message: ConsensusMessage, storageId = `${from}-disk`): ConsensusEffect[] {
+    const sender = { nodeId: from, storageId };
     return this.step({ type: 'consensus-message', from: sender, message });
   }
 
@@ -83,21 +83,27 @@
     return effects;
   }
 
-  /** Makes it leader with the votes of all. */
+  /** Makes it leader with the vote of one other. */
   lead(): void {
+    this.campaign();
+    this.hear('b', { type: 'vote-response', term: this.state.term, granted: true });
+  }
+
+  /** Makes it a candidate whose own vote is on disk. */
+  campaign(): void {
     this.step({ type: 'tick' });
     this.nowMs += 2 * this.state.options.electionTimeoutMs;
     this.step({ type: 'tick' });
-    const term = this.state.term + 1;
-    this.hear('b', { type: 'pre-vote-response', term, granted: true });
+    this.hear('b', { type: 'pre-vote-response', term: this.state.term + 1, granted: true });
     this.sync();
-    this.hear('b', { type: 'vote-response', term, granted: true });
   }
 
   /** A member acknowledges all up to an index. */
-  acknowledge(from: string, matchIndex: number, round = 0): ConsensusEffect[] {
+  acknowledge(from: string, matchIndex: number, round = 0, storageId?: string): ConsensusEffect[] {
     const { term } = this.state;
-    return this.hear(from, { type: 'append-response', term, round, success: true, matchIndex });
+    const success = true;
+    const message = { type: 'append-response' as const, term, round, success, matchIndex } as const;
+    return this.hear(from, message, storageId);
   }
 }
 
--- a/test/consensus/rules.test.ts
+++ b/test/consensus/rules.test.ts
@@ -101,6 +101,18 @@
   t.match(member.acknowledge('b', 2, member.round), [{ type: 'read-ready', readId: 7 }]);
 });
 
+t.test('votes and acknowledgements of another disk than the member had do not count', async (t) => {
+  const candidate = new SingleMember(1);
+  candidate.campaign();
+  candidate.hear('b', { type: 'vote-response', term: 2, granted: true }, 'b-new-disk');
+  t.equal(candidate.state.role.name, 'candidate');
+  const leader = new SingleMember(1);
+  leader.lead();
+  leader.sync();
+  leader.acknowledge('b', 2, 1, 'b-new-disk');
+  t.equal(leader.state.commitIndex, 0);
+});
+
 t.test('a membership change waits for a commit of the own term', async (t) => {
   const member = new SingleMember(1);
   member.lead();
--- /dev/null
+++ b/test/daemon/control-daemon.test.ts
@@ -0,0 +1,131 @@
+/** @file Control daemons with real disks and links: any of them takes a command, whoever leads. */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import t from 'tap';
+import { OperatorClient } from '../../src/client/operator-client.js';
+import { formatAddress } from '../../src/common/address.js';
+import { setLogLevel } from '../../src/common/logger.js';
+import type { OperatorCommand } from '../../src/control/commands.js';
+import { startControlDaemon, type ControlDaemon } from '../../src/daemon/control-daemon.js';
+import { sendJson } from '../../src/daemon/http-json.js';
+import { loadSettings } from '../../src/settings/load-settings.js';
+
+const ADMIN_TOKEN = 'admin-token';
+const OPERATOR_TOKEN = 'operator-token';
+const POLL_MS = 20;
+
+setLogLevel('silent');
+
+async function startDaemon(folder: string, nodeId: string, more: string[]): Promise<ControlDaemon> {
+  const settings = loadSettings({
+    overrides: [
+      `nodeId=${nodeId}`,
+      `dataFolder=${join(folder, nodeId)}`,
+      'clusterKey=cluster-key',
+      `control.adminToken=${ADMIN_TOKEN}`,
+      `control.operators=[{name: tarjeta, token: ${OPERATOR_TOKEN}}]`,
+      ...more,
+    ],
+  });
+  const daemon = await startControlDaemon(settings._unsafeUnwrap());
+  return daemon._unsafeUnwrap();
+}
+
+function peersFlag(leader: ControlDaemon): string {
+  return `control.peers=[{nodeId: c1, linkAddress: "${formatAddress(leader.linkAddress)}"}]`;
+}
+
+async function members(leader: ControlDaemon, body?: object, bearerToken = ADMIN_TOKEN) {
+  const response = await sendJson({
+    to: leader.operatorAddress,
+    method: body === undefined ? 'GET' : 'POST',
+    path: '/v1/members',
+    body,
+    bearerToken,
+    timeoutMs: 3_000,
+  });
+  return response._unsafeUnwrap();
+}
+
+/** Whoever leads; a busy computer may make it another one at any time. */
+async function leaderOf(daemons: Iterable<ControlDaemon>): Promise<ControlDaemon> {
+  for (;;) {
+    const leader = [...daemons].find(({ state }) => state.consensus.role.name === 'leader');
+    if (leader !== undefined) {
+      return leader;
+    }
+    await sleep(POLL_MS);
+  }
+}
+
+async function changeSurely(daemons: Iterable<ControlDaemon>, body: object): Promise<void> {
+  while ((await members(await leaderOf(daemons), body)).status !== 200) {
+    await sleep(POLL_MS);
+  }
+}
+
+function define(service: string, host: string): OperatorCommand {
+  const address = { host, port: 7000 };
+  return { type: 'define-service', service, address, policy: 'adaptive', limits: {} };
+}
+
+function serviceNames(daemon: ControlDaemon): string[] {
+  return [...daemon.state.cluster.routing.services.values()].map(({ name }) => name);
+}
+
+t.test('three control machines', async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), 'amberlift-control-'));
+  const c1 = await startDaemon(folder, 'c1', []);
+  const c2 = await startDaemon(folder, 'c2', [peersFlag(c1)]);
+  const c3 = await startDaemon(folder, 'c3', [peersFlag(c1)]);
+  const stranger = await startDaemon(folder, 'c4', [peersFlag(c1), 'clusterKey=another-key']);
+  const running = new Set([c1, c2, c3]);
+  t.teardown(async () => {
+    await Promise.all([...running, stranger].map((daemon) => daemon.stop()));
+    await rm(folder, { recursive: true });
+  });
+  const send = (to: Iterable<ControlDaemon>, commandId: string, command: OperatorCommand) =>
+    new OperatorClient({
+      controlAddresses: [...to].map(({ operatorAddress }) => operatorAddress),
+      bearerToken: OPERATOR_TOKEN,
+    }).send(commandId, command);
+
+  await t.test('the members are changed with the admin token alone', async (t) => {
+    const change = { type: 'add-member', nodeId: 'c2' };
+    const unauthorized = { body: { error: { kind: 'unauthorized' } } };
+    t.match(await members(c1, change, OPERATOR_TOKEN), unauthorized);
+    const unknown = { body: { error: { kind: 'not-found' } } };
+    t.match(await members(c1, { type: 'add-member', nodeId: 'c9' }), unknown);
+    for (const nodeId of ['c2', 'c3']) {
+      await changeSurely(running, { type: 'add-member', nodeId });
+      await changeSurely(running, { type: 'promote-member', nodeId });
+    }
+    const { body } = await members(await leaderOf(running));
+    t.match(body, { members: [{ nodeId: 'c1' }, { nodeId: 'c2' }, { nodeId: 'c3' }] });
+  });
+
+  await t.test('a machine with another cluster key is told so, and changes nothing', async (t) => {
+    while (stranger.state.join.refusal === undefined) {
+      await sleep(POLL_MS);
+    }
+    t.match(stranger.state.join.refusal, /cluster key/);
+    t.equal(c1.state.join.announced.has('c4'), false);
+  });
+
+  await t.test('a command goes through any machine, also after the leader stopped', async (t) => {
+    const followers = new Set(running);
+    followers.delete(await leaderOf(running));
+    const first = await send(followers, 'id-1', define('authd', '127.1.0.1'));
+    t.ok(first.isOk(), 'a follower names the leader');
+    const stopped = await leaderOf(running);
+    await stopped.stop();
+    running.delete(stopped);
+    const second = await send([stopped, ...running], 'id-2', define('board-api', '127.1.0.2'));
+    t.ok(second.isOk(), 'a stopped machine is passed over');
+    const again = await send(running, 'id-1', define('authd', '127.1.0.1'));
+    t.strictSame(again, first, 'a command sent again gets its first answer');
+    t.strictSame(serviceNames(await leaderOf(running)), ['authd', 'board-api']);
+  });
+});
