Let a machine that began alone start again while another one leads

The daemon of a machine without peers in its settings was ready only once it led, so in a cluster that had grown from it, it was never ready again. It now waits only while it is the only member.

The bench takes bare costs only while no member is still writing, and times writes at once on the shared disk beside them.

--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -8,6 +8,8 @@
 import { loggerFor } from '../common/logger.js';
 import { operatorTokenHash } from '../control/command-hash.js';
 import type { CommandEntry, CommandOutcome } from '../control/commands.js';
+import { currentMembership } from '../consensus/consensus-state.js';
+import { votersOf } from '../consensus/membership.js';
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
 import { balancerReports } from '../dissemination/publisher.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
@@ -54,8 +56,8 @@
   }
   const daemon = await listen(settings, storage.value);
   const { state } = daemon;
-  if (settings.control.peers.length === 0) {
-    await firstCommandsApplied(state, settings);
+  while (standsAlone(state, settings) && !isReady(state, settings)) {
+    await sleep(POLL_INTERVAL_MS);
   }
   const { nodeId } = settings;
   loggerFor('control').info(`Control machine ${nodeId} is ready at index ${state.cluster.index}.`);
@@ -135,16 +137,18 @@
 }
 
 function otherVoters({ consensus }: ControlState): number {
-  const members = consensus.memberships.at(-1)?.membership.members ?? [];
-  return members.filter(({ role, nodeId }) => role === 'voter' && nodeId !== consensus.nodeId)
-    .length;
+  const voters = votersOf(currentMembership(consensus));
+  return voters.filter(({ nodeId }) => nodeId !== consensus.nodeId).length;
 }
 
-async function firstCommandsApplied(state: ControlState, settings: Settings): Promise<void> {
-  const isReady = () =>
-    isLeader(state) &&
-    (settings.control.operators.length === 0 || state.cluster.operators.size > 0);
-  while (!isReady() || state.cluster.routing.keys.size === 0) {
-    await sleep(POLL_INTERVAL_MS);
-  }
+/** True for the only member of a cluster, and for a machine that is about to begin one by itself. */
+function standsAlone(state: ControlState, settings: Settings): boolean {
+  const { members } = currentMembership(state.consensus);
+  return members.length === 0 ? settings.control.peers.length === 0 : members.length === 1;
+}
+
+function isReady(state: ControlState, settings: Settings): boolean {
+  const { operators, routing } = state.cluster;
+  const hasOperators = settings.control.operators.length === 0 || operators.size > 0;
+  return isLeader(state) && hasOperators && routing.keys.size > 0;
 }
--- a/src/experiment/bench-control-cluster.ts
+++ b/src/experiment/bench-control-cluster.ts
@@ -5,25 +5,21 @@
 import { mkdtemp, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate } from 'node:timers/promises';
 import { formatAddress } from '../common/address.js';
 import { setLogLevel } from '../common/logger.js';
 import { timedCommandId } from '../control/command-id.js';
 import type { CommandOutcome, OperatorCommand } from '../control/commands.js';
-import type { MemberCommand } from '../control/control-events.js';
 import { startControlDaemon, type ControlDaemon } from '../daemon/control-daemon.js';
-import { sendJson } from '../daemon/http-json.js';
 import { loadSettings } from '../settings/load-settings.js';
 import type { Settings } from '../settings/settings-schema.js';
+import { ADMIN_TOKEN, addVoter } from './bench-control-members.js';
 import { startProcess, type ManagedProcess } from './child-process.js';
 
 const OPERATOR = 'bench';
-const ADMIN_TOKEN = 'bench-admin-token';
+/** The bearer token of the operator of a bench. */
+export const OPERATOR_TOKEN = 'bench-token';
 const LEADER = 'c1';
-const HTTP_OK = 200;
-const HTTP_TIMEOUT_MS = 5_000;
-const RETRY_DELAY_MS = 50;
-const MAX_ATTEMPTS = 200;
 
 /** A folder of this run alone. */
 export async function makeBenchFolder(): Promise<string> {
@@ -45,7 +41,7 @@
     'clusterKey=bench-cluster-key',
     'logLevel=warn',
     `control.adminToken=${ADMIN_TOKEN}`,
-    `control.operators=[{name: ${OPERATOR}, token: bench-token}]`,
+    `control.operators=[{name: ${OPERATOR}, token: ${OPERATOR_TOKEN}}]`,
   ];
 }
 
@@ -87,6 +83,21 @@
     }
   }
 
+  /** Resolves once every follower has all on its disk, so that nothing of a commit is still going on. */
+  async settle(): Promise<void> {
+    while (!this.isSettled()) {
+      await setImmediate();
+    }
+  }
+
+  private isSettled(): boolean {
+    const { role, log } = this.leader.state.consensus;
+    return (
+      role.name !== 'leader' ||
+      [...role.progress.values()].every(({ matchIndex }) => matchIndex >= log.last.index)
+    );
+  }
+
   async stop(): Promise<void> {
     this.followers.forEach((follower) => follower.signal('SIGKILL'));
     await Promise.all(this.followers.map((follower) => follower.exited));
@@ -98,27 +109,7 @@
     const flags = [...controlFlags(nodeId, join(folder, nodeId)), `control.peers=[${peer}]`];
     const args = flags.flatMap((flag) => ['--set', flag]);
     this.followers.push(await startProcess(nodeId, ['control', ...args]));
-    await this.changeMembers({ type: 'add-member', nodeId });
-    await this.changeMembers({ type: 'promote-member', nodeId });
-  }
-
-  /** The machine announces itself and catches up on its own, so the change is tried until it applies. */
-  private async changeMembers(command: MemberCommand): Promise<void> {
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt += 1) {
-      const response = await sendJson({
-        to: this.leader.operatorAddress,
-        method: 'POST',
-        path: '/v1/members',
-        body: command,
-        bearerToken: ADMIN_TOKEN,
-        timeoutMs: HTTP_TIMEOUT_MS,
-      });
-      if (response.isOk() && response.value.status === HTTP_OK) {
-        return;
-      }
-      await sleep(RETRY_DELAY_MS);
-    }
-    throw new Error(`The member ${command.nodeId} could not be changed.`);
+    await addVoter(this.leader.operatorAddress, nodeId);
   }
 }
 
--- a/src/experiment/bench-control-commit.ts
+++ b/src/experiment/bench-control-commit.ts
@@ -35,6 +35,11 @@
   readonly commitMs: TimesMs;
   /** One synced write, and beyond one machine one round trip after it. */
   readonly bareMs: TimesMs;
+  /**
+   * The same where each machine writes at once to this one disk, until a majority has; what a commit of
+   * machines that share a disk can not do without.
+   */
+  readonly sharedDiskMs: TimesMs;
   readonly p50Ratio: number;
   readonly p99Ratio: number;
   /** Commits a second with many commands at once. */
@@ -49,26 +54,22 @@
 export async function measureCommits(machines: number, commits: number): Promise<CommitFigures> {
   const folder = await makeBenchFolder();
   const cluster = await BenchCluster.start(machines, folder);
-  const bare = await BareCosts.start(folder);
+  const bare = await BareCosts.start(folder, machines);
   try {
     await cluster.proposeSurely(defineService);
     for (let count = 0; count < WARM_UP_COMMITS; count += 1) {
       await timedCommit(cluster, count);
     }
-    const commitTimes: number[] = [];
-    const bareTimes: number[] = [];
-    for (let count = 0; count < commits; count += 1) {
-      const tripMs = machines === 1 ? 0 : await bare.roundTrip();
-      bareTimes.push((await bare.syncedWrite()) + tripMs);
-      commitTimes.push(await timedCommit(cluster, count));
-    }
-    const commitMs = summarize(commitTimes);
-    const bareMs = summarize(bareTimes);
+    const times = await takeTurns(cluster, bare, machines, commits);
+    const commitMs = summarize(times.commit);
+    const bareMs = summarize(times.bare);
+    const sharedDiskMs = summarize(times.sharedDisk);
     return {
       machines,
       commits,
       commitMs,
       bareMs,
+      sharedDiskMs,
       p50Ratio: commitMs.p50 / bareMs.p50,
       p99Ratio: commitMs.p99 / bareMs.p99,
       groupCommitsPerSecond: await commitsPerSecond(cluster, GROUP_COMMIT_CLIENTS),
@@ -81,6 +82,31 @@
   }
 }
 
+/** Times of each kind, in milliseconds. */
+interface Turns {
+  readonly commit: number[];
+  readonly bare: number[];
+  readonly sharedDisk: number[];
+}
+
+/** One of each in turn, each alone, so that all meet the same disk and neither disturbs another. */
+async function takeTurns(
+  cluster: BenchCluster,
+  bare: BareCosts,
+  machines: number,
+  commits: number,
+): Promise<Turns> {
+  const turns: Turns = { commit: [], bare: [], sharedDisk: [] };
+  const tripMs = () => (machines === 1 ? Promise.resolve(0) : bare.roundTrip());
+  for (let count = 0; count < commits; count += 1) {
+    turns.bare.push((await tripMs()) + (await bare.syncedWrite()));
+    turns.sharedDisk.push((await tripMs()) + (await bare.majorityOfWrites()));
+    turns.commit.push(await timedCommit(cluster, count));
+    await cluster.settle();
+  }
+  return turns;
+}
+
 async function timedCommit(cluster: BenchCluster, count: number): Promise<number> {
   const command = changeCommand(count);
   const startMs = performance.now();
--- a/test/consensus/member.ts
+++ b/test/consensus/member.ts
@@ -9,6 +9,7 @@
 } from '../../src/consensus/consensus-state.js';
 import type { EntryContent, LogEntry } from '../../src/consensus/log.js';
 import type { Member, Membership } from '../../src/consensus/membership.js';
+import type { LogRecord } from '../../src/consensus/persisted-state.js';
 import type { ConsensusMessage } from '../../src/consensus/messages.js';
 
 const address = { host: '127.0.0.1', port: 1 };
@@ -34,23 +35,24 @@
   private readonly random = seededRandom(1);
   private readonly writes: number[] = [];
 
-  /** @param entries of its log, after the membership at index 1 */
-  constructor(term: number, entries: readonly LogEntry[] = []) {
+  /** @param records what is on its disk */
+  constructor(records: readonly LogRecord[] = []) {
+    const base: LogRecord = { type: 'base', base: { index: 0, term: 0 } };
+    const disk = { storageId: 'a-disk', snapshot: undefined, records: [base, ...records] };
+    this.state = createConsensusState('a', disk, {
+      ...defaultConsensusOptions,
+      trailingEntries: 0,
+    });
+  }
+
+  /** A voter; its log has the membership at index 1, then these entries. */
+  static voter(term: number, ...entries: LogEntry[]): SingleMember {
     const first: LogEntry = { index: 1, term: 1, content: { type: 'membership', membership } };
-    this.state = createConsensusState(
-      'a',
-      {
-        storageId: 'a-disk',
-        snapshot: undefined,
-        records: [
-          { type: 'base', base: { index: 0, term: 0 } },
-          { type: 'cluster', clusterId: 'cluster' },
-          { type: 'vote', term, votedFor: undefined },
-          { type: 'entries', entries: [first, ...entries] },
-        ],
-      },
-      { ...defaultConsensusOptions, trailingEntries: 0 },
-    );
+    return new SingleMember([
+      { type: 'cluster', clusterId: 'cluster' },
+      { type: 'vote', term, votedFor: undefined },
+      { type: 'entries', entries: [first, ...entries] },
+    ]);
   }
 
   /** The number of the last confirmation round that it sent as leader. */
@@ -91,13 +93,18 @@
 
   /** Makes it a candidate whose own vote is on disk. */
   campaign(): void {
-    this.step({ type: 'tick' });
-    this.nowMs += 2 * this.state.options.electionTimeoutMs;
-    this.step({ type: 'tick' });
+    this.awaitElection();
     this.hear('b', { type: 'pre-vote-response', term: this.state.term + 1, granted: true });
     this.sync();
   }
 
+  /** Hears nothing for so long that it campaigns. */
+  awaitElection(): ConsensusEffect[] {
+    this.step({ type: 'tick' });
+    this.nowMs += 2 * this.state.options.electionTimeoutMs;
+    return this.step({ type: 'tick' });
+  }
+
   /** A member acknowledges all up to an index. */
   acknowledge(from: string, matchIndex: number, round = 0, storageId?: string): ConsensusEffect[] {
     const { term } = this.state;
--- a/test/consensus/rules.test.ts
+++ b/test/consensus/rules.test.ts
@@ -17,7 +17,7 @@
 }
 
 t.test('a vote and its term are on disk before the vote is given', async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   const request = { lastIndex: 1, lastTerm: 1, isTransfer: false };
   const effects = member.hear('b', { type: 'vote-request', term: 5, ...request });
   t.strictSame(sent(effects), []);
@@ -27,25 +27,30 @@
   t.match(sent(other), [{ granted: false }]);
 });
 
+t.test('a new cluster is on disk before anyone hears of it', async (t) => {
+  const member = new SingleMember();
+  member.step({ type: 'bootstrap', clusterId: 'cluster', membership });
+  t.strictSame(sent(member.awaitElection()), []);
+  t.match(sent(member.sync()), [{ type: 'pre-vote-request' }, { type: 'pre-vote-request' }]);
+});
+
 t.test('a candidate asks for votes once its own is on disk', async (t) => {
-  const member = new SingleMember(1);
-  member.step({ type: 'tick' });
-  member.nowMs += 2_000;
-  member.step({ type: 'tick' });
+  const member = SingleMember.voter(1);
+  member.awaitElection();
   const effects = member.hear('b', { type: 'pre-vote-response', term: 2, granted: true });
   t.strictSame(sent(effects), []);
   t.match(sent(member.sync()), [{ type: 'vote-request' }, { type: 'vote-request' }]);
 });
 
 t.test('entries are acknowledged once they are on disk', async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   const effects = member.hear('b', appendRequest({ entries: [entry(2, 1)] }));
   t.strictSame(sent(effects), []);
   t.match(sent(member.sync()), [{ type: 'append-response', success: true, matchIndex: 2 }]);
 });
 
 t.test("a leader's own entry counts once it is on its own disk", async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   member.lead();
   t.equal(member.state.role.name, 'leader');
   member.acknowledge('b', 2);
@@ -55,7 +60,7 @@
 });
 
 t.test('an entry of an earlier term is not committed by counting', async (t) => {
-  const member = new SingleMember(2, [entry(2, 2)]);
+  const member = SingleMember.voter(2, entry(2, 2));
   member.lead();
   member.sync();
   member.acknowledge('b', 2);
@@ -66,7 +71,7 @@
 });
 
 t.test('a member that is behind gets no vote', async (t) => {
-  const member = new SingleMember(3, [entry(2, 3)]);
+  const member = SingleMember.voter(3, entry(2, 3));
   const requests = [
     { lastIndex: 1, lastTerm: 3 },
     { lastIndex: 9, lastTerm: 2 },
@@ -79,7 +84,7 @@
 });
 
 t.test('an answer that was sent before a read came does not confirm it', async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   member.lead();
   member.sync();
   member.acknowledge('b', 2);
@@ -90,7 +95,7 @@
 });
 
 t.test('a read that comes before the first commit of the term waits for it', async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   member.lead();
   member.sync();
   member.step({ type: 'read', readId: 7 });
@@ -102,11 +107,11 @@
 });
 
 t.test('votes and acknowledgements of another disk than the member had do not count', async (t) => {
-  const candidate = new SingleMember(1);
+  const candidate = SingleMember.voter(1);
   candidate.campaign();
   candidate.hear('b', { type: 'vote-response', term: 2, granted: true }, 'b-new-disk');
   t.equal(candidate.state.role.name, 'candidate');
-  const leader = new SingleMember(1);
+  const leader = SingleMember.voter(1);
   leader.lead();
   leader.sync();
   leader.acknowledge('b', 2, 1, 'b-new-disk');
@@ -114,7 +119,7 @@
 });
 
 t.test('a membership change waits for a commit of the own term', async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   member.lead();
   member.sync();
   const change = { type: 'remove-member' as const, nodeId: 'c' };
@@ -126,7 +131,7 @@
 });
 
 t.test('a snapshot that the log already holds drops no entry after it', async (t) => {
-  const member = new SingleMember(1, [entry(2, 1), entry(3, 1), entry(4, 1)]);
+  const member = SingleMember.voter(1, entry(2, 1), entry(3, 1), entry(4, 1));
   const chunk: SnapshotChunk = {
     type: 'snapshot-chunk',
     term: 1,
@@ -147,7 +152,7 @@
 });
 
 t.test('a snapshot of which a part is lost is never put together from two leaders', async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   const chunk: SnapshotChunk = {
     type: 'snapshot-chunk',
     term: 1,
@@ -165,7 +170,7 @@
 });
 
 t.test('after a failed write a member promises nothing, whatever it is asked', async (t) => {
-  const member = new SingleMember(1);
+  const member = SingleMember.voter(1);
   member.hear('b', appendRequest({ entries: [entry(2, 1)] }));
   member.step({ type: 'persist-failed', writeId: 1, reason: 'no space left' });
   const vote = { type: 'vote-request' as const, term: 9, lastIndex: 9, lastTerm: 9 };
--- a/test/daemon/control-daemon.test.ts
+++ b/test/daemon/control-daemon.test.ts
@@ -128,4 +128,13 @@
     t.strictSame(again, first, 'a command sent again gets its first answer');
     t.strictSame(serviceNames(await leaderOf(running)), ['authd', 'board-api']);
   });
+
+  await t.test('a machine that began alone starts again while another one leads', async (t) => {
+    if (running.delete(c1)) {
+      await c1.stop();
+    }
+    const again = await startDaemon(folder, 'c1', []);
+    running.add(again);
+    t.ok(again.state.consensus.commitIndex > 0, 'it is ready without leading');
+  });
 });
