--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -19,12 +19,19 @@
   type ConfigUpdate,
 } from '../control/config-update.js';
 import { mayUseBackend } from '../dissemination/lease.js';
+import { createPublisher, type PublisherState } from '../dissemination/publisher.js';
 import { createSubscription, type SubscriptionState } from '../dissemination/subscription.js';
+import { createTraffic, type Traffic } from '../dissemination/traffic.js';
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
 import type { ProbeResult } from '../health/backend-report.js';
 import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
 import { createOpenLimits, type OpenLimitsState } from '../limits/open-limits.js';
+import {
+  createMembership,
+  type MembershipOptions,
+  type MembershipState,
+} from '../membership/membership-state.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
 import { createBackendView, type BackendView } from './backend-view.js';
@@ -47,6 +54,8 @@
   readonly probeIntervalMs: number;
   readonly controlAddresses: readonly Address[];
   readonly clusterKey: string;
+  /** Absent where the balancer takes no part in membership; then it links to control machines only. */
+  readonly membership?: Omit<MembershipOptions, 'id' | 'zone'>;
 }
 
 /** Options that apply where settings give none. */
@@ -99,6 +108,13 @@
   /** Datagrams and opens that ended in each error kind. */
   readonly errorCounts: Map<ErrorKind, number>;
   readonly subscription: SubscriptionState;
+  /** Passes the configuration on to balancers that are linked to this one. */
+  readonly publisher: PublisherState;
+  readonly membership: MembershipState | undefined;
+  /** Version of the members for which the links were planned last. */
+  plannedVersion: number;
+  /** Messages of the control plane; counted by whoever sends and receives them. */
+  readonly traffic: Traffic;
   readonly probes: ProbeSchedule;
   forwardedPackets: number;
   acceptedOpens: number;
@@ -109,6 +125,8 @@
  * @returns the state of a balancer that has no configuration yet
  */
 export function createBalancerState(options: BalancerOptions): BalancerState {
+  const { balancerId, zone, clusterKey, membership } = options;
+  const subscription = createSubscription(options);
   return {
     options,
     config: emptyRoutingConfig(),
@@ -124,7 +142,11 @@
     pendingOpens: new Map(),
     limits: createOpenLimits(),
     errorCounts: new Map(),
-    subscription: createSubscription(options),
+    subscription,
+    publisher: createPublisher(clusterKey, { type: 'held', lease: subscription.lease }),
+    membership: membership && createMembership({ ...membership, id: balancerId, zone }),
+    plannedVersion: -1,
+    traffic: createTraffic(),
     probes: createProbeSchedule(options.probeIntervalMs),
     forwardedPackets: 0,
     acceptedOpens: 0,
