Answer operators' queries with what is theirs, and give them a client

The operator interface showed the log index, which counts all operators' commands, and one page of raw state. Queries are now answered by pure views: each operator sees their own services, back ends, planned changes and audit log, with what is committed told apart from what is in force on every balancer, in their own revisions, and the balancers that lag by name. Outcomes leave out the log index. InForceView and LoadView are the seams for dissemination and load reports; no load is reported yet, so it is shown as not known.

A property over two partners with equal service names, command IDs, addresses and IDs checks that whatever one sends, the other is told the same (60 runs). Trials with four faults put in one by one were each caught by it: the log index in outcomes, no check of the owner of a back end, IDs that all operators share, and a revision that counts the log. A first form of the property, without a service that both have from the start, missed the second.

The operator interface takes a TLS certificate (control.operatorTls, ctl --ca). Operators' address ranges can be set in the settings file (control.operators[].addressRanges).

The demo asks for the in-force query in place of the page that is gone.

--- a/src/cli/ctl.ts
+++ b/src/cli/ctl.ts
@@ -1,18 +1,33 @@
 /**
- * @file `amberlift ctl`: sends one operator command, or shows what is in force.
+ * @file `amberlift ctl`: the operators' client. Runs one statement, a script, or an interactive prompt.
  */
-import { randomUUID } from 'node:crypto';
+import { readFile, writeFile } from 'node:fs/promises';
 import type { CAC } from 'cac';
+import { newCommandId } from '../client/command-ids.js';
+import { runInteractive } from '../client/interactive.js';
 import { OperatorClient } from '../client/operator-client.js';
-import { operatorCommandSchema } from '../control/commands.js';
-import { amberliftError } from '../flow/error-kinds.js';
+import { runScript } from '../client/script.js';
+import {
+  runStatement,
+  type RunnerOptions,
+  type StatementOutput,
+} from '../client/statement-runner.js';
+import { MAX_COMMAND_ID_LENGTH } from '../control/commands.js';
 import { addressFlag } from './address-flag.js';
-import { reportError } from './daemon-command.js';
+
+const MILLISECONDS_PER_SECOND = 1000;
 
 interface CtlFlags {
-  readonly control: string | string[];
-  readonly token: string;
-  readonly commandId?: string;
+  readonly control?: string | string[];
+  /** The command line's parser makes a number of what looks like one. */
+  readonly token?: string | number;
+  readonly tokenFile?: string;
+  readonly ca?: string;
+  readonly commandId?: string | number;
+  readonly file?: string;
+  readonly history?: string;
+  readonly json?: boolean;
+  readonly wait?: number | string;
 }
 
 /**
@@ -20,28 +35,93 @@
  */
 export function registerCtl(cli: CAC): void {
   cli
-    .command('ctl <command>', 'Send an operator command (JSON), or "show"')
+    .command('ctl [...statement]', 'Run an operator statement; without one, prompt for them')
     .option('--control <address>', 'Operator address of a control machine; may be repeated')
-    .option('--token <token>', "The operator's bearer token")
-    .option('--command-id <id>', 'Command ID, to send a command again; made up by default')
+    .option('--token <token>', "The operator's bearer token; others may see it in process lists")
+    .option('--token-file <file>', "File with the operator's bearer token")
+    .option('--ca <file>', 'Certificate (PEM) that the control machines are checked by; uses TLS')
+    .option('--file <file>', 'Run a script, one statement a line; /dev/stdin reads standard input')
+    .option('--command-id <id>', 'Command ID, to send a command or script again')
+    .option('--history <file>', 'Keep the history of the prompt in this file')
+    .option('--wait <seconds>', 'Wait until accepted commands are in force on every balancer')
+    .option('--json', 'Print JSON, one value a statement')
     .action(run);
 }
 
-async function run(text: string, flags: CtlFlags): Promise<void> {
-  const controlAddresses = [flags.control].flat().map((item) => addressFlag('control', item));
-  const client = new OperatorClient({ controlAddresses, bearerToken: flags.token });
-  const result = text === 'show' ? await client.show() : await sendCommand(client, text, flags);
-  result?.match(
-    (value) => process.stdout.write(`${JSON.stringify(value, undefined, 2)}\n`),
-    reportError,
-  );
+async function run(words: readonly string[], flags: CtlFlags): Promise<void> {
+  const options: RunnerOptions = {
+    client: await clientFromFlags(flags),
+    json: flags.json ?? false,
+    waitMs: secondsFlag('wait', flags.wait) * MILLISECONDS_PER_SECOND,
+  };
+  const commandId = commandIdFlag(flags.commandId);
+  if (flags.file !== undefined) {
+    const script = await readFile(flags.file, 'utf8');
+    process.exitCode = await runScript(options, script, commandId, print);
+  } else if (words.length > 0) {
+    const output = await runStatement(options, words.join(' '), commandId);
+    print(output);
+    process.exitCode = output.exitCode;
+  } else {
+    await prompt(options, flags.history);
+  }
+}
+
+async function clientFromFlags(flags: CtlFlags): Promise<OperatorClient> {
+  const controls = [flags.control ?? []].flat();
+  if (controls.length === 0) {
+    throw new TypeError('--control: the operator address of a control machine is needed.');
+  }
+  const token =
+    flags.tokenFile === undefined ? flags.token : await readFile(flags.tokenFile, 'utf8');
+  if (token === undefined) {
+    throw new TypeError('--token-file or --token is needed.');
+  }
+  return new OperatorClient({
+    controlAddresses: controls.map((text) => addressFlag('control', text)),
+    bearerToken: String(token).trim(),
+    ca: flags.ca === undefined ? undefined : await readFile(flags.ca, 'utf8'),
+  });
+}
+
+function secondsFlag(flag: string, value: number | string = 0): number {
+  const seconds = Number(value);
+  if (!(seconds >= 0)) {
+    throw new TypeError(`--${flag} ${value}: allowed is a number of seconds.`);
+  }
+  return seconds;
 }
 
-async function sendCommand(client: OperatorClient, text: string, flags: CtlFlags) {
-  const command = operatorCommandSchema.safeParse(JSON.parse(text));
-  if (!command.success) {
-    reportError(amberliftError('invalid-command', command.error.message));
-    return undefined;
+function commandIdFlag(value: string | number | undefined): string {
+  if (value === undefined) {
+    return newCommandId();
+  }
+  const text = String(value);
+  if (!/^[!-~]+$/.test(text) || text.length > MAX_COMMAND_ID_LENGTH) {
+    throw new TypeError('--command-id: allowed are up to 128 printable characters, no spaces.');
+  }
+  return text;
+}
+
+async function prompt(options: RunnerOptions, historyFile: string | undefined): Promise<void> {
+  const { stdin: input, stdout: output } = process;
+  const history = historyFile === undefined ? [] : await readHistory(historyFile);
+  const lines = await runInteractive(options, { input, output, history });
+  if (historyFile !== undefined) {
+    await writeFile(historyFile, lines.map((line) => `${line}\n`).join(''));
+  }
+}
+
+async function readHistory(file: string): Promise<string[]> {
+  const text = await readFile(file, 'utf8').catch(() => '');
+  return text.split('\n').filter((line) => line !== '');
+}
+
+function print({ output, error }: StatementOutput): void {
+  if (output !== '') {
+    process.stdout.write(`${output}\n`);
+  }
+  if (error !== '') {
+    process.stderr.write(`${error}\n`);
   }
-  return client.send(flags.commandId ?? randomUUID(), command.data);
 }
--- /dev/null
+++ b/src/client/command-ids.ts
@@ -0,0 +1,14 @@
+/**
+ * @file Command IDs that the client makes up.
+ */
+import { randomBytes } from 'node:crypto';
+import { timedCommandId } from '../control/command-id.js';
+
+const SUFFIX_BYTES = 8;
+
+/**
+ * @returns a command ID with the present time, which no other client makes
+ */
+export function newCommandId(): string {
+  return timedCommandId(Date.now(), randomBytes(SUFFIX_BYTES).toString('hex'));
+}
--- /dev/null
+++ b/src/client/result-tables.ts
@@ -0,0 +1,177 @@
+/**
+ * @file Answers to queries as tables for people.
+ */
+import Table from 'cli-table3';
+import { match } from 'ts-pattern';
+import { formatAddress } from '../common/address.js';
+import type { InForceSummary, LaggingBalancer } from '../control/views/in-force.js';
+import type {
+  AuditView,
+  BackendView,
+  PlanView,
+  QueryResult,
+  ServiceView,
+  VisibleAcceptedOutcome,
+  VisibleOutcome,
+} from '../control/views/view-types.js';
+import { formatLimits, formatTime } from '../language/format-command.js';
+
+const NOT_KNOWN = 'not known';
+
+/**
+ * @returns the answer as text, without a line break at its end
+ */
+export function formatResult(result: QueryResult): string {
+  return match(result)
+    .with({ type: 'services' }, ({ services }) => serviceTable(services))
+    .with({ type: 'service' }, ({ service, backends }) =>
+      lines(serviceTable([service]), backendTable(backends)),
+    )
+    .with({ type: 'backends' }, ({ backends }) => backendTable(backends))
+    .with({ type: 'changes' }, ({ planned, rollingOut }) =>
+      lines(
+        planTable(planned),
+        table(
+          ['Revision', 'Change', 'Command', 'Not yet in force on'],
+          rollingOut.map((change) => [
+            change.revision,
+            change.statement,
+            change.commandId,
+            names(change.lagging),
+          ]),
+        ),
+      ),
+    )
+    .with({ type: 'in-force' }, (summary) => lines(summaryText(summary), lagTable(summary.lagging)))
+    .with({ type: 'balancers' }, ({ lagging, balancerCount }) =>
+      lines(`${lagging.length} of ${balancerCount} balancers lag.`, lagTable(lagging)),
+    )
+    .with({ type: 'capacity' }, ({ balancerCount, totalConnections }) =>
+      table(['Balancers', 'Connections of all'], [[balancerCount, totalConnections ?? NOT_KNOWN]]),
+    )
+    .with({ type: 'audit' }, ({ entries }) => auditTable(entries))
+    .with({ type: 'explain-backend' }, ({ backend, service, planned, history }) =>
+      lines(
+        backendTable([backend]),
+        serviceTable([service]),
+        planTable(planned),
+        auditTable(history),
+      ),
+    )
+    .with({ type: 'explain-command' }, ({ outcome, entry, run, lagging }) =>
+      lines(
+        describeOutcome(outcome),
+        auditTable([entry, run].filter((line) => line !== undefined)),
+        lagging.length === 0 ? 'No balancer lags behind it.' : lagTable(lagging),
+      ),
+    )
+    .exhaustive();
+}
+
+/**
+ * @returns the outcome in a line
+ */
+export function describeOutcome(outcome: VisibleOutcome): string {
+  return outcome.accepted
+    ? `Accepted: ${describeAccepted(outcome)}.`
+    : `Refused: ${outcome.error.kind}: ${outcome.error.message}`;
+}
+
+function describeAccepted(outcome: VisibleAcceptedOutcome): string {
+  const { revision, version, backendId, planId } = outcome;
+  return [
+    `revision ${revision}`,
+    ...(version === undefined ? [] : [`service version ${version}`]),
+    ...(backendId === undefined ? [] : [`back end ${backendId}`]),
+    ...(planId === undefined ? [] : [`plan ${planId}`]),
+  ].join(', ');
+}
+
+function serviceTable(services: readonly ServiceView[]): string {
+  return table(
+    ['Service', 'Address', 'Policy', 'Limits', 'Back ends', 'Version', 'In force everywhere'],
+    services.map((service) => [
+      service.name,
+      formatAddress(service.address),
+      service.policy,
+      formatLimits(service.limits) ?? '',
+      service.backendCount,
+      service.version,
+      service.versionInForceEverywhere,
+    ]),
+  );
+}
+
+function backendTable(backends: readonly BackendView[]): string {
+  return table(
+    ['Back end', 'Service', 'Address', 'Health', 'Zone', 'State', 'Connections'],
+    backends.map((backend) => [
+      backend.id,
+      backend.service,
+      formatAddress(backend.address),
+      formatAddress(backend.healthAddress),
+      backend.zone,
+      backend.adminState,
+      backend.load?.connections ?? NOT_KNOWN,
+    ]),
+  );
+}
+
+function planTable(planned: readonly PlanView[]): string {
+  return table(
+    ['Plan', 'Due', 'Change', 'Command'],
+    planned.map(({ id, atMs, statement, commandId }) => [
+      id,
+      formatTime(atMs),
+      statement,
+      commandId,
+    ]),
+  );
+}
+
+function auditTable(entries: readonly AuditView[]): string {
+  return table(
+    ['No.', 'Time', 'Command', 'Statement', 'Outcome'],
+    entries.map(({ number, atMs, commandId, statement, outcome }) => [
+      number,
+      formatTime(atMs),
+      commandId,
+      statement,
+      describeOutcome(outcome),
+    ]),
+  );
+}
+
+function lagTable(lagging: readonly LaggingBalancer[]): string {
+  return table(
+    ['Lagging balancer', 'Zone', 'Revision in force'],
+    lagging.map(({ balancerId, zone, revision }) => [balancerId, zone, revision]),
+  );
+}
+
+function summaryText(summary: InForceSummary): string {
+  const { committedRevision, revisionInForceEverywhere, balancerCount, isComplete } = summary;
+  if (balancerCount === 0) {
+    return `Committed: revision ${committedRevision}. No balancer is known.`;
+  }
+  const doubt = isComplete ? '' : ' Some balancers may not have reported yet.';
+  return (
+    `Committed: revision ${committedRevision}. ` +
+    `In force on all ${balancerCount} balancers: revision ${revisionInForceEverywhere}.${doubt}`
+  );
+}
+
+function names(lagging: readonly LaggingBalancer[]): string {
+  return lagging.map(({ balancerId }) => balancerId).join(', ');
+}
+
+function table(head: string[], rows: readonly (string | number)[][]): string {
+  // Without colours, so that the output may go into a file.
+  const cells = new Table({ head, style: { head: [], border: [] } });
+  cells.push(...rows);
+  return rows.length === 0 ? `${head[0] ?? ''}: none.` : cells.toString();
+}
+
+function lines(...parts: string[]): string {
+  return parts.join('\n');
+}
--- /dev/null
+++ b/src/client/statement-runner.ts
@@ -0,0 +1,144 @@
+/**
+ * @file Runs single statements against the cluster and gives what to print.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { OperatorCommand } from '../control/commands.js';
+import type { OperatorQuery } from '../control/queries.js';
+import type { VisibleAcceptedOutcome } from '../control/views/view-types.js';
+import { answerFor, exitCodes, type AmberliftError } from '../flow/error-kinds.js';
+import { describeStatementError, parseStatement } from '../language/parse-statement.js';
+import type { OperatorClient } from './operator-client.js';
+import { describeOutcome, formatResult } from './result-tables.js';
+
+const WAIT_POLL_INTERVAL_MS = 100;
+
+/** How statements are run. */
+export interface RunnerOptions {
+  readonly client: OperatorClient;
+  /** Prints JSON, one value a statement, in place of text and tables. */
+  readonly json: boolean;
+  /** How long an accepted command is waited for until it is in force everywhere; 0 for not at all. */
+  readonly waitMs: number;
+}
+
+/** What a statement gave. */
+export interface StatementOutput {
+  /** For standard output; without a line break at its end. */
+  readonly output: string;
+  /** For standard error; empty where all went well. */
+  readonly error: string;
+  readonly exitCode: number;
+}
+
+/**
+ * Runs a statement.
+ * @param commandId the ID under which it is sent where it is a command
+ */
+export async function runStatement(
+  options: RunnerOptions,
+  text: string,
+  commandId: string,
+): Promise<StatementOutput> {
+  const statement = parseStatement(text);
+  if (statement.isErr()) {
+    const told = describeStatementError(text, statement.error);
+    const value = { error: { kind: 'invalid-command', ...statement.error } };
+    return failed(options, exitCodes.usage, told, value);
+  }
+  return statement.value.kind === 'query'
+    ? runQuery(options, statement.value.query)
+    : runCommand(options, statement.value.command, commandId);
+}
+
+async function runQuery(options: RunnerOptions, query: OperatorQuery): Promise<StatementOutput> {
+  const answer = await options.client.query(query);
+  return answer.match(
+    (result) => printed(options.json ? JSON.stringify(result) : formatResult(result)),
+    (error) => failedWith(options, error, { error }),
+  );
+}
+
+async function runCommand(
+  options: RunnerOptions,
+  command: OperatorCommand,
+  commandId: string,
+): Promise<StatementOutput> {
+  const outcome = await options.client.send(commandId, command);
+  if (outcome.isErr()) {
+    const { error } = outcome;
+    const hint = answerFor(error.kind).surelyNotRun
+      ? ''
+      : ` It may have been applied; send it again with --command-id ${commandId}.`;
+    return failedWith(options, error, { commandId, error }, hint);
+  }
+  if (options.waitMs === 0) {
+    return printed(describeAccepted(options, commandId, outcome.value));
+  }
+  return waitUntilInForce(options, commandId, outcome.value);
+}
+
+/** Asks until the command is in force on every balancer; there must be at least one. */
+async function waitUntilInForce(
+  options: RunnerOptions,
+  commandId: string,
+  accepted: VisibleAcceptedOutcome,
+): Promise<StatementOutput> {
+  const endsAtMs = performance.now() + options.waitMs;
+  let lagging: readonly string[] = [];
+  while (performance.now() < endsAtMs) {
+    const answer = await options.client.query({ type: 'in-force' });
+    if (answer.isOk()) {
+      lagging = answer.value.lagging
+        .filter(({ revision }) => revision < accepted.revision)
+        .map(({ balancerId }) => balancerId);
+      const balancers = answer.value.balancerCount;
+      if (lagging.length === 0 && balancers > 0 && answer.value.isComplete) {
+        return printed(describeAccepted(options, commandId, accepted, balancers));
+      }
+    }
+    await sleep(WAIT_POLL_INTERVAL_MS);
+  }
+  const text = describeAccepted(options, commandId, accepted);
+  const names = lagging.length === 0 ? 'not known' : lagging.join(', ');
+  const told = `amberlift: not in force everywhere in time; balancers that lag: ${names}.`;
+  return { output: text, error: told, exitCode: exitCodes.unavailable };
+}
+
+function describeAccepted(
+  options: RunnerOptions,
+  commandId: string,
+  accepted: VisibleAcceptedOutcome,
+  inForceOnBalancers?: number,
+): string {
+  if (options.json) {
+    return JSON.stringify({ commandId, ...accepted, inForceOnBalancers });
+  }
+  const inForce =
+    inForceOnBalancers === undefined ? '' : ` In force on all ${inForceOnBalancers} balancers.`;
+  return `${describeOutcome(accepted)}${inForce} Command ${commandId}.`;
+}
+
+function printed(output: string): StatementOutput {
+  return { output, error: '', exitCode: exitCodes.success };
+}
+
+function failedWith(
+  options: RunnerOptions,
+  error: AmberliftError,
+  value: object,
+  hint = '',
+): StatementOutput {
+  const told = `amberlift: ${error.kind}: ${error.message}${hint}`;
+  return failed(options, answerFor(error.kind).exitCode, told, value);
+}
+
+function failed(
+  { json }: RunnerOptions,
+  exitCode: number,
+  told: string,
+  value: object,
+): StatementOutput {
+  return json
+    ? { output: JSON.stringify(value), error: '', exitCode }
+    : { output: '', error: told, exitCode };
+}
--- a/src/control/apply-command.ts
+++ b/src/control/apply-command.ts
@@ -176,7 +176,11 @@
   return {
     accepted: true,
     index: state.index,
-    revision: countRevision(owner, state.index),
+    revision: countRevision(
+      owner,
+      state.index,
+      service && { serviceId: service.id, version: service.version },
+    ),
     ...(service && { serviceId: service.id, version: service.version }),
     ...(backend && { backendId: backend.id }),
     ...(planned && { planId: planned.id }),
--- a/src/control/audit.ts
+++ b/src/control/audit.ts
@@ -2,7 +2,7 @@
  * @file What an operator can look up of their own past: the audit log, and which log index carried
  * each of their revisions. Both are bounded.
  */
-import type { AuditEntry, OwnerState } from './cluster-state.js';
+import type { AuditEntry, OwnerState, Service, ServiceVersion } from './cluster-state.js';
 
 /** How many lines of the audit log are kept for one operator. */
 export const MAX_AUDIT_ENTRIES = 1_000;
@@ -22,11 +22,12 @@
 
 /**
  * Counts an accepted command.
+ * @param service the service that it changed, if any
  * @returns the operator's revision with it
  */
-export function countRevision(owner: OwnerState, index: number): number {
+export function countRevision(owner: OwnerState, index: number, service?: ServiceVersion): number {
   owner.revision += 1;
-  owner.revisionMarks.push({ revision: owner.revision, index });
+  owner.revisionMarks.push({ revision: owner.revision, index, service });
   if (owner.revisionMarks.length > MAX_REVISION_MARKS) {
     owner.revisionMarks.shift();
   }
@@ -45,3 +46,17 @@
   const oldest = owner.revisionMarks[0];
   return oldest === undefined ? 0 : oldest.revision - 1;
 }
+
+/**
+ * @param index a log index, such as the one that a balancer has in force
+ * @returns the version of the service that is in force there; 0 before its definition
+ */
+export function serviceVersionAt(owner: OwnerState, service: Service, index: number): number {
+  const marks = owner.revisionMarks.filter((mark) => mark.service?.serviceId === service.id);
+  const inForce = marks.findLast((mark) => mark.index <= index)?.service;
+  const oldestKept = marks[0]?.service;
+  if (inForce !== undefined) {
+    return inForce.version;
+  }
+  return oldestKept === undefined ? service.version : oldestKept.version - 1;
+}
--- a/src/control/cluster-state.ts
+++ b/src/control/cluster-state.ts
@@ -123,10 +123,18 @@
   readonly outcome: CommandOutcome;
 }
 
+/** Version of a service after a change of it or its back ends. */
+export interface ServiceVersion {
+  readonly serviceId: number;
+  readonly version: number;
+}
+
 /** The log index at which an operator's revision was accepted. */
 export interface RevisionMark {
   readonly revision: number;
   readonly index: number;
+  /** Undefined where the command changed no service. */
+  readonly service?: ServiceVersion | undefined;
 }
 
 /** All that belongs to one operator alone, besides services and back ends. */
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -110,7 +110,8 @@
 /** A command that an operator sends. */
 export type OperatorCommand = z.infer<typeof operatorCommandSchema>;
 
-const rangeText = z
+/** Schema of a range of addresses. */
+export const addressRangeText = z
   .string()
   .refine((text) => parseAddressRange(text) !== undefined, 'such as 10.1.0.0/16:7000-7999');
 
@@ -119,7 +120,11 @@
   z.strictObject({
     type: z.literal('set-operators'),
     operators: z.array(
-      z.strictObject({ name, tokenHash: z.string(), addressRanges: z.array(rangeText).optional() }),
+      z.strictObject({
+        name,
+        tokenHash: z.string(),
+        addressRanges: z.array(addressRangeText).optional(),
+      }),
     ),
   }),
   /** Adds a key: as `next`, or as `current` where there is no key yet; or moves one on. */
--- /dev/null
+++ b/src/control/views/entity-views.ts
@@ -0,0 +1,115 @@
+/**
+ * @file Views of single services, back ends, planned changes and lines of the audit log.
+ */
+import { formatCommand } from '../../language/format-command.js';
+import type {
+  AuditEntry,
+  Backend,
+  ClusterState,
+  OwnerState,
+  PlannedChange,
+  Service,
+} from '../cluster-state.js';
+import { operatorCommandSchema, type CommandOutcome } from '../commands.js';
+import type { LoadView } from './backend-load.js';
+import { versionInForceEverywhere, type InForceView } from './in-force.js';
+import type {
+  AuditView,
+  BackendView,
+  PlanView,
+  ServiceView,
+  VisibleOutcome,
+} from './view-types.js';
+
+/** All that a view is made from. */
+export interface ViewSource {
+  readonly state: ClusterState;
+  /** The operator who asks. */
+  readonly owner: OwnerState;
+  readonly inForce: InForceView;
+  readonly load: LoadView;
+}
+
+/**
+ * @returns the operator's services, in the order of definition
+ */
+export function ownedServices({ state, owner }: ViewSource): Service[] {
+  const ids = state.lookup.serviceIdsByOwner.get(owner.name) ?? [];
+  return present([...ids].map((id) => state.routing.services.get(id)));
+}
+
+/**
+ * @returns the back ends of a service, in the order of addition
+ */
+export function backendsOf({ state }: ViewSource, service: Service): Backend[] {
+  const ids = state.lookup.backendIdsByService.get(service.id) ?? [];
+  return present([...ids].map((id) => state.routing.backends.get(id)));
+}
+
+/** Shows a service. */
+export function viewService(source: ViewSource, service: Service): ServiceView {
+  const { id, name, address, policy, limits, version } = service;
+  return {
+    id,
+    name,
+    address,
+    policy,
+    limits,
+    version,
+    versionInForceEverywhere: versionInForceEverywhere(source.owner, service, source.inForce),
+    backendCount: backendsOf(source, service).length,
+  };
+}
+
+/** Shows a back end. */
+export function viewBackend(source: ViewSource, service: Service, backend: Backend): BackendView {
+  const { id, address, healthAddress, zone, adminState } = backend;
+  const load = source.load.backends.get(id);
+  return {
+    id,
+    service: service.name,
+    address,
+    healthAddress,
+    zone,
+    adminState,
+    ...(load !== undefined && { load }),
+  };
+}
+
+/** Shows a planned change. */
+export function viewPlan({ id, atMs, change, commandId }: PlannedChange): PlanView {
+  return { id, atMs, statement: formatCommand(change), commandId };
+}
+
+/** Shows a line of the audit log. */
+export function viewAuditEntry(entry: AuditEntry): AuditView {
+  const { number, atMs, commandId, command, outcome } = entry;
+  return {
+    number,
+    atMs,
+    commandId,
+    statement: describeCommand(command),
+    outcome: visibleOutcome(outcome),
+  };
+}
+
+/**
+ * @returns the outcome without the log index, which counts all operators' commands
+ */
+export function visibleOutcome(outcome: CommandOutcome): VisibleOutcome {
+  if (!outcome.accepted) {
+    return { accepted: false, error: outcome.error };
+  }
+  const { revision = 0, version, serviceId, backendId, planId } = outcome;
+  return { accepted: true, revision, version, serviceId, backendId, planId };
+}
+
+/** What was sent may be no command of an operator; it is then shown as it was sent. */
+function describeCommand(command: unknown): string {
+  const parsed = operatorCommandSchema.safeParse(command);
+  return parsed.success ? formatCommand(parsed.data) : JSON.stringify(command);
+}
+
+function present<Item>(items: readonly (Item | undefined)[]): Item[] {
+  return items.filter((item) => item !== undefined);
+}
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -3,6 +3,7 @@
  * decision step, and stops them in order.
  */
 import { randomBytes } from 'node:crypto';
+import { readFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, type Result } from 'neverthrow';
 import type { Address } from '../common/address.js';
@@ -10,12 +11,14 @@
 import { operatorTokenHash } from '../control/command-hash.js';
 import { SYSTEM_OPERATOR } from '../control/commands.js';
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
+import { unknownLoad } from '../control/views/backend-load.js';
+import type { InForceView } from '../control/views/in-force.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
 import type { Settings } from '../settings/settings-schema.js';
 import { ConsensusStorage } from './consensus-storage.js';
 import { ControlEdge } from './control-edge.js';
-import { listenHttp, type HttpServer } from './http-server.js';
+import { listenHttp, type HttpServer, type TlsIdentity } from './http-server.js';
 import { memberApi } from './member-api.js';
 import { listenForLinks, type LinkServer } from './message-link.js';
 import { operatorApi } from './operator-api.js';
@@ -47,12 +50,16 @@
   if (settings.dataFolder === undefined) {
     return err(amberliftError('invalid-settings', 'dataFolder: a control machine needs one.'));
   }
+  const tls = await readTlsIdentity(settings);
+  if (tls.isErr()) {
+    return err(tls.error);
+  }
   const folder = await openStorageFolder(settings.dataFolder);
   const storage = await ConsensusStorage.open(folder, settings.nodeId);
   if (storage.isErr()) {
     return err(storage.error);
   }
-  const daemon = await listen(settings, storage.value);
+  const daemon = await listen(settings, storage.value, tls.value);
   const { state } = daemon;
   if (settings.control.peers.length === 0) {
     await firstCommandsApplied(state, settings);
@@ -62,15 +69,21 @@
   return ok(daemon);
 }
 
-async function listen(settings: Settings, storage: ConsensusStorage): Promise<ControlDaemon> {
+async function listen(
+  settings: Settings,
+  storage: ConsensusStorage,
+  tls: TlsIdentity | undefined,
+): Promise<ControlDaemon> {
   const { control, nodeId, clusterKey } = settings;
   const holder: { edge?: ControlEdge; http?: Parameters<typeof listenHttp>[1] } = {};
   const links = await listenForLinks(control.linkAddress, {
     onMessage: (message, link) => holder.edge?.onMessage(message, link),
     onClose: (link) => holder.edge?.onClose(link),
   });
-  const http = await listenHttp(control.operatorAddress, (incoming, response) =>
-    holder.http?.(incoming, response),
+  const http = await listenHttp(
+    control.operatorAddress,
+    (incoming, response) => holder.http?.(incoming, response),
+    tls,
   );
   const state = createControlState({
     nodeId,
@@ -95,13 +108,30 @@
   };
 }
 
+async function readTlsIdentity({
+  control,
+}: Settings): Promise<Result<TlsIdentity | undefined, AmberliftError>> {
+  if (control.operatorTls === undefined) {
+    return ok(undefined);
+  }
+  const { certificateFile, keyFile } = control.operatorTls;
+  try {
+    const cert = await readFile(certificateFile, 'utf8');
+    const key = await readFile(keyFile, 'utf8');
+    return ok({ cert, key });
+  } catch (cause) {
+    return err(amberliftError('invalid-settings', `control.operatorTls: ${String(cause)}`));
+  }
+}
+
 function requestListener(edge: ControlEdge, settings: Settings) {
   const { state } = edge;
   const operators = operatorApi({
     state: state.cluster,
     propose: (entry) => edge.propose(entry),
     query: () => edge.query(),
-    subscribers: () => [...state.publisher.subscribers.values()],
+    inForce: () => inForceView(state),
+    load: () => unknownLoad,
   });
   return memberApi(
     {
@@ -114,6 +144,14 @@
   );
 }
 
+/** What the balancers that are linked here have in force. */
+function inForceView({ publisher }: ControlState): InForceView {
+  const balancers = [...publisher.subscribers.values()].map(
+    ({ balancerId, zone, acknowledged }) => ({ balancerId, zone, index: acknowledged.index }),
+  );
+  return { balancers, isComplete: true };
+}
+
 async function stop(
   edge: ControlEdge,
   links: LinkServer,
@@ -148,9 +186,10 @@
 
 /** Puts operators and the first token key into the log of a new cluster. */
 function proposeFirstCommands(edge: ControlEdge, settings: Settings): void {
-  const operators = settings.control.operators.map(({ name, token }) => ({
+  const operators = settings.control.operators.map(({ name, token, addressRanges }) => ({
     name,
     tokenHash: operatorTokenHash(token),
+    ...(addressRanges && { addressRanges }),
   }));
   void edge.propose({
     commandId: 'bootstrap-operators',
--- a/src/daemon/http-json.ts
+++ b/src/daemon/http-json.ts
@@ -2,6 +2,7 @@
  * @file Small helpers for HTTP with JSON bodies.
  */
 import { request, type IncomingMessage, type ServerResponse } from 'node:http';
+import { request as requestOverTls } from 'node:https';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type { Address } from '../common/address.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
@@ -16,6 +17,8 @@
   readonly body?: unknown;
   readonly bearerToken?: string | undefined;
   readonly timeoutMs: number;
+  /** Certificate of the authority that signed the server's (PEM); with it TLS is used. */
+  readonly ca?: string | undefined;
 }
 
 /** Its answer. */
@@ -36,7 +39,8 @@
 
 function exchange(options: JsonRequest): Promise<JsonResponse> {
   return new Promise((resolve, reject) => {
-    const outgoing = request({
+    const { ca } = options;
+    const requestOptions = {
       host: options.to.host,
       port: options.to.port,
       method: options.method,
@@ -46,7 +50,9 @@
         'content-type': 'application/json',
         ...(options.bearerToken && { authorization: `Bearer ${options.bearerToken}` }),
       },
-    });
+    };
+    const outgoing =
+      ca === undefined ? request(requestOptions) : requestOverTls({ ...requestOptions, ca });
     outgoing.on('timeout', () => outgoing.destroy(new Error('No answer in time.')));
     outgoing.on('error', reject);
     outgoing.on('response', (incoming) => {
--- a/src/daemon/http-server.ts
+++ b/src/daemon/http-server.ts
@@ -3,6 +3,7 @@
  */
 import { once } from 'node:events';
 import { createServer, type RequestListener } from 'node:http';
+import { createServer as createServerWithTls } from 'node:https';
 import type { AddressInfo } from 'node:net';
 import type { Address } from '../common/address.js';
 
@@ -12,12 +13,24 @@
   close(): Promise<void>;
 }
 
+/** A certificate with its key, both in PEM. */
+export interface TlsIdentity {
+  readonly cert: string;
+  readonly key: string;
+}
+
 /**
  * Listens for HTTP requests.
- * @returns the server; rejects where the address can't be bound
+ * @param tls the server's certificate; without it there is no TLS
+ * @returns the server; rejects where the address can't be bound or the certificate is not usable
  */
-export async function listenHttp(address: Address, listener: RequestListener): Promise<HttpServer> {
-  const server = createServer(listener);
+export async function listenHttp(
+  address: Address,
+  listener: RequestListener,
+  tls?: TlsIdentity,
+): Promise<HttpServer> {
+  const server =
+    tls === undefined ? createServer(listener) : createServerWithTls({ ...tls }, listener);
   server.listen(address.port, address.host);
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -1,29 +1,39 @@
 /**
  * @file The operator interface: HTTP with JSON.
  *
- * `POST /v1/command` with `{commandId, command}` changes something; `GET /v1/show` tells what is
- * in force. Both need `Authorization: Bearer TOKEN`.
+ * `POST /v1/command` with `{commandId, command}` changes something; `POST /v1/query` with `{query}`
+ * asks, and is answered only once a quorum has confirmed that the answer is current. Both need
+ * `Authorization: Bearer TOKEN`.
  */
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
 import type { Address } from '../common/address.js';
-import type { ClusterState, Operator } from '../control/cluster-state.js';
+import type { ClusterState, Operator, OwnerState } from '../control/cluster-state.js';
 import { operatorTokenHash } from '../control/command-hash.js';
 import {
+  MAX_COMMAND_ID_LENGTH,
   operatorCommandSchema,
   type CommandEntry,
   type CommandOutcome,
 } from '../control/commands.js';
+import { operatorQuerySchema } from '../control/queries.js';
+import { answerQuery } from '../control/views/answer-query.js';
+import type { LoadView } from '../control/views/backend-load.js';
+import { visibleOutcome } from '../control/views/entity-views.js';
+import type { InForceView } from '../control/views/in-force.js';
 import { amberliftError, answerFor, type AmberliftError } from '../flow/error-kinds.js';
-import type { Subscriber } from '../dissemination/publisher.js';
 import { readBody, respondJson } from './http-json.js';
 
-const MAX_COMMAND_ID_LENGTH = 128;
 const commandRequestSchema = z.strictObject({
-  commandId: z.string().min(1).max(MAX_COMMAND_ID_LENGTH),
+  /** Printable, without spaces, so that a statement can name it. */
+  commandId: z
+    .string()
+    .max(MAX_COMMAND_ID_LENGTH)
+    .regex(/^[!-~]+$/, 'printable characters without spaces'),
   command: operatorCommandSchema,
 });
+const queryRequestSchema = z.strictObject({ query: operatorQuerySchema });
 
 /** What the interface needs of the control machine. */
 export interface OperatorApiOptions {
@@ -31,7 +41,10 @@
   propose(entry: CommandEntry): Promise<CommandOutcome>;
   /** Resolves once a quorum has confirmed that the state here is current, or with why it may not be. */
   query(): Promise<QueryAnswer>;
-  subscribers(): readonly Subscriber[];
+  /** What balancers have in force. */
+  inForce(): InForceView;
+  /** What back ends carry. */
+  load(): LoadView;
 }
 
 /** Whether a question may be answered here. */
@@ -52,30 +65,30 @@
   };
 }
 
+/** An operator who has shown their token. */
+interface Sender {
+  readonly operator: Operator;
+  readonly owner: OwnerState;
+}
+
 async function handle(
   options: OperatorApiOptions,
   incoming: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const operator = authenticate(options.state, incoming);
-  if (operator.isErr()) {
-    respondError(response, operator.error);
+  const sender = authenticate(options.state, incoming);
+  if (sender.isErr()) {
+    respondError(response, sender.error);
     return;
   }
+  const { operator, owner } = sender.value;
   if (incoming.method === 'POST' && incoming.url === '/v1/command') {
-    await handleCommand(options, operator.value, incoming, response);
-    return;
-  }
-  if (incoming.method === 'GET' && incoming.url === '/v1/show') {
-    const { error, leader } = await options.query();
-    if (error === undefined) {
-      respondJson(response, 200, describeState(options, operator.value));
-    } else {
-      respondError(response, error, leader);
-    }
-    return;
+    await handleCommand(options, operator, incoming, response);
+  } else if (incoming.method === 'POST' && incoming.url === '/v1/query') {
+    await handleQuery(options, owner, incoming, response);
+  } else {
+    respondError(response, amberliftError('not-found', 'There is no such page.'));
   }
-  respondError(response, amberliftError('not-found', 'There is no such page.'));
 }
 
 async function handleCommand(
@@ -84,21 +97,51 @@
   incoming: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
-  const request = (await readBody(incoming)).andThen(parseCommand);
+  const request = (await readBody(incoming)).andThen((body) => parse(commandRequestSchema, body));
   if (request.isErr()) {
     respondError(response, request.error);
     return;
   }
   const outcome = await options.propose({ ...request.value, operator: operator.name });
   if (outcome.accepted) {
-    respondJson(response, 200, outcome);
+    respondJson(response, 200, visibleOutcome(outcome));
   } else {
     respondError(response, outcome.error, outcome.leader);
   }
 }
 
-function parseCommand(body: unknown) {
-  const parsed = commandRequestSchema.safeParse(body);
+async function handleQuery(
+  options: OperatorApiOptions,
+  owner: OwnerState,
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const request = (await readBody(incoming)).andThen((body) => parse(queryRequestSchema, body));
+  if (request.isErr()) {
+    respondError(response, request.error);
+    return;
+  }
+  const { error, leader } = await options.query();
+  if (error !== undefined) {
+    respondError(response, error, leader);
+    return;
+  }
+  // The state may have been replaced by a snapshot's meanwhile; the owner is looked up anew.
+  const { state } = options;
+  const source = {
+    state,
+    owner: state.owners.get(owner.name) ?? owner,
+    inForce: options.inForce(),
+    load: options.load(),
+  };
+  answerQuery(source, request.value.query).match(
+    (result) => respondJson(response, 200, result),
+    (failure) => respondError(response, failure),
+  );
+}
+
+function parse<Value>(schema: z.ZodType<Value>, body: unknown): Result<Value, AmberliftError> {
+  const parsed = schema.safeParse(body);
   if (parsed.success) {
     return ok(parsed.data);
   }
@@ -111,41 +154,18 @@
 function authenticate(
   state: ClusterState,
   incoming: IncomingMessage,
-): Result<Operator, AmberliftError> {
+): Result<Sender, AmberliftError> {
   const token = /^Bearer (.+)$/.exec(incoming.headers.authorization ?? '')?.[1] ?? '';
   const hash = operatorTokenHash(token);
   for (const operator of state.operators.values()) {
-    if (operator.tokenHash === hash) {
-      return ok(operator);
+    const owner = state.owners.get(operator.name);
+    if (operator.tokenHash === hash && owner !== undefined) {
+      return ok({ operator, owner });
     }
   }
   return err(amberliftError('unauthorized', 'The bearer token belongs to no operator.'));
 }
 
-/** An operator sees only the services that they own. */
-function describeState(options: OperatorApiOptions, operator: Operator) {
-  const { routing, index, term } = options.state;
-  const services = [...routing.services.values()].filter(
-    (service) => service.owner === operator.name,
-  );
-  const owned = new Set(services.map((service) => service.id));
-  const subscribers = options.subscribers();
-  return {
-    committed: { term, index },
-    inForceEverywhere: Math.min(
-      index,
-      ...subscribers.map((subscriber) => subscriber.acknowledged.index),
-    ),
-    balancers: subscribers.map((subscriber) => ({
-      balancerId: subscriber.balancerId,
-      zone: subscriber.zone,
-      index: subscriber.acknowledged.index,
-    })),
-    services,
-    backends: [...routing.backends.values()].filter((backend) => owned.has(backend.serviceId)),
-  };
-}
-
 /**
  * Answers with an error, and with the leader's operator address where it is known.
  */
--- a/src/experiment/demo-cluster.ts
+++ b/src/experiment/demo-cluster.ts
@@ -185,13 +185,8 @@
 async function waitUntilInForce(client: OperatorClient): Promise<void> {
   const endsAt = performance.now() + START_TIMEOUT_MS;
   while (performance.now() < endsAt) {
-    const shown = (await client.show()).unwrapOr({}) as {
-      committed?: { index: number };
-      inForceEverywhere?: number;
-      balancers?: unknown[];
-    };
-    const complete = shown.balancers?.length === BALANCER_COUNT;
-    if (complete && shown.inForceEverywhere === shown.committed?.index) {
+    const shown = (await client.query({ type: 'in-force' })).unwrapOr(undefined);
+    if (shown?.balancerCount === BALANCER_COUNT && shown.lagging.length === 0) {
       await sleep(SETTLE_TIME_MS);
       return;
     }
--- a/src/language/format-command.ts
+++ b/src/language/format-command.ts
@@ -7,6 +7,13 @@
 import type { ServiceLimits } from '../control/cluster-state.js';
 import type { OperatorCommand } from '../control/commands.js';
 
+const DELAY_UNITS = [
+  { name: 'd', lengthMs: 86_400_000 },
+  { name: 'h', lengthMs: 3_600_000 },
+  { name: 'm', lengthMs: 60_000 },
+  { name: 's', lengthMs: 1_000 },
+] as const;
+
 /**
  * @returns the statement that means this command
  */
@@ -48,7 +55,7 @@
       joined(`at ${formatTime(when.atMs)}`, [formatCommand(change)]),
     )
     .with({ type: 'plan-change', when: { inMs: P.number } }, ({ when, change }) =>
-      joined(`in ${when.inMs} ms`, [formatCommand(change)]),
+      joined(`in ${formatDelay(when.inMs)}`, [formatCommand(change)]),
     )
     .with({ type: 'cancel-plan' }, ({ planId }) => `cancel plan ${planId}`)
     .exhaustive();
@@ -62,6 +69,12 @@
   return new Date(timeMs).toISOString().replace('.000Z', 'Z');
 }
 
+/** The longest unit in which the delay is a whole number. */
+function formatDelay(delayMs: number): string {
+  const unit = DELAY_UNITS.find(({ lengthMs }) => delayMs % lengthMs === 0);
+  return unit === undefined ? `${delayMs} ms` : `${delayMs / unit.lengthMs} ${unit.name}`;
+}
+
 /**
  * @returns the limits as statements have them; undefined where there are none
  */
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { parseAddress } from '../common/address.js';
 import { logLevels } from '../common/logger.js';
+import { addressRangeText, nameSchema } from '../control/commands.js';
 import { defaultBalancerOptions } from '../balancer/balancer-state.js';
 
 const MIN_KEY_LENGTH = 8;
@@ -54,9 +55,23 @@
     .default([]),
   /** Bearer token for changes of the control machines themselves; without it there are none. */
   adminToken: z.string().min(MIN_KEY_LENGTH).optional(),
+  /** Certificate and key of the operator interface (PEM files); without them it has no TLS. */
+  operatorTls: z
+    .strictObject({ certificateFile: z.string().min(1), keyFile: z.string().min(1) })
+    .optional(),
   /** Operators and their bearer tokens, taken at the first start of a cluster. */
   operators: z
-    .array(z.strictObject({ name: z.string().min(1), token: z.string().min(MIN_KEY_LENGTH) }))
+    .array(
+      z.strictObject({
+        name: nameSchema,
+        token: z.string().min(MIN_KEY_LENGTH),
+        /**
+         * Ranges that this operator's addresses must lie in, and no other operator's may, such as
+         * `10.1.0.0/16:7000-7999`. Without any, all addresses but those granted to others.
+         */
+        addressRanges: z.array(addressRangeText).optional(),
+      }),
+    )
     .default([]),
 });
 
