--- a/src/cli/ctl.ts
+++ b/src/cli/ctl.ts
@@ -106,7 +106,8 @@
 async function prompt(options: RunnerOptions, historyFile: string | undefined): Promise<void> {
   const { stdin: input, stdout: output } = process;
   const history = historyFile === undefined ? [] : await readHistory(historyFile);
-  const lines = await runInteractive(options, { input, output, history });
+  const isTerminal = input.isTTY && output.isTTY;
+  const lines = await runInteractive(options, { input, output, isTerminal, history });
   if (historyFile !== undefined) {
     await writeFile(historyFile, lines.map((line) => `${line}\n`).join(''));
   }
--- a/src/client/interactive.ts
+++ b/src/client/interactive.ts
@@ -15,6 +15,8 @@
 export interface Terminal {
   readonly input: NodeJS.ReadableStream;
   readonly output: NodeJS.WritableStream;
+  /** True where a person types, with cursor keys and completion; false for a pipe. */
+  readonly isTerminal: boolean;
   /** Lines of earlier sessions, newest first. */
   readonly history: readonly string[];
 }
@@ -31,6 +33,7 @@
   const prompt = createInterface({
     input: terminal.input,
     output: terminal.output,
+    terminal: terminal.isTerminal,
     prompt: PROMPT,
     history: [...history],
     historySize: HISTORY_SIZE,
