--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -2,6 +2,7 @@
  * @file The state of a balancer: the configuration in force, tables derived from it, what is known
  * of each back end, and pending opens. Nothing here grows with established flows.
  */
+import { match } from 'ts-pattern';
 import { formatAddress, type Address } from '../common/address.js';
 import {
   emptyRoutingConfig,
@@ -13,13 +14,15 @@
 import {
   applyConfigChange,
   isNewerPosition,
+  type ConfigChange,
   type ConfigPosition,
   type ConfigUpdate,
 } from '../control/config-update.js';
+import { mayUseBackend } from '../dissemination/lease.js';
 import { createSubscription, type SubscriptionState } from '../dissemination/subscription.js';
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
-import type { HealthReport, LoadReport } from '../health/backend-report.js';
+import type { HealthReport, LoadReport, ProbeResult } from '../health/backend-report.js';
 import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
@@ -56,6 +59,8 @@
   loadReceivedAtMs: number;
   pendingOpens: number;
   opensSinceReport: number;
+  /** When the back end was asked what it last answered to with its own ID. */
+  identityConfirmedAtMs: number;
 }
 
 /** An open that waits for a back end's answer. */
@@ -136,6 +141,30 @@
   return policy;
 }
 
+/**
+ * Notes which back end answered a probe. What it says holds from when it was asked: an answer may have
+ * waited while this process was paused.
+ */
+export function recordIdentity(
+  state: BalancerState,
+  { backendId, health }: ProbeResult,
+  startedAtMs: number | undefined,
+): void {
+  const view = state.views.get(backendId);
+  if (view === undefined || health?.backendId === undefined) {
+    return;
+  }
+  view.identityConfirmedAtMs =
+    health.backendId === backendId ? (startedAtMs ?? -Infinity) : -Infinity;
+}
+
+/**
+ * @returns true where packets may be sent to the back end, see `mayUseBackend`
+ */
+export function isBackendUsable(state: BalancerState, view: BackendView, nowMs: number): boolean {
+  return mayUseBackend(state.subscription.lease, view.identityConfirmedAtMs, nowMs);
+}
+
 /**
  * Takes a configuration update where it is newer and, for a delta, follows on what is in force.
  * @returns true where it was taken
@@ -149,14 +178,41 @@
   }
   if (update.type === 'snapshot') {
     replaceConfig(state.config, update);
+    rebuildTables(state);
   } else {
-    update.changes.forEach((change) => applyConfigChange(state.config, change));
+    update.changes.forEach((change) => applyChange(state, change));
   }
   state.position = update.to;
-  rebuildTables(state);
   return true;
 }
 
+/** Changes the configuration and what is derived from it; the rest of the tables is not looked at. */
+function applyChange(state: BalancerState, change: ConfigChange): void {
+  const { config, views } = state;
+  if (change.type === 'service-set') {
+    forgetServiceAddress(state, change.service.id);
+    state.servicesByAddress.set(formatAddress(change.service.address), change.service);
+  } else if (change.type === 'service-removed') {
+    forgetServiceAddress(state, change.serviceId);
+  }
+  applyConfigChange(config, change);
+  match(change)
+    .with({ type: 'backend-set' }, ({ backend }) => setView(state, backend))
+    .with({ type: 'backend-removed' }, ({ backendId }) => views.delete(backendId))
+    .with({ type: 'key-set' }, { type: 'key-removed' }, () => rebuildKeys(state))
+    .with({ type: 'service-set' }, { type: 'service-removed' }, () => undefined)
+    .exhaustive();
+}
+
+/** Another service may have taken the address already. */
+function forgetServiceAddress(state: BalancerState, serviceId: number): void {
+  const known = state.config.services.get(serviceId);
+  const key = known === undefined ? undefined : formatAddress(known.address);
+  if (key !== undefined && state.servicesByAddress.get(key)?.id === serviceId) {
+    state.servicesByAddress.delete(key);
+  }
+}
+
 function replaceConfig(
   config: RoutingConfig,
   snapshot: Extract<ConfigUpdate, { type: 'snapshot' }>,
@@ -196,12 +252,16 @@
     }
   }
   for (const backend of state.config.backends.values()) {
-    const view = state.views.get(backend.id);
-    if (view === undefined) {
-      state.views.set(backend.id, newView(backend));
-    } else {
-      view.backend = backend;
-    }
+    setView(state, backend);
+  }
+}
+
+function setView(state: BalancerState, backend: Backend): void {
+  const view = state.views.get(backend.id);
+  if (view === undefined) {
+    state.views.set(backend.id, newView(backend));
+  } else {
+    view.backend = backend;
   }
 }
 
@@ -213,5 +273,6 @@
     loadReceivedAtMs: 0,
     pendingOpens: 0,
     opensSinceReport: 0,
+    identityConfirmedAtMs: Number.NEGATIVE_INFINITY,
   };
 }
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -13,6 +13,8 @@
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
 import { unknownLoad } from '../control/views/backend-load.js';
 import type { InForceView } from '../control/views/in-force.js';
+import { hasOutlivedEarlierLeases } from '../dissemination/lease-authority.js';
+import { balancerReports } from '../dissemination/publisher.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
 import type { Settings } from '../settings/settings-schema.js';
@@ -144,12 +146,16 @@
   );
 }
 
-/** What the balancers that are linked here have in force. */
+/** What balancers reported that they have in force. */
 function inForceView({ publisher }: ControlState): InForceView {
-  const balancers = [...publisher.subscribers.values()].map(
-    ({ balancerId, zone, acknowledged }) => ({ balancerId, zone, index: acknowledged.index }),
-  );
-  return { balancers, isComplete: true };
+  const balancers = balancerReports(publisher).map(({ balancerId, zone, position }) => ({
+    balancerId,
+    zone,
+    index: position.index,
+  }));
+  // Till then balancers may go on by leases of an earlier leader without having reported here.
+  const isComplete = hasOutlivedEarlierLeases(publisher.authority, performance.now());
+  return { balancers, isComplete };
 }
 
 async function stop(
