--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -123,7 +123,7 @@
       z.strictObject({
         name,
         tokenHash: z.string(),
-        addressRanges: z.array(addressRangeText).optional(),
+        addressRanges: z.array(addressRangeText).readonly().optional(),
       }),
     ),
   }),
