--- a/src/experiment/bench-in-force.ts
+++ b/src/experiment/bench-in-force.ts
@@ -68,9 +68,9 @@
     for (let number = 0; number < changes; number += 1) {
       const type = number % 2 === 0 ? 'drain-backend' : 'cancel-drain';
       const sentAtMs = performance.now();
-      const index = await send(cluster, `change-${number}`, { type, backendId });
+      const revision = await send(cluster, `change-${number}`, { type, backendId });
       const acceptedAtMs = performance.now();
-      await untilInForce(cluster, index, balancers);
+      await untilInForce(cluster, revision, balancers);
       accepted.push(acceptedAtMs - sentAtMs);
       inForce.push(performance.now() - acceptedAtMs);
       await sleep(PAUSE_BETWEEN_CHANGES_MS);
@@ -133,23 +133,24 @@
   commandId: string,
   command: OperatorCommand,
 ): Promise<number> {
-  return (await sendForOutcome(cluster, commandId, command)).index;
+  return (await sendForOutcome(cluster, commandId, command)).revision;
 }
 
 async function untilInForce(
   cluster: InForceCluster,
-  index: number,
+  revision: number,
   balancers: number,
 ): Promise<void> {
   const endsAtMs = performance.now() + IN_FORCE_TIMEOUT_MS;
   for (;;) {
-    const shown = await cluster.shownBalancers();
-    if (shown.filter((balancer) => balancer.index >= index).length >= balancers) {
+    const shown = await cluster.inForce();
+    const known = shown?.balancerCount ?? 0;
+    if (known >= balancers && (shown?.revisionInForceEverywhere ?? 0) >= revision) {
       return;
     }
     if (performance.now() > endsAtMs) {
-      const lagging = shown.filter((balancer) => balancer.index < index).length;
-      throw new Error(`${lagging} balancers lack index ${index} of ${shown.length} known ones.`);
+      const lagging = shown?.lagging.length ?? 0;
+      throw new Error(`${lagging} balancers lack revision ${revision} of ${known} known ones.`);
     }
   }
 }
--- a/src/experiment/in-force-cluster.ts
+++ b/src/experiment/in-force-cluster.ts
@@ -10,6 +10,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { OperatorClient } from '../client/operator-client.js';
 import { formatAddress, type Address } from '../common/address.js';
+import type { InForceSummary } from '../control/views/in-force.js';
 import { startProcess, type ManagedProcess } from './child-process.js';
 
 const CLUSTER_KEY = 'in-force-cluster-key';
@@ -23,12 +24,6 @@
 const CLOCK_TICKS_PER_SECOND = 100;
 const UTIME_FIELD = 11;
 
-/** One balancer as the operator interface shows it. */
-export interface ShownBalancer {
-  readonly balancerId: string;
-  readonly index: number;
-}
-
 /** What one process has used. */
 export interface ProcessUsage {
   readonly processorSeconds: number;
@@ -67,12 +62,9 @@
     await this.waitForBalancers(balancerCount);
   }
 
-  /** Balancers that the leader knows, with what each has in force. */
-  async shownBalancers(): Promise<readonly ShownBalancer[]> {
-    const shown = (await this.client.show()).unwrapOr({}) as {
-      readonly balancers?: readonly ShownBalancer[];
-    };
-    return shown.balancers ?? [];
+  /** What the leader knows to be in force; undefined where it gave no answer. */
+  async inForce(): Promise<InForceSummary | undefined> {
+    return (await this.client.query({ type: 'in-force' })).unwrapOr(undefined);
   }
 
   async stop(): Promise<void> {
@@ -129,7 +121,7 @@
 
   private async waitForBalancers(count: number): Promise<void> {
     const endsAtMs = performance.now() + START_TIMEOUT_MS;
-    while ((await this.shownBalancers()).length < count) {
+    while (((await this.inForce())?.balancerCount ?? 0) < count) {
       if (performance.now() > endsAtMs) {
         throw new Error(`The leader does not know all ${count} balancers.`);
       }
--- a/src/membership/gossip-codec.ts
+++ b/src/membership/gossip-codec.ts
@@ -5,9 +5,9 @@
 import { createHash } from 'node:crypto';
 import { Packr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
-import siphash from 'siphash';
 import { z } from 'zod';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import { sipHash, type SipHashValue } from '../flow/siphash.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
 import type { GossipMessage, ZoneSummary } from './gossip-messages.js';
 import type { MemberAddresses, MemberRecord, MemberStatus } from './member.js';
@@ -97,10 +97,11 @@
 }
 
 function macOf(body: Uint8Array, key: GossipKey): Buffer {
-  const { h, l } = siphash.hash(key, body);
+  const hash: SipHashValue = { high: 0, low: 0 };
+  sipHash(key, body, 0, body.length, hash);
   const mac = Buffer.alloc(MAC_LENGTH_BYTES);
-  mac.writeUInt32BE(h, 0);
-  mac.writeUInt32BE(l, MAC_LENGTH_BYTES / 2);
+  mac.writeUInt32BE(hash.high, 0);
+  mac.writeUInt32BE(hash.low, MAC_LENGTH_BYTES / 2);
   return mac;
 }
 
