--- a/src/experiment/operator-changes.ts
+++ b/src/experiment/operator-changes.ts
@@ -4,9 +4,8 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { build } from 'hdr-histogram-js';
-import { z } from 'zod';
 import type { Cluster } from './cluster.js';
-import { waitUntilInForce } from './cluster-status.js';
+import { waitUntilInForce, type OperatorRevision } from './cluster-status.js';
 import type { DeployedService } from './deployment.js';
 
 const IN_FORCE_TIMEOUT_MS = 30_000;
@@ -15,12 +14,6 @@
 const MEDIAN = 50;
 const P99 = 99;
 
-const shownSchema = z.object({
-  services: z.array(
-    z.object({ name: z.string(), limits: z.object({ opensPerSecond: z.number().optional() }) }),
-  ),
-});
-
 /** What came of the operators' changes. */
 export interface ChangesSummary {
   readonly changesSent: number;
@@ -96,11 +89,12 @@
     const acceptedAtMs = performance.now();
     this.accepted.recordValue(acceptedAtMs - sentAtMs);
     this.lastAccepted.set(service.name, opensPerSecond);
-    this.following.push(this.follow(result.value.index, acceptedAtMs));
+    const { revision } = result.value;
+    this.following.push(this.follow({ operator: service.operator, revision }, acceptedAtMs));
   }
 
-  private async follow(index: number, acceptedAtMs: number): Promise<void> {
-    if (await waitUntilInForce(this.cluster, index, IN_FORCE_TIMEOUT_MS)) {
+  private async follow(revision: OperatorRevision, acceptedAtMs: number): Promise<void> {
+    if (await waitUntilInForce(this.cluster, [revision], IN_FORCE_TIMEOUT_MS)) {
       this.inForce.recordValue(performance.now() - acceptedAtMs);
     } else {
       this.late += 1;
@@ -113,11 +107,9 @@
     for (const { name, operator } of services) {
       const expected = this.lastAccepted.get(name);
       if (expected !== undefined) {
-        const shown = await this.cluster.clientOf(operator).show();
-        const parsed = shown.map((value) => shownSchema.safeParse(value).data);
-        const service = parsed
-          .unwrapOr(undefined)
-          ?.services.find((candidate) => candidate.name === name);
+        const shown = await this.cluster.clientOf(operator).query({ type: 'services' });
+        const services = shown.map((answer) => answer.services).unwrapOr([]);
+        const service = services.find((candidate) => candidate.name === name);
         reverted += service?.limits.opensPerSecond === expected ? 0 : 1;
       }
     }
--- a/src/experiment/replacements.ts
+++ b/src/experiment/replacements.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { sendJson } from '../daemon/http-json.js';
 import type { Cluster, ClusterBalancer, ClusterControl } from './cluster.js';
-import { readControlStatus, waitUntilInForce } from './cluster-status.js';
+import { readControlStatus, revisionsOf, waitUntilInForce } from './cluster-status.js';
 import type { RunRecorder } from './run-recorder.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -57,8 +57,7 @@
   );
   const leaving = members.slice(0, Math.ceil(members.length * share));
   const added = leaving.map(({ service }) => cluster.startBackend(service));
-  const indexes = (await Promise.all(added)).map(({ addedAtIndex }) => addedAtIndex);
-  await waitUntilInForce(cluster, Math.max(...indexes), STEP_TIMEOUT_MS);
+  await waitUntilInForce(cluster, revisionsOf(await Promise.all(added)), STEP_TIMEOUT_MS);
   recorder.note(`Drain ${leaving.length} of ${members.length} back ends of ${serviceName}`);
   await Promise.all(leaving.map((backend) => cluster.drain(backend)));
 }
