--- a/src/experiment/demo.ts
+++ b/src/experiment/demo.ts
@@ -10,7 +10,7 @@
 import { settingsSchema } from '../settings/settings-schema.js';
 import { runToEnd } from './child-process.js';
 import { Cluster } from './cluster.js';
-import { waitUntilInForce } from './cluster-status.js';
+import { revisionsOf, waitUntilInForce } from './cluster-status.js';
 import { deploymentSchema, type DeployedService } from './deployment.js';
 import { LoadSampler } from './load-sampler.js';
 import { NoticePublisher } from './notice-publisher.js';
@@ -71,8 +71,8 @@
   const cluster = new Cluster({ deployment, settings, dataFolder, onEvent });
   try {
     await cluster.start();
-    const lastBackend = Math.max(...cluster.backends.map(({ addedAtIndex }) => addedAtIndex));
-    if (!(await waitUntilInForce(cluster, lastBackend, IN_FORCE_TIMEOUT_MS))) {
+    const revisions = revisionsOf(cluster.backends);
+    if (!(await waitUntilInForce(cluster, revisions, IN_FORCE_TIMEOUT_MS))) {
       throw new Error('The configuration did not come into force in time.');
     }
     await sleep(SETTLE_TIME_MS);
