--- a/src/balancer/open-handling.ts
+++ b/src/balancer/open-handling.ts
@@ -71,6 +71,7 @@
   const { flowId, message } = parsed.value;
   const key = pendingKey(envelope.client, flowId);
   if (state.pendingOpens.has(key)) {
+    state.limits.repeatedOpens += 1;
     return [];
   }
   const open: PendingOpen = {
@@ -110,6 +111,7 @@
   const { envelope, flowId, token, message } = reply.value;
   const open = state.pendingOpens.get(pendingKey(envelope.client, flowId));
   if (open === undefined) {
+    state.limits.lateAnswers += 1;
     return [];
   }
   const key = state.preparedKeys.get(readKeyId(token, 0));
@@ -134,7 +136,10 @@
       endAttempt(state, open, 'refused', incarnation, context);
       return [retryOpen(state, open, kind, context)];
     })
-    .otherwise(() => []);
+    .otherwise(() => {
+      countError(state, 'malformed-datagram');
+      return [];
+    });
 }
 
 /**
--- a/src/flow/token.ts
+++ b/src/flow/token.ts
@@ -83,7 +83,10 @@
 export function hasValidMac(bytes: Uint8Array, key: PreparedTokenKey, start = 0): boolean {
   const macStart = start + MAC_OFFSET;
   keyedHash(key, bytes.subarray(start, macStart), mac);
-  return mac.every((byte, index) => byte === bytes[macStart + index]);
+  return (
+    readUint32(bytes, macStart) === readUint32(mac, 0) &&
+    readUint32(bytes, macStart + 4) === readUint32(mac, 4)
+  );
 }
 
 /**
--- a/src/limits/open-limits.ts
+++ b/src/limits/open-limits.ts
@@ -50,6 +50,10 @@
   receivedOpens: number;
   /** Opens that were sent to back ends, retries included. */
   sentOpens: number;
+  /** Copies of opens that are pending already. */
+  repeatedOpens: number;
+  /** Answers of back ends to opens that are no longer pending. */
+  lateAnswers: number;
 }
 
 /** What a decision on an open depends on, besides the state. */
@@ -80,6 +84,8 @@
     retryBudgets: new Map(),
     receivedOpens: 0,
     sentOpens: 0,
+    repeatedOpens: 0,
+    lateAnswers: 0,
   };
 }
 
