--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -147,8 +147,11 @@
   return members.length === 0 ? settings.control.peers.length === 0 : members.length === 1;
 }
 
-function isReady(state: ControlState, settings: Settings): boolean {
-  const { operators, routing } = state.cluster;
+/** A leader has applied all that was ever accepted once an entry of its own term is committed. */
+function isReady({ cluster, consensus }: ControlState, settings: Settings): boolean {
+  const { role, commitIndex } = consensus;
+  const { operators, routing } = cluster;
   const hasOperators = settings.control.operators.length === 0 || operators.size > 0;
-  return isLeader(state) && hasOperators && routing.keys.size > 0;
+  const hasAll = role.name === 'leader' && commitIndex >= role.termStartIndex;
+  return hasAll && hasOperators && routing.keys.size > 0;
 }
--- a/test/daemon/control-daemon.test.ts
+++ b/test/daemon/control-daemon.test.ts
@@ -138,3 +138,23 @@
     t.ok(again.state.consensus.commitIndex > 0, 'it is ready without leading');
   });
 });
+
+t.test('a machine is ready again once it has applied all that was accepted', async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), 'amberlift-control-'));
+  t.teardown(() => rm(folder, { recursive: true }));
+  const before = await startDaemon(folder, 'c1', []);
+  const outcomes = await Promise.all(
+    Array.from({ length: 50 }, (_, number) =>
+      before.propose({
+        commandId: `id-${number}`,
+        operator: 'tarjeta',
+        command: define(`service-${number}`, `127.1.0.${number}`),
+      }),
+    ),
+  );
+  t.ok(outcomes.every(({ accepted }) => accepted));
+  await before.stop();
+  const after = await startDaemon(folder, 'c1', []);
+  t.equal(serviceNames(after).length, 50);
+  await after.stop();
+});
