Load only the subcommand that is asked for

A control machine loaded the code of all benches, the fleet and the simulator before it could read its log, which counts into its restart. Each subcommand is loaded by name now; the help loads all. Asking a subcommand for its help was answered with 'there is no subcommand' and is mended.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,33 +3,29 @@
  */
 import { cac, type CAC } from 'cac';
 import { exitCodes } from '../flow/error-kinds.js';
-import { registerBackend } from './backend.js';
-import { registerBalancer } from './balancer.js';
-import { registerBench } from './bench.js';
-import { registerCallers } from './callers.js';
-import { registerControl } from './control.js';
-import { registerCtl } from './ctl.js';
-import { registerDemo } from './demo.js';
-import { registerFabric } from './fabric.js';
-import { registerFleet } from './fleet.js';
-import { registerSimulate } from './simulate.js';
 
 const ARGUMENTS_BEFORE_COMMAND = 2;
 
 /** Registers one subcommand. */
 type Register = (cli: CAC) => void;
 
-const subcommands: readonly Register[] = [
-  registerBalancer,
-  registerControl,
-  registerCtl,
-  registerDemo,
-  registerFleet,
-  registerBench,
-  registerBackend,
-  registerFabric,
-  registerCallers,
-  registerSimulate,
+/** A subcommand; its code is loaded only where it is needed, which spares each process the others'. */
+interface Subcommand {
+  readonly name: string;
+  load(): Promise<Register>;
+}
+
+const subcommands: readonly Subcommand[] = [
+  { name: 'balancer', load: async () => (await import('./balancer.js')).registerBalancer },
+  { name: 'control', load: async () => (await import('./control.js')).registerControl },
+  { name: 'ctl', load: async () => (await import('./ctl.js')).registerCtl },
+  { name: 'demo', load: async () => (await import('./demo.js')).registerDemo },
+  { name: 'fleet', load: async () => (await import('./fleet.js')).registerFleet },
+  { name: 'bench', load: async () => (await import('./bench.js')).registerBench },
+  { name: 'backend', load: async () => (await import('./backend.js')).registerBackend },
+  { name: 'fabric', load: async () => (await import('./fabric.js')).registerFabric },
+  { name: 'callers', load: async () => (await import('./callers.js')).registerCallers },
+  { name: 'simulate', load: async () => (await import('./simulate.js')).registerSimulate },
 ];
 
 /**
@@ -38,7 +34,11 @@
  */
 export async function main(argv: readonly string[]): Promise<void> {
   const cli = cac('amberlift');
-  subcommands.forEach((register) => register(cli));
+  const named = subcommands.filter(({ name }) => name === argv[ARGUMENTS_BEFORE_COMMAND]);
+  const registers = await Promise.all(
+    (named.length > 0 ? named : subcommands).map((subcommand) => subcommand.load()),
+  );
+  registers.forEach((register) => register(cli));
   cli.help();
   try {
     cli.parse([...argv], { run: false });
@@ -56,7 +56,7 @@
 
 function refuseUnlessHelp(cli: CAC, argv: readonly string[]): void {
   const first = argv[ARGUMENTS_BEFORE_COMMAND];
-  if (first === '--help' || first === '-h') {
+  if (cli.options.help === true) {
     return;
   }
   if (first !== undefined) {
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -7,6 +7,7 @@
   type ConsensusState,
 } from '../consensus/consensus-state.js';
 import type { Member, NodeId } from '../consensus/membership.js';
+import { allReports } from '../dissemination/subtree-report.js';
 import { machinesToAdd, type AnnouncedMachine } from './cluster-join.js';
 import type { ControlState } from './control-state.js';
 
@@ -64,9 +65,9 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
-    balancers: [...state.publisher.reports.values()].map(({ balancerId, position }) => ({
+    balancers: allReports(state.publisher.reports).map(({ balancerId, index }) => ({
       balancerId,
-      index: position.index,
+      index,
     })),
   };
 }
