Serve the metrics and the health of daemons over HTTP

Cause: what a balancer counts could not be asked for. Change: with metricsAddress in the settings, balancers and control machines serve /metrics (prom-client) and /health. Metrics are read out of the state at each scrape, so that the hot path only counts; latencies of opens go into an HDR histogram of fixed size.

--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -36,6 +36,7 @@
 import { createPolicy } from '../routing/policy-registry.js';
 import { createBackendView, type BackendView } from './backend-view.js';
 import type { BackendChange } from './candidates.js';
+import type { OpenLatencies } from './open-latencies.js';
 import { createServiceGroups, type ServiceGroups } from './service-groups.js';
 
 /** Options of a balancer; times in milliseconds. */
@@ -83,6 +84,7 @@
   readonly service: Service;
   /** Where the fabric takes the answer. */
   readonly replyTo: Address;
+  readonly receivedAtMs: number;
   readonly deadlineAtMs: number;
   /** Back ends tried, the present one last. */
   readonly triedBackendIds: number[];
@@ -105,6 +107,7 @@
   readonly policies: Map<PlacementPolicyName, PlacementPolicy>;
   readonly pendingOpens: Map<string, PendingOpen>;
   readonly limits: OpenLimitsState;
+  readonly openLatencies: OpenLatencies;
   /** Datagrams and opens that ended in each error kind. */
   readonly errorCounts: Map<ErrorKind, number>;
   readonly subscription: SubscriptionState;
@@ -141,6 +144,7 @@
     policies: new Map(),
     pendingOpens: new Map(),
     limits: createOpenLimits(),
+    openLatencies: { histogram: undefined },
     errorCounts: new Map(),
     subscription,
     publisher: createPublisher(clusterKey, { type: 'held', lease: subscription.lease }),
--- a/src/balancer/open-handling.ts
+++ b/src/balancer/open-handling.ts
@@ -41,6 +41,7 @@
   recordAttemptEnd,
   type AttemptOutcome,
 } from './candidates.js';
+import { recordOpenLatency } from './open-latencies.js';
 
 const EMPTY_ID = new Uint8Array(0);
 
@@ -80,6 +81,7 @@
     client: envelope.client,
     service,
     replyTo,
+    receivedAtMs: context.nowMs,
     deadlineAtMs: context.nowMs + message.deadlineMs,
     triedBackendIds: [],
     attemptEndsAtMs: 0,
@@ -124,6 +126,7 @@
       endAttempt(state, open, 'accepted', incarnation, context);
       forgetOpen(state, open);
       state.acceptedOpens += 1;
+      recordOpenLatency(state.openLatencies, context.nowMs - open.receivedAtMs);
       const effect: SendEffect = { type: 'send', to: open.replyTo, via: 'fabric', datagram };
       return [effect];
     })
--- a/src/cli/balancer.ts
+++ b/src/cli/balancer.ts
@@ -3,6 +3,8 @@
  */
 import type { CAC } from 'cac';
 import { startBalancerDaemon } from '../daemon/balancer-daemon.js';
+import { balancerMetrics } from '../daemon/metrics/balancer-metrics.js';
+import { startMetricsServer } from '../daemon/metrics/metrics-server.js';
 import {
   announceReady,
   settingsFromFlags,
@@ -24,6 +26,11 @@
     return;
   }
   const daemon = await startBalancerDaemon(settings);
+  const metrics = await startMetricsServer(
+    settings.metricsAddress,
+    balancerMetrics(daemon.state, () => performance.now()),
+  );
   stopOnSignal(() => daemon.stop(settings.balancer.stopGraceMs));
-  announceReady({ frontAddress: daemon.frontAddress });
+  const { frontAddress } = daemon;
+  announceReady({ frontAddress, ...(metrics && { metricsAddress: metrics.address }) });
 }
--- a/src/cli/control.ts
+++ b/src/cli/control.ts
@@ -3,6 +3,8 @@
  */
 import type { CAC } from 'cac';
 import { startControlDaemon } from '../daemon/control-daemon.js';
+import { controlMetrics } from '../daemon/metrics/control-metrics.js';
+import { startMetricsServer } from '../daemon/metrics/metrics-server.js';
 import {
   announceReady,
   reportError,
@@ -29,7 +31,9 @@
     reportError(daemon.error);
     return;
   }
+  const { linkAddress, operatorAddress, state } = daemon.value;
+  const metrics = await startMetricsServer(settings.metricsAddress, controlMetrics(state));
   stopOnSignal(() => daemon.value.stop());
-  const { linkAddress, operatorAddress } = daemon.value;
-  announceReady({ linkAddress, operatorAddress });
+  const metricsAddress = metrics?.address;
+  announceReady({ linkAddress, operatorAddress, ...(metricsAddress && { metricsAddress }) });
 }
--- /dev/null
+++ b/src/daemon/metrics/control-metrics.ts
@@ -0,0 +1,44 @@
+/**
+ * @file The metrics of a control machine.
+ */
+import { collectDefaultMetrics, Registry } from 'prom-client';
+import type { ControlState } from '../../control/control-state.js';
+import { balancerReports } from '../../dissemination/publisher.js';
+import type { MetricsSource } from './metrics-server.js';
+import { registerLabelledValues, registerValue } from './state-gauge.js';
+
+/**
+ * @returns what a control machine serves
+ */
+export function controlMetrics(state: ControlState): MetricsSource {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  const { consensus, cluster } = state;
+  const value = (name: string, help: string, read: () => number): void =>
+    registerValue(registry, `amberlift_${name}`, help, read);
+  value('consensus_term', 'Term of this machine.', () => consensus.term);
+  value('consensus_commit_index', 'Highest index known as committed.', () => consensus.commitIndex);
+  value('consensus_is_leader', '1 at the leader.', () => Number(consensus.role.name === 'leader'));
+  value('storage_failed', '1 once the disk has failed.', () => Number(consensus.storageFailed));
+  value('applied_index', 'Index of the last entry applied.', () => cluster.index);
+  value('config_services', 'Services accepted.', () => cluster.routing.services.size);
+  value('config_backends', 'Back ends accepted.', () => cluster.routing.backends.size);
+  registerLabelledValues(
+    registry,
+    'amberlift_balancer_config_index',
+    'Log index in force at each balancer that reports here.',
+    'balancer',
+    () =>
+      [...balancerReports(state.publisher)].map(({ balancerId, index }) => ({
+        label: balancerId,
+        value: index,
+      })),
+  );
+  return {
+    registry,
+    health: () =>
+      consensus.storageFailed
+        ? { ready: false, state: 'storage-failed' }
+        : { ready: true, state: consensus.role.name },
+  };
+}
--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -201,6 +201,7 @@
       client: CLIENT,
       service: this.service,
       replyTo: CLIENT,
+      receivedAtMs: this.agenda.nowMs,
       deadlineAtMs: Infinity,
       triedBackendIds: [],
       attemptEndsAtMs: Infinity,
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -93,6 +93,8 @@
   dataFolder: z.string().min(1).optional(),
   /** Shared by all processes of one cluster; links with another key are refused. */
   clusterKey: z.string().min(MIN_KEY_LENGTH),
+  /** HTTP address of `/metrics` and `/health`; without it there are none. */
+  metricsAddress: addressText.optional(),
   /** Lowest log level that is written. */
   logLevel: z.enum(logLevels).default('info'),
   balancer: balancerSection.prefault({}),
