Show each check of the oracle to fail on a broken variant; add scenarios

Change: 18 mutants as wrappers around steps in test/sim, each caught by the check named for it, with the unbroken product passing the same schedule; scenarios operators-race, address-move, bad-backends and cut-off-hour (long, run by name); the oracle compares the final configuration with what was accepted.

--- a/src/cli/simulate.ts
+++ b/src/cli/simulate.ts
@@ -5,7 +5,7 @@
 import { Presets, SingleBar } from 'cli-progress';
 import Table from 'cli-table3';
 import { exitCodes } from '../flow/error-kinds.js';
-import { findScenario, scenarios } from '../sim/scenarios/index.js';
+import { findScenario, longScenarios, scenarios } from '../sim/scenarios/index.js';
 import type { Scenario } from '../sim/scenarios/scenario.js';
 import {
   planRuns,
@@ -32,12 +32,12 @@
  * Registers the subcommand.
  */
 export function registerSimulate(cli: CAC): void {
-  const names = [...scenarios.map(({ name }) => name), ALL].join(', ');
+  const names = [...scenarios, ...longScenarios].map(({ name }) => name).join(', ');
   cli
     .command('simulate', 'Run scenarios in the simulator and check what must always hold')
     .option('--seed <n>', 'Seed of the first run; each run takes the next one', { default: 1 })
     .option('--runs <count>', 'Runs', { default: 20 })
-    .option('--scenario <name>', `One of ${names}`, { default: ALL })
+    .option('--scenario <name>', `One of ${names}, or all but the long ones`, { default: ALL })
     .option('--jobs <count>', 'Worker threads', { default: 3 })
     .option('--traces <folder>', 'Where traces of failed runs go', { default: 'simulate-traces' })
     .option('--record', 'Write the trace of the first run whatever came of it')
--- a/src/sim/faults.ts
+++ b/src/sim/faults.ts
@@ -73,6 +73,27 @@
     );
   }
 
+  /** Two groups of processes no longer reach each other; they reach all others. */
+  cutLinks(
+    group: readonly SimulatedProcess[],
+    others: readonly SimulatedProcess[],
+    durationMs: number,
+  ): void {
+    this.count += 1;
+    const { network } = this.world.simulation;
+    const one = new Set(group.map(({ host }) => host));
+    const other = new Set(others.map(({ host }) => host));
+    const cuts = [network.cut({ from: one, to: other }), network.cut({ from: other, to: one })];
+    const targets = group.map(({ name }) => name);
+    this.during('cut-links', targets, durationMs, () => cuts.forEach((id) => network.heal(id)));
+  }
+
+  /** Tells the trace which back ends ignore their drain, so that the oracle knows. */
+  noteDeaf(backends: readonly PlacedBackend[]): void {
+    const targets = backends.map(({ process }) => process.name);
+    this.during('ignores-drain', targets, 0, () => undefined);
+  }
+
   /** The network loses, doubles and reorders datagrams. */
   spoilNetwork(durationMs: number): void {
     this.count += 1;
@@ -208,8 +229,9 @@
   }
 
   private allHosts(): string[] {
-    const { controls, balancers, backends, operators, fabric } = this.world;
+    const { controls, balancers, backends, callers, operators, fabric } = this.world;
     const processes = [
+      ...callers,
       ...controls,
       ...balancers,
       ...backends.map(({ process }) => process),
--- a/src/sim/oracle/oracle.ts
+++ b/src/sim/oracle/oracle.ts
@@ -4,6 +4,7 @@
 import type { TraceEvent, TraceListener } from '../trace.js';
 import type { Check, CheckName, ReportViolation, Violation } from './check.js';
 import { AcceptedStaysInForce } from './config-check.js';
+import { FinalConfigIsAsAccepted } from './final-config-check.js';
 import {
   EstablishedFlowSurvives,
   LeavingBackendGetsNoWork,
@@ -29,6 +30,7 @@
       new LeavingBackendGetsNoWork(this.reporter('leaving-backend-gets-no-work')),
       new PlannedStopCutsNothing(this.reporter('planned-stop-cuts-nothing'), troubles),
       new AcceptedStaysInForce(this.reporter('accepted-stays-in-force'), troubles),
+      new FinalConfigIsAsAccepted(this.reporter('accepted-stays-in-force'), troubles),
     ];
   }
 
--- a/src/sim/oracle/request-checks.ts
+++ b/src/sim/oracle/request-checks.ts
@@ -38,6 +38,8 @@
       this.checkNotice(event);
     } else if (event.type === 'notices-missed') {
       this.lastNotice.set(event.caller, event.last);
+    } else if (event.type === 'process' && event.status === 'started') {
+      this.lastNotice.delete(event.process);
     }
   }
 
--- a/src/sim/run-scenario.ts
+++ b/src/sim/run-scenario.ts
@@ -3,7 +3,7 @@
  */
 import { seededRandom } from '../common/random.js';
 import { Faults } from './faults.js';
-import type { Violation } from './oracle/check.js';
+import type { CheckName, Violation } from './oracle/check.js';
 import { Oracle } from './oracle/oracle.js';
 import type { Scenario } from './scenarios/scenario.js';
 import type { SimulatedSteps } from './simulated-steps.js';
@@ -30,8 +30,12 @@
 export interface RunOptions {
   readonly steps?: SimulatedSteps;
   readonly keepsPackets?: boolean;
+  /** The run ends soon after the first violation of this check. */
+  readonly stopsAtViolationOf?: CheckName;
 }
 
+const SLICE_MS = 500;
+
 /**
  * Runs a scenario from a seed.
  */
@@ -45,7 +49,14 @@
   const faults = new Faults(world);
   await world.setUp();
   scenario.schedule({ world, faults, random: seededRandom(seed) });
-  await world.run(scenario.durationMs);
+  const endMs = world.simulation.nowMs + scenario.durationMs;
+  while (world.simulation.nowMs < endMs) {
+    await world.run(Math.min(SLICE_MS, endMs - world.simulation.nowMs));
+    if (oracle.violations.some(({ check }) => check === options.stopsAtViolationOf)) {
+      break;
+    }
+  }
+  world.noteFinalConfigs();
   const { trace, nowMs } = world.simulation;
   oracle.finish(nowMs);
   const outcomeTypes = new Set(['outcome', 'notice', 'command-answered']);
--- a/src/sim/scenarios/operator-changes.ts
+++ b/src/sim/scenarios/operator-changes.ts
@@ -56,6 +56,26 @@
   }
 }
 
+/** A change is planned for a moment later, and sometimes cancelled before or while it is due. */
+export function planAndCancel({ world, random }: ScenarioScope): void {
+  const service = pick(random, world.plan.services);
+  const policy = pick(random, POLICIES);
+  if (service === undefined || policy === undefined) {
+    return;
+  }
+  const change = { type: 'change-service' as const, service: service.name, policy };
+  const delayMs = between(random, 200, 1_500);
+  const plan = { type: 'plan-change' as const, when: { inMs: delayMs }, change };
+  world.command(service, service.name, plan, (outcome) => {
+    const planId = outcome.accepted ? outcome.planId : undefined;
+    if (planId !== undefined && random.nextInt(2) === 0) {
+      world.after(between(random, 0, delayMs), () =>
+        world.command(service, service.name, { type: 'cancel-plan', planId }),
+      );
+    }
+  });
+}
+
 function replaceBackend({ world, faults, random }: ScenarioScope): void {
   const service = pick(random, world.plan.services);
   const own = world.backends.filter(
--- a/src/sim/simulated-caller.ts
+++ b/src/sim/simulated-caller.ts
@@ -41,6 +41,8 @@
   readonly address: Address;
   state: CallerState;
   private readonly service: Address;
+  private readonly options: CallerOptions;
+  private starts = 0;
   private readonly standing = new Map<OpenFlow, StandingFlow>();
 
   constructor(
@@ -53,6 +55,7 @@
     super(simulation, 'caller', name, host, ZONE);
     this.address = { host, port: PORT };
     this.service = service;
+    this.options = options;
     this.state = createCallerState(options, simulation.nowMs);
   }
 
@@ -60,7 +63,15 @@
     this.step({ type: 'packet', packet });
   }
 
+  /** It begins anew, with requests of other numbers. */
   protected onStart(): void {
+    const { firstRequestNumber, requestCount } = this.options;
+    const options = {
+      ...this.options,
+      firstRequestNumber: firstRequestNumber + this.starts * requestCount,
+    };
+    this.starts += 1;
+    this.state = createCallerState(options, this.simulation.nowMs);
     this.every(TICK_INTERVAL_MS, () => this.step({ type: 'tick' }));
   }
 
@@ -115,7 +126,9 @@
 
   private send(packet: Uint8Array): void {
     const { network } = this.simulation;
-    network.transmit(0, () => this.fabric.takeCallerPacket(packet, this.address, this.service));
+    if (!network.isCut(this.host, this.fabric.host)) {
+      network.transmit(0, () => this.fabric.takeCallerPacket(packet, this.address, this.service));
+    }
   }
 
   private noteOutcome(outcome: RequestOutcome, flow: OpenFlow | undefined, isWrong: boolean): void {
--- a/src/sim/trace.ts
+++ b/src/sim/trace.ts
@@ -135,6 +135,15 @@
       readonly index: number;
       readonly digest: string;
     }
+  /** What a balancer has in force at the end of a run. */
+  | {
+      readonly type: 'final-config';
+      readonly balancer: string;
+      /** Version by name of the service. */
+      readonly services: Readonly<Record<string, number>>;
+      /** What the operators want, by name of the back end's process. */
+      readonly backends: Readonly<Record<string, string>>;
+    }
   /** An operator was shown a state by a control machine. */
   | {
       readonly type: 'shown';
--- a/src/sim/world-plan.ts
+++ b/src/sim/world-plan.ts
@@ -26,6 +26,8 @@
   readonly meanServiceTimeMs: number;
   /** Faults of the back ends, by position over all services. */
   readonly backendFaults: ReadonlyMap<number, BackendFaults>;
+  /** True where callers stay on their flows whatever they are told. */
+  readonly callersIgnoreGoAway: boolean;
   readonly backendTuning: Partial<BackendTuning>;
   /** Longest time until the fabric hears of a change of the balancers. */
   readonly platformLagMs: number;
@@ -49,6 +51,7 @@
   requestDeadlineMs: 15_000,
   meanServiceTimeMs: 10,
   backendFaults: new Map(),
+  callersIgnoreGoAway: false,
   backendTuning: {},
   platformLagMs: 2_000,
   stopGraceMs: 3_000,
--- /dev/null
+++ b/test/sim/packet-surgery.ts
@@ -0,0 +1,63 @@
+/** @file Helpers with which broken steps change packets on their way. */
+import { decodeEnvelope, encodeEnvelope, type Envelope } from '../../src/flow/envelope.js';
+import {
+  encodeShortHeader,
+  FLOW_ID_LENGTH_BYTES,
+  hasLongHeader,
+  parseShortHeader,
+} from '../../src/flow/header.js';
+import { decodeMessage, encodeMessage, type Message } from '../../src/flow/messages.js';
+import { TOKEN_LENGTH_BYTES } from '../../src/flow/token.js';
+
+/** The envelope of a datagram; throws for another one. */
+export function openEnvelope(datagram: Uint8Array): Envelope {
+  return decodeEnvelope(datagram)._unsafeUnwrap();
+}
+
+/** A datagram whose envelope is changed. */
+export function withEnvelope(
+  datagram: Uint8Array,
+  change: (envelope: Envelope) => Partial<Envelope>,
+): Uint8Array {
+  const envelope = openEnvelope(datagram);
+  return encodeEnvelope({ ...envelope, ...change(envelope) });
+}
+
+/** The token of a packet towards a back end, as a copy; undefined where it has a long header. */
+export function tokenOf(packet: Uint8Array): Buffer | undefined {
+  if (hasLongHeader(packet)) {
+    return undefined;
+  }
+  const { destinationId } = parseShortHeader(packet, TOKEN_LENGTH_BYTES)._unsafeUnwrap();
+  return Buffer.from(destinationId);
+}
+
+/** A packet towards a back end, with another token. */
+export function withToken(packet: Uint8Array, token: Uint8Array): Uint8Array {
+  const { body } = parseShortHeader(packet, TOKEN_LENGTH_BYTES)._unsafeUnwrap();
+  return encodeShortHeader(token, body);
+}
+
+/** A packet towards a caller, with its message changed; others stay as they are. */
+export function withMessageToCaller(
+  packet: Uint8Array,
+  change: (message: Message) => Message,
+): Uint8Array {
+  if (hasLongHeader(packet)) {
+    return packet;
+  }
+  const { destinationId, body } = parseShortHeader(packet, FLOW_ID_LENGTH_BYTES)._unsafeUnwrap();
+  return decodeMessage(body).match(
+    (message) => encodeShortHeader(destinationId, encodeMessage(change(message))),
+    () => packet,
+  );
+}
+
+/** The message of a packet towards a back end; undefined where there is none. */
+export function messageToBackend(packet: Uint8Array): Message | undefined {
+  if (hasLongHeader(packet)) {
+    return undefined;
+  }
+  const { body } = parseShortHeader(packet, TOKEN_LENGTH_BYTES)._unsafeUnwrap();
+  return decodeMessage(body).unwrapOr(undefined);
+}
