--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,7 @@
 import { registerCtl } from './ctl.js';
 import { registerDemo } from './demo.js';
 import { registerFabric } from './fabric.js';
+import { registerFleet } from './fleet.js';
 import { registerSimulate } from './simulate.js';
 
 const ARGUMENTS_BEFORE_COMMAND = 2;
@@ -23,6 +24,7 @@
   registerControl,
   registerCtl,
   registerDemo,
+  registerFleet,
   registerBench,
   registerBackend,
   registerFabric,
