--- a/src/control/first-commands.ts
+++ b/src/control/first-commands.ts
@@ -9,7 +9,7 @@
 const FIRST_KEY_ID = 1;
 
 /** An operator as the settings name one. */
-export type FirstOperator = Pick<Operator, 'name' | 'tokenHash'>;
+export type FirstOperator = Pick<Operator, 'name' | 'tokenHash' | 'addressRanges'>;
 
 /** What a new cluster begins with. */
 export interface FirstCommandContext {
