Wire membership and relays into the simulator; fuzz it; add amberlift replay

Change: simulated balancers gossip and pass the configuration on, as the daemons do; stateful fuzzing with fast-check commands over the world, which shrinks a failing schedule and writes its trace; amberlift replay tells a recorded trace as the story of a flow, a process, a command or a request.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -26,6 +26,7 @@
   { name: 'fabric', load: async () => (await import('./fabric.js')).registerFabric },
   { name: 'callers', load: async () => (await import('./callers.js')).registerCallers },
   { name: 'simulate', load: async () => (await import('./simulate.js')).registerSimulate },
+  { name: 'replay', load: async () => (await import('./replay.js')).registerReplay },
 ];
 
 /**
--- /dev/null
+++ b/src/cli/replay.ts
@@ -0,0 +1,83 @@
+/**
+ * @file `amberlift replay`: tells a recorded trace of the simulator as the story of one flow, one process,
+ * one command or one request, all at once or step by step.
+ */
+import { readFile } from 'node:fs/promises';
+import { createInterface } from 'node:readline';
+import type { CAC } from 'cac';
+import { amberliftError } from '../flow/error-kinds.js';
+import { parseTrace, selectEvents, type RecordedTrace } from '../toolbox/replay-trace.js';
+import { tellEvent } from '../toolbox/replay-story.js';
+import { reportError } from './daemon-command.js';
+
+interface ReplayFlags {
+  readonly flow?: string;
+  readonly process?: string;
+  readonly command?: string;
+  readonly request?: number;
+  readonly type?: string;
+  readonly from?: number;
+  readonly to?: number;
+  readonly step?: boolean;
+  readonly json?: boolean;
+}
+
+/**
+ * Registers the subcommand.
+ */
+export function registerReplay(cli: CAC): void {
+  cli
+    .command('replay <file>', 'Tell a recorded trace of the simulator')
+    .option('--flow <name>', 'Only the story of this flow, such as flow-3')
+    .option('--process <name>', 'Only events of this process, such as authd-2 or balancer-1')
+    .option('--command <id>', 'Only the story of this command, such as tarjeta-4')
+    .option('--request <number>', 'Only the story of this request')
+    .option('--type <type>', 'Only events of this type, such as run')
+    .option('--from <ms>', 'Only from this time on')
+    .option('--to <ms>', 'Only up to this time')
+    .option('--step', 'Wait for Enter after each event')
+    .option('--json', 'Print the events as JSON lines')
+    .action(run);
+}
+
+async function run(file: string, flags: ReplayFlags): Promise<void> {
+  let content: string;
+  try {
+    content = await readFile(file, 'utf8');
+  } catch (cause) {
+    reportError(amberliftError('invalid-settings', String(cause)));
+    return;
+  }
+  const trace = parseTrace(content);
+  if (trace.isErr()) {
+    reportError(trace.error);
+    return;
+  }
+  await tell(trace.value, flags);
+}
+
+async function tell({ header, events }: RecordedTrace, flags: ReplayFlags): Promise<void> {
+  const { flow, process: name, command, request, type, from, to } = flags;
+  const filter = { flow, process: name, command, request, type, fromMs: from, toMs: to };
+  const selected = selectEvents(events, filter);
+  if (flags.json === true) {
+    selected.forEach((event) => process.stdout.write(`${JSON.stringify(event)}\n`));
+    return;
+  }
+  const { scenario, seed, violations } = header;
+  process.stdout.write(`Scenario ${scenario}, seed ${seed}: ${selected.length} events.\n`);
+  const lines = flags.step === true ? enterPresses() : undefined;
+  for (const event of selected) {
+    process.stdout.write(`${tellEvent(event)}\n`);
+    if (lines !== undefined && (await lines.next()).done === true) {
+      return;
+    }
+  }
+  for (const { check, atMs, text } of violations) {
+    process.stdout.write(`Violation of ${check} at ${atMs.toFixed(1)} ms: ${text}\n`);
+  }
+}
+
+function enterPresses(): AsyncIterator<string> {
+  return createInterface({ input: process.stdin })[Symbol.asyncIterator]();
+}
--- a/src/sim/scenarios/address-scenarios.ts
+++ b/src/sim/scenarios/address-scenarios.ts
@@ -52,8 +52,9 @@
     return;
   }
   const durationMs = between(random, 15_000, 38_000);
-  // Its own view of the control machines ends; packets still pass.
-  faults.cutLinks([one], world.controls, durationMs);
+  // Nobody tells it of changes any more; packets still pass.
+  const others = world.balancers.filter((balancer) => balancer !== one);
+  faults.cutLinks([one], [...world.controls, ...others], durationMs);
   if (random.nextInt(2) === 0) {
     faults.pause(other, between(random, 5_000, 25_000));
   }
--- a/src/sim/scenarios/fault-scenarios.ts
+++ b/src/sim/scenarios/fault-scenarios.ts
@@ -21,7 +21,7 @@
 export const controlFaults: Scenario = {
   name: 'control-faults',
   description: 'Faults of control machines and their disks, with operators at work.',
-  plan: smallWorld,
+  plan: { ...smallWorld, balancerZones: 1 },
   durationMs: CONTROL_FAULTS_MS,
   schedule: (scope) => {
     const { faults } = scope;
@@ -37,7 +37,7 @@
 export const chaos: Scenario = {
   name: 'chaos',
   description: 'Faults of all processes, disks and the network, with operators at work.',
-  plan: smallWorld,
+  plan: { ...smallWorld, balancerZones: 1 },
   durationMs: CHAOS_MS,
   schedule: (scope) => {
     const { faults, random } = scope;
--- a/src/sim/simulated-balancer.ts
+++ b/src/sim/simulated-balancer.ts
@@ -12,6 +12,7 @@
 import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
 import type { ProbeEffect } from '../health/probe-schedule.js';
 import { configDigest } from './config-digest.js';
+import { SimulatedPeerSockets } from './simulated-peer-sockets.js';
 import { SimulatedProcess } from './simulated-process.js';
 import type { Simulation } from './simulation.js';
 import { probeSimulatedBackend, type BackendDirectory } from './simulated-probe.js';
@@ -20,6 +21,7 @@
 
 const TICK_INTERVAL_MS = 20;
 const STOP_POLL_INTERVAL_MS = 50;
+const MILLISECONDS_PER_SECOND = 1_000;
 const PORT = 5000;
 
 /** What a simulated balancer is started with. */
@@ -29,6 +31,8 @@
   readonly zone: string;
   readonly controlAddresses: readonly Address[];
   readonly clusterKey: string;
+  /** Gossip addresses of the balancers that the platform's list named at the start. */
+  readonly seeds: readonly Address[];
   /** Time for which a planned stop forwards on. */
   readonly stopGraceMs: number;
 }
@@ -38,6 +42,7 @@
   readonly front: Address;
   readonly back: Address;
   state: BalancerState;
+  private readonly peers: SimulatedPeerSockets;
   private link: VirtualLinkEnd | undefined;
   private notedIndex = 0;
   private isStopping = false;
@@ -52,6 +57,11 @@
     super(simulation, 'balancer', options.name, options.host, options.zone);
     this.front = { host: options.host, port: PORT };
     this.back = { host: options.host, port: PORT + 1 };
+    this.peers = new SimulatedPeerSockets(simulation, options.clusterKey, {
+      host: options.host,
+      isListening: () => this.status !== 'down',
+      step: (event) => this.step(event),
+    });
     this.state = this.emptyState();
     this.onFront = (datagram, replyTo) => this.step({ type: 'client-datagram', datagram, replyTo });
     this.onBack = (datagram) => this.step({ type: 'backend-datagram', datagram });
@@ -79,6 +89,7 @@
     const { network } = this.simulation;
     network.bind(this.front, this.onFront);
     network.bind(this.back, this.onBack);
+    this.peers.open();
     this.every(TICK_INTERVAL_MS, () => this.step({ type: 'tick' }));
   }
 
@@ -86,18 +97,21 @@
     const { network } = this.simulation;
     network.release(this.front, this.onFront);
     network.release(this.back, this.onBack);
+    this.peers.close();
     this.link?.close();
     this.link = undefined;
   }
 
   private emptyState(): BalancerState {
-    const { name, zone, controlAddresses, clusterKey } = this.options;
+    const { name, zone, controlAddresses, clusterKey, seeds } = this.options;
+    const incarnation = Math.floor(this.simulation.wallTimeMs / MILLISECONDS_PER_SECOND);
     return createBalancerState({
       ...defaultBalancerOptions,
       balancerId: name,
       zone,
       controlAddresses,
       clusterKey,
+      membership: { ...this.peers.addresses, incarnation, seeds },
     });
   }
 
@@ -136,8 +150,8 @@
       .with({ type: 'link-open' }, ({ linkId, address }) => this.openLink(linkId, address))
       .with({ type: 'link-send' }, ({ message }) => this.link?.send(message))
       .with({ type: 'probe' }, (probe) => this.probe(probe))
-      // Simulated balancers take no part in membership, so nobody links to them.
-      .with({ type: 'peer-send' }, { type: 'gossip-send' }, () => undefined)
+      .with({ type: 'peer-send' }, ({ linkId, message }) => this.peers.sendTo(linkId, message))
+      .with({ type: 'gossip-send' }, ({ to, message }) => this.peers.gossip(to, message))
       .exhaustive();
   }
 
--- /dev/null
+++ b/src/sim/simulated-peer-sockets.ts
@@ -0,0 +1,101 @@
+/**
+ * @file The virtual sockets by which a balancer is reached by other balancers: datagrams for gossip,
+ * links over which they get the configuration.
+ */
+import type { BalancerEvent } from '../balancer/balancer-events.js';
+import type { Address } from '../common/address.js';
+import type {
+  BalancerToControlMessage,
+  ControlToBalancerMessage,
+} from '../dissemination/link-messages.js';
+import {
+  decodeGossip,
+  encodeGossip,
+  gossipKey,
+  type GossipKey,
+} from '../membership/gossip-codec.js';
+import type { GossipMessage } from '../membership/gossip-messages.js';
+import { gossipAddress, linkAddress, type MemberAddresses } from '../membership/member.js';
+import type { LinkAcceptor, Simulation } from './simulation.js';
+import type { VirtualLinkEnd } from './virtual-links.js';
+import type { DatagramHandler } from './virtual-network.js';
+
+/** UDP port of every balancer's gossip. */
+export const GOSSIP_PORT = 5002;
+const LINK_PORT = 5003;
+
+/** Who takes what comes in. */
+export interface SimulatedSocketsOwner {
+  readonly host: string;
+  isListening(): boolean;
+  step(event: BalancerEvent): void;
+}
+
+/** The sockets of one balancer towards the others. */
+export class SimulatedPeerSockets {
+  readonly addresses: MemberAddresses;
+  private readonly key: GossipKey;
+  private readonly links = new Map<number, VirtualLinkEnd>();
+  private readonly onDatagram: DatagramHandler;
+  private nextLinkId = 1;
+
+  constructor(
+    private readonly simulation: Simulation,
+    clusterKey: string,
+    private readonly owner: SimulatedSocketsOwner,
+  ) {
+    const { host } = owner;
+    this.addresses = { host, gossipPort: GOSSIP_PORT, linkPort: LINK_PORT };
+    this.key = gossipKey(clusterKey);
+    this.onDatagram = (datagram, from) => this.receive(datagram, from);
+    simulation.listen(linkAddress(this.addresses), {
+      host,
+      isListening: () => owner.isListening(),
+      accept: () => this.accept(),
+    });
+  }
+
+  open(): void {
+    this.simulation.network.bind(gossipAddress(this.addresses), this.onDatagram);
+  }
+
+  close(): void {
+    this.simulation.network.release(gossipAddress(this.addresses), this.onDatagram);
+    this.links.forEach((link) => link.close());
+    this.links.clear();
+  }
+
+  gossip(to: Address, message: GossipMessage): void {
+    const datagram = encodeGossip(message, this.key);
+    this.simulation.network.send(gossipAddress(this.addresses), to, datagram);
+  }
+
+  sendTo(linkId: number, message: ControlToBalancerMessage): void {
+    this.links.get(linkId)?.send(message);
+  }
+
+  private receive(datagram: Uint8Array, from: Address): void {
+    const message = decodeGossip(datagram, this.key);
+    if (message.isOk()) {
+      this.owner.step({ type: 'gossip', message: message.value, from });
+    }
+  }
+
+  private accept(): LinkAcceptor {
+    const linkId = this.nextLinkId;
+    this.nextLinkId += 1;
+    return {
+      opened: (end) => this.links.set(linkId, end),
+      onMessage: (message) =>
+        this.owner.step({
+          type: 'peer-message',
+          linkId,
+          message: message as BalancerToControlMessage,
+        }),
+      onClose: () => {
+        this.links.delete(linkId);
+        this.owner.step({ type: 'peer-closed', linkId });
+      },
+    };
+  }
+}
--- a/src/sim/world-plan.ts
+++ b/src/sim/world-plan.ts
@@ -19,6 +19,8 @@
 export interface WorldPlan {
   readonly controls: number;
   readonly balancers: number;
+  /** Over how many zones the balancers are spread; the fewer, the more pass the configuration on. */
+  readonly balancerZones: number;
   readonly services: readonly ServicePlan[];
   /** Pause between two requests of a caller. */
   readonly pauseMs: number;
@@ -42,6 +44,7 @@
 export const smallWorld: WorldPlan = {
   controls: 3,
   balancers: 4,
+  balancerZones: 3,
   services: [
     { name: 'authd', owner: 'tarjeta', backends: 3, callers: 4, feeds: 0 },
     { name: 'board-api', owner: 'hara', backends: 3, callers: 2, feeds: 2 },
--- a/src/sim/world.ts
+++ b/src/sim/world.ts
@@ -10,6 +10,7 @@
 import { SimulatedCaller } from './simulated-caller.js';
 import { SimulatedControl } from './simulated-control.js';
 import { SimulatedFabric } from './simulated-fabric.js';
+import { GOSSIP_PORT } from './simulated-peer-sockets.js';
 import { SimulatedOperator } from './simulated-operator.js';
 import { productSteps, type SimulatedSteps } from './simulated-steps.js';
 import { Simulation } from './simulation.js';
@@ -253,10 +254,11 @@
       const first = position % controlAddresses.length;
       const options = {
         name: `balancer-${position + 1}`,
-        host: `10.3.0.${position + 1}`,
-        zone: zoneOf(position),
+        host: balancerHost(position),
+        zone: zoneOf(position % this.plan.balancerZones),
         controlAddresses: [...controlAddresses.slice(first), ...controlAddresses.slice(0, first)],
         clusterKey: CLUSTER_KEY,
+        seeds: [{ host: balancerHost(0), port: GOSSIP_PORT }],
         stopGraceMs: this.plan.stopGraceMs,
       };
       this.balancers.push(new SimulatedBalancer(this.simulation, options, this.directory));
@@ -357,6 +359,10 @@
   }
 }
 
+function balancerHost(position: number): string {
+  return `10.3.0.${position + 1}`;
+}
+
 function serviceAddress(position: number): Address {
   return { host: `10.1.0.${position + 1}`, port: PORT };
 }
--- /dev/null
+++ b/test/sim/fuzz.ts
@@ -0,0 +1,102 @@
+/** @file Stateful fuzzing of the simulated world: any commands in any order, judged by the oracle. */
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import fc from 'fast-check';
+import { Faults } from '../../src/sim/faults.js';
+import type { Violation } from '../../src/sim/oracle/check.js';
+import { Oracle } from '../../src/sim/oracle/oracle.js';
+import { productSteps, type SimulatedSteps } from '../../src/sim/simulated-steps.js';
+import { formatTrace } from '../../src/sim/violation-file.js';
+import { smallWorld } from '../../src/sim/world-plan.js';
+import { World } from '../../src/sim/world.js';
+import { fuzzCommands, type FuzzModel, type FuzzSystem } from './fuzz-commands.js';
+
+const MAX_COMMANDS = 30;
+/** Time after the last command, in which all faults end and all promises fall due. */
+const QUIET_END_MS = 16_000;
+
+/** What to fuzz. */
+export interface FuzzOptions {
+  readonly seed: number;
+  readonly schedules: number;
+  readonly steps?: SimulatedSteps;
+  /** Where the trace of the shortest schedule that fails goes. */
+  readonly traceFolder?: string;
+}
+
+/** What came of it. */
+export interface FuzzReport {
+  readonly schedules: number;
+  readonly commands: number;
+  readonly faults: number;
+  /** The shortest schedule that fails; absent where none does. */
+  readonly failure?: {
+    readonly commands: string;
+    readonly violations: readonly Violation[];
+    readonly traceFile: string | undefined;
+  };
+}
+
+type Commands = Iterable<fc.AsyncCommand<FuzzModel, FuzzSystem>>;
+
+interface ScheduleResult {
+  readonly violations: readonly Violation[];
+  readonly commands: number;
+  readonly faults: number;
+  readonly content: string;
+}
+
+/** Runs random schedules, and shrinks the first one that fails. */
+export async function fuzz(options: FuzzOptions): Promise<FuzzReport> {
+  const { seed, schedules, steps = productSteps, traceFolder } = options;
+  const totals = { schedules: 0, commands: 0, faults: 0 };
+  const property = fc.asyncProperty(
+    fc.commands(fuzzCommands, { maxCommands: MAX_COMMANDS, size: 'max' }),
+    fc.nat(1_000),
+    async (commands, worldSeed) => {
+      const result = await runSchedule(commands, worldSeed, steps);
+      totals.schedules += 1;
+      totals.commands += result.commands;
+      totals.faults += result.faults;
+      return result.violations.length === 0;
+    },
+  );
+  const { counterexample } = await fc.check(property, { seed, numRuns: schedules });
+  if (counterexample === null) {
+    return totals;
+  }
+  const [commands, worldSeed] = counterexample;
+  const { violations, content } = await runSchedule(commands, worldSeed, steps);
+  const traceFile = traceFolder === undefined ? undefined : writeTrace(traceFolder, seed, content);
+  const text = `world ${worldSeed}: ${[...commands].map(String).join('; ')}`;
+  return { ...totals, failure: { commands: text, violations, traceFile } };
+}
+
+async function runSchedule(
+  commands: Commands,
+  worldSeed: number,
+  steps: SimulatedSteps,
+): Promise<ScheduleResult> {
+  const oracle = new Oracle();
+  const plan = { ...smallWorld, balancerZones: 1 + (worldSeed % 3) };
+  const world = new World({ seed: worldSeed, plan, listener: oracle, steps });
+  const faults = new Faults(world);
+  const model: FuzzModel = { commands: 0 };
+  await world.setUp();
+  await fc.asyncModelRun(() => ({ model, real: { world, faults } }), commands);
+  await world.run(QUIET_END_MS);
+  world.noteFinalConfigs();
+  const { trace, nowMs } = world.simulation;
+  oracle.finish(nowMs);
+  const { violations } = oracle;
+  const header = { scenario: 'fuzz', seed: worldSeed, digest: trace.digest(), violations };
+  const content = formatTrace(header, trace.events);
+  return { violations, commands: model.commands, faults: faults.count, content };
+}
+
+function writeTrace(folder: string, seed: number, content: string): string {
+  mkdirSync(folder, { recursive: true });
+  const path = join(folder, `fuzz-${seed}.jsonl`);
+  writeFileSync(path, content);
+  return path;
+}
--- /dev/null
+++ b/test/toolbox/replay.test.ts
@@ -0,0 +1,54 @@
+/** @file A recorded trace is told as the story of one flow, one back end or one command. */
+import t from 'tap';
+import { findScenario } from '../../src/sim/scenarios/index.js';
+import { runScenario } from '../../src/sim/run-scenario.js';
+import { formatTrace } from '../../src/sim/violation-file.js';
+import { tellEvent } from '../../src/toolbox/replay-story.js';
+import { parseTrace, selectEvents } from '../../src/toolbox/replay-trace.js';
+
+const drain = findScenario('drain');
+
+t.test('stories of a recorded run', async (t) => {
+  if (drain === undefined) {
+    throw new Error('There is no scenario drain.');
+  }
+  const scenario = { ...drain, durationMs: 6_000 };
+  const report = await runScenario(scenario, 1, { keepsPackets: true });
+  const { digest, violations, trace } = report;
+  const header = { scenario: 'drain', seed: 1, digest, violations };
+  const recorded = parseTrace(formatTrace(header, trace))._unsafeUnwrap();
+  const { events } = recorded;
+  t.equal(events.length, trace.length);
+
+  t.test('of a flow: its packets, its back end and what ran', async (t) => {
+    const types = new Set(selectEvents(events, { flow: 'flow-1' }).map(({ type }) => type));
+    t.ok(['packet', 'flow-accepted', 'run', 'outcome'].every((type) => types.has(type as 'run')));
+    t.ok(types.size < new Set(events.map(({ type }) => type)).size);
+  });
+
+  t.test('of a back end', async (t) => {
+    const story = selectEvents(events, { process: 'authd-1', type: 'run' });
+    t.ok(story.length > 0);
+    t.ok(story.every((event) => event.type === 'run' && event.backend === 'authd-1'));
+  });
+
+  t.test('of a command: sent, applied, answered, in force on every balancer', async (t) => {
+    const sent = events.find(
+      (event) => event.type === 'command-sent' && event.command === 'drain-backend',
+    );
+    const command = sent?.type === 'command-sent' ? sent.commandId : '';
+    const story = selectEvents(events, { command });
+    t.equal(story[0]?.type, 'command-sent');
+    t.equal(story.filter(({ type }) => type === 'in-force').length, 4);
+    t.match(tellEvent(story[0] ?? events[0]!), /sent .* \(drain-backend of /);
+  });
+
+  t.test('every event can be told in one line', async (t) => {
+    t.ok(events.map(tellEvent).every((line) => /^ *[\d.]+ ms {2}\S.*\.$/.test(line)));
+  });
+});
+
+t.test('another file is refused', async (t) => {
+  t.equal(parseTrace('{}\n')._unsafeUnwrapErr().kind, 'invalid-settings');
+  t.equal(parseTrace('nothing')._unsafeUnwrapErr().kind, 'invalid-settings');
+});
