--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -7,7 +7,7 @@
   type ConsensusState,
 } from '../consensus/consensus-state.js';
 import type { Member, NodeId } from '../consensus/membership.js';
-import { allReports } from '../dissemination/subtree-report.js';
+import { balancerReports } from '../dissemination/publisher.js';
 import { machinesToAdd, type AnnouncedMachine } from './cluster-join.js';
 import type { ControlState } from './control-state.js';
 
@@ -65,7 +65,7 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
-    balancers: allReports(state.publisher.reports).map(({ balancerId, index }) => ({
+    balancers: balancerReports(state.publisher).map(({ balancerId, index }) => ({
       balancerId,
       index,
     })),
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -2,6 +2,7 @@
  * @file The control daemon: starts disk, links and the operator interface around the control machine's
  * decision step, and stops them in order.
  */
+import { readFile } from 'node:fs/promises';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, type Result } from 'neverthrow';
 import type { Address } from '../common/address.js';
@@ -11,12 +12,15 @@
 import { currentMembership } from '../consensus/consensus-state.js';
 import { votersOf } from '../consensus/membership.js';
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
+import { unknownLoad } from '../control/views/backend-load.js';
+import type { InForceView } from '../control/views/in-force.js';
+import { hasOutlivedEarlierLeases } from '../dissemination/lease-authority.js';
 import { balancerReports } from '../dissemination/publisher.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
 import type { Settings } from '../settings/settings-schema.js';
 import { ConsensusStorage } from './consensus-storage.js';
 import { ControlEdge } from './control-edge.js';
-import { listenHttp, type HttpServer } from './http-server.js';
+import { listenHttp, type HttpServer, type TlsIdentity } from './http-server.js';
 import { memberApi } from './member-api.js';
 import { listenForLinks, type LinkServer } from './message-link.js';
 import { operatorApi } from './operator-api.js';
@@ -49,12 +53,16 @@
   if (settings.dataFolder === undefined) {
     return err(amberliftError('invalid-settings', 'dataFolder: a control machine needs one.'));
   }
+  const tls = await readTlsIdentity(settings);
+  if (tls.isErr()) {
+    return err(tls.error);
+  }
   const folder = await openStorageFolder(settings.dataFolder);
   const storage = await ConsensusStorage.open(folder, settings.nodeId);
   if (storage.isErr()) {
     return err(storage.error);
   }
-  const daemon = await listen(settings, storage.value);
+  const daemon = await listen(settings, storage.value, tls.value);
   const { state } = daemon;
   while (standsAlone(state, settings) && !isReady(state, settings)) {
     await sleep(POLL_INTERVAL_MS);
@@ -64,7 +72,11 @@
   return ok(daemon);
 }
 
-async function listen(settings: Settings, storage: ConsensusStorage): Promise<ControlDaemon> {
+async function listen(
+  settings: Settings,
+  storage: ConsensusStorage,
+  tls: TlsIdentity | undefined,
+): Promise<ControlDaemon> {
   const { control, nodeId, clusterKey } = settings;
   const holder: { edge?: ControlEdge; http?: Parameters<typeof listenHttp>[1] } = {};
   const links = await listenForLinks(control.linkAddress, {
@@ -72,8 +84,10 @@
     onClose: (link) => holder.edge?.onClose(link),
     onTraffic: (direction, kind, bytes) => holder.edge?.onTraffic(direction, kind, bytes),
   });
-  const http = await listenHttp(control.operatorAddress, (incoming, response) =>
-    holder.http?.(incoming, response),
+  const http = await listenHttp(
+    control.operatorAddress,
+    (incoming, response) => holder.http?.(incoming, response),
+    tls,
   );
   const state = createControlState({
     nodeId,
@@ -81,9 +95,10 @@
     linkAddress: links.address,
     operatorAddress: http.address,
     peers: control.peers.filter((peer) => peer.nodeId !== nodeId),
-    operators: control.operators.map(({ name, token }) => ({
+    operators: control.operators.map(({ name, token, addressRanges }) => ({
       name,
       tokenHash: operatorTokenHash(token),
+      ...(addressRanges && { addressRanges }),
     })),
     recovered: storage.recovered,
   });
@@ -99,13 +114,30 @@
   };
 }
 
+async function readTlsIdentity({
+  control,
+}: Settings): Promise<Result<TlsIdentity | undefined, AmberliftError>> {
+  if (control.operatorTls === undefined) {
+    return ok(undefined);
+  }
+  const { certificateFile, keyFile } = control.operatorTls;
+  try {
+    const cert = await readFile(certificateFile, 'utf8');
+    const key = await readFile(keyFile, 'utf8');
+    return ok({ cert, key });
+  } catch (cause) {
+    return err(amberliftError('invalid-settings', `control.operatorTls: ${String(cause)}`));
+  }
+}
+
 function requestListener(edge: ControlEdge, settings: Settings) {
   const { state } = edge;
   const operators = operatorApi({
     state: state.cluster,
     propose: (entry) => edge.propose(entry),
     query: () => edge.query(),
-    balancerReports: () => balancerReports(state.publisher),
+    inForce: () => inForceView(state),
+    load: () => unknownLoad,
   });
   return memberApi(
     {
@@ -118,6 +150,14 @@
   );
 }
 
+/** What balancers reported that they have in force. */
+function inForceView({ publisher, leaseAuthority }: ControlState): InForceView {
+  const balancers = balancerReports(publisher);
+  // Till then balancers may go on by leases of an earlier leader without having reported here.
+  const isComplete = hasOutlivedEarlierLeases(leaseAuthority, performance.now());
+  return { balancers, isComplete };
+}
+
 async function stop(
   edge: ControlEdge,
   links: LinkServer,
--- a/src/experiment/cluster.ts
+++ b/src/experiment/cluster.ts
@@ -50,8 +50,8 @@
   readonly process: ManagedProcess;
   readonly healthAddress: Address;
   readonly id: number;
-  /** Index of the configuration that has it. */
-  readonly addedAtIndex: number;
+  /** Revision of its operator's configuration that has it first. */
+  readonly addedInRevision: number;
   /** True once its operator has drained it. */
   leaving: boolean;
 }
@@ -159,7 +159,7 @@
       process,
       healthAddress,
       id: added.backendId ?? 0,
-      addedAtIndex: added.index,
+      addedInRevision: added.revision,
       leaving: false,
     };
     this.backends.push(backend);
@@ -310,7 +310,7 @@
   private async waitForControl(): Promise<void> {
     const operator = this.options.deployment.services[0]?.operator ?? '';
     const endsAt = performance.now() + CONTROL_TIMEOUT_MS;
-    while ((await this.clientOf(operator).show()).isErr()) {
+    while ((await this.clientOf(operator).query({ type: 'in-force' })).isErr()) {
       if (performance.now() > endsAt) {
         throw new Error('The control machines did not begin a cluster in time.');
       }
--- a/src/experiment/fleet.ts
+++ b/src/experiment/fleet.ts
@@ -8,7 +8,7 @@
 import { match } from 'ts-pattern';
 import { seededRandom } from '../common/random.js';
 import { Cluster } from './cluster.js';
-import { waitUntilInForce } from './cluster-status.js';
+import { revisionsOf, waitUntilInForce } from './cluster-status.js';
 import type { LoadedDeployment } from './deployment.js';
 import { FleetLoad } from './fleet-load.js';
 import { LoadSampler, type BackendSeries } from './load-sampler.js';
@@ -66,8 +66,8 @@
   const cluster = new Cluster({ deployment, settings, dataFolder, onEvent });
   try {
     await cluster.start();
-    const lastBackend = Math.max(...cluster.backends.map(({ addedAtIndex }) => addedAtIndex));
-    if (!(await waitUntilInForce(cluster, lastBackend, START_TIMEOUT_MS))) {
+    const revisions = revisionsOf(cluster.backends);
+    if (!(await waitUntilInForce(cluster, revisions, START_TIMEOUT_MS))) {
       throw new Error('The configuration did not come into force in time.');
     }
     await sleep(SETTLE_TIME_MS);
