--- a/src/flow/token.ts
+++ b/src/flow/token.ts
@@ -4,8 +4,8 @@
  * key ID 1, service ID 4, back end ID 4, back end incarnation 4, caller's flow ID 8, MAC 8.
  * The MAC is SipHash-2-4 over all that precedes it, under the key that the key ID names.
  */
+import { KEYED_HASH_BYTES, keyedHash } from '../common/keyed-hash.js';
 import { FLOW_ID_LENGTH_BYTES } from './header.js';
-import { sipHash, type SipHashKey, type SipHashValue } from './siphash.js';
 
 const KEY_ID_OFFSET = 0;
 const SERVICE_ID_OFFSET = 1;
@@ -34,23 +34,17 @@
 }
 
 /** A key as the hash takes it. */
-export type PreparedTokenKey = SipHashKey;
+export type PreparedTokenKey = Uint8Array;
 
 /** Takes each hash; steps run one at a time, so one place is enough. */
-const mac: SipHashValue = { high: 0, low: 0 };
+const mac = new Uint8Array(KEYED_HASH_BYTES);
 
 /**
  * @param secret 16 bytes
  * @returns the key in the form that minting and checking take
  */
 export function prepareTokenKey(secret: Uint8Array): PreparedTokenKey {
-  const view = new DataView(secret.buffer, secret.byteOffset, TOKEN_KEY_LENGTH_BYTES);
-  return {
-    word0: view.getUint32(0, true),
-    word1: view.getUint32(4, true),
-    word2: view.getUint32(8, true),
-    word3: view.getUint32(12, true),
-  };
+  return Uint8Array.from(secret.subarray(0, TOKEN_KEY_LENGTH_BYTES));
 }
 
 /**
@@ -63,9 +57,7 @@
   token.writeUInt32BE(fields.backendId, BACKEND_ID_OFFSET);
   token.writeUInt32BE(fields.incarnation, INCARNATION_OFFSET);
   token.set(fields.flowId, FLOW_ID_OFFSET);
-  sipHash(key, token, 0, MAC_OFFSET, mac);
-  token.writeUInt32BE(mac.high, MAC_OFFSET);
-  token.writeUInt32BE(mac.low, MAC_OFFSET + 4);
+  token.set(keyedHash(key, token.subarray(0, MAC_OFFSET), mac), MAC_OFFSET);
   return token;
 }
 
@@ -89,9 +81,9 @@
  * @returns true where the token's MAC was made with this key
  */
 export function hasValidMac(bytes: Uint8Array, key: PreparedTokenKey, start = 0): boolean {
-  sipHash(key, bytes, start, MAC_OFFSET, mac);
   const macStart = start + MAC_OFFSET;
-  return readUint32(bytes, macStart) === mac.high && readUint32(bytes, macStart + 4) === mac.low;
+  keyedHash(key, bytes.subarray(start, macStart), mac);
+  return mac.every((byte, index) => byte === bytes[macStart + index]);
 }
 
 /**
