--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -7,6 +7,7 @@
   type ConsensusState,
 } from '../consensus/consensus-state.js';
 import type { Member, NodeId } from '../consensus/membership.js';
+import { balancerReports } from '../dissemination/publisher.js';
 import { machinesToAdd, type AnnouncedMachine } from './cluster-join.js';
 import type { ControlState } from './control-state.js';
 
@@ -33,6 +34,14 @@
   readonly waiting: readonly AnnouncedMachine[];
   /** Why a peer refused this machine. */
   readonly refusal: string | undefined;
+  /** Balancers that report to this machine, with the index that each has in force. */
+  readonly balancers: readonly ReportingBalancer[];
+}
+
+/** A balancer that reports to a control machine. */
+export interface ReportingBalancer {
+  readonly balancerId: string;
+  readonly index: number;
 }
 
 /**
@@ -56,6 +65,10 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
+    balancers: balancerReports(state.publisher).map(({ balancerId, index }) => ({
+      balancerId,
+      index,
+    })),
   };
 }
 
--- a/src/routing/maglev-table.ts
+++ b/src/routing/maglev-table.ts
@@ -2,15 +2,15 @@
  * @file The lookup table of Maglev (Eisenbud and others, NSDI 2016): every back end fills nearly
  * the same share of the table, and a changed set of back ends changes few other entries.
  */
-import siphash from 'siphash';
+import { KEYED_HASH_KEY_BYTES, keyedHash } from '../common/keyed-hash.js';
 
 /** Number of entries; a prime well above 100 entries for each of the back ends of a service. */
 export const MAGLEV_TABLE_SIZE = 65_537;
 
-/** A fixed key, since all balancers must build the same table. */
-const OFFSET_KEY = Uint32Array.of(1, 0, 0, 0);
-const SKIP_KEY = Uint32Array.of(2, 0, 0, 0);
-const FLOW_KEY = Uint32Array.of(3, 0, 0, 0);
+/** Fixed keys, since all balancers must build the same table. */
+const OFFSET_KEY = new Uint8Array(KEYED_HASH_KEY_BYTES).fill(1);
+const SKIP_KEY = new Uint8Array(KEYED_HASH_KEY_BYTES).fill(2);
+const FLOW_KEY = new Uint8Array(KEYED_HASH_KEY_BYTES).fill(3);
 const EMPTY = -1;
 
 interface Permutation {
@@ -44,19 +44,23 @@
  * @returns the ID of the flow's back end
  */
 export function lookUpMaglev(table: Int32Array, flowId: Uint8Array): number {
-  return table[siphash.hash(FLOW_KEY, flowId).l % MAGLEV_TABLE_SIZE] ?? EMPTY;
+  return table[lowWord(FLOW_KEY, flowId) % MAGLEV_TABLE_SIZE] ?? EMPTY;
 }
 
 function permutationOf(id: number): Permutation {
   const name = Buffer.alloc(4);
   name.writeUInt32BE(id);
   return {
-    position: siphash.hash(OFFSET_KEY, name).l % MAGLEV_TABLE_SIZE,
-    skip: 1 + (siphash.hash(SKIP_KEY, name).l % (MAGLEV_TABLE_SIZE - 1)),
+    position: lowWord(OFFSET_KEY, name) % MAGLEV_TABLE_SIZE,
+    skip: 1 + (lowWord(SKIP_KEY, name) % (MAGLEV_TABLE_SIZE - 1)),
     next: 0,
   };
 }
 
+function lowWord(key: Uint8Array, bytes: Uint8Array): number {
+  return Buffer.from(keyedHash(key, bytes).buffer).readUInt32LE();
+}
+
 function nextFreeEntry(table: Int32Array, permutation: Permutation): number {
   for (;;) {
     const { position, skip } = permutation;
