Test restarts, planned stops, limits and answers of the stand-ins; spare the machine

Cause: restarts at the same address, a planned stop while the list lags, cancellation, deadlines, shedding and crossed answers had no tests. A request refused at its deadline was counted as unknown, since the caller gave up in the same moment as the back end said "not run". With 7800 sessions the stand-ins took more processor time than this machine had left, and copies of packets piled up.

--- a/src/cli/callers.ts
+++ b/src/cli/callers.ts
@@ -22,11 +22,11 @@
   readonly feedTime: number;
   readonly stopAfter?: number;
   readonly requestDeadline: number;
+  readonly retransmit: number;
   readonly retransmitMax: number;
 }
 
 const OPEN_DEADLINE_MS = 2_000;
-const RETRANSMIT_MS = 250;
 
 /**
  * Registers the subcommand.
@@ -48,6 +48,7 @@
     .option('--feed-time <ms>', 'Longest time of a feed', { default: 30000 })
     .option('--stop-after <ms>', 'Begin no request later than this; without it, until all are made')
     .option('--request-deadline <ms>', 'Time for one request, its open included', { default: 5000 })
+    .option('--retransmit <ms>', 'Time until an unanswered packet is sent again', { default: 250 })
     .option('--retransmit-max <ms>', 'Longest time between two copies', { default: 2000 })
     .action(run);
 }
@@ -81,7 +82,7 @@
     ...(flags.stopAfter !== undefined && { stopAfterMs: flags.stopAfter - startsAfterMs }),
     requestDeadlineMs: flags.requestDeadline,
     openDeadlineMs: OPEN_DEADLINE_MS,
-    retransmitMs: RETRANSMIT_MS,
+    retransmitMs: flags.retransmit,
     retransmitMaxMs: flags.retransmitMax,
     ...(session < flags.feeds && { feed }),
   };
--- a/src/experiment/operator-changes.ts
+++ b/src/experiment/operator-changes.ts
@@ -26,6 +26,8 @@
   readonly changesSent: number;
   readonly changesAccepted: number;
   readonly changesRefused: number;
+  /** Why changes were refused, each reason once. */
+  readonly refusalReasons: readonly string[];
   /** Accepted, but not in force on every balancer that is up within 30 seconds. */
   readonly changesLate: number;
   /** Services that at the end don't show the last change that was accepted for them. */
@@ -42,6 +44,7 @@
 export class OperatorChanges {
   private sent = 0;
   private refused = 0;
+  private readonly refusalReasons = new Set<string>();
   private late = 0;
   private readonly accepted = build();
   private readonly inForce = build();
@@ -71,6 +74,7 @@
       changesSent: this.sent,
       changesAccepted: this.accepted.totalCount,
       changesRefused: this.refused,
+      refusalReasons: [...this.refusalReasons],
       changesLate: this.late,
       changesReverted: await this.countReverted(),
       acceptedP50Ms: percentile(this.accepted, MEDIAN),
@@ -91,6 +95,7 @@
     });
     if (result.isErr()) {
       this.refused += 1;
+      this.refusalReasons.add(`${result.error.kind}: ${result.error.message}`);
       return;
     }
     const acceptedAtMs = performance.now();
--- a/src/experiment/replacements.ts
+++ b/src/experiment/replacements.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { sendJson } from '../daemon/http-json.js';
-import type { Cluster, ClusterBalancer, ClusterControl } from './cluster.js';
+import type { Cluster, ClusterBackend, ClusterBalancer, ClusterControl } from './cluster.js';
 import { readControlStatus, waitUntilInForce } from './cluster-status.js';
 import type { RunRecorder } from './run-recorder.js';
 
@@ -45,21 +45,23 @@
 }
 
 /**
- * Drains a share of a service's back ends at the same time, after as many new ones were added.
+ * Drains a share of each service's back ends at the same time, after as many new ones were added.
  */
 export async function drainBackends(
   { cluster, recorder }: FleetContext,
-  serviceName: string,
   share: number,
 ): Promise<void> {
-  const members = cluster.backends.filter(
-    (backend) => backend.service.name === serviceName && !backend.leaving,
-  );
-  const leaving = members.slice(0, Math.ceil(members.length * share));
-  const added = leaving.map(({ service }) => cluster.startBackend(service));
-  const indexes = (await Promise.all(added)).map(({ addedAtIndex }) => addedAtIndex);
-  await waitUntilInForce(cluster, Math.max(...indexes), STEP_TIMEOUT_MS);
-  recorder.note(`Drain ${leaving.length} of ${members.length} back ends of ${serviceName}`);
+  const leaving = cluster.options.deployment.services.flatMap((service) => {
+    const members = cluster.backends.filter((one) => one.service === service && !one.leaving);
+    return members.slice(0, Math.round(members.length * share));
+  });
+  const added: ClusterBackend[] = [];
+  for (const { service } of leaving) {
+    added.push(await cluster.startBackend(service));
+  }
+  const lastAdded = Math.max(...added.map(({ addedAtIndex }) => addedAtIndex));
+  await waitUntilInForce(cluster, lastAdded, STEP_TIMEOUT_MS);
+  recorder.note(`drain ${leaving.map(({ name }) => name).join(', ')}`);
   await Promise.all(leaving.map((backend) => cluster.drain(backend)));
 }
 
--- a/src/standins/backend-state.ts
+++ b/src/standins/backend-state.ts
@@ -121,6 +121,8 @@
   /** Time that requests have spent in slots up to `busyNotedAtMs`, added up, in milliseconds. */
   busySlotMs: number;
   busyNotedAtMs: number;
+  /** When every flow and feed is looked at next. */
+  sweepAtMs: number;
 }
 
 /**
@@ -154,6 +156,7 @@
     misrouted: 0,
     busySlotMs: 0,
     busyNotedAtMs: nowMs,
+    sweepAtMs: nowMs,
   };
 }
 
--- a/src/standins/backend-step.ts
+++ b/src/standins/backend-step.ts
@@ -37,6 +37,9 @@
 
 export type { BackendEffect } from './backend-send.js';
 
+/** Time between two looks at every flow and feed, in milliseconds. */
+const SWEEP_INTERVAL_MS = 50;
+
 /** What can happen to a back end. */
 export type BackendEvent =
   | { readonly type: 'datagram'; readonly datagram: Uint8Array; readonly from: Address }
@@ -162,10 +165,10 @@
   if (context.nowMs - state.startedAtMs >= (faults?.freezesLoadAfterMs ?? Infinity)) {
     state.frozenLoad ??= loadReport(state);
   }
-  return [
-    ...requestsTick(state, context),
-    ...drainTick(state, context),
-    ...feedsTick(state, context),
-    ...expireFlows(state, context),
-  ];
+  const effects = [...requestsTick(state, context), ...drainTick(state, context)];
+  if (context.nowMs < state.sweepAtMs) {
+    return effects;
+  }
+  state.sweepAtMs = context.nowMs + SWEEP_INTERVAL_MS;
+  return [...effects, ...feedsTick(state, context), ...expireFlows(state, context)];
 }
--- /dev/null
+++ b/test/flows/caller.test.ts
@@ -0,0 +1,197 @@
+/** @file What a caller takes from the packets that reach it, one packet at a time. */
+import t from 'tap';
+import { seededRandom } from '../../src/common/random.js';
+import {
+  encodeLongHeader,
+  encodeShortHeader,
+  hasLongHeader,
+  parseLongHeader,
+  parseShortHeader,
+} from '../../src/flow/header.js';
+import { decodeMessage, encodeMessage, type Message } from '../../src/flow/messages.js';
+import { TOKEN_LENGTH_BYTES } from '../../src/flow/token.js';
+import {
+  createCallerState,
+  type CallerEffect,
+  type CallerOptions,
+} from '../../src/standins/caller-state.js';
+import { callerStep } from '../../src/standins/caller-step.js';
+import { answerParts } from '../../src/standins/workload.js';
+
+const TOKEN = new Uint8Array(TOKEN_LENGTH_BYTES).fill(9);
+const ANSWER_BYTES = 3_000;
+
+/** A caller without a network: the test plays balancer and back end. */
+class LoneCaller {
+  readonly sent: Message[] = [];
+  readonly outcomes: unknown[] = [];
+  nowMs = 0;
+  private readonly random = seededRandom(1);
+  private readonly state;
+  private flowId = new Uint8Array(0);
+
+  constructor(options: Partial<CallerOptions>) {
+    this.state = createCallerState(
+      {
+        serviceName: 'authd',
+        requestCount: 2,
+        firstRequestNumber: 100,
+        answerBytes: ANSWER_BYTES,
+        pauseMs: 10,
+        requestDeadlineMs: 5_000,
+        openDeadlineMs: 2_000,
+        retransmitMs: 1_000,
+        ...options,
+      },
+      0,
+    );
+  }
+
+  get wrongAnswers(): number {
+    return this.state.wrongAnswers;
+  }
+
+  tick(untilMs: number): void {
+    for (; this.nowMs < untilMs; this.nowMs += 10) {
+      this.take(callerStep(this.state, { type: 'tick' }, this.context));
+    }
+  }
+
+  /** Answers the open that the caller sent last. */
+  replyToOpen(message: Message): void {
+    const source = message.type === 'accept' ? TOKEN : new Uint8Array(0);
+    this.receive(encodeLongHeader(this.flowId, source, encodeMessage(message)));
+  }
+
+  reply(message: Message): void {
+    this.receive(encodeShortHeader(this.flowId, encodeMessage(message)));
+  }
+
+  sentOf(type: Message['type']): Message[] {
+    return this.sent.filter((message) => message.type === type);
+  }
+
+  private get context() {
+    return { nowMs: this.nowMs, random: this.random };
+  }
+
+  private receive(packet: Uint8Array): void {
+    this.take(callerStep(this.state, { type: 'packet', packet }, this.context));
+  }
+
+  private take(effects: readonly CallerEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === 'outcome') {
+        this.outcomes.push(effect.outcome);
+      } else if (effect.type === 'send' && hasLongHeader(effect.packet)) {
+        const { sourceId, body } = parseLongHeader(effect.packet)._unsafeUnwrap();
+        this.flowId = Uint8Array.from(sourceId);
+        this.sent.push(decodeMessage(body)._unsafeUnwrap());
+      } else if (effect.type === 'send') {
+        const { body } = parseShortHeader(effect.packet, TOKEN_LENGTH_BYTES)._unsafeUnwrap();
+        this.sent.push(decodeMessage(body)._unsafeUnwrap());
+      }
+    }
+  }
+}
+
+function answerTo(requestId: number, requestNumber: number): Message[] {
+  const work = { service: 'authd', requestNumber, answerBytes: ANSWER_BYTES };
+  const parts = answerParts(work);
+  return parts.map((payload, part) => ({
+    type: 'answer',
+    requestId,
+    part,
+    parts: parts.length,
+    payload,
+  }));
+}
+
+function openCaller(options: Partial<CallerOptions> = {}): LoneCaller {
+  const caller = new LoneCaller(options);
+  caller.tick(20);
+  caller.replyToOpen({ type: 'accept', incarnation: 1 });
+  caller.tick(40);
+  return caller;
+}
+
+t.test('parts that come doubled and in reverse give one whole, right answer', async (t) => {
+  const caller = openCaller();
+  const parts = answerTo(1, 100).reverse();
+  parts.slice(0, -1).forEach((part) => caller.reply(part));
+  parts.slice(0, -1).forEach((part) => caller.reply(part));
+  t.strictSame(caller.outcomes, [], 'no answer before the last part');
+  parts.slice(-1).forEach((part) => caller.reply(part));
+  t.match(caller.outcomes, [{ type: 'answered', requestNumber: 100 }]);
+  t.equal(caller.wrongAnswers, 0);
+});
+
+t.test('a late answer to the first request is not taken for the second one', async (t) => {
+  const caller = openCaller();
+  answerTo(1, 100).forEach((part) => caller.reply(part));
+  caller.tick(100);
+  t.equal(caller.sentOf('request').length, 2, 'the second request is under way');
+  const parts = answerTo(2, 101);
+  parts.slice(0, 1).forEach((part) => caller.reply(part));
+  answerTo(1, 100).forEach((part) => caller.reply(part));
+  parts.slice(1).forEach((part) => caller.reply(part));
+  t.match(caller.outcomes, [{ requestNumber: 100 }, { type: 'answered', requestNumber: 101 }]);
+  t.equal(caller.wrongAnswers, 0);
+});
+
+t.test('an answer with wrong bytes is noticed', async (t) => {
+  const caller = openCaller();
+  answerTo(1, 101).forEach((part) => caller.reply(part));
+  t.equal(caller.wrongAnswers, 1);
+});
+
+t.test('a refused open is tried again when the retry-after has passed, not before', async (t) => {
+  const caller = new LoneCaller({ requestCount: 1 });
+  caller.tick(20);
+  const refusal = { type: 'refuse', kind: 'overloaded', surelyNotRun: true } as const;
+  caller.replyToOpen({ ...refusal, retryAfterMs: 700 });
+  caller.tick(710);
+  t.equal(caller.sentOf('open').length, 1);
+  caller.tick(800);
+  t.equal(caller.sentOf('open').length, 2);
+});
+
+t.test('a request that surely did not run is sent again, on another flow', async (t) => {
+  const caller = openCaller({ requestCount: 1 });
+  const refusal = { type: 'refuse', kind: 'overloaded', surelyNotRun: true } as const;
+  caller.reply({ ...refusal, requestId: 1, retryAfterMs: 300 });
+  caller.tick(300);
+  t.equal(caller.sentOf('open').length, 1, 'not before the retry-after');
+  caller.tick(400);
+  t.equal(caller.sentOf('open').length, 2);
+  caller.replyToOpen({ type: 'accept', incarnation: 1 });
+  caller.tick(420);
+  t.equal(caller.sentOf('request').length, 2);
+});
+
+t.test('a request of unknown outcome is never sent again', async (t) => {
+  for (const cut of [
+    { type: 'close', kind: 'stale-incarnation' },
+    { type: 'close', kind: 'unknown-flow' },
+    { type: 'refuse', requestId: 1, kind: 'outcome-unknown', surelyNotRun: false },
+    { type: 'close' },
+  ] satisfies Message[]) {
+    const caller = openCaller({ requestCount: 1 });
+    caller.reply(cut);
+    caller.tick(20_000);
+    t.match(caller.outcomes, [{ type: 'unknown', requestNumber: 100 }]);
+    t.equal(caller.sentOf('request').length, 1);
+  }
+});
+
+t.test('each copy of a request carries the time that is left', async (t) => {
+  const caller = openCaller({ requestCount: 1 });
+  caller.tick(4_000);
+  const left = caller
+    .sentOf('request')
+    .map((message) => (message.type === 'request' ? message.deadlineMs : 0));
+  t.ok(left.length >= 2);
+  t.ok(left.every((time, copy) => copy === 0 || time < (left[copy - 1] ?? 0) - 500));
+  caller.tick(6_000);
+  t.match(caller.outcomes, [{ type: 'unknown', kind: 'deadline-exceeded' }]);
+});
--- /dev/null
+++ b/test/flows/limits.test.ts
@@ -0,0 +1,67 @@
+/** @file Slots, queues, deadlines and cancellation at back ends, and what callers are told. */
+import t from 'tap';
+import { harmOf, World } from './world.js';
+
+const NO_HARM = { ranTwice: 0, falseNotRun: 0, wrong: 0 };
+
+t.test('a full back end sheds with a truthful "not run"; its queue stays bounded', async (t) => {
+  const backend = { slots: 2, queueLimit: 5, meanServiceTimeMs: 100 };
+  const world = new World({ seed: 1, backends: [backend] });
+  for (let number = 0; number < 40; number += 1) {
+    world.addCaller({ requestCount: 3, requestDeadlineMs: 1_500, pauseMs: 10 });
+  }
+  let longest = 0;
+  let busiest = 0;
+  world.network.every(5, () => {
+    longest = Math.max(longest, world.backends[0]?.queue.length ?? 0);
+    busiest = Math.max(busiest, world.backends[0]?.running.size ?? 0);
+  });
+  world.finish(30_000);
+  t.equal(longest, 5);
+  t.equal(busiest, 2);
+  const outcomes = world.callers.flatMap((caller) => caller.outcomes);
+  t.ok(outcomes.some(({ type }) => type === 'answered'));
+  t.ok(outcomes.some(({ type }) => type === 'not-run'));
+  const unknown = outcomes.filter(({ type }) => type === 'unknown');
+  const runs = new Set(world.backends[0]?.runs);
+  t.ok(
+    unknown.every(({ requestNumber }) => runs.has(requestNumber)),
+    'what did not run is never left unknown',
+  );
+  t.strictSame(harmOf(world), NO_HARM);
+});
+
+t.test('a request whose deadline passes in the queue is not run, then or later', async (t) => {
+  const world = new World({ seed: 2, backends: [{ slots: 1, meanServiceTimeMs: 3_000 }] });
+  const first = world.addCaller({ requestCount: 1, requestDeadlineMs: 60_000 });
+  world.run(50);
+  const second = world.addCaller({ requestCount: 1, requestDeadlineMs: 400 });
+  world.run(600);
+  t.match(second.outcomes, [{ type: 'not-run', kind: 'deadline-exceeded' }]);
+  world.finish(60_000);
+  t.match(first.outcomes, [{ type: 'answered' }]);
+  t.equal(world.backends[0]?.runs.length, 1);
+});
+
+t.test('the back end holds a request to the deadline of its caller', async (t) => {
+  const world = new World({ seed: 3, backends: [{ meanServiceTimeMs: 10_000 }] });
+  const caller = world.addCaller({ requestCount: 1, requestDeadlineMs: 2_000 });
+  world.run(1_000);
+  const [record] = world.backends[0]?.running ?? [];
+  const deadlineAtMs = caller.state.request?.deadlineAtMs ?? 0;
+  t.ok(Math.abs((record?.deadlineAtMs ?? 0) - deadlineAtMs) <= 5, 'but for the way to it');
+});
+
+t.test(
+  'a cancelled request never runs where it waits, and is answered where it runs',
+  async (t) => {
+    const world = new World({ seed: 4, backends: [{ slots: 1, meanServiceTimeMs: 800 }] });
+    const running = world.addCaller({ requestCount: 1, cancelAfterMs: 100 });
+    world.run(50);
+    const waiting = world.addCaller({ requestCount: 1, cancelAfterMs: 100 });
+    world.finish(20_000);
+    t.match(running.outcomes, [{ type: 'answered' }]);
+    t.match(waiting.outcomes, [{ type: 'not-run', kind: 'cancelled' }]);
+    t.strictSame(world.backends[0]?.runs, [running.outcomes[0]?.requestNumber]);
+  },
+);
--- a/test/flows/world.ts
+++ b/test/flows/world.ts
@@ -156,6 +156,12 @@
     }
   }
 
+  /** A planned stop: no new opens, forwarding for the grace time, then the end. */
+  stopBalancer(position: number, graceMs: number): void {
+    this.stepBalancer(position, { type: 'stop' });
+    this.network.after(graceMs, () => this.killBalancer(position));
+  }
+
   listBalancers(positions = this.balancers.map((_, position) => position)): void {
     const listed = this.balancers.filter((_, position) => positions.includes(position));
     const balancers = listed.map(({ front }) => ({ address: front, zone: ZONE }));
