--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -3,7 +3,7 @@
  * of each back end, and pending opens. Nothing here grows with established flows.
  */
 import { match } from 'ts-pattern';
-import { formatAddress, type Address } from '../common/address.js';
+import { addressKey, type Address, type AddressKey } from '../common/address.js';
 import {
   emptyRoutingConfig,
   type Backend,
@@ -22,10 +22,13 @@
 import { createSubscription, type SubscriptionState } from '../dissemination/subscription.js';
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
-import type { HealthReport, LoadReport, ProbeResult } from '../health/backend-report.js';
+import type { ProbeResult } from '../health/backend-report.js';
 import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
+import { createBackendView, type BackendView } from './backend-view.js';
+import type { BackendChange } from './candidates.js';
+import { createServiceGroups, type ServiceGroups } from './service-groups.js';
 
 /** Options of a balancer; times in milliseconds. */
 export interface BalancerOptions {
@@ -51,16 +54,12 @@
   probeIntervalMs: 500,
 } as const;
 
-/** What a balancer knows of one back end. */
-export interface BackendView {
-  backend: Backend;
-  health: HealthReport | undefined;
-  load: LoadReport | undefined;
-  loadReceivedAtMs: number;
-  pendingOpens: number;
-  opensSinceReport: number;
-  /** When the back end was asked what it last answered to with its own ID. */
-  identityConfirmedAtMs: number;
+/** How many balancers share the traffic, as far as this one knows. */
+export interface FleetSize {
+  /** All live balancers, this one included. */
+  balancerCount: number;
+  /** Those of this one's zone, this one included. */
+  localBalancerCount: number;
 }
 
 /** An open that waits for a back end's answer. */
@@ -82,11 +81,14 @@
   readonly options: BalancerOptions;
   readonly config: RoutingConfig;
   position: ConfigPosition;
-  /** Service by the text form of its address. */
-  readonly servicesByAddress: Map<string, Service>;
+  readonly servicesByAddress: Map<AddressKey, Service>;
   readonly preparedKeys: Map<number, PreparedTokenKey>;
   currentKeyId: number | undefined;
   readonly views: Map<number, BackendView>;
+  readonly groups: ServiceGroups;
+  /** Changes of judged states that are not yet logged. */
+  readonly backendChanges: BackendChange[];
+  readonly fleet: FleetSize;
   readonly policies: Map<PlacementPolicyName, PlacementPolicy>;
   readonly pendingOpens: Map<string, PendingOpen>;
   /** Datagrams and opens that ended in each error kind. */
@@ -110,6 +112,9 @@
     preparedKeys: new Map(),
     currentKeyId: undefined,
     views: new Map(),
+    groups: createServiceGroups(),
+    backendChanges: [],
+    fleet: { balancerCount: 1, localBalancerCount: 1 },
     policies: new Map(),
     pendingOpens: new Map(),
     errorCounts: new Map(),
@@ -191,7 +196,7 @@
   const { config, views } = state;
   if (change.type === 'service-set') {
     forgetServiceAddress(state, change.service.id);
-    state.servicesByAddress.set(formatAddress(change.service.address), change.service);
+    state.servicesByAddress.set(addressKey(change.service.address), change.service);
   } else if (change.type === 'service-removed') {
     forgetServiceAddress(state, change.serviceId);
   }
@@ -207,7 +212,7 @@
 /** Another service may have taken the address already. */
 function forgetServiceAddress(state: BalancerState, serviceId: number): void {
   const known = state.config.services.get(serviceId);
-  const key = known === undefined ? undefined : formatAddress(known.address);
+  const key = known === undefined ? undefined : addressKey(known.address);
   if (key !== undefined && state.servicesByAddress.get(key)?.id === serviceId) {
     state.servicesByAddress.delete(key);
   }
@@ -228,7 +233,7 @@
 function rebuildTables(state: BalancerState): void {
   state.servicesByAddress.clear();
   for (const service of state.config.services.values()) {
-    state.servicesByAddress.set(formatAddress(service.address), service);
+    state.servicesByAddress.set(addressKey(service.address), service);
   }
   rebuildKeys(state);
   rebuildViews(state);
@@ -259,20 +264,8 @@
 function setView(state: BalancerState, backend: Backend): void {
   const view = state.views.get(backend.id);
   if (view === undefined) {
-    state.views.set(backend.id, newView(backend));
+    state.views.set(backend.id, createBackendView(backend));
   } else {
     view.backend = backend;
   }
 }
-
-function newView(backend: Backend): BackendView {
-  return {
-    backend,
-    health: undefined,
-    load: undefined,
-    loadReceivedAtMs: 0,
-    pendingOpens: 0,
-    opensSinceReport: 0,
-    identityConfirmedAtMs: Number.NEGATIVE_INFINITY,
-  };
-}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -12,6 +12,7 @@
 import { registerDemo } from './demo.js';
 import { registerFabric } from './fabric.js';
 import { registerFleet } from './fleet.js';
+import { registerSimulate } from './simulate.js';
 
 const ARGUMENTS_BEFORE_COMMAND = 2;
 
@@ -28,6 +29,7 @@
   registerBackend,
   registerFabric,
   registerCallers,
+  registerSimulate,
 ];
 
 /**
--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -20,7 +20,6 @@
 import { seededRandom } from '../common/random.js';
 import type { RandomSource, StepContext } from '../common/step.js';
 import type { Backend, PlacementPolicyName, Service, TokenKey } from '../control/cluster-state.js';
-import { LEASE_DURATION_MS, takeGrant } from '../dissemination/lease.js';
 import { encodeShortHeader } from '../flow/header.js';
 import { mintToken, prepareTokenKey } from '../flow/token.js';
 import { PlacementBackend, type PlacementBackendShape } from './placement-backend.js';
@@ -101,6 +100,7 @@
       this.addBalancer(number);
     }
     this.configure();
+    this.tellFleetSize();
     this.agenda.every(LOAD_SAMPLE_MS, () => this.backends.forEach((one) => one.recordLoad()));
     this.balancers.forEach((balancer) => this.startProbes(balancer));
     this.agenda.every(1, () => this.openFlows());
@@ -123,15 +123,16 @@
 
   private addBalancer(number: number): void {
     const zone = ZONES[number % ZONES.length] ?? ZONES[0];
-    this.balancers.push(
-      createBalancerState({
-        ...defaultBalancerOptions,
-        balancerId: `balancer-${number}`,
-        zone,
-        controlAddresses: [],
-        clusterKey: '',
-      }),
-    );
+    const balancer = createBalancerState({
+      ...defaultBalancerOptions,
+      balancerId: `balancer-${number}`,
+      zone,
+      controlAddresses: [],
+      clusterKey: '',
+    });
+    // No control machine is a part of this world, so the lease never runs out.
+    balancer.subscription.lease.expiresAtMs = Number.POSITIVE_INFINITY;
+    this.balancers.push(balancer);
   }
 
   /** Sends the present configuration to all balancers. */
@@ -147,6 +148,15 @@
     this.balancers.forEach((balancer) => applyConfigUpdate(balancer, update));
   }
 
+  /** Each balancer learns how many there are. */
+  private tellFleetSize(): void {
+    for (const { fleet, options } of this.balancers) {
+      const local = this.balancers.filter((other) => other.options.zone === options.zone);
+      fleet.balancerCount = this.balancers.length;
+      fleet.localBalancerCount = local.length;
+    }
+  }
+
   /** Each balancer probes each back end, evenly over the interval. */
   private startProbes(balancer: BalancerState): void {
     for (const backend of this.backends) {
@@ -163,17 +173,6 @@
     const health = { backendId: backend.id, incarnation, state: 'ready' } as const;
     const result = { backendId: backend.id, health, load: target.reportedLoad() };
     recordProbe(balancer, result, this.context());
-    this.extendLease(balancer);
-  }
-
-  /** Control is reachable throughout. */
-  private extendLease(balancer: BalancerState): void {
-    const grant = {
-      askedAtMs: this.agenda.nowMs,
-      remainingMs: LEASE_DURATION_MS,
-      floorIndex: this.position,
-    };
-    takeGrant(balancer.subscription.lease, grant, balancer.position.index);
   }
 
   private context(): StepContext {
@@ -217,10 +216,11 @@
       return;
     }
     open.triedBackendIds.push(view.backend.id);
-    recordAttempt(view);
+    recordAttempt(balancer, view, this.context());
     this.agenda.after(OPEN_ROUND_TRIP_MS, () => {
       const accepted = target.open();
-      recordAttemptEnd(view, accepted ? 'accepted' : 'refused', target.incarnation);
+      const outcome = accepted ? 'accepted' : 'refused';
+      recordAttemptEnd(balancer, view, outcome, target.incarnation, this.context());
       if (accepted) {
         this.startFlow(open.flowId, target);
       } else {
