--- a/src/standins/fabric-process.ts
+++ b/src/standins/fabric-process.ts
@@ -10,11 +10,11 @@
 import { systemContextSource } from '../daemon/system-context.js';
 import { bindUdp, type UdpSocket } from '../daemon/udp-socket.js';
 import {
+  createFabricState,
   fabricStep,
   type FabricEffect,
   type FabricEvent,
   type FabricOptions,
-  type FabricState,
 } from './fabric-step.js';
 
 const balancerListSchema = z.array(z.strictObject({ address: addressSchema, zone: z.string() }));
@@ -39,7 +39,7 @@
   options: FabricOptions,
   serviceAddresses: readonly Address[],
 ): Promise<FabricProcess> {
-  const state: FabricState = { options, balancers: [], cutOff: new Set() };
+  const state = createFabricState(options);
   const contexts = systemContextSource();
   const serviceSockets = new Map<string, UdpSocket>();
   const step = (event: FabricEvent): void => {
--- a/src/standins/fabric-step.ts
+++ b/src/standins/fabric-step.ts
@@ -31,6 +31,13 @@
   cutOff: ReadonlySet<string>;
 }
 
+/**
+ * @returns a fabric that lists no balancers
+ */
+export function createFabricState(options: FabricOptions): FabricState {
+  return { options, balancers: [], cutOff: new Set() };
+}
+
 /** What can happen to the fabric. */
 export type FabricEvent =
   /** A packet from a caller to a service. */
--- a/test/flows/world.ts
+++ b/test/flows/world.ts
@@ -29,6 +29,7 @@
 } from '../../src/standins/caller-state.js';
 import { callerStep, type CallerEvent } from '../../src/standins/caller-step.js';
 import {
+  createFabricState,
   fabricStep,
   type FabricEffect,
   type FabricEvent,
@@ -88,7 +89,7 @@
   constructor(options: WorldOptions) {
     this.network = new VirtualNetwork(options.seed, options.faults ?? goodNetwork);
     const fabricOptions = { zone: ZONE, crossZoneDelayMs: 0.5, callerDelayMs: 1 };
-    this.fabric = { options: fabricOptions, balancers: [], cutOff: new Set() };
+    this.fabric = createFabricState(fabricOptions);
     options.backends.forEach((backend) => this.addBackend(backend));
     for (let number = 0; number < (options.balancers ?? 2); number += 1) {
       this.addBalancer(number);
