--- a/src/membership/gossip-codec.ts
+++ b/src/membership/gossip-codec.ts
@@ -5,15 +5,12 @@
 import { createHash } from 'node:crypto';
 import { Packr } from 'msgpackr';
 import { err, ok, type Result } from 'neverthrow';
-import siphash from 'siphash';
 import { z } from 'zod';
+import { KEYED_HASH_BYTES, KEYED_HASH_KEY_BYTES, keyedHash } from '../common/keyed-hash.js';
 import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
-import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
 import type { GossipMessage, ZoneSummary } from './gossip-messages.js';
 import type { MemberAddresses, MemberRecord, MemberStatus } from './member.js';
 
-const MAC_LENGTH_BYTES = 8;
-const KEY_LENGTH_BYTES = 16;
 const MAX_PORT = 65_535;
 const STATUSES: readonly MemberStatus[] = ['alive', 'suspect', 'dead', 'left'];
 const TYPES: readonly GossipMessage['type'][] = ['ping', 'ping-request', 'ack', 'sync', 'zones'];
@@ -50,14 +47,14 @@
 type MessageFields = z.infer<typeof messageFields>;
 
 /** The key under which a cluster's datagrams are hashed. */
-export type GossipKey = PreparedTokenKey;
+export type GossipKey = Uint8Array;
 
 /**
  * @returns the key that belongs to a cluster key
  */
 export function gossipKey(clusterKey: string): GossipKey {
   const digest = createHash('sha256').update(`gossip:${clusterKey}`).digest();
-  return prepareTokenKey(digest.subarray(0, KEY_LENGTH_BYTES));
+  return digest.subarray(0, KEYED_HASH_KEY_BYTES);
 }
 
 /**
@@ -65,7 +62,7 @@
  */
 export function encodeGossip(message: GossipMessage, key: GossipKey): Buffer {
   const body = packr.pack(toFields(message));
-  return Buffer.concat([macOf(body, key), body]);
+  return Buffer.concat([keyedHash(key, body), body]);
 }
 
 /**
@@ -76,9 +73,9 @@
   datagram: Uint8Array,
   key: GossipKey,
 ): Result<GossipMessage, AmberliftError> {
-  const body = datagram.subarray(MAC_LENGTH_BYTES);
-  const mac = datagram.subarray(0, MAC_LENGTH_BYTES);
-  if (!macOf(body, key).equals(mac)) {
+  const body = datagram.subarray(KEYED_HASH_BYTES);
+  const mac = datagram.subarray(0, KEYED_HASH_BYTES);
+  if (!Buffer.from(keyedHash(key, body)).equals(mac)) {
     return err(amberliftError('wrong-cluster', 'The datagram was made with another cluster key.'));
   }
   const parsed = messageFields.safeParse(unpack(body));
@@ -96,14 +93,6 @@
   }
 }
 
-function macOf(body: Uint8Array, key: GossipKey): Buffer {
-  const { h, l } = siphash.hash(key, body);
-  const mac = Buffer.alloc(MAC_LENGTH_BYTES);
-  mac.writeUInt32BE(h, 0);
-  mac.writeUInt32BE(l, MAC_LENGTH_BYTES / 2);
-  return mac;
-}
-
 function toFields(message: GossipMessage): MessageFields {
   const { type, zone, sender, updates, zones } = message;
   return [
