--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -7,6 +7,8 @@
   type ConsensusState,
 } from '../consensus/consensus-state.js';
 import type { Member, NodeId } from '../consensus/membership.js';
+import { balancerReports } from '../dissemination/publisher.js';
+import type { BalancerReport } from '../dissemination/subtree-report.js';
 import { machinesToAdd, type AnnouncedMachine } from './cluster-join.js';
 import type { ControlState } from './control-state.js';
 
@@ -34,13 +36,7 @@
   /** Why a peer refused this machine. */
   readonly refusal: string | undefined;
   /** Balancers that report to this machine, with the index that each has in force. */
-  readonly balancers: readonly ReportingBalancer[];
-}
-
-/** A balancer that reports to a control machine. */
-export interface ReportingBalancer {
-  readonly balancerId: string;
-  readonly index: number;
+  readonly balancers: readonly BalancerReport[];
 }
 
 /**
@@ -64,10 +60,7 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
-    balancers: [...state.publisher.reports.values()].map(({ balancerId, position }) => ({
-      balancerId,
-      index: position.index,
-    })),
+    balancers: balancerReports(state.publisher),
   };
 }
 
