--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -8,7 +8,6 @@
 } from '../consensus/consensus-state.js';
 import type { Member, NodeId } from '../consensus/membership.js';
 import { balancerReports } from '../dissemination/publisher.js';
-import type { BalancerReport } from '../dissemination/subtree-report.js';
 import { machinesToAdd, type AnnouncedMachine } from './cluster-join.js';
 import type { ControlState } from './control-state.js';
 
@@ -60,7 +59,10 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
-    balancers: balancerReports(state.publisher),
+    balancers: balancerReports(state.publisher).map(({ balancerId, index }) => ({
+      balancerId,
+      index,
+    })),
   };
 }
 
--- a/src/experiment/replacements.ts
+++ b/src/experiment/replacements.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { sendJson } from '../daemon/http-json.js';
 import type { Cluster, ClusterBackend, ClusterBalancer, ClusterControl } from './cluster.js';
-import { readControlStatus, waitUntilInForce } from './cluster-status.js';
+import { readControlStatus, revisionsOf, waitUntilInForce } from './cluster-status.js';
 import type { RunRecorder } from './run-recorder.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -59,8 +59,7 @@
   for (const { service } of leaving) {
     added.push(await cluster.startBackend(service));
   }
-  const lastAdded = Math.max(...added.map(({ addedAtIndex }) => addedAtIndex));
-  await waitUntilInForce(cluster, lastAdded, STEP_TIMEOUT_MS);
+  await waitUntilInForce(cluster, revisionsOf(added), STEP_TIMEOUT_MS);
   recorder.note(`drain ${leaving.map(({ name }) => name).join(', ')}`);
   await Promise.all(leaving.map((backend) => cluster.drain(backend)));
 }
