--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -35,7 +35,13 @@
   /** Why a peer refused this machine. */
   readonly refusal: string | undefined;
   /** Balancers that report to this machine, with the index that each has in force. */
-  readonly balancers: readonly BalancerReport[];
+  readonly balancers: readonly ReportingBalancer[];
+}
+
+/** A balancer that reports to a control machine. */
+export interface ReportingBalancer {
+  readonly balancerId: string;
+  readonly index: number;
 }
 
 /**
