--- a/src/balancer/candidates.ts
+++ b/src/balancer/candidates.ts
@@ -62,9 +62,13 @@
   }
   const group = groupOf(state, view.backend.serviceId, context.nowMs);
   noteIncarnation(view, result.health?.incarnation);
+  const distrustBefore = view.judgement.trust.distrust;
   const change = judgeProbe(view.judgement, result, group.judgements, context.nowMs);
   view.health = view.judgement.health;
   noteChange(state, view, group, change);
+  if (distrustBefore === undefined && view.judgement.trust.distrust !== undefined) {
+    raiseToMean(view, group);
+  }
   noteLoad(view, result, group, context);
 }
 
@@ -141,6 +145,13 @@
   }
 }
 
+/** What reports that are now not believed have drawn the estimate down by is made good. */
+function raiseToMean({ estimate }: BackendView, { views }: ServiceGroup): void {
+  const uses = views.map(({ estimate: one }) => one.connections / one.connectionLimit);
+  const meanUse = uses.reduce((sum, use) => sum + use, 0) / Math.max(1, uses.length);
+  estimate.connections = Math.max(estimate.connections, meanUse * estimate.connectionLimit);
+}
+
 /** A report that is not believed is replaced by the typical one of the service. */
 function noteLoad(
   view: BackendView,
--- a/src/health/report-trust.ts
+++ b/src/health/report-trust.ts
@@ -5,7 +5,7 @@
 import type { LoadReport } from './backend-report.js';
 
 /** Equal reports in a row, and opens accepted meanwhile, after which reports count as frozen. */
-const FROZEN_AFTER_REPORTS = 3;
+const FROZEN_AFTER_REPORTS = 2;
 const FROZEN_AFTER_ACCEPTED = 10;
 /** Refusals in a row under reports of an idle back end, after which those are not believed. */
 const IDLE_LIE_AFTER_REFUSED = 3;
--- a/src/routing/adaptive-policy.ts
+++ b/src/routing/adaptive-policy.ts
@@ -19,17 +19,20 @@
 /** How many candidates are compared; all of them where there are no more. */
 const CHOICES = 16;
 /** Weight of the recent opens in the score, against 1 for the connections. */
-const RECENT_OPENS_WEIGHT = 1;
-/** Weight of the slot use over the mean. */
-const SLOT_USE_WEIGHT = 0.05;
+const RECENT_OPENS_WEIGHT = 0.1;
+/** A back end with few connections gets at most this many times its share of new flows. */
+const MAX_FILL_RATE = 1.5;
+/** The share of the connections below which having still fewer makes no difference. */
+const LEAST_CONNECTION_SHARE = 1 - RECENT_OPENS_WEIGHT * (MAX_FILL_RATE - 1);
+/** What each queued request for a slot adds to the score. */
+const QUEUE_WEIGHT = 0.05;
 /** What a refused or timed-out open of late adds to the score. */
-const FAILURE_WEIGHT = 0.5;
+const FAILURE_WEIGHT = 0.1;
 
 /** How much of something each candidate has had, in the units that the score compares. */
 interface Shares {
   readonly connectionUse: number;
   readonly recentOpens: number;
-  readonly slotUse: number;
 }
 
 interface Sample extends Shares {
@@ -71,11 +74,11 @@
   context: StepContext,
 ): PlacementCandidate | undefined {
   const samples = drawSamples(candidates, request, context);
-  const mean = meanOf(samples);
+  const fair = fairShares(samples);
   let best: PlacementCandidate | undefined;
   let bestScore = Infinity;
   for (const sample of samples) {
-    const score = scoreOf(sample, mean, context.nowMs);
+    const score = scoreOf(sample, fair, context.nowMs);
     if (score < bestScore) {
       best = sample.candidate;
       bestScore = score;
@@ -119,37 +122,36 @@
     connectionUse: estimate.connections / estimate.connectionLimit,
     // A cold back end has had its share after few opens.
     recentOpens: recentOpens(estimate, nowMs) / slowStartWeight(judgement.slowStartAtMs, nowMs),
-    slotUse: estimate.slotUse,
   };
 }
 
-function meanOf(samples: readonly Sample[]): Shares {
-  const sum = { connectionUse: 0, recentOpens: 0, slotUse: 0 };
-  for (const sample of samples) {
-    sum.connectionUse += sample.connectionUse;
-    sum.recentOpens += sample.recentOpens;
-    sum.slotUse += sample.slotUse;
-  }
-  const count = Math.max(1, samples.length);
+function fairShares(samples: readonly Sample[]): Shares {
+  const uses = samples.map(({ connectionUse }) => connectionUse);
+  const leastUse = LEAST_CONNECTION_SHARE * mean(uses);
   return {
-    connectionUse: sum.connectionUse / count,
-    recentOpens: sum.recentOpens / count,
-    slotUse: sum.slotUse / count,
+    // Back ends that are being filled would draw the mean below what the others hold evenly.
+    connectionUse: mean(uses.filter((use) => use >= leastUse)),
+    recentOpens: mean(samples.map(({ recentOpens: opens }) => opens)),
   };
 }
 
-function scoreOf(sample: Sample, mean: Shares, nowMs: number): number {
-  const connections = overMean(sample.connectionUse, mean.connectionUse);
-  const opens = overMean(sample.recentOpens, mean.recentOpens);
+function mean(values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+}
+
+function scoreOf(sample: Sample, fair: Shares, nowMs: number): number {
+  const connections = overFair(sample.connectionUse, fair.connectionUse);
+  const queuedPerSlot = Math.max(0, sample.candidate.estimate.slotUse - 1);
+  const opens = overFair(sample.recentOpens, fair.recentOpens);
   const failures = recentFailures(sample.candidate.estimate, nowMs);
   return (
-    connections +
+    Math.max(LEAST_CONNECTION_SHARE, connections) +
     RECENT_OPENS_WEIGHT * opens +
-    SLOT_USE_WEIGHT * (sample.slotUse - mean.slotUse) +
+    QUEUE_WEIGHT * queuedPerSlot +
     FAILURE_WEIGHT * failures
   );
 }
 
-function overMean(value: number, mean: number): number {
-  return mean === 0 ? 1 : value / mean;
+function overFair(value: number, fair: number): number {
+  return fair === 0 ? 1 : value / fair;
 }
--- a/src/routing/load-estimate.ts
+++ b/src/routing/load-estimate.ts
@@ -7,11 +7,10 @@
 import type { LoadReport } from '../health/backend-report.js';
 
 /**
- * Time constant in milliseconds with which reports draw the estimate. Correction through a delay
- * overshoots where the delay is longer than about a third of this, so it stands for reports that are
- * up to 5 s late.
+ * Time constant in milliseconds with which reports draw the estimate. Shorter ones swing where reports
+ * are 5 s late, longer ones leave in place what the ends of flows make uneven; see the design.
  */
-const REPORT_TIME_CONSTANT_MS = 15_000;
+const REPORT_TIME_CONSTANT_MS = 5_000;
 /** Time constant in milliseconds with which recent opens are forgotten. */
 const RECENT_OPENS_TIME_CONSTANT_MS = 1_000;
 /** Time constant in milliseconds with which refusals and timeouts are forgotten. */
--- a/test/routing/bench-placement.test.ts
+++ b/test/routing/bench-placement.test.ts
@@ -5,6 +5,7 @@
 
 const scenario: PlacementScenario = {
   policy: 'random',
+  packetPath: 'token',
   seed: 3,
   balancers: 3,
   backends: 4,
@@ -16,6 +17,9 @@
   endMs: 6_000,
   flowLifeMs: 3_000,
   requestIntervalMs: 1_000,
+  crossZoneMs: 0.5,
+  changes: [],
+  liars: [],
 };
 
 test('a run of the placement bench', async (t) => {
@@ -29,6 +33,19 @@
   t.ok(small.refused > 100, 'full back ends refuse');
 });
 
+test('a drain, a joining and a dying balancer', async (t) => {
+  const changes = [
+    { atMs: 3_000, type: 'backend-drains' },
+    { atMs: 3_500, type: 'balancer-joins' },
+    { atMs: 4_000, type: 'balancer-dies' },
+    { atMs: 4_500, type: 'backend-joins' },
+  ] as const;
+  const tokens = runPlacement({ ...scenario, changes });
+  t.equal(tokens.brokenFlows, 0, 'no flow with a token breaks');
+  const tables = runPlacement({ ...scenario, changes, policy: 'maglev', packetPath: 'flow-table' });
+  t.ok(tables.brokenFlows > 10, 'flows in flow tables do');
+});
+
 test('the median', async (t) => {
   t.equal(median([5, 1, 9]), 5);
   t.equal(median([4, 1, 3, 2]), 2, 'of an even count the lower of the two in the middle');
