--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -3,7 +3,7 @@
  * of each back end, and pending opens. Nothing here grows with established flows.
  */
 import { match } from 'ts-pattern';
-import { formatAddress, type Address } from '../common/address.js';
+import { addressKey, type Address, type AddressKey } from '../common/address.js';
 import {
   emptyRoutingConfig,
   type Backend,
@@ -81,8 +81,7 @@
   readonly options: BalancerOptions;
   readonly config: RoutingConfig;
   position: ConfigPosition;
-  /** Service by the text form of its address. */
-  readonly servicesByAddress: Map<string, Service>;
+  readonly servicesByAddress: Map<AddressKey, Service>;
   readonly preparedKeys: Map<number, PreparedTokenKey>;
   currentKeyId: number | undefined;
   readonly views: Map<number, BackendView>;
@@ -197,7 +196,7 @@
   const { config, views } = state;
   if (change.type === 'service-set') {
     forgetServiceAddress(state, change.service.id);
-    state.servicesByAddress.set(formatAddress(change.service.address), change.service);
+    state.servicesByAddress.set(addressKey(change.service.address), change.service);
   } else if (change.type === 'service-removed') {
     forgetServiceAddress(state, change.serviceId);
   }
@@ -213,7 +212,7 @@
 /** Another service may have taken the address already. */
 function forgetServiceAddress(state: BalancerState, serviceId: number): void {
   const known = state.config.services.get(serviceId);
-  const key = known === undefined ? undefined : formatAddress(known.address);
+  const key = known === undefined ? undefined : addressKey(known.address);
   if (key !== undefined && state.servicesByAddress.get(key)?.id === serviceId) {
     state.servicesByAddress.delete(key);
   }
@@ -234,7 +233,7 @@
 function rebuildTables(state: BalancerState): void {
   state.servicesByAddress.clear();
   for (const service of state.config.services.values()) {
-    state.servicesByAddress.set(formatAddress(service.address), service);
+    state.servicesByAddress.set(addressKey(service.address), service);
   }
   rebuildKeys(state);
   rebuildViews(state);
--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -22,7 +22,6 @@
 import { seededRandom } from '../common/random.js';
 import type { RandomSource, StepContext } from '../common/step.js';
 import type { Backend, PlacementPolicyName, Service, TokenKey } from '../control/cluster-state.js';
-import { LEASE_DURATION_MS, takeGrant } from '../dissemination/lease.js';
 import type { ConfigSnapshot } from '../control/config-update.js';
 import { encodeShortHeader } from '../flow/header.js';
 import { mintToken, prepareTokenKey } from '../flow/token.js';
@@ -228,6 +227,8 @@
       controlAddresses: [],
       clusterKey: '',
     });
+    // No control machine is a part of this world, so the lease never runs out.
+    balancer.subscription.lease.expiresAtMs = Number.POSITIVE_INFINITY;
     this.balancers.push(balancer);
     this.tellFleetSize();
     return balancer;
@@ -280,17 +281,6 @@
     const health = { backendId: backend.id, incarnation, state: 'ready' } as const;
     const result = { backendId: backend.id, health, load: target.reportedLoad() };
     recordProbe(balancer, result, this.context());
-    this.extendLease(balancer);
-  }
-
-  /** Control is reachable throughout. */
-  private extendLease(balancer: BalancerState): void {
-    const grant = {
-      askedAtMs: this.agenda.nowMs,
-      remainingMs: LEASE_DURATION_MS,
-      floorIndex: this.position,
-    };
-    takeGrant(balancer.subscription.lease, grant, balancer.position.index);
   }
 
   private context(): StepContext {
