Check statements and plan changes against an export of the state

Cause: an operator learns only by sending a command whether it is refused and what it does to the load.

--- /dev/null
+++ b/src/cli/check.ts
@@ -0,0 +1,83 @@
+/**
+ * @file `amberlift check`: checks a settings file, or operator statements against an export of the
+ * state, before they are used.
+ */
+import { readFileSync } from 'node:fs';
+import type { CAC } from 'cac';
+import Table from 'cli-table3';
+import { exitCodes } from '../flow/error-kinds.js';
+import { loadSettings } from '../settings/load-settings.js';
+import { checkStatements, type StatementCheck } from '../toolbox/check.js';
+import { parseStateExport, stateOf } from '../toolbox/state-export.js';
+import { reportError } from './daemon-command.js';
+
+interface CheckFlags {
+  readonly config?: string;
+  readonly statements?: string;
+  readonly state?: string;
+  readonly json?: boolean;
+}
+
+/**
+ * Registers the subcommand.
+ */
+export function registerCheck(cli: CAC): void {
+  cli
+    .command('check', 'Check settings, or statements against an export of the state')
+    .option('--config <file>', 'Settings file (YAML) to check')
+    .option('--statements <file>', 'Operator statements to check, one a line')
+    .option('--state <file>', 'What "amberlift ctl --json" printed for show services and backends')
+    .option('--json', 'Print one line of JSON')
+    .action(run);
+}
+
+function run(flags: CheckFlags): void {
+  if (flags.config === undefined && flags.statements === undefined) {
+    throw new RangeError('check needs --config, or --statements with --state.');
+  }
+  if (flags.config !== undefined) {
+    const settings = loadSettings({ file: flags.config, overrides: [] });
+    if (settings.isErr()) {
+      reportError(settings.error);
+      return;
+    }
+  }
+  const statements = flags.statements === undefined ? [] : checkFile(flags.statements, flags.state);
+  if (statements === undefined) {
+    return;
+  }
+  const accepted = statements.every((check) => check.accepted);
+  if (flags.json === true) {
+    process.stdout.write(`${JSON.stringify({ accepted, statements })}\n`);
+  } else {
+    process.stdout.write(`${describe(statements)}\n`);
+  }
+  process.exitCode = accepted ? exitCodes.success : exitCodes.refused;
+}
+
+function checkFile(file: string, stateFile: string | undefined): StatementCheck[] | undefined {
+  if (stateFile === undefined) {
+    throw new RangeError('--statements needs --state.');
+  }
+  const exported = parseStateExport(readFileSync(stateFile, 'utf8'));
+  if (exported.isErr()) {
+    reportError(exported.error);
+    return undefined;
+  }
+  return checkStatements(readFileSync(file, 'utf8'), stateOf(exported.value));
+}
+
+function describe(statements: readonly StatementCheck[]): string {
+  if (statements.length === 0) {
+    return 'The settings are valid.';
+  }
+  const table = new Table({ head: ['line', 'statement', 'would be'] });
+  for (const { line, statement, accepted, kind, message } of statements) {
+    table.push([
+      line,
+      statement,
+      accepted ? 'accepted' : `refused, ${kind ?? ''}: ${message ?? ''}`,
+    ]);
+  }
+  return table.toString();
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,11 +7,13 @@
 import { registerBalancer } from './balancer.js';
 import { registerBench } from './bench.js';
 import { registerCallers } from './callers.js';
+import { registerCheck } from './check.js';
 import { registerControl } from './control.js';
 import { registerCtl } from './ctl.js';
 import { registerDemo } from './demo.js';
 import { registerFabric } from './fabric.js';
 import { registerFleet } from './fleet.js';
+import { registerPlan } from './plan.js';
 import { registerSimulate } from './simulate.js';
 
 const ARGUMENTS_BEFORE_COMMAND = 2;
@@ -26,6 +28,8 @@
   registerDemo,
   registerFleet,
   registerBench,
+  registerCheck,
+  registerPlan,
   registerBackend,
   registerFabric,
   registerCallers,
