--- a/src/experiment/cluster-status.ts
+++ b/src/experiment/cluster-status.ts
@@ -44,20 +44,22 @@
   return response.map(({ body }) => statusSchema.safeParse(body).data).unwrapOr(undefined);
 }
 
+/** How far an operator's configuration should have come. */
+export interface OperatorRevision {
+  readonly operator: string;
+  readonly revision: number;
+}
+
 /**
- * @returns the lowest configuration index in force on the balancers that are up; 0 where one of them
- *   is linked to no control machine
+ * @returns the revisions with which some back ends came, the highest of each operator
  */
-export async function indexInForce(cluster: Cluster): Promise<number> {
-  const up = cluster.controls.filter((control) => control.isUp);
-  const statuses = await Promise.all(up.map((control) => readControlStatus(cluster, control)));
-  const linked = statuses.flatMap((status) => status?.balancers ?? []);
-  const indexes = cluster.balancers
-    .filter((balancer) => balancer.isUp)
-    .map(({ nodeId }) =>
-      Math.max(0, ...linked.filter((one) => one.balancerId === nodeId).map((one) => one.index)),
-    );
-  return Math.min(...indexes);
+export function revisionsOf(backends: readonly ClusterBackend[]): OperatorRevision[] {
+  const highest = new Map<string, number>();
+  for (const { service, addedInRevision } of backends) {
+    const known = highest.get(service.operator) ?? 0;
+    highest.set(service.operator, Math.max(known, addedInRevision));
+  }
+  return [...highest].map(([operator, revision]) => ({ operator, revision }));
 }
 
 /**
@@ -66,12 +68,13 @@
  */
 export async function waitUntilInForce(
   cluster: Cluster,
-  index: number,
+  revisions: readonly OperatorRevision[],
   timeoutMs: number,
 ): Promise<boolean> {
   const endsAt = performance.now() + timeoutMs;
   while (performance.now() < endsAt) {
-    if ((await indexInForce(cluster)) >= index) {
+    const answers = await Promise.all(revisions.map((revision) => isInForce(cluster, revision)));
+    if (answers.every((answer) => answer)) {
       return true;
     }
     await sleep(POLL_INTERVAL_MS);
@@ -79,6 +82,20 @@
   return false;
 }
 
+async function isInForce(
+  cluster: Cluster,
+  { operator, revision }: OperatorRevision,
+): Promise<boolean> {
+  const answer = await cluster.clientOf(operator).query({ type: 'in-force' });
+  const up = cluster.balancers.filter((balancer) => balancer.isUp).map(({ nodeId }) => nodeId);
+  return answer.match(
+    ({ balancerCount, lagging }) =>
+      balancerCount >= up.length &&
+      !lagging.some((one) => up.includes(one.balancerId) && one.revision < revision),
+    () => false,
+  );
+}
+
 /**
  * @returns the load report of a back end, or undefined where it gave none
  */
