--- a/src/experiment/placement-world.ts
+++ b/src/experiment/placement-world.ts
@@ -343,7 +343,9 @@
     }
     const untried = this.backends.filter(
       ({ backend }) =>
-        backend.adminState === 'active' && !open.triedBackendIds.includes(backend.id),
+        backend.adminState === 'active' &&
+        balancer.views.has(backend.id) &&
+        !open.triedBackendIds.includes(backend.id),
     );
     const [first, ...others] = untried;
     const least = others.reduce<PlacementBackend | undefined>(
--- a/src/toolbox/state-export.ts
+++ b/src/toolbox/state-export.ts
@@ -110,10 +110,11 @@
     state.routing.services.set(service.id, { ...service, owner: EXPORT_OPERATOR });
     idByName.set(service.name, service.id);
   }
-  for (const { service, load: _load, ...backend } of exported.backends) {
+  for (const { id, service, address, healthAddress, zone, adminState } of exported.backends) {
     const serviceId = idByName.get(service);
     if (serviceId !== undefined) {
-      state.routing.backends.set(backend.id, { ...backend, serviceId });
+      const backend = { id, serviceId, address, healthAddress, zone, adminState };
+      state.routing.backends.set(id, backend);
     }
   }
   owner.nextServiceNumber = numberAfter(exported.services);
