--- a/src/balancer/open-handling.ts
+++ b/src/balancer/open-handling.ts
@@ -41,6 +41,7 @@
   recordAttemptEnd,
   type AttemptOutcome,
 } from './candidates.js';
+import { recordOpenLatency } from './open-latencies.js';
 
 const EMPTY_ID = new Uint8Array(0);
 
@@ -71,6 +72,7 @@
   const { flowId, message } = parsed.value;
   const key = pendingKey(envelope.client, flowId);
   if (state.pendingOpens.has(key)) {
+    state.limits.repeatedOpens += 1;
     return [];
   }
   const open: PendingOpen = {
@@ -79,6 +81,7 @@
     client: envelope.client,
     service,
     replyTo,
+    receivedAtMs: context.nowMs,
     deadlineAtMs: context.nowMs + message.deadlineMs,
     triedBackendIds: [],
     attemptEndsAtMs: 0,
@@ -110,6 +113,7 @@
   const { envelope, flowId, token, message } = reply.value;
   const open = state.pendingOpens.get(pendingKey(envelope.client, flowId));
   if (open === undefined) {
+    state.limits.lateAnswers += 1;
     return [];
   }
   const key = state.preparedKeys.get(readKeyId(token, 0));
@@ -122,6 +126,7 @@
       endAttempt(state, open, 'accepted', incarnation, context);
       forgetOpen(state, open);
       state.acceptedOpens += 1;
+      recordOpenLatency(state.openLatencies, context.nowMs - open.receivedAtMs);
       const effect: SendEffect = { type: 'send', to: open.replyTo, via: 'fabric', datagram };
       return [effect];
     })
@@ -134,7 +139,10 @@
       endAttempt(state, open, 'refused', incarnation, context);
       return [retryOpen(state, open, kind, context)];
     })
-    .otherwise(() => []);
+    .otherwise(() => {
+      countError(state, 'malformed-datagram');
+      return [];
+    });
 }
 
 /**
