--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -61,13 +61,14 @@
   options: SendOptions,
 ): void {
   const { log, options: limits } = scope.state;
+  if (log.termAt(progress.nextIndex - 1) === undefined) {
+    // Also where the window is full: what is under way may be lost, and can't be sent again.
+    startSnapshot(scope, nodeId, progress);
+    return;
+  }
   const window = progress.mode === 'probe' ? 1 : limits.maxInFlightBatches;
   let sent = 0;
   while (progress.inFlight.length < window && progress.nextIndex <= log.last.index) {
-    if (log.termAt(progress.nextIndex - 1) === undefined) {
-      startSnapshot(scope, nodeId, progress);
-      return;
-    }
     const batch = log.batchFrom(progress.nextIndex, limits.maxBatchEntries, limits.maxBatchBytes);
     sendAppend(scope, role, nodeId, progress, batch);
     progress.nextIndex += batch.length;
--- a/src/daemon/message-link.ts
+++ b/src/daemon/message-link.ts
@@ -8,6 +8,8 @@
 import type { TrafficDirection } from '../dissemination/traffic.js';
 
 const KEEP_ALIVE_MS = 5_000;
+/** A link whose other end leaves more than this unread is closed; its owner opens it anew. */
+const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
 const packr = new Packr({ useRecords: false });
 
 /** One end of a link. */
@@ -67,7 +69,9 @@
   const decoder = new UnpackrStream({ useRecords: false });
   const link: MessageLink = {
     send: (message) => {
-      if (socket.writable) {
+      if (socket.writableLength > MAX_UNSENT_BYTES) {
+        socket.destroy();
+      } else if (socket.writable) {
         const bytes = packr.pack(message);
         socket.write(bytes);
         handlers.onTraffic?.('sent', kindOf(message), bytes.length);
--- a/test/consensus/control-network.ts
+++ b/test/consensus/control-network.ts
@@ -2,6 +2,7 @@
 import { seededRandom } from '../../src/common/random.js';
 import { formatAddress, type Address } from '../../src/common/address.js';
 import type { RandomSource } from '../../src/common/step.js';
+import type { ConsensusOptions } from '../../src/consensus/consensus-state.js';
 import type { NodeId } from '../../src/consensus/membership.js';
 import type { Command, CommandOutcome } from '../../src/control/commands.js';
 import type { ControlEvent, MemberCommand } from '../../src/control/control-events.js';
@@ -38,6 +39,7 @@
   readonly tickMs?: number;
   readonly snapshotIntervalEntries?: number;
   readonly trailingEntries?: number;
+  readonly snapshotChunkBytes?: number;
   readonly clusterKey?: string;
 }
 
@@ -121,7 +123,7 @@
   start(nodeId: NodeId): void {
     const machine = this.machine(nodeId);
     machine.run += 1;
-    const { trailingEntries, snapshotIntervalEntries } = this.options;
+    const { snapshotIntervalEntries } = this.options;
     machine.state = createControlState({
       nodeId,
       clusterKey: machine.clusterKey,
@@ -130,12 +132,20 @@
       peers: machine.peers.map((peer) => ({ nodeId: peer, linkAddress: linkAddressOf(peer) })),
       operators: [{ name: OPERATOR, tokenHash: 'hash' }],
       recovered: machine.disk.recover(),
-      ...(trailingEntries !== undefined && { consensus: { trailingEntries } }),
+      consensus: this.consensusOptions(),
       ...(snapshotIntervalEntries !== undefined && { snapshotIntervalEntries }),
     });
     this.scheduleTick(machine, machine.run);
   }
 
+  private consensusOptions(): Partial<ConsensusOptions> {
+    const { trailingEntries, snapshotChunkBytes } = this.options;
+    return {
+      ...(trailingEntries !== undefined && { trailingEntries }),
+      ...(snapshotChunkBytes !== undefined && { snapshotChunkBytes }),
+    };
+  }
+
   crash(nodeId: NodeId): void {
     const machine = this.machine(nodeId);
     machine.run += 1;
