--- a/src/experiment/hollow/hollow-balancer.ts
+++ b/src/experiment/hollow/hollow-balancer.ts
@@ -11,7 +11,8 @@
 } from '../../balancer/balancer-state.js';
 import { balancerStep } from '../../balancer/balancer-step.js';
 import type { ControlToBalancerMessage } from '../../dissemination/link-messages.js';
-import type { HollowLink } from './hollow-link.js';
+import type { HollowLink, LinkClient } from './hollow-link.js';
+import type { HollowRole } from './meter.js';
 import type { Place } from './places.js';
 import { contextOf, type HollowSurroundings } from './surroundings.js';
 import type { WireMessage } from './wire.js';
@@ -31,7 +32,7 @@
 }
 
 /** One hollow balancer. */
-export class HollowBalancer {
+export class HollowBalancer implements LinkClient {
   readonly nodeId: string;
   readonly place: Place;
   state: BalancerState;
@@ -39,6 +40,9 @@
   /** Probes that the step asked for. */
   probeCount = 0;
   private link: HollowLink | undefined;
+  private linkId = 0;
+  /** Balancers that get the configuration from this one, by the name of the link here. */
+  private readonly servedLinks = new Map<number, HollowLink>();
   private generation = 0;
 
   constructor(
@@ -50,6 +54,11 @@
     this.state = this.newState();
   }
 
+  /** What this balancer does at present. */
+  get role(): HollowRole {
+    return this.servedLinks.size > 0 ? 'relay' : 'balancer';
+  }
+
   /** Starts the process, with nothing but its settings. */
   start(): void {
     this.state = this.newState();
@@ -69,30 +78,28 @@
   /** Ends the process at once. */
   kill(): void {
     this.isUp = false;
-    this.link?.closeFrom('balancer');
+    this.link?.closeFromClient();
     this.link = undefined;
   }
 
-  /** Takes a message of a control machine. */
-  receive(link: HollowLink, wire: WireMessage): void {
+  /** Takes a message of the node that it gets the configuration from. */
+  receiveFromServer(link: HollowLink, wire: WireMessage): void {
     if (link !== this.link || !this.isUp) {
       return;
     }
-    const { meter } = this.surroundings;
-    meter.of('balancer').stepMs += wire.decodeMs;
-    meter.countReceived('balancer', wire.kind, wire.bytes);
+    this.surroundings.meter.countReceived(this.role, wire);
     this.step({
       type: 'link-message',
-      linkId: link.balancerLinkId,
+      linkId: this.linkId,
       message: wire.decoded as ControlToBalancerMessage,
     });
   }
 
   /** The other end closed the link. */
-  linkClosed(link: HollowLink): void {
+  serverClosed(link: HollowLink): void {
     if (link === this.link && this.isUp) {
       this.link = undefined;
-      this.step({ type: 'link-closed', linkId: link.balancerLinkId });
+      this.step({ type: 'link-closed', linkId: this.linkId });
     }
   }
 
@@ -108,7 +115,7 @@
   }
 
   private tick(): void {
-    const usage = this.surroundings.meter.of('balancer');
+    const usage = this.surroundings.meter.of(this.role);
     const startMs = performance.now();
     const effects = balancerStep(this.state, { type: 'tick' }, contextOf(this.surroundings));
     usage.tickMs += performance.now() - startMs;
@@ -120,7 +127,7 @@
     const before = this.state.position.index;
     const startMs = performance.now();
     const effects = balancerStep(this.state, event, contextOf(this.surroundings));
-    this.surroundings.meter.of('balancer').stepMs += performance.now() - startMs;
+    this.surroundings.meter.of(this.role).stepMs += performance.now() - startMs;
     if (this.state.position.index > before) {
       this.surroundings.onInForce(this.options.number, this.state.position.index);
     }
@@ -130,7 +137,7 @@
   private perform(effect: BalancerEffect): void {
     match(effect)
       .with({ type: 'link-open' }, ({ linkId, address }) => this.openLink(linkId, address))
-      .with({ type: 'link-send' }, ({ message }) => this.link?.toControl(message, message.type))
+      .with({ type: 'link-send' }, ({ message }) => this.link?.toServer(message, message.type))
       .with({ type: 'probe' }, () => {
         this.probeCount += 1;
       })
@@ -139,29 +146,26 @@
   }
 
   private openLink(linkId: number, address: Address): void {
-    const { queue, network, controlsByAddress } = this.surroundings;
-    this.link?.closeFrom('balancer');
+    const { queue, network, linkServersByAddress } = this.surroundings;
+    this.link?.closeFromClient();
     this.link = undefined;
-    const control = controlsByAddress.get(formatAddress(address));
+    this.linkId = linkId;
+    const server = linkServersByAddress.get(formatAddress(address));
     const { generation } = this;
     const closed = () => {
-      if (this.generation === generation && this.isUp && this.link === undefined) {
+      if (this.generation === generation && this.isUp && this.linkId === linkId) {
         this.step({ type: 'link-closed', linkId });
       }
     };
-    const isReachable =
-      control !== undefined &&
-      network.connects(this.place, control.place) &&
-      !network.isCutOff(control.nodeId);
-    if (!isReachable) {
+    if (server === undefined || !network.connectsNodes(this, server)) {
       queue.after(CONNECT_TIMEOUT_MS, closed);
       return;
     }
-    if (!control.isUp) {
-      queue.after(2 * network.delayMs(this.place, control.place), closed);
+    if (!server.isUp) {
+      queue.after(2 * network.delayMs(this.place, server.place), closed);
       return;
     }
-    this.link = control.acceptLink(this, linkId);
+    this.link = server.acceptLink(this);
     this.step({ type: 'link-opened', linkId });
   }
 }
--- a/src/experiment/hollow/hollow-control.ts
+++ b/src/experiment/hollow/hollow-control.ts
@@ -19,9 +19,8 @@
 import type { BalancerToControlMessage } from '../../dissemination/link-messages.js';
 import { TOKEN_KEY_LENGTH_BYTES } from '../../flow/token.js';
 import { HOLLOW_START_MS } from './first-state.js';
-import type { HollowBalancer } from './hollow-balancer.js';
 import { HollowDisk } from './hollow-disk.js';
-import { HollowLink } from './hollow-link.js';
+import { HollowLink, type LinkClient, type LinkServerEnd } from './hollow-link.js';
 import type { HollowRole } from './meter.js';
 import type { Place } from './places.js';
 import { contextOf, type HollowSurroundings } from './surroundings.js';
@@ -43,7 +42,7 @@
 }
 
 /** One hollow control machine. */
-export class HollowControl {
+export class HollowControl implements LinkServerEnd {
   readonly nodeId: string;
   readonly place: Place;
   state: ControlState;
@@ -90,7 +89,7 @@
   kill(): void {
     this.isUp = false;
     this.waiting.clear();
-    this.links.forEach((link) => link.closeFrom('control'));
+    this.links.forEach((link) => link.closeFromServer());
     this.links.clear();
   }
 
@@ -103,31 +102,31 @@
   }
 
   /** A balancer connects. */
-  acceptLink(balancer: HollowBalancer, balancerLinkId: number): HollowLink {
-    const controlLinkId = this.nextLinkId;
+  acceptLink(client: LinkClient): HollowLink {
+    const linkId = this.nextLinkId;
     this.nextLinkId += 1;
-    const link = new HollowLink(this.surroundings, balancer, balancerLinkId, this, controlLinkId);
-    this.links.set(controlLinkId, link);
+    const link = new HollowLink(this.surroundings, client, this, linkId);
+    this.links.set(linkId, link);
     return link;
   }
 
   /** Takes a message of a balancer. */
-  receive(link: HollowLink, wire: WireMessage): void {
-    if (!this.links.has(link.controlLinkId)) {
+  receiveFromClient(link: HollowLink, wire: WireMessage): void {
+    if (!this.links.has(link.serverLinkId)) {
       return;
     }
-    this.countReceived(wire);
+    this.surroundings.meter.countReceived(this.role, wire);
     this.step({
       type: 'link-message',
-      linkId: link.controlLinkId,
+      linkId: link.serverLinkId,
       message: wire.decoded as BalancerToControlMessage,
     });
   }
 
   /** The other end closed the link. */
-  linkClosed(link: HollowLink): void {
-    if (this.links.delete(link.controlLinkId) && this.isUp) {
-      this.step({ type: 'link-closed', linkId: link.controlLinkId });
+  clientClosed(link: HollowLink): void {
+    if (this.links.delete(link.serverLinkId) && this.isUp) {
+      this.step({ type: 'link-closed', linkId: link.serverLinkId });
     }
   }
 
@@ -164,7 +163,7 @@
   private perform(effect: ControlEffect): void {
     match(effect)
       .with({ type: 'link-send' }, ({ linkId, message }) =>
-        this.links.get(linkId)?.toBalancer(message),
+        this.links.get(linkId)?.toClient(message),
       )
       .with({ type: 'persist' }, { type: 'persist-snapshot' }, (write) => this.persist(write))
       .with({ type: 'peer-send' }, ({ address, envelope }) => this.sendToPeer(address, envelope))
@@ -190,23 +189,15 @@
     const { wire, meter, queue, network, controlsByAddress } = this.surroundings;
     const peer = controlsByAddress.get(formatAddress(address));
     const passed = wire.pass(envelope, `consensus-${envelope.message.type}`);
-    meter.of(this.role).stepMs += passed.encodeMs;
-    meter.countSent(this.role, passed.kind, passed.bytes);
+    meter.countSent(this.role, passed);
     if (peer === undefined) {
       return;
     }
     queue.after(network.delayMs(this.place, peer.place), () => {
-      const isCut = network.isCutOff(this.nodeId) || network.isCutOff(peer.nodeId);
-      if (peer.isUp && !isCut && network.connects(this.place, peer.place)) {
-        peer.countReceived(passed);
+      if (peer.isUp && network.connectsNodes(this, peer)) {
+        meter.countReceived(peer.role, passed);
         peer.step({ type: 'peer-message', envelope: passed.decoded as PeerEnvelope });
       }
     });
   }
-
-  private countReceived(wire: WireMessage): void {
-    const { meter } = this.surroundings;
-    meter.of(this.role).stepMs += wire.decodeMs;
-    meter.countReceived(this.role, wire.kind, wire.bytes);
-  }
 }
--- a/src/experiment/hollow/hollow-link.ts
+++ b/src/experiment/hollow/hollow-link.ts
@@ -1,16 +1,37 @@
 /**
- * @file A link between a hollow balancer and a hollow control machine, as TCP gives it: in order, and
- * silent while the network between them is cut.
+ * @file A link from a hollow balancer to the node that it gets the configuration from, as TCP gives it:
+ * in order, and silent while the network between them is cut.
  */
 import type { ControlToBalancerMessage } from '../../dissemination/link-messages.js';
-import type { HollowBalancer } from './hollow-balancer.js';
-import type { HollowControl } from './hollow-control.js';
+import type { HollowRole } from './meter.js';
+import type { Place } from './places.js';
 import type { HollowSurroundings } from './surroundings.js';
 import type { WireMessage } from './wire.js';
 
 /** How long after the network is whole again both ends notice that a link was cut. */
 const RESET_DELAY_MS = 1_000;
 
+/** One end of a link. */
+export interface LinkEnd {
+  readonly nodeId: string;
+  readonly place: Place;
+  readonly role: HollowRole;
+}
+
+/** The end that opens links. */
+export interface LinkClient extends LinkEnd {
+  receiveFromServer(link: HollowLink, wire: WireMessage): void;
+  serverClosed(link: HollowLink): void;
+}
+
+/** The end that takes links and passes the configuration on. */
+export interface LinkServerEnd extends LinkEnd {
+  readonly isUp: boolean;
+  acceptLink(client: LinkClient): HollowLink;
+  receiveFromClient(link: HollowLink, wire: WireMessage): void;
+  clientClosed(link: HollowLink): void;
+}
+
 /** One link. */
 export class HollowLink {
   private isOpen = true;
@@ -18,44 +39,47 @@
 
   constructor(
     private readonly surroundings: HollowSurroundings,
-    readonly balancer: HollowBalancer,
-    readonly balancerLinkId: number,
-    readonly control: HollowControl,
-    readonly controlLinkId: number,
+    readonly client: LinkClient,
+    readonly server: LinkServerEnd,
+    /** Names the link at the server. */
+    readonly serverLinkId: number,
   ) {}
 
-  /** Carries a message of the balancer. */
-  toControl(message: object, kind: string): void {
-    const { wire, meter } = this.surroundings;
-    const passed = wire.pass(message, kind);
-    meter.of('balancer').stepMs += passed.encodeMs;
-    meter.countSent('balancer', kind, passed.bytes);
-    this.carry(() => this.control.receive(this, passed));
+  /** Carries a message of the client. */
+  toServer(message: object, kind: string): void {
+    const passed = this.surroundings.wire.pass(message, kind);
+    this.surroundings.meter.countSent(this.client.role, passed);
+    this.carry(() => this.server.receiveFromClient(this, passed));
   }
 
-  /** Carries a message of the control machine. */
-  toBalancer(message: ControlToBalancerMessage): void {
-    const { meter } = this.surroundings;
-    const passed = this.passToBalancer(message);
-    meter.of(this.control.role).stepMs += passed.encodeMs;
-    meter.countSent(this.control.role, passed.kind, passed.bytes);
-    this.carry(() => this.balancer.receive(this, passed));
+  /** Carries a message of the server. */
+  toClient(message: ControlToBalancerMessage): void {
+    const passed = this.passToClient(message);
+    this.surroundings.meter.countSent(this.server.role, passed);
+    this.carry(() => this.client.receiveFromServer(this, passed));
   }
 
-  /** Closes the link; the other end hears of it after the delay. */
-  closeFrom(end: 'balancer' | 'control'): void {
-    if (!this.isOpen) {
-      return;
+  /** The client closes the link; the server hears of it after the delay. */
+  closeFromClient(): void {
+    this.close(() => this.server.clientClosed(this));
+  }
+
+  /** The server closes the link; the client hears of it after the delay. */
+  closeFromServer(): void {
+    this.close(() => this.client.serverClosed(this));
+  }
+
+  private close(tellOther: () => void): void {
+    if (this.isOpen) {
+      this.isOpen = false;
+      this.surroundings.queue.after(this.delayMs(), tellOther);
     }
-    this.isOpen = false;
-    const other = end === 'balancer' ? this.control : this.balancer;
-    this.surroundings.queue.after(this.delayMs(), () => other.linkClosed(this));
   }
 
-  private passToBalancer(message: ControlToBalancerMessage): WireMessage {
+  private passToClient(message: ControlToBalancerMessage): WireMessage {
     const { wire } = this.surroundings;
     if (message.type !== 'update') {
-      return wire.pass(message, message.type, message);
+      return wire.pass(message, message.type);
     }
     return message.update.type === 'snapshot'
       ? wire.passSnapshot(message, message.update.to.index)
@@ -81,23 +105,18 @@
   private resetOnceWhole(): void {
     this.surroundings.queue.every(RESET_DELAY_MS, RESET_DELAY_MS, () => {
       if (this.isOpen && this.connects()) {
-        this.closeFrom('balancer');
-        this.balancer.linkClosed(this);
+        this.closeFromClient();
+        this.client.serverClosed(this);
       }
       return this.isOpen;
     });
   }
 
   private connects(): boolean {
-    const { network } = this.surroundings;
-    return (
-      network.connects(this.balancer.place, this.control.place) &&
-      !network.isCutOff(this.control.nodeId) &&
-      !network.isCutOff(this.balancer.nodeId)
-    );
+    return this.surroundings.network.connectsNodes(this.client, this.server);
   }
 
   private delayMs(): number {
-    return this.surroundings.network.delayMs(this.balancer.place, this.control.place);
+    return this.surroundings.network.delayMs(this.client.place, this.server.place);
   }
 }
--- a/src/experiment/hollow/hollow-world.ts
+++ b/src/experiment/hollow/hollow-world.ts
@@ -71,6 +71,7 @@
       wire: new Wire(),
       random: this.random,
       controlsByAddress: new Map(),
+      linkServersByAddress: new Map(),
       onInForce: (balancer, index) => this.tracker.inForce(balancer, index, this.queue.nowMs),
     };
     this.controls = this.makeControls(surroundings);
@@ -172,6 +173,7 @@
         disk: firstDisk(storageId, state, sortedMembership(members)),
       });
       surroundings.controlsByAddress.set(formatAddress(linkAddress), control);
+      surroundings.linkServersByAddress.set(formatAddress(linkAddress), control);
       return control;
     });
   }
--- a/src/experiment/hollow/meter.ts
+++ b/src/experiment/hollow/meter.ts
@@ -3,8 +3,10 @@
  * role.
  */
 
-/** What a node does. */
-export type HollowRole = 'leader' | 'follower' | 'balancer';
+import type { WireMessage } from './wire.js';
+
+/** What a node does; a relay is a balancer that passes the configuration on to others. */
+export type HollowRole = 'leader' | 'follower' | 'relay' | 'balancer';
 
 /** Messages and bytes of one kind. */
 export interface KindTraffic {
@@ -44,12 +46,18 @@
     return usage;
   }
 
-  countSent(role: HollowRole, kind: string, bytes: number): void {
-    addTraffic(this.of(role).sent, kind, bytes);
+  /** Counts a message with the time of its encoding. */
+  countSent(role: HollowRole, wire: WireMessage): void {
+    const usage = this.of(role);
+    usage.stepMs += wire.encodeMs;
+    addTraffic(usage.sent, wire.kind, wire.bytes);
   }
 
-  countReceived(role: HollowRole, kind: string, bytes: number): void {
-    addTraffic(this.of(role).received, kind, bytes);
+  /** Counts a message with the time of its decoding. */
+  countReceived(role: HollowRole, wire: WireMessage): void {
+    const usage = this.of(role);
+    usage.stepMs += wire.decodeMs;
+    addTraffic(usage.received, wire.kind, wire.bytes);
   }
 
   /** All bytes that the nodes of a role have sent. */
--- a/src/experiment/hollow/places.ts
+++ b/src/experiment/hollow/places.ts
@@ -9,6 +9,12 @@
   readonly zone: string;
 }
 
+/** A node at its place. */
+export interface NodeAt {
+  readonly nodeId: string;
+  readonly place: Place;
+}
+
 /** One way within a zone, in milliseconds. */
 const DELAY_WITHIN_ZONE_MS = 0.25;
 /** One way between zones of a region, in milliseconds; the brief gives 0.5 to 1.5. */
@@ -54,7 +60,7 @@
   }
 
   /** True where a message gets through. */
-  connects(from: Place, to: Place): boolean {
+  private connects(from: Place, to: Place): boolean {
     if (this.lostZones.has(from.zone) || this.lostZones.has(to.zone)) {
       return false;
     }
@@ -64,9 +70,13 @@
     );
   }
 
-  /** True while this node's own network cable is out. */
-  isCutOff(nodeId: string): boolean {
-    return this.cutNodes.has(nodeId);
+  /** As `connects`, with nodes that are cut off one by one. */
+  connectsNodes(one: NodeAt, other: NodeAt): boolean {
+    return (
+      this.connects(one.place, other.place) &&
+      !this.cutNodes.has(one.nodeId) &&
+      !this.cutNodes.has(other.nodeId)
+    );
   }
 
   /** Cuts one node off silently, or joins it again. */
--- a/src/experiment/hollow/slopes.ts
+++ b/src/experiment/hollow/slopes.ts
@@ -4,7 +4,7 @@
 import type { SizeFigures } from './hollow-bench.js';
 import type { HollowRole } from './meter.js';
 
-const ROLES: readonly HollowRole[] = ['balancer', 'leader', 'follower'];
+const ROLES: readonly HollowRole[] = ['balancer', 'relay', 'leader', 'follower'];
 const BYTES_PER_MB = 1_000_000;
 
 /** A straight line through the figures of all sizes. */
--- a/src/experiment/hollow/surroundings.ts
+++ b/src/experiment/hollow/surroundings.ts
@@ -5,6 +5,7 @@
 import type { RandomSource, StepContext } from '../../common/step.js';
 import type { EventQueue } from './event-queue.js';
 import type { HollowControl } from './hollow-control.js';
+import type { LinkServerEnd } from './hollow-link.js';
 import type { Meter } from './meter.js';
 import type { PlaceNetwork } from './places.js';
 import type { Wire } from './wire.js';
@@ -18,6 +19,8 @@
   readonly random: RandomSource;
   /** The control machine at this address, by the text form. */
   readonly controlsByAddress: Map<string, HollowControl>;
+  /** Who takes links at this address, by the text form. */
+  readonly linkServersByAddress: Map<string, LinkServerEnd>;
   /** Called when a balancer has a newer index in force. */
   onInForce(balancer: number, index: number): void;
 }
--- a/src/experiment/hollow/usage-report.ts
+++ b/src/experiment/hollow/usage-report.ts
@@ -51,6 +51,7 @@
   const cpuMs = (user + system) / MICROSECONDS_PER_MS;
   // Time inside steps is wall time; on a busy machine a part of it was not ours.
   const processorShare = Math.min(1, cpuMs / wallMs);
+  const relays = world.balancers.filter(({ role }) => role === 'relay').length;
   const figures = (role: HollowRole, nodes: number) =>
     roleFigures(world, role, nodes, durationMs, processorShare);
   return {
@@ -59,7 +60,8 @@
     roles: {
       leader: figures('leader', 1),
       follower: figures('follower', world.controls.length - 1),
-      balancer: figures('balancer', world.balancers.length),
+      relay: figures('relay', relays),
+      balancer: figures('balancer', world.balancers.length - relays),
     },
   };
 }
