--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -10,6 +10,7 @@
 import { forwardBench } from '../experiment/bench-forward.js';
 import { hollowBench } from '../experiment/bench-hollow.js';
 import { inForceBench } from '../experiment/bench-in-force.js';
+import { probeBench } from '../experiment/bench-probe.js';
 import { placementBench } from '../experiment/bench-placement.js';
 import { exitCodes } from '../flow/error-kinds.js';
 
@@ -20,6 +21,7 @@
   controlBench,
   hollowBench,
   inForceBench,
+  probeBench,
 ];
 
 const DEFAULT_SEED = 1;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,32 +3,29 @@
  */
 import { cac, type CAC } from 'cac';
 import { exitCodes } from '../flow/error-kinds.js';
-import { registerBackend } from './backend.js';
-import { registerBalancer } from './balancer.js';
-import { registerBench } from './bench.js';
-import { registerCallers } from './callers.js';
-import { registerControl } from './control.js';
-import { registerCtl } from './ctl.js';
-import { registerDemo } from './demo.js';
-import { registerFabric } from './fabric.js';
-import { registerSimulate } from './simulate.js';
 
 const ARGUMENTS_BEFORE_COMMAND = 2;
 
 /** Registers one subcommand. */
 type Register = (cli: CAC) => void;
 
-const subcommands: readonly Register[] = [
-  registerBalancer,
-  registerControl,
-  registerCtl,
-  registerDemo,
-  registerBench,
-  registerBackend,
-  registerFabric,
-  registerCallers,
-  registerSimulate,
-];
+/**
+ * Loads one subcommand. Only the one that runs is loaded, so that a daemon does not hold the code of the
+ * experiments in memory.
+ */
+type Load = () => Promise<Register>;
+
+const subcommands: ReadonlyMap<string, Load> = new Map<string, Load>([
+  ['balancer', async () => (await import('./balancer.js')).registerBalancer],
+  ['control', async () => (await import('./control.js')).registerControl],
+  ['ctl', async () => (await import('./ctl.js')).registerCtl],
+  ['demo', async () => (await import('./demo.js')).registerDemo],
+  ['bench', async () => (await import('./bench.js')).registerBench],
+  ['backend', async () => (await import('./backend.js')).registerBackend],
+  ['fabric', async () => (await import('./fabric.js')).registerFabric],
+  ['callers', async () => (await import('./callers.js')).registerCallers],
+  ['simulate', async () => (await import('./simulate.js')).registerSimulate],
+]);
 
 /**
  * Runs the command line; sets the exit code.
@@ -36,7 +33,9 @@
  */
 export async function main(argv: readonly string[]): Promise<void> {
   const cli = cac('amberlift');
-  subcommands.forEach((register) => register(cli));
+  for (const load of subcommandsFor(argv)) {
+    (await load())(cli);
+  }
   cli.help();
   try {
     cli.parse([...argv], { run: false });
@@ -52,6 +51,12 @@
   }
 }
 
+/** The subcommand that is named; all of them for the help. */
+function subcommandsFor(argv: readonly string[]): Load[] {
+  const load = subcommands.get(argv[ARGUMENTS_BEFORE_COMMAND] ?? '');
+  return load === undefined ? [...subcommands.values()] : [load];
+}
+
 function refuseUnlessHelp(cli: CAC, argv: readonly string[]): void {
   const first = argv[ARGUMENTS_BEFORE_COMMAND];
   if (first === '--help' || first === '-h') {
