--- a/src/experiment/hollow/hollow-balancer.ts
+++ b/src/experiment/hollow/hollow-balancer.ts
@@ -141,7 +141,7 @@
       .with({ type: 'probe' }, () => {
         this.probeCount += 1;
       })
-      .with({ type: 'send' }, () => undefined)
+      .with({ type: 'send' }, { type: 'peer-send' }, { type: 'gossip-send' }, () => undefined)
       .exhaustive();
   }
 
