--- a/src/experiment/hollow/hollow-balancer.ts
+++ b/src/experiment/hollow/hollow-balancer.ts
@@ -10,8 +10,13 @@
   type BalancerState,
 } from '../../balancer/balancer-state.js';
 import { balancerStep } from '../../balancer/balancer-step.js';
-import type { ControlToBalancerMessage } from '../../dissemination/link-messages.js';
-import type { HollowLink, LinkClient } from './hollow-link.js';
+import type {
+  BalancerToControlMessage,
+  ControlToBalancerMessage,
+} from '../../dissemination/link-messages.js';
+import type { GossipMessage } from '../../membership/gossip-messages.js';
+import { gossipAddress, type MemberAddresses } from '../../membership/member.js';
+import { HollowLink, type LinkClient, type LinkServerEnd } from './hollow-link.js';
 import type { HollowRole } from './meter.js';
 import type { Place } from './places.js';
 import { contextOf, type HollowSurroundings } from './surroundings.js';
@@ -19,6 +24,7 @@
 
 /** How long a connection to a machine that does not answer is tried, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 3_000;
+const MS_PER_SECOND = 1_000;
 
 /** What a hollow balancer is made of. */
 export interface HollowBalancerOptions {
@@ -27,12 +33,15 @@
   readonly clusterKey: string;
   /** Control machines in the order in which this balancer tries them. */
   readonly controlAddresses: readonly Address[];
+  readonly addresses: MemberAddresses;
+  /** Gossip addresses of other balancers. */
+  readonly seeds: readonly Address[];
   /** Time between two ticks; the daemon's is 20 ms. */
   readonly tickIntervalMs: number;
 }
 
 /** One hollow balancer. */
-export class HollowBalancer implements LinkClient {
+export class HollowBalancer implements LinkClient, LinkServerEnd {
   readonly nodeId: string;
   readonly place: Place;
   state: BalancerState;
@@ -43,6 +52,7 @@
   private linkId = 0;
   /** Balancers that get the configuration from this one, by the name of the link here. */
   private readonly servedLinks = new Map<number, HollowLink>();
+  private nextLinkId = 1;
   private generation = 0;
 
   constructor(
@@ -80,6 +90,8 @@
     this.isUp = false;
     this.link?.closeFromClient();
     this.link = undefined;
+    this.servedLinks.forEach((link) => link.closeFromServer());
+    this.servedLinks.clear();
   }
 
   /** Takes a message of the node that it gets the configuration from. */
@@ -103,14 +115,41 @@
     }
   }
 
+  /** Another balancer connects. */
+  acceptLink(client: LinkClient): HollowLink {
+    const linkId = this.nextLinkId;
+    this.nextLinkId += 1;
+    const link = new HollowLink(this.surroundings, client, this, linkId);
+    this.servedLinks.set(linkId, link);
+    return link;
+  }
+
+  /** Takes a message of a balancer that gets the configuration from this one. */
+  receiveFromClient(link: HollowLink, wire: WireMessage): void {
+    if (this.servedLinks.has(link.serverLinkId)) {
+      this.surroundings.meter.countReceived(this.role, wire);
+      const message = wire.decoded as BalancerToControlMessage;
+      this.step({ type: 'peer-message', linkId: link.serverLinkId, message });
+    }
+  }
+
+  /** That balancer closed its link. */
+  clientClosed(link: HollowLink): void {
+    if (this.servedLinks.delete(link.serverLinkId) && this.isUp) {
+      this.step({ type: 'peer-closed', linkId: link.serverLinkId });
+    }
+  }
+
   private newState(): BalancerState {
-    const { clusterKey, controlAddresses } = this.options;
+    const { clusterKey, controlAddresses, addresses, seeds } = this.options;
+    const incarnation = Math.floor(this.surroundings.queue.nowMs / MS_PER_SECOND) + 1;
     return createBalancerState({
       ...defaultBalancerOptions,
       balancerId: this.nodeId,
       zone: this.place.zone,
       controlAddresses,
       clusterKey,
+      membership: { ...addresses, incarnation, seeds },
     });
   }
 
@@ -141,10 +180,31 @@
       .with({ type: 'probe' }, () => {
         this.probeCount += 1;
       })
-      .with({ type: 'send' }, { type: 'peer-send' }, { type: 'gossip-send' }, () => undefined)
+      .with({ type: 'peer-send' }, ({ linkId, message }) =>
+        this.servedLinks.get(linkId)?.toClient(message),
+      )
+      .with({ type: 'gossip-send' }, ({ to, message }) => this.gossip(to, message))
+      .with({ type: 'send' }, () => undefined)
       .exhaustive();
   }
 
+  private gossip(to: Address, message: GossipMessage): void {
+    const { queue, network, wire, meter, gossipKey, balancersByGossipAddress } = this.surroundings;
+    const passed = wire.passGossip(message, gossipKey);
+    meter.countSent(this.role, passed);
+    const peer = balancersByGossipAddress.get(formatAddress(to));
+    if (peer === undefined) {
+      return;
+    }
+    queue.after(network.delayMs(this.place, peer.place), () => {
+      if (peer.isUp && network.connectsNodes(this, peer)) {
+        meter.countReceived(peer.role, passed);
+        const from = gossipAddress(this.options.addresses);
+        peer.step({ type: 'gossip', message: passed.decoded as GossipMessage, from });
+      }
+    });
+  }
+
   private openLink(linkId: number, address: Address): void {
     const { queue, network, linkServersByAddress } = this.surroundings;
     this.link?.closeFromClient();
--- a/src/experiment/hollow/hollow-world.ts
+++ b/src/experiment/hollow/hollow-world.ts
@@ -2,12 +2,14 @@
  * @file A world of hollow nodes: many balancers and a few control machines in one process, which run the
  * real decision steps in virtual time over an in-memory network. One seed, one run.
  */
-import { formatAddress } from '../../common/address.js';
+import { formatAddress, type Address } from '../../common/address.js';
 import { seededRandom } from '../../common/random.js';
 import type { RandomSource } from '../../common/step.js';
 import { sortedMembership, type Member } from '../../consensus/membership.js';
 import { timedCommandId } from '../../control/command-id.js';
 import type { CommandOutcome, OperatorCommand } from '../../control/commands.js';
+import { gossipKey } from '../../membership/gossip-codec.js';
+import { gossipAddress, linkAddress } from '../../membership/member.js';
 import { EventQueue } from './event-queue.js';
 import {
   addBackendCommand,
@@ -22,7 +24,7 @@
 import { InForceTracker } from './in-force-tracker.js';
 import { Meter } from './meter.js';
 import { makePlaces, PlaceNetwork, type Place } from './places.js';
-import { controlAddress, type HollowSurroundings } from './surroundings.js';
+import { controlAddress, memberAddresses, type HollowSurroundings } from './surroundings.js';
 import { Wire } from './wire.js';
 
 const CLUSTER_KEY = 'hollow-cluster-key';
@@ -51,6 +53,8 @@
   readonly balancers: readonly HollowBalancer[];
   readonly tracker: InForceTracker;
   readonly random: RandomSource;
+  /** Gossip addresses of all balancers: the platform's list. */
+  private readonly seeds: readonly Address[];
   /** The highest index whose command was answered as accepted. */
   acceptedIndex = 0;
   /** How many commands were accepted. */
@@ -63,6 +67,9 @@
     this.nextBackendNumber = options.config.backends;
     this.places = makePlaces(options.regions, options.zones);
     this.network = new PlaceNetwork(options.regions);
+    this.seeds = Array.from({ length: options.balancers }, (_, number) =>
+      gossipAddress(memberAddresses(number)),
+    );
     this.tracker = new InForceTracker(options.balancers);
     const surroundings: HollowSurroundings = {
       queue: this.queue,
@@ -72,6 +79,8 @@
       random: this.random,
       controlsByAddress: new Map(),
       linkServersByAddress: new Map(),
+      balancersByGossipAddress: new Map(),
+      gossipKey: gossipKey(CLUSTER_KEY),
       onInForce: (balancer, index) => this.tracker.inForce(balancer, index, this.queue.nowMs),
     };
     this.controls = this.makeControls(surroundings);
@@ -183,13 +192,19 @@
     const controlAddresses = Array.from({ length: controls }, (_, offset) =>
       controlAddress((number + offset) % controls),
     );
-    return new HollowBalancer(surroundings, {
+    const addresses = memberAddresses(number);
+    const balancer = new HollowBalancer(surroundings, {
       number,
       place: this.placeOf(number),
       clusterKey: CLUSTER_KEY,
       controlAddresses,
+      addresses,
+      seeds: this.seeds,
       tickIntervalMs: balancerTickMs,
     });
+    surroundings.linkServersByAddress.set(formatAddress(linkAddress(addresses)), balancer);
+    surroundings.balancersByGossipAddress.set(formatAddress(gossipAddress(addresses)), balancer);
+    return balancer;
   }
 
   private placeOf(number: number): Place {
--- a/src/experiment/hollow/surroundings.ts
+++ b/src/experiment/hollow/surroundings.ts
@@ -4,8 +4,12 @@
 import type { Address } from '../../common/address.js';
 import type { RandomSource, StepContext } from '../../common/step.js';
 import type { EventQueue } from './event-queue.js';
+import type { GossipKey } from '../../membership/gossip-codec.js';
+import type { MemberAddresses } from '../../membership/member.js';
+import type { HollowBalancer } from './hollow-balancer.js';
 import type { HollowControl } from './hollow-control.js';
 import type { LinkServerEnd } from './hollow-link.js';
+import { hostNumbered } from './first-state.js';
 import type { Meter } from './meter.js';
 import type { PlaceNetwork } from './places.js';
 import type { Wire } from './wire.js';
@@ -19,6 +23,10 @@
   readonly random: RandomSource;
   /** The control machine at this address, by the text form. */
   readonly controlsByAddress: Map<string, HollowControl>;
+  /** The balancer with this gossip address, by the text form. */
+  readonly balancersByGossipAddress: Map<string, HollowBalancer>;
+  /** The key of datagrams between balancers. */
+  readonly gossipKey: GossipKey;
   /** Who takes links at this address, by the text form. */
   readonly linkServersByAddress: Map<string, LinkServerEnd>;
   /** Called when a balancer has a newer index in force. */
@@ -32,7 +40,12 @@
   return { nowMs: queue.nowMs, random };
 }
 
-/** Addresses of the control machines' links. */
+/** Address of a control machine's links. */
 export function controlAddress(number: number): Address {
   return { host: `12.0.0.${number + 1}`, port: 7_000 };
 }
+
+/** Addresses of a balancer towards other balancers. */
+export function memberAddresses(number: number): MemberAddresses {
+  return { host: hostNumbered(13, number), gossipPort: 7_001, linkPort: 7_002 };
+}
--- a/src/experiment/hollow/wire.ts
+++ b/src/experiment/hollow/wire.ts
@@ -4,6 +4,8 @@
  * size and time are charged to each of them, and all receive the same decoded object, which saves memory.
  */
 import { Packr } from 'msgpackr';
+import { decodeGossip, encodeGossip, type GossipKey } from '../../membership/gossip-codec.js';
+import type { GossipMessage } from '../../membership/gossip-messages.js';
 
 /** A message after encoding and decoding. */
 export interface WireMessage {
@@ -35,6 +37,23 @@
     return wire;
   }
 
+  /** As `pass`, for a datagram between balancers. */
+  passGossip(message: GossipMessage, key: GossipKey): WireMessage {
+    const startMs = performance.now();
+    const datagram = encodeGossip(message, key);
+    const encodedMs = performance.now();
+    const decoded = decodeGossip(datagram, key)._unsafeUnwrap();
+    const decodeMs = performance.now() - encodedMs;
+    const bytes = datagram.length;
+    return {
+      kind: `gossip-${message.type}`,
+      bytes,
+      encodeMs: encodedMs - startMs,
+      decodeMs,
+      decoded,
+    };
+  }
+
   /** As `pass`, for a snapshot of the configuration: those of the same index are the same. */
   passSnapshot(message: object, index: number): WireMessage {
     if (this.lastSnapshot?.index !== index) {
