--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -20,6 +20,7 @@
   ['control', async () => (await import('./control.js')).registerControl],
   ['ctl', async () => (await import('./ctl.js')).registerCtl],
   ['demo', async () => (await import('./demo.js')).registerDemo],
+  ['fleet', async () => (await import('./fleet.js')).registerFleet],
   ['bench', async () => (await import('./bench.js')).registerBench],
   ['backend', async () => (await import('./backend.js')).registerBackend],
   ['fabric', async () => (await import('./fabric.js')).registerFabric],
--- a/src/control/control-status.ts
+++ b/src/control/control-status.ts
@@ -33,6 +33,14 @@
   readonly waiting: readonly AnnouncedMachine[];
   /** Why a peer refused this machine. */
   readonly refusal: string | undefined;
+  /** Balancers that report to this machine, with the index that each has in force. */
+  readonly balancers: readonly ReportingBalancer[];
+}
+
+/** A balancer that reports to a control machine. */
+export interface ReportingBalancer {
+  readonly balancerId: string;
+  readonly index: number;
 }
 
 /**
@@ -56,6 +64,10 @@
     ),
     waiting: machinesToAdd(join, consensus, nowMs),
     refusal: join.refusal,
+    balancers: [...state.publisher.reports.values()].map(({ balancerId, position }) => ({
+      balancerId,
+      index: position.index,
+    })),
   };
 }
 
