Try each candidate for a link before one that failed comes again

A hollow world with a lost zone and with a leader cut off showed that relays whose control machine went silent took the candidate after it in the list, though another control machine was up: both relays of a zone linked to each other, and went round until their leases had run out. A balancer also went back to the same dead machine as the leader of old. Now a failed candidate is not tried again until the lease is extended or all have failed, and the best of the others comes first.

--- a/src/dissemination/subscription.ts
+++ b/src/dissemination/subscription.ts
@@ -48,6 +48,8 @@
   plan: LinkPlan;
   /** Place in the plan of the link in use or tried next; wraps around. */
   cursor: number;
+  /** Places of the candidates that have failed since the lease was last extended, or all had. */
+  readonly failed: Set<number>;
   /** Number of the link in use or being opened; messages of an earlier link are ignored. */
   linkId: number;
   linked: boolean;
@@ -121,6 +123,7 @@
       isRelay: true,
     },
     cursor: 0,
+    failed: new Set(),
     linkId: 0,
     linked: false,
     address: undefined,
@@ -155,6 +158,7 @@
   const place = state.address && state.linked ? placeInPlan(plan, state.address) : -1;
   const isAtLeader = state.leader !== undefined && plan.isRelay;
   state.cursor = Math.max(0, place);
+  state.failed.clear();
   state.returnTo = undefined;
   state.preferredRetryAtMs = 0;
   if (place < 0 && !isAtLeader) {
@@ -207,14 +211,29 @@
   state.linked = false;
   state.reconnectAtMs = nowMs + RECONNECT_DELAY_MS;
   if (state.leader === undefined) {
-    state.cursor = state.returnTo ?? state.cursor + 1;
+    state.failed.add(state.cursor);
+    state.cursor = state.returnTo ?? nextPlace(state);
     state.returnTo = undefined;
   } else {
     state.failedLeader = { address: state.leader, untilMs: nowMs + LEADER_RETRY_INTERVAL_MS };
+    state.failed.add(placeInPlan(state.plan, state.leader));
+    state.cursor = state.failed.has(state.cursor) ? nextPlace(state) : state.cursor;
     state.leader = undefined;
   }
 }
 
+/**
+ * After a failure comes the best candidate that has not failed in this turn; once all have, a new turn
+ * begins.
+ */
+function nextPlace({ plan, failed }: SubscriptionState): number {
+  const next = plan.candidates.findIndex((_, place) => !failed.has(place));
+  if (next < 0) {
+    failed.clear();
+  }
+  return Math.max(0, next);
+}
+
 /**
  * Takes a message from above.
  */
@@ -363,6 +382,7 @@
   if (lease !== undefined && takeGrant(state.lease, lease, position.index)) {
     state.extendedAtMs = nowMs;
     state.returnTo = undefined;
+    state.failed.clear();
   }
   state.mustSendMembers = subtreeSize !== state.sentMemberCount;
   if (leader !== undefined && shouldMoveTo(state, leader, nowMs)) {
