--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -9,24 +9,24 @@
 /** Registers one subcommand. */
 type Register = (cli: CAC) => void;
 
-/**
- * Loads one subcommand. Only the one that runs is loaded, so that a daemon does not hold the code of the
- * experiments in memory.
- */
-type Load = () => Promise<Register>;
+/** A subcommand; its code is loaded only where it is needed, which spares each process the others'. */
+interface Subcommand {
+  readonly name: string;
+  load(): Promise<Register>;
+}
 
-const subcommands: ReadonlyMap<string, Load> = new Map<string, Load>([
-  ['balancer', async () => (await import('./balancer.js')).registerBalancer],
-  ['control', async () => (await import('./control.js')).registerControl],
-  ['ctl', async () => (await import('./ctl.js')).registerCtl],
-  ['demo', async () => (await import('./demo.js')).registerDemo],
-  ['fleet', async () => (await import('./fleet.js')).registerFleet],
-  ['bench', async () => (await import('./bench.js')).registerBench],
-  ['backend', async () => (await import('./backend.js')).registerBackend],
-  ['fabric', async () => (await import('./fabric.js')).registerFabric],
-  ['callers', async () => (await import('./callers.js')).registerCallers],
-  ['simulate', async () => (await import('./simulate.js')).registerSimulate],
-]);
+const subcommands: readonly Subcommand[] = [
+  { name: 'balancer', load: async () => (await import('./balancer.js')).registerBalancer },
+  { name: 'control', load: async () => (await import('./control.js')).registerControl },
+  { name: 'ctl', load: async () => (await import('./ctl.js')).registerCtl },
+  { name: 'demo', load: async () => (await import('./demo.js')).registerDemo },
+  { name: 'fleet', load: async () => (await import('./fleet.js')).registerFleet },
+  { name: 'bench', load: async () => (await import('./bench.js')).registerBench },
+  { name: 'backend', load: async () => (await import('./backend.js')).registerBackend },
+  { name: 'fabric', load: async () => (await import('./fabric.js')).registerFabric },
+  { name: 'callers', load: async () => (await import('./callers.js')).registerCallers },
+  { name: 'simulate', load: async () => (await import('./simulate.js')).registerSimulate },
+];
 
 /**
  * Runs the command line; sets the exit code.
@@ -34,9 +34,11 @@
  */
 export async function main(argv: readonly string[]): Promise<void> {
   const cli = cac('amberlift');
-  for (const load of subcommandsFor(argv)) {
-    (await load())(cli);
-  }
+  const named = subcommands.filter(({ name }) => name === argv[ARGUMENTS_BEFORE_COMMAND]);
+  const registers = await Promise.all(
+    (named.length > 0 ? named : subcommands).map((subcommand) => subcommand.load()),
+  );
+  registers.forEach((register) => register(cli));
   cli.help();
   try {
     cli.parse([...argv], { run: false });
@@ -52,15 +54,9 @@
   }
 }
 
-/** The subcommand that is named; all of them for the help. */
-function subcommandsFor(argv: readonly string[]): Load[] {
-  const load = subcommands.get(argv[ARGUMENTS_BEFORE_COMMAND] ?? '');
-  return load === undefined ? [...subcommands.values()] : [load];
-}
-
 function refuseUnlessHelp(cli: CAC, argv: readonly string[]): void {
   const first = argv[ARGUMENTS_BEFORE_COMMAND];
-  if (first === '--help' || first === '-h') {
+  if (cli.options.help === true) {
     return;
   }
   if (first !== undefined) {
