--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -25,7 +25,15 @@
 import type { ErrorKind } from '../flow/error-kinds.js';
 import { prepareTokenKey, type PreparedTokenKey } from '../flow/token.js';
 import type { ProbeResult } from '../health/backend-report.js';
-import { createProbeSchedule, type ProbeSchedule } from '../health/probe-schedule.js';
+import { createHealthSharing, forgetResult, type HealthSharing } from '../health/health-sharing.js';
+import {
+  createProbeSchedule,
+  removeProbeTarget,
+  setProbeTarget,
+  type ProberGroup,
+  type ProbeSchedule,
+} from '../health/probe-schedule.js';
+import { createOpenLimits, type OpenLimitsState } from '../limits/open-limits.js';
 import {
   createMembership,
   type MembershipOptions,
@@ -43,6 +51,8 @@
   readonly zone: string;
   /** Bound of the open table; opens beyond it are refused as `overloaded`. Default 20,000. */
   readonly maxPendingOpens: number;
+  /** Opens a second that the balancer takes, shared among owners. Default 20,000. */
+  readonly maxOpensPerSecond: number;
   /** How long one back end may take to answer an open. Default 200. */
   readonly openAttemptTimeoutMs: number;
   /** How many back ends an open is tried on. Default 3. */
@@ -58,6 +68,7 @@
 /** Options that apply where settings give none. */
 export const defaultBalancerOptions = {
   maxPendingOpens: 20_000,
+  maxOpensPerSecond: 20_000,
   openAttemptTimeoutMs: 200,
   maxOpenAttempts: 3,
   probeIntervalMs: 500,
@@ -100,6 +111,7 @@
   readonly fleet: FleetSize;
   readonly policies: Map<PlacementPolicyName, PlacementPolicy>;
   readonly pendingOpens: Map<string, PendingOpen>;
+  readonly limits: OpenLimitsState;
   /** Datagrams and opens that ended in each error kind. */
   readonly errorCounts: Map<ErrorKind, number>;
   readonly subscription: SubscriptionState;
@@ -111,6 +123,14 @@
   /** Messages of the control plane; counted by whoever sends and receives them. */
   readonly traffic: Traffic;
   readonly probes: ProbeSchedule;
+  /** The balancers that share the probes, as of a version of the members. */
+  readonly probers: { group: ProberGroup; plannedVersion: number };
+  readonly sharing: HealthSharing;
+  nextShareAtMs: number;
+  nextFleetCountAtMs: number;
+  healthTickAtMs: number | undefined;
+  /** Before this time other balancers' results are not taken. */
+  distrustUntilMs: number;
   forwardedPackets: number;
   acceptedOpens: number;
   stopping: boolean;
@@ -135,13 +155,23 @@
     fleet: { balancerCount: 1, localBalancerCount: 1 },
     policies: new Map(),
     pendingOpens: new Map(),
+    limits: createOpenLimits(),
     errorCounts: new Map(),
     subscription,
     publisher: createPublisher(clusterKey, { type: 'held', lease: subscription.lease }),
     membership: membership && createMembership({ ...membership, id: balancerId, zone }),
     plannedVersion: -1,
     traffic: createTraffic(),
-    probes: createProbeSchedule(options.probeIntervalMs),
+    probes: createProbeSchedule(options.probeIntervalMs, zone),
+    probers: {
+      group: { selfId: balancerId, ids: [balancerId], version: -1 },
+      plannedVersion: -1,
+    },
+    sharing: createHealthSharing(),
+    nextShareAtMs: 0,
+    nextFleetCountAtMs: 0,
+    healthTickAtMs: undefined,
+    distrustUntilMs: 0,
     forwardedPackets: 0,
     acceptedOpens: 0,
     stopping: false,
@@ -215,7 +245,7 @@
 
 /** Changes the configuration and what is derived from it; the rest of the tables is not looked at. */
 function applyChange(state: BalancerState, change: ConfigChange): void {
-  const { config, views } = state;
+  const { config } = state;
   if (change.type === 'service-set') {
     forgetServiceAddress(state, change.service.id);
     state.servicesByAddress.set(addressKey(change.service.address), change.service);
@@ -225,7 +255,7 @@
   applyConfigChange(config, change);
   match(change)
     .with({ type: 'backend-set' }, ({ backend }) => setView(state, backend))
-    .with({ type: 'backend-removed' }, ({ backendId }) => views.delete(backendId))
+    .with({ type: 'backend-removed' }, ({ backendId }) => deleteView(state, backendId))
     .with({ type: 'key-set' }, { type: 'key-removed' }, () => rebuildKeys(state))
     .with({ type: 'service-set' }, { type: 'service-removed' }, () => undefined)
     .exhaustive();
@@ -275,7 +305,7 @@
 function rebuildViews(state: BalancerState): void {
   for (const id of state.views.keys()) {
     if (!state.config.backends.has(id)) {
-      state.views.delete(id);
+      deleteView(state, id);
     }
   }
   for (const backend of state.config.backends.values()) {
@@ -283,7 +313,14 @@
   }
 }
 
+function deleteView(state: BalancerState, backendId: number): void {
+  state.views.delete(backendId);
+  removeProbeTarget(state.probes, backendId);
+  forgetResult(state.sharing, backendId);
+}
+
 function setView(state: BalancerState, backend: Backend): void {
+  setProbeTarget(state.probes, backend);
   const view = state.views.get(backend.id);
   if (view === undefined) {
     state.views.set(backend.id, createBackendView(backend));
