Let hollow balancers send shared health results too

Change: hollow gossip carries any datagram among balancers; the cost of a choice is measured with an open that tells when it came.

--- a/src/experiment/hollow/hollow-balancer.ts
+++ b/src/experiment/hollow/hollow-balancer.ts
@@ -14,7 +14,7 @@
   BalancerToControlMessage,
   ControlToBalancerMessage,
 } from '../../dissemination/link-messages.js';
-import type { GossipMessage } from '../../membership/gossip-messages.js';
+import type { PeerDatagram } from '../../membership/gossip-messages.js';
 import { gossipAddress, type MemberAddresses } from '../../membership/member.js';
 import { HollowLink, type LinkClient, type LinkServerEnd } from './hollow-link.js';
 import type { HollowRole } from './meter.js';
@@ -188,7 +188,7 @@
       .exhaustive();
   }
 
-  private gossip(to: Address, message: GossipMessage): void {
+  private gossip(to: Address, message: PeerDatagram): void {
     const { queue, network, wire, meter, gossipKey, balancersByGossipAddress } = this.surroundings;
     const passed = wire.passGossip(message, gossipKey);
     meter.countSent(this.role, passed);
@@ -200,7 +200,7 @@
       if (peer.isUp && network.connectsNodes(this, peer)) {
         meter.countReceived(peer.role, passed);
         const from = gossipAddress(this.options.addresses);
-        peer.step({ type: 'gossip', message: passed.decoded as GossipMessage, from });
+        peer.step({ type: 'gossip', message: passed.decoded as PeerDatagram, from });
       }
     });
   }
--- a/src/experiment/placement-choice-cost.ts
+++ b/src/experiment/placement-choice-cost.ts
@@ -95,6 +95,7 @@
     client: ADDRESS,
     service,
     replyTo: ADDRESS,
+    receivedAtMs: 0,
     deadlineAtMs: Infinity,
     triedBackendIds: [],
     attemptEndsAtMs: Infinity,
