--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -22,10 +22,13 @@
   { name: 'demo', load: async () => (await import('./demo.js')).registerDemo },
   { name: 'fleet', load: async () => (await import('./fleet.js')).registerFleet },
   { name: 'bench', load: async () => (await import('./bench.js')).registerBench },
+  { name: 'check', load: async () => (await import('./check.js')).registerCheck },
+  { name: 'plan', load: async () => (await import('./plan.js')).registerPlan },
   { name: 'backend', load: async () => (await import('./backend.js')).registerBackend },
   { name: 'fabric', load: async () => (await import('./fabric.js')).registerFabric },
   { name: 'callers', load: async () => (await import('./callers.js')).registerCallers },
   { name: 'simulate', load: async () => (await import('./simulate.js')).registerSimulate },
+  { name: 'replay', load: async () => (await import('./replay.js')).registerReplay },
 ];
 
 /**
--- a/src/sim/world-plan.ts
+++ b/src/sim/world-plan.ts
@@ -19,6 +19,8 @@
 export interface WorldPlan {
   readonly controls: number;
   readonly balancers: number;
+  /** Over how many zones the balancers are spread; the fewer, the more pass the configuration on. */
+  readonly balancerZones: number;
   readonly services: readonly ServicePlan[];
   /** Pause between two requests of a caller. */
   readonly pauseMs: number;
@@ -26,6 +28,8 @@
   readonly meanServiceTimeMs: number;
   /** Faults of the back ends, by position over all services. */
   readonly backendFaults: ReadonlyMap<number, BackendFaults>;
+  /** True where callers stay on their flows whatever they are told. */
+  readonly callersIgnoreGoAway: boolean;
   readonly backendTuning: Partial<BackendTuning>;
   /** Longest time until the fabric hears of a change of the balancers. */
   readonly platformLagMs: number;
@@ -40,6 +44,7 @@
 export const smallWorld: WorldPlan = {
   controls: 3,
   balancers: 4,
+  balancerZones: 3,
   services: [
     { name: 'authd', owner: 'tarjeta', backends: 3, callers: 4, feeds: 0 },
     { name: 'board-api', owner: 'hara', backends: 3, callers: 2, feeds: 2 },
@@ -49,6 +54,7 @@
   requestDeadlineMs: 15_000,
   meanServiceTimeMs: 10,
   backendFaults: new Map(),
+  callersIgnoreGoAway: false,
   backendTuning: {},
   platformLagMs: 2_000,
   stopGraceMs: 3_000,
