--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -35,8 +35,7 @@
 import type { PlacementPolicy } from '../routing/placement-policy.js';
 import { createPolicy } from '../routing/policy-registry.js';
 import { createBackendView, type BackendView } from './backend-view.js';
-import type { BackendChange } from './candidates.js';
-import { createServiceGroups, type ServiceGroups } from './service-groups.js';
+import { createServiceGroups, type BackendChange, type ServiceGroups } from './service-groups.js';
 
 /** Options of a balancer; times in milliseconds. */
 export interface BalancerOptions {
--- a/src/balancer/candidates.ts
+++ b/src/balancer/candidates.ts
@@ -6,7 +6,6 @@
 import type { ProbeResult } from '../health/backend-report.js';
 import { explainJudgement, type BackendExplanation } from '../health/explanation.js';
 import { judgeOutcome, judgeProbe, type OpenOutcome } from '../health/judgement.js';
-import type { JudgementTransition } from '../health/judgement-state.js';
 import { fullBackendIds } from '../limits/backend-limits.js';
 import {
   estimateFailure,
@@ -17,21 +16,20 @@
 import type { PlacementRequest } from '../routing/placement-policy.js';
 import type { BackendView } from './backend-view.js';
 import { policyFor, type BalancerState, type PendingOpen } from './balancer-state.js';
-import { groupOf, usableCandidatesOf, type ServiceGroup } from './service-groups.js';
+import {
+  groupOf,
+  noteChange,
+  usableCandidatesOf,
+  type BackendChange,
+  type ServiceGroup,
+} from './service-groups.js';
 
-/** Changes of state that wait to be logged; further ones push out the oldest. */
-const MAX_UNLOGGED_CHANGES = 1_000;
 /** Weight of the newest report in the typical use of a service's back ends. */
 const TYPICAL_USE_GAIN = 0.1;
 
 /** How an attempt ended. */
 export type AttemptOutcome = OpenOutcome;
 
-/** A change of a back end's judged state. */
-export interface BackendChange extends JudgementTransition {
-  readonly backendId: number;
-}
-
 /**
  * @returns the back end for the next attempt of an open, or undefined where none is left
  */
@@ -66,7 +64,7 @@
   const distrustBefore = view.judgement.trust.distrust;
   const change = judgeProbe(view.judgement, result, group.judgements, context.nowMs);
   view.health = view.judgement.health;
-  noteChange(state, view, group, change);
+  noteChange(state, group, view, change);
   if (distrustBefore === undefined && view.judgement.trust.distrust !== undefined) {
     raiseToMean(view, group);
   }
@@ -101,7 +99,7 @@
   const { judgement } = view;
   const change = judgeOutcome(judgement, outcome, incarnation, group.judgements, context.nowMs);
   view.health = judgement.health;
-  noteChange(state, view, group, change);
+  noteChange(state, group, view, change);
 }
 
 /**
@@ -123,22 +121,6 @@
   return state.backendChanges.splice(0);
 }
 
-function noteChange(
-  state: BalancerState,
-  view: BackendView,
-  group: ServiceGroup,
-  change: JudgementTransition | undefined,
-): void {
-  if (change === undefined) {
-    return;
-  }
-  group.candidatesOutdated = true;
-  state.backendChanges.push({ backendId: view.backend.id, ...change });
-  if (state.backendChanges.length > MAX_UNLOGGED_CHANGES) {
-    state.backendChanges.shift();
-  }
-}
-
 function noteIncarnation(view: BackendView, incarnation: number | undefined): void {
   const known = view.health?.incarnation;
   if (known !== undefined && incarnation !== undefined && known !== incarnation) {
--- a/src/balancer/service-groups.ts
+++ b/src/balancer/service-groups.ts
@@ -3,7 +3,7 @@
  * made once per configuration, so that an open looks at no other service's back ends.
  */
 import { isLeaseHeld } from '../dissemination/lease.js';
-import type { JudgementGroup } from '../health/judgement-state.js';
+import type { JudgementGroup, JudgementTransition } from '../health/judgement-state.js';
 import { probesFail } from '../health/judgement-rules.js';
 import { judgeAdminState } from '../health/judgement.js';
 import type { BackendView } from './backend-view.js';
@@ -17,6 +17,14 @@
 /** Number of back ends from which a service is large. */
 const LARGE_FROM = 256;
 
+/** Changes of state that wait to be logged; further ones push out the oldest. */
+const MAX_UNLOGGED_CHANGES = 1_000;
+
+/** A change of a back end's judged state. */
+export interface BackendChange extends JudgementTransition {
+  readonly backendId: number;
+}
+
 /** The back ends of one service. */
 export interface ServiceGroup {
   readonly views: BackendView[];
@@ -93,6 +101,26 @@
   return group.usableCandidates;
 }
 
+/**
+ * Keeps a change of state for the log, and the list of candidates up to date.
+ * @param change undefined where there was none
+ */
+export function noteChange(
+  state: BalancerState,
+  group: ServiceGroup,
+  view: BackendView,
+  change: JudgementTransition | undefined,
+): void {
+  if (change === undefined) {
+    return;
+  }
+  group.candidatesOutdated = true;
+  state.backendChanges.push({ backendId: view.backend.id, ...change });
+  if (state.backendChanges.length > MAX_UNLOGGED_CHANGES) {
+    state.backendChanges.shift();
+  }
+}
+
 function rebuildGroups(state: BalancerState, nowMs: number): void {
   const { groups } = state;
   const previous = new Map(groups.byServiceId);
@@ -102,7 +130,7 @@
     addToGroup(groups, view);
   }
   for (const [serviceId, group] of groups.byServiceId) {
-    settleGroup(group, previous.get(serviceId), nowMs);
+    settleGroup(state, group, previous.get(serviceId), nowMs);
   }
 }
 
@@ -126,14 +154,25 @@
 }
 
 /** Takes over what stays, so that an unchanged list of candidates remains the same array. */
-function settleGroup(group: ServiceGroup, previous: ServiceGroup | undefined, nowMs: number): void {
+function settleGroup(
+  state: BalancerState,
+  group: ServiceGroup,
+  previous: ServiceGroup | undefined,
+  nowMs: number,
+): void {
   const { views, judgements } = group;
   judgements.size = views.length;
   judgements.ejected = countWhere(views, ({ judgement }) => judgement.reason === 'opens-time-out');
   judgements.failingProbes = countWhere(views, ({ judgement }) => probesFail(judgement));
-  for (const { judgement, backend } of views) {
+  for (const view of views) {
+    const { judgement, backend } = view;
     if (judgement.adminState !== backend.adminState) {
-      judgeAdminState(judgement, backend.adminState, judgements, nowMs);
+      noteChange(
+        state,
+        group,
+        view,
+        judgeAdminState(judgement, backend.adminState, judgements, nowMs),
+      );
     }
   }
   group.typicalUse = previous?.typicalUse ?? 0;
