--- a/test/balancer/candidates.test.ts
+++ b/test/balancer/candidates.test.ts
@@ -98,6 +98,7 @@
       client: address,
       service,
       replyTo: address,
+      receivedAtMs: 0,
       deadlineAtMs: Infinity,
       triedBackendIds: [],
       attemptEndsAtMs: Infinity,
