Let only a confirmed leader say unauthorized, and time a joining machine

A machine that lagged or had just been added knew no operators and refused their commands for good; the client gave up instead of asking the next one.

--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -78,7 +78,9 @@
 ): Promise<void> {
   const sender = authenticate(options.state, incoming);
   if (sender.isErr()) {
-    respondError(response, sender.error);
+    // A machine that lags may not know the operator yet; only a confirmed leader may say "unauthorized".
+    const { error = sender.error, leader } = await options.query();
+    respondError(response, error, leader);
     return;
   }
   const { operator, owner } = sender.value;
--- a/src/experiment/bench-control-cluster.ts
+++ b/src/experiment/bench-control-cluster.ts
@@ -83,6 +83,20 @@
     }
   }
 
+  /**
+   * Starts a machine with an empty disk and makes it a voter.
+   * @returns how long the change of the members took, with the state to be sent, in milliseconds
+   */
+  async addFollower(nodeId: string, folder: string): Promise<number> {
+    const peer = `{nodeId: ${LEADER}, linkAddress: "${formatAddress(this.leader.linkAddress)}"}`;
+    const flags = [...controlFlags(nodeId, join(folder, nodeId)), `control.peers=[${peer}]`];
+    const args = flags.flatMap((flag) => ['--set', flag]);
+    this.followers.push(await startProcess(nodeId, ['control', ...args]));
+    const startMs = performance.now();
+    await addVoter(this.leader.operatorAddress, nodeId);
+    return performance.now() - startMs;
+  }
+
   /** Resolves once every follower has all on its disk, so that nothing of a commit is still going on. */
   async settle(): Promise<void> {
     while (!this.isSettled()) {
@@ -103,14 +117,6 @@
     await Promise.all(this.followers.map((follower) => follower.exited));
     await this.leader.stop();
   }
-
-  private async addFollower(nodeId: string, folder: string): Promise<void> {
-    const peer = `{nodeId: ${LEADER}, linkAddress: "${formatAddress(this.leader.linkAddress)}"}`;
-    const flags = [...controlFlags(nodeId, join(folder, nodeId)), `control.peers=[${peer}]`];
-    const args = flags.flatMap((flag) => ['--set', flag]);
-    this.followers.push(await startProcess(nodeId, ['control', ...args]));
-    await addVoter(this.leader.operatorAddress, nodeId);
-  }
 }
 
 /** Starts a control machine in this process. */
--- a/src/experiment/bench-control-restart.ts
+++ b/src/experiment/bench-control-restart.ts
@@ -2,12 +2,15 @@
  * @file How long a control machine takes to start again after many changes, as a real process on a disk
  * as a killed machine leaves it, and whether all that was accepted is there.
  */
-import { cp } from 'node:fs/promises';
+import { cp, stat } from 'node:fs/promises';
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
+import { createConsensusState } from '../consensus/consensus-state.js';
 import type { OperatorCommand } from '../control/commands.js';
 import type { ControlState } from '../control/control-state.js';
 import { encodeClusterState } from '../control/cluster-snapshot.js';
+import { ConsensusStorage } from '../daemon/consensus-storage.js';
+import { openStorageFolder } from '../daemon/storage-folder.js';
 import {
   BenchCluster,
   controlFlags,
@@ -31,6 +34,11 @@
   readonly processReadyMs: number;
   /** The same of a process with an empty disk: what starting costs by itself. */
   readonly emptyProcessReadyMs: number;
+  /** From asking that a machine with an empty disk be added until it is a voter with the whole state. */
+  readonly joinMs: number;
+  readonly snapshotBytes: number;
+  /** Bytes of the log file for each entry that it holds. */
+  readonly logBytesPerChange: number;
   /** True where the state found again equals the state before, byte for byte. */
   readonly isWhole: boolean;
 }
@@ -48,13 +56,16 @@
     const left = await copyOf(folder, 'left', cluster.leader.state);
     const processReadyMs = await timedStart(left);
     const emptyProcessReadyMs = await timedStart(join(folder, 'empty'));
+    const isWhole = await holds(await copyOf(folder, 'checked', cluster.leader.state), cluster);
     return {
       changes,
       services: services.size,
       backends: backends.size,
       processReadyMs,
       emptyProcessReadyMs,
-      isWhole: await holds(await copyOf(folder, 'checked', cluster.leader.state), cluster),
+      ...(await diskFigures(left)),
+      joinMs: await cluster.addFollower('c2', folder),
+      isWhole,
     };
   } finally {
     await cluster.stop();
@@ -102,6 +113,17 @@
   return readyMs;
 }
 
+async function diskFigures(folder: string) {
+  const storage = await ConsensusStorage.open(await openStorageFolder(folder), 'c1');
+  const { recovered } = storage._unsafeUnwrap();
+  const { log } = createConsensusState('c1', recovered);
+  const { size } = await stat(join(folder, 'log'));
+  return {
+    snapshotBytes: recovered.snapshot?.data.length ?? 0,
+    logBytesPerChange: size / (log.last.index - log.base.index),
+  };
+}
+
 /** A leader appends an entry of its own, so only what entries changed is compared. */
 async function holds(dataFolder: string, cluster: BenchCluster): Promise<boolean> {
   const restarted = await startHere(controlFlags('c1', dataFolder));
--- a/test/daemon/control-daemon.test.ts
+++ b/test/daemon/control-daemon.test.ts
@@ -124,6 +124,8 @@
     running.delete(stopped);
     const second = await send([stopped, ...running], 'id-2', define('board-api', '127.1.0.2'));
     t.ok(second.isOk(), 'a stopped machine is passed over');
+    const third = await send([stranger, ...running], 'id-2', define('board-api', '127.1.0.2'));
+    t.ok(third.isOk(), 'and so is one that knows no operator');
     const again = await send(running, 'id-1', define('authd', '127.1.0.1'));
     t.strictSame(again, first, 'a command sent again gets its first answer');
     t.strictSame(serviceNames(await leaderOf(running)), ['authd', 'board-api']);
