--- a/src/experiment/hollow/hollow-balancer.ts
+++ b/src/experiment/hollow/hollow-balancer.ts
@@ -10,14 +10,21 @@
   type BalancerState,
 } from '../../balancer/balancer-state.js';
 import { balancerStep } from '../../balancer/balancer-step.js';
-import type { ControlToBalancerMessage } from '../../dissemination/link-messages.js';
-import type { HollowLink } from './hollow-link.js';
+import type {
+  BalancerToControlMessage,
+  ControlToBalancerMessage,
+} from '../../dissemination/link-messages.js';
+import type { PeerDatagram } from '../../membership/gossip-messages.js';
+import { gossipAddress, type MemberAddresses } from '../../membership/member.js';
+import { HollowLink, type LinkClient, type LinkServerEnd } from './hollow-link.js';
+import type { HollowRole } from './meter.js';
 import type { Place } from './places.js';
 import { contextOf, type HollowSurroundings } from './surroundings.js';
 import type { WireMessage } from './wire.js';
 
 /** How long a connection to a machine that does not answer is tried, in milliseconds. */
 const CONNECT_TIMEOUT_MS = 3_000;
+const MS_PER_SECOND = 1_000;
 
 /** What a hollow balancer is made of. */
 export interface HollowBalancerOptions {
@@ -26,12 +33,15 @@
   readonly clusterKey: string;
   /** Control machines in the order in which this balancer tries them. */
   readonly controlAddresses: readonly Address[];
+  readonly addresses: MemberAddresses;
+  /** Gossip addresses of other balancers. */
+  readonly seeds: readonly Address[];
   /** Time between two ticks; the daemon's is 20 ms. */
   readonly tickIntervalMs: number;
 }
 
 /** One hollow balancer. */
-export class HollowBalancer {
+export class HollowBalancer implements LinkClient, LinkServerEnd {
   readonly nodeId: string;
   readonly place: Place;
   state: BalancerState;
@@ -39,6 +49,10 @@
   /** Probes that the step asked for. */
   probeCount = 0;
   private link: HollowLink | undefined;
+  private linkId = 0;
+  /** Balancers that get the configuration from this one, by the name of the link here. */
+  private readonly servedLinks = new Map<number, HollowLink>();
+  private nextLinkId = 1;
   private generation = 0;
 
   constructor(
@@ -50,6 +64,11 @@
     this.state = this.newState();
   }
 
+  /** What this balancer does at present. */
+  get role(): HollowRole {
+    return this.servedLinks.size > 0 ? 'relay' : 'balancer';
+  }
+
   /** Starts the process, with nothing but its settings. */
   start(): void {
     this.state = this.newState();
@@ -69,46 +88,73 @@
   /** Ends the process at once. */
   kill(): void {
     this.isUp = false;
-    this.link?.closeFrom('balancer');
+    this.link?.closeFromClient();
     this.link = undefined;
+    this.servedLinks.forEach((link) => link.closeFromServer());
+    this.servedLinks.clear();
   }
 
-  /** Takes a message of a control machine. */
-  receive(link: HollowLink, wire: WireMessage): void {
+  /** Takes a message of the node that it gets the configuration from. */
+  receiveFromServer(link: HollowLink, wire: WireMessage): void {
     if (link !== this.link || !this.isUp) {
       return;
     }
-    const { meter } = this.surroundings;
-    meter.of('balancer').stepMs += wire.decodeMs;
-    meter.countReceived('balancer', wire.kind, wire.bytes);
+    this.surroundings.meter.countReceived(this.role, wire);
     this.step({
       type: 'link-message',
-      linkId: link.balancerLinkId,
+      linkId: this.linkId,
       message: wire.decoded as ControlToBalancerMessage,
     });
   }
 
   /** The other end closed the link. */
-  linkClosed(link: HollowLink): void {
+  serverClosed(link: HollowLink): void {
     if (link === this.link && this.isUp) {
       this.link = undefined;
-      this.step({ type: 'link-closed', linkId: link.balancerLinkId });
+      this.step({ type: 'link-closed', linkId: this.linkId });
+    }
+  }
+
+  /** Another balancer connects. */
+  acceptLink(client: LinkClient): HollowLink {
+    const linkId = this.nextLinkId;
+    this.nextLinkId += 1;
+    const link = new HollowLink(this.surroundings, client, this, linkId);
+    this.servedLinks.set(linkId, link);
+    return link;
+  }
+
+  /** Takes a message of a balancer that gets the configuration from this one. */
+  receiveFromClient(link: HollowLink, wire: WireMessage): void {
+    if (this.servedLinks.has(link.serverLinkId)) {
+      this.surroundings.meter.countReceived(this.role, wire);
+      const message = wire.decoded as BalancerToControlMessage;
+      this.step({ type: 'peer-message', linkId: link.serverLinkId, message });
+    }
+  }
+
+  /** That balancer closed its link. */
+  clientClosed(link: HollowLink): void {
+    if (this.servedLinks.delete(link.serverLinkId) && this.isUp) {
+      this.step({ type: 'peer-closed', linkId: link.serverLinkId });
     }
   }
 
   private newState(): BalancerState {
-    const { clusterKey, controlAddresses } = this.options;
+    const { clusterKey, controlAddresses, addresses, seeds } = this.options;
+    const incarnation = Math.floor(this.surroundings.queue.nowMs / MS_PER_SECOND) + 1;
     return createBalancerState({
       ...defaultBalancerOptions,
       balancerId: this.nodeId,
       zone: this.place.zone,
       controlAddresses,
       clusterKey,
+      membership: { ...addresses, incarnation, seeds },
     });
   }
 
   private tick(): void {
-    const usage = this.surroundings.meter.of('balancer');
+    const usage = this.surroundings.meter.of(this.role);
     const startMs = performance.now();
     const effects = balancerStep(this.state, { type: 'tick' }, contextOf(this.surroundings));
     usage.tickMs += performance.now() - startMs;
@@ -120,7 +166,7 @@
     const before = this.state.position.index;
     const startMs = performance.now();
     const effects = balancerStep(this.state, event, contextOf(this.surroundings));
-    this.surroundings.meter.of('balancer').stepMs += performance.now() - startMs;
+    this.surroundings.meter.of(this.role).stepMs += performance.now() - startMs;
     if (this.state.position.index > before) {
       this.surroundings.onInForce(this.options.number, this.state.position.index);
     }
@@ -130,38 +176,56 @@
   private perform(effect: BalancerEffect): void {
     match(effect)
       .with({ type: 'link-open' }, ({ linkId, address }) => this.openLink(linkId, address))
-      .with({ type: 'link-send' }, ({ message }) => this.link?.toControl(message, message.type))
+      .with({ type: 'link-send' }, ({ message }) => this.link?.toServer(message, message.type))
       .with({ type: 'probe' }, () => {
         this.probeCount += 1;
       })
-      .with({ type: 'send' }, { type: 'peer-send' }, { type: 'gossip-send' }, () => undefined)
+      .with({ type: 'peer-send' }, ({ linkId, message }) =>
+        this.servedLinks.get(linkId)?.toClient(message),
+      )
+      .with({ type: 'gossip-send' }, ({ to, message }) => this.gossip(to, message))
+      .with({ type: 'send' }, () => undefined)
       .exhaustive();
   }
 
+  private gossip(to: Address, message: PeerDatagram): void {
+    const { queue, network, wire, meter, gossipKey, balancersByGossipAddress } = this.surroundings;
+    const passed = wire.passGossip(message, gossipKey);
+    meter.countSent(this.role, passed);
+    const peer = balancersByGossipAddress.get(formatAddress(to));
+    if (peer === undefined) {
+      return;
+    }
+    queue.after(network.delayMs(this.place, peer.place), () => {
+      if (peer.isUp && network.connectsNodes(this, peer)) {
+        meter.countReceived(peer.role, passed);
+        const from = gossipAddress(this.options.addresses);
+        peer.step({ type: 'gossip', message: passed.decoded as PeerDatagram, from });
+      }
+    });
+  }
+
   private openLink(linkId: number, address: Address): void {
-    const { queue, network, controlsByAddress } = this.surroundings;
-    this.link?.closeFrom('balancer');
+    const { queue, network, linkServersByAddress } = this.surroundings;
+    this.link?.closeFromClient();
     this.link = undefined;
-    const control = controlsByAddress.get(formatAddress(address));
+    this.linkId = linkId;
+    const server = linkServersByAddress.get(formatAddress(address));
     const { generation } = this;
     const closed = () => {
-      if (this.generation === generation && this.isUp && this.link === undefined) {
+      if (this.generation === generation && this.isUp && this.linkId === linkId) {
         this.step({ type: 'link-closed', linkId });
       }
     };
-    const isReachable =
-      control !== undefined &&
-      network.connects(this.place, control.place) &&
-      !network.isCutOff(control.nodeId);
-    if (!isReachable) {
+    if (server === undefined || !network.connectsNodes(this, server)) {
       queue.after(CONNECT_TIMEOUT_MS, closed);
       return;
     }
-    if (!control.isUp) {
-      queue.after(2 * network.delayMs(this.place, control.place), closed);
+    if (!server.isUp) {
+      queue.after(2 * network.delayMs(this.place, server.place), closed);
       return;
     }
-    this.link = control.acceptLink(this, linkId);
+    this.link = server.acceptLink(this);
     this.step({ type: 'link-opened', linkId });
   }
 }
