--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -9,6 +9,8 @@
 import { loggerFor } from '../common/logger.js';
 import { operatorTokenHash } from '../control/command-hash.js';
 import type { CommandEntry, CommandOutcome } from '../control/commands.js';
+import { currentMembership } from '../consensus/consensus-state.js';
+import { votersOf } from '../consensus/membership.js';
 import { createControlState, isLeader, type ControlState } from '../control/control-step.js';
 import { unknownLoad } from '../control/views/backend-load.js';
 import type { InForceView } from '../control/views/in-force.js';
@@ -62,8 +64,8 @@
   }
   const daemon = await listen(settings, storage.value, tls.value);
   const { state } = daemon;
-  if (settings.control.peers.length === 0) {
-    await firstCommandsApplied(state, settings);
+  while (standsAlone(state, settings) && !isReady(state, settings)) {
+    await sleep(POLL_INTERVAL_MS);
   }
   const { nodeId } = settings;
   loggerFor('control').info(`Control machine ${nodeId} is ready at index ${state.cluster.index}.`);
@@ -80,6 +82,7 @@
   const links = await listenForLinks(control.linkAddress, {
     onMessage: (message, link) => holder.edge?.onMessage(message, link),
     onClose: (link) => holder.edge?.onClose(link),
+    onTraffic: (direction, kind, bytes) => holder.edge?.onTraffic(direction, kind, bytes),
   });
   const http = await listenHttp(
     control.operatorAddress,
@@ -148,14 +151,10 @@
 }
 
 /** What balancers reported that they have in force. */
-function inForceView({ publisher }: ControlState): InForceView {
-  const balancers = balancerReports(publisher).map(({ balancerId, zone, position }) => ({
-    balancerId,
-    zone,
-    index: position.index,
-  }));
+function inForceView({ publisher, leaseAuthority }: ControlState): InForceView {
+  const balancers = balancerReports(publisher);
   // Till then balancers may go on by leases of an earlier leader without having reported here.
-  const isComplete = hasOutlivedEarlierLeases(publisher.authority, performance.now());
+  const isComplete = hasOutlivedEarlierLeases(leaseAuthority, performance.now());
   return { balancers, isComplete };
 }
 
@@ -179,16 +178,21 @@
 }
 
 function otherVoters({ consensus }: ControlState): number {
-  const members = consensus.memberships.at(-1)?.membership.members ?? [];
-  return members.filter(({ role, nodeId }) => role === 'voter' && nodeId !== consensus.nodeId)
-    .length;
+  const voters = votersOf(currentMembership(consensus));
+  return voters.filter(({ nodeId }) => nodeId !== consensus.nodeId).length;
 }
 
-async function firstCommandsApplied(state: ControlState, settings: Settings): Promise<void> {
-  const isReady = () =>
-    isLeader(state) &&
-    (settings.control.operators.length === 0 || state.cluster.operators.size > 0);
-  while (!isReady() || state.cluster.routing.keys.size === 0) {
-    await sleep(POLL_INTERVAL_MS);
-  }
+/** True for the only member of a cluster, and for a machine that is about to begin one by itself. */
+function standsAlone(state: ControlState, settings: Settings): boolean {
+  const { members } = currentMembership(state.consensus);
+  return members.length === 0 ? settings.control.peers.length === 0 : members.length === 1;
+}
+
+/** A leader has applied all that was ever accepted once an entry of its own term is committed. */
+function isReady({ cluster, consensus }: ControlState, settings: Settings): boolean {
+  const { role, commitIndex } = consensus;
+  const { operators, routing } = cluster;
+  const hasOperators = settings.control.operators.length === 0 || operators.size > 0;
+  const hasAll = role.name === 'leader' && commitIndex >= role.termStartIndex;
+  return hasAll && hasOperators && routing.keys.size > 0;
 }
--- a/src/experiment/cluster.ts
+++ b/src/experiment/cluster.ts
@@ -9,7 +9,6 @@
 import { formatAddress, type Address } from '../common/address.js';
 import { sendJson } from '../daemon/http-json.js';
 import { startProcess, type ManagedProcess } from './child-process.js';
-import { committedIndex } from './cluster-status.js';
 import type { DaemonSettings, DeployedService, Deployment } from './deployment.js';
 import { findFreeAddress } from './free-address.js';
 
@@ -51,8 +50,8 @@
   readonly process: ManagedProcess;
   readonly healthAddress: Address;
   readonly id: number;
-  /** Index of the configuration that has it. */
-  readonly addedAtIndex: number;
+  /** Revision of its operator's configuration that has it first. */
+  readonly addedInRevision: number;
   /** True once its operator has drained it. */
   leaving: boolean;
 }
@@ -160,7 +159,7 @@
       process,
       healthAddress,
       id: added.backendId ?? 0,
-      addedAtIndex: await committedIndex(this),
+      addedInRevision: added.revision,
       leaving: false,
     };
     this.backends.push(backend);
@@ -311,7 +310,7 @@
   private async waitForControl(): Promise<void> {
     const operator = this.options.deployment.services[0]?.operator ?? '';
     const endsAt = performance.now() + CONTROL_TIMEOUT_MS;
-    while ((await this.clientOf(operator).query({ type: 'services' })).isErr()) {
+    while ((await this.clientOf(operator).query({ type: 'in-force' })).isErr()) {
       if (performance.now() > endsAt) {
         throw new Error('The control machines did not begin a cluster in time.');
       }
--- a/src/experiment/operator-changes.ts
+++ b/src/experiment/operator-changes.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { build } from 'hdr-histogram-js';
 import type { Cluster } from './cluster.js';
-import { committedIndex, waitUntilInForce } from './cluster-status.js';
+import { waitUntilInForce, type OperatorRevision } from './cluster-status.js';
 import type { DeployedService } from './deployment.js';
 
 const IN_FORCE_TIMEOUT_MS = 30_000;
@@ -89,12 +89,12 @@
     const acceptedAtMs = performance.now();
     this.accepted.recordValue(acceptedAtMs - sentAtMs);
     this.lastAccepted.set(service.name, opensPerSecond);
-    this.following.push(this.follow(acceptedAtMs));
+    const { revision } = result.value;
+    this.following.push(this.follow({ operator: service.operator, revision }, acceptedAtMs));
   }
 
-  private async follow(acceptedAtMs: number): Promise<void> {
-    const index = await committedIndex(this.cluster);
-    if (await waitUntilInForce(this.cluster, index, IN_FORCE_TIMEOUT_MS)) {
+  private async follow(revision: OperatorRevision, acceptedAtMs: number): Promise<void> {
+    if (await waitUntilInForce(this.cluster, [revision], IN_FORCE_TIMEOUT_MS)) {
       this.inForce.recordValue(performance.now() - acceptedAtMs);
     } else {
       this.late += 1;
@@ -107,10 +107,9 @@
     for (const { name, operator } of services) {
       const expected = this.lastAccepted.get(name);
       if (expected !== undefined) {
-        const shown = await this.cluster
-          .clientOf(operator)
-          .query({ type: 'service', service: name });
-        const service = shown.map((result) => result.service).unwrapOr(undefined);
+        const shown = await this.cluster.clientOf(operator).query({ type: 'services' });
+        const services = shown.map((answer) => answer.services).unwrapOr([]);
+        const service = services.find((candidate) => candidate.name === name);
         reverted += service?.limits.opensPerSecond === expected ? 0 : 1;
       }
     }
