--- a/src/cli/ctl.ts
+++ b/src/cli/ctl.ts
@@ -13,6 +13,7 @@
   type StatementOutput,
 } from '../client/statement-runner.js';
 import { MAX_COMMAND_ID_LENGTH } from '../control/commands.js';
+import { ctlOptions } from '../language/command-reference.js';
 import { addressFlag } from './address-flag.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
@@ -34,18 +35,12 @@
  * Registers the subcommand.
  */
 export function registerCtl(cli: CAC): void {
-  cli
-    .command('ctl [...statement]', 'Run an operator statement; without one, prompt for them')
-    .option('--control <address>', 'Operator address of a control machine; may be repeated')
-    .option('--token <token>', "The operator's bearer token; others may see it in process lists")
-    .option('--token-file <file>', "File with the operator's bearer token")
-    .option('--ca <file>', 'Certificate (PEM) that the control machines are checked by; uses TLS')
-    .option('--file <file>', 'Run a script, one statement a line; /dev/stdin reads standard input')
-    .option('--command-id <id>', 'Command ID, to send a command or script again')
-    .option('--history <file>', 'Keep the history of the prompt in this file')
-    .option('--wait <seconds>', 'Wait until accepted commands are in force on every balancer')
-    .option('--json', 'Print JSON, one value a statement')
-    .action(run);
+  const command = cli.command(
+    'ctl [...statement]',
+    'Run an operator statement; without one, prompt for them',
+  );
+  ctlOptions.forEach(({ flag, meaning }) => command.option(flag, meaning));
+  command.action(run);
 }
 
 async function run(words: readonly string[], flags: CtlFlags): Promise<void> {
--- a/src/language/command-reference.ts
+++ b/src/language/command-reference.ts
@@ -132,3 +132,37 @@
     examples: ['explain command 20261202T065703Z-4f1c9a'],
   },
 ];
+
+/** One option of the client. */
+export interface OptionReference {
+  readonly flag: string;
+  readonly meaning: string;
+}
+
+/** The options of `amberlift ctl`; the command line is made from them too. */
+export const ctlOptions: readonly OptionReference[] = [
+  {
+    flag: '--control <address>',
+    meaning: 'Operator address of a control machine; may be repeated',
+  },
+  { flag: '--token-file <file>', meaning: "File with the operator's bearer token" },
+  {
+    flag: '--token <token>',
+    meaning: "The operator's bearer token; others may see it in process lists",
+  },
+  {
+    flag: '--ca <file>',
+    meaning: 'Certificate (PEM) that the control machines are checked by; uses TLS',
+  },
+  {
+    flag: '--file <file>',
+    meaning: 'Run a script, one statement a line; /dev/stdin reads standard input',
+  },
+  { flag: '--command-id <id>', meaning: 'Command ID, to send a command or script again' },
+  { flag: '--history <file>', meaning: 'Keep the history of the prompt in this file' },
+  {
+    flag: '--wait <seconds>',
+    meaning: 'Wait until accepted commands are in force on every balancer',
+  },
+  { flag: '--json', meaning: 'Print JSON, one value a statement' },
+];
--- a/src/language/reference-text.ts
+++ b/src/language/reference-text.ts
@@ -2,7 +2,12 @@
  * @file The text of docs/COMMANDS.md, made from the tables of statements and of error kinds.
  */
 import { answerFor, errorKinds, exitCodes } from '../flow/error-kinds.js';
-import { commandReference, queryReference, type StatementReference } from './command-reference.js';
+import {
+  commandReference,
+  ctlOptions,
+  queryReference,
+  type StatementReference,
+} from './command-reference.js';
 
 const INTRODUCTION = `# Command reference
 
@@ -22,6 +27,26 @@
 \`based on <version>\` is refused with \`conflict\` where the service is at another version by then.
 `;
 
+const CLIENT = `## The client
+
+\`amberlift ctl\` runs one statement, the statements of a file, or a prompt where it is given neither. At the
+prompt the tab key completes, the cursor keys go through the history, \`help\` tells how statements begin, and
+\`exit\` ends.
+
+\`\`\`sh
+amberlift ctl --control 127.0.0.1:7100 --token-file token.txt show services
+amberlift ctl --control 127.0.0.1:7100 --token-file token.txt --wait 10 drain backend 12
+amberlift ctl --control 127.0.0.1:7100 --token-file token.txt --file setup.txt --command-id setup-1
+\`\`\`
+
+A file has one statement a line; empty lines and lines that begin with \`#\` are left out. It ends at the first
+statement that fails. Its commands are sent as \`ID-LINE\`, so a file that broke off can be run again with the
+same \`--command-id\`, and nothing is applied twice.
+
+Every command has an ID; the client makes one where none is given. Where no control machine answers, the
+client prints the ID with which to send the command again. An ID that the client makes is known for 24 hours.
+`;
+
 /**
  * @returns the whole text, in Markdown
  */
@@ -32,6 +57,8 @@
     ...commandReference.map(describeStatement),
     '## Queries\n',
     ...queryReference.map(describeStatement),
+    CLIENT,
+    describeOptions(),
     '## Exit codes\n',
     describeExitCodes(),
   ].join('\n');
@@ -41,6 +68,11 @@
   return `### \`${form}\`\n\n${meaning}\n\n\`\`\`text\n${examples.join('\n')}\n\`\`\`\n`;
 }
 
+function describeOptions(): string {
+  const rows = ctlOptions.map(({ flag, meaning }) => `| \`${flag}\` | ${meaning} |`);
+  return ['| Option | Meaning |', '| --- | --- |', ...rows, ''].join('\n');
+}
+
 function describeExitCodes(): string {
   const rows = Object.entries(exitCodes).map(([name, code]) => {
     const kinds = errorKinds.filter((kind) => answerFor(kind).exitCode === code);
