Tell a joining balancer what is known of back ends, and calm the shared probes

Cause: a balancer that joined learned the health of back ends only from probes and gossip, and without news results were told as often as with.

Change: whoever gives a joining balancer the configuration also sends the results that it knows; they confirm no identity. Without news results are told once a second; probes in place of missing results are at most 5 a second with a lease, and begin later.

--- a/src/balancer/balancer-state.ts
+++ b/src/balancer/balancer-state.ts
@@ -121,7 +121,8 @@
   /** The balancers that share the probes, as of a version of the members. */
   readonly probers: { group: ProberGroup; plannedVersion: number };
   readonly sharing: HealthSharing;
-  nextShareAtMs: number;
+  /** When results were last told to others. */
+  sharedAtMs: number;
   nextFleetCountAtMs: number;
   healthTickAtMs: number | undefined;
   /** Before this time other balancers' results are not taken. */
@@ -162,7 +163,7 @@
       plannedVersion: -1,
     },
     sharing: createHealthSharing(),
-    nextShareAtMs: 0,
+    sharedAtMs: 0,
     nextFleetCountAtMs: 0,
     healthTickAtMs: undefined,
     distrustUntilMs: 0,
--- a/src/balancer/control-links.ts
+++ b/src/balancer/control-links.ts
@@ -26,11 +26,12 @@
 } from '../dissemination/subscription.js';
 import { expireReports } from '../dissemination/subtree-report.js';
 import type { PeerDatagram } from '../membership/gossip-messages.js';
+import { allSharedResults } from '../health/health-sharing.js';
 import { liveBalancerCount, zoneMembers } from '../membership/membership-state.js';
 import { membershipStep } from '../membership/membership-step.js';
 import type { BalancerEffect, PeerSendEffect } from './balancer-events.js';
 import { applyConfigUpdate, type BalancerState } from './balancer-state.js';
-import { takeSharedResults } from './shared-health.js';
+import { takeHealthState, takeSharedResults } from './shared-health.js';
 
 /** Time between two counts of the live balancers, in milliseconds. */
 const FLEET_COUNT_INTERVAL_MS = 500;
@@ -54,11 +55,16 @@
   state: BalancerState,
   linkId: number,
   message: ControlToBalancerMessage,
-  { nowMs }: StepContext,
+  context: StepContext,
 ): { readonly effects: BalancerEffect[]; readonly hasChanged: boolean } {
+  const { nowMs } = context;
   const { subscription, publisher } = state;
   const source = reportSource(state);
-  const { update, effects } = handleControlMessage(subscription, linkId, message, source, nowMs);
+  const reaction = handleControlMessage(subscription, linkId, message, source, nowMs);
+  const { update, results, effects } = reaction;
+  if (results !== undefined) {
+    takeHealthState(state, results, context);
+  }
   if (update === undefined) {
     return { effects, hasChanged: false };
   }
@@ -78,7 +84,11 @@
   { nowMs }: StepContext,
 ): BalancerEffect[] {
   const { publisher, config } = state;
-  return handleSubscriberMessage(publisher, linkId, message, config, nowMs).map(toPeer);
+  const sends = handleSubscriberMessage(publisher, linkId, message, config, nowMs).map(toPeer);
+  const isJoining = message.type === 'subscribe' && message.position.index === 0;
+  return isJoining && publisher.subscribers.has(linkId)
+    ? [...sends, healthState(state, linkId, nowMs)]
+    : sends;
 }
 
 /**
@@ -149,6 +159,11 @@
   return { position, reports: publisher.reports };
 }
 
+function healthState(state: BalancerState, linkId: LinkId, nowMs: number): PeerSendEffect {
+  const results = allSharedResults(state.sharing, nowMs);
+  return { type: 'peer-send', linkId, message: { type: 'health-state', results } };
+}
+
 function toPeer({ linkId, message }: LinkSendEffect): PeerSendEffect {
   return { type: 'peer-send', linkId, message };
 }
--- a/src/balancer/shared-health.ts
+++ b/src/balancer/shared-health.ts
@@ -5,7 +5,7 @@
 import type { StepContext } from '../common/step.js';
 import { isLeaseHeld } from '../dissemination/lease.js';
 import type { ProbeResult } from '../health/backend-report.js';
-import { noteResult, resultsToShare } from '../health/health-sharing.js';
+import { noteResult, resultsToShare, type SharedResult } from '../health/health-sharing.js';
 import {
   dueProbes,
   noteObservation,
@@ -20,8 +20,9 @@
 import { recordIdentity, type BalancerState } from './balancer-state.js';
 import { recordProbe } from './candidates.js';
 
-/** Time between two messages to others, in milliseconds. */
-const SHARE_INTERVAL_MS = 500;
+/** Time between two messages to others, in milliseconds: with news, and without. */
+const NEWS_INTERVAL_MS = 500;
+const IDLE_INTERVAL_MS = 1_000;
 /** How many others are told at a time. */
 const SHARE_FANOUT = 2;
 /** A gap between ticks beyond which this process was paused, in milliseconds. */
@@ -68,6 +69,23 @@
   }
 }
 
+/**
+ * Takes what another balancer told over a link when this one joined. A link may have held it up for
+ * long, so it confirms no identity and is not told on.
+ */
+export function takeHealthState(
+  state: BalancerState,
+  results: readonly SharedResult[],
+  context: StepContext,
+): void {
+  for (const { ageMs, ...result } of results) {
+    const observedAtMs = context.nowMs - ageMs;
+    if (noteObservation(state.probes, result.backendId, observedAtMs)) {
+      recordProbe(state, result, { ...context, nowMs: observedAtMs });
+    }
+  }
+}
+
 /**
  * Begins the probes that are due, and tells others what is known.
  */
@@ -106,10 +124,11 @@
 
 function share(state: BalancerState, { nowMs, random }: StepContext): BalancerEffect[] {
   const { membership, options } = state;
-  if (membership === undefined || nowMs < state.nextShareAtMs) {
+  const intervalMs = state.sharing.news.size > 0 ? NEWS_INTERVAL_MS : IDLE_INTERVAL_MS;
+  if (membership === undefined || nowMs < state.sharedAtMs + intervalMs) {
     return [];
   }
-  state.nextShareAtMs = nowMs + SHARE_INTERVAL_MS;
+  state.sharedAtMs = nowMs;
   const others = presentMembers(membership.list);
   const effects: BalancerEffect[] = [];
   for (let count = Math.min(SHARE_FANOUT, others.length); count > 0; count -= 1) {
--- a/src/dissemination/link-messages.ts
+++ b/src/dissemination/link-messages.ts
@@ -4,6 +4,7 @@
  */
 import type { Address } from '../common/address.js';
 import type { ConfigPosition, ConfigUpdate } from '../control/config-update.js';
+import type { SharedResult } from '../health/health-sharing.js';
 import type { LeaseGrant } from './lease.js';
 import type { SubtreeReport } from './subtree-report.js';
 
@@ -55,7 +56,14 @@
   readonly kind: 'wrong-cluster';
 }
 
+/** From a balancer to one that joins: what is known of back ends. */
+export interface HealthStateMessage {
+  readonly type: 'health-state';
+  readonly results: readonly SharedResult[];
+}
+
 /** Any message from a balancer to a control machine. */
 export type BalancerToControlMessage = SubscribeMessage | AcknowledgeMessage;
 /** Any message from a control machine to a balancer. */
-export type ControlToBalancerMessage = HeartbeatMessage | UpdateMessage | LinkRefusedMessage;
+export type ControlToBalancerMessage =
+  HeartbeatMessage | UpdateMessage | LinkRefusedMessage | HealthStateMessage;
--- a/src/dissemination/subscription.ts
+++ b/src/dissemination/subscription.ts
@@ -5,6 +5,7 @@
 import { match } from 'ts-pattern';
 import { formatAddress, type Address } from '../common/address.js';
 import type { ConfigPosition, ConfigUpdate } from '../control/config-update.js';
+import type { SharedResult } from '../health/health-sharing.js';
 import { expiredLease, takeGrant, type Lease } from './lease.js';
 import type {
   AcknowledgeMessage,
@@ -105,6 +106,8 @@
 export interface SubscriptionReaction {
   /** An update that the balancer should apply before the effects are performed. */
   readonly update?: ConfigUpdate;
+  /** What another balancer knows of back ends. */
+  readonly results?: readonly SharedResult[];
   readonly effects: SubscriptionEffect[];
 }
 
@@ -235,6 +238,10 @@
     .with({ type: 'heartbeat' }, (heartbeat): SubscriptionReaction => ({
       effects: takeHeartbeat(state, heartbeat, source, nowMs),
     }))
+    .with({ type: 'health-state' }, ({ results }): SubscriptionReaction => ({
+      results,
+      effects: [],
+    }))
     .with({ type: 'link-refused' }, (): SubscriptionReaction => {
       handleLinkClosed(state, linkId, nowMs);
       state.refused = true;
--- a/src/health/health-sharing.ts
+++ b/src/health/health-sharing.ts
@@ -95,7 +95,18 @@
     .slice(0, bound)
     .forEach(([backendId, known]) => chosen.set(backendId, known));
   chosen.forEach((known) => (known.toldAtMs = nowMs));
-  return [...chosen.values()]
+  return sharedResults(chosen.values(), nowMs);
+}
+
+/**
+ * @returns all results that are not too old, for a balancer that joins
+ */
+export function allSharedResults(sharing: HealthSharing, nowMs: number): SharedResult[] {
+  return sharedResults(sharing.known.values(), nowMs);
+}
+
+function sharedResults(results: Iterable<KnownResult>, nowMs: number): SharedResult[] {
+  return [...results]
     .filter(({ observedAtMs }) => nowMs - observedAtMs < MAX_TOLD_AGE_MS)
     .map(({ result, observedAtMs }) => ({
       backendId: result.backendId,
--- a/src/health/probe-schedule.ts
+++ b/src/health/probe-schedule.ts
@@ -13,14 +13,15 @@
 const MAX_LOCAL_PROBES_PER_SECOND = 30;
 /** The same for back ends of other zones. */
 const MAX_REMOTE_PROBES_PER_SECOND = 20;
-/** Probes a second in place of results that did not come. */
-const MAX_FALLBACK_PROBES_PER_SECOND = 20;
+/** Probes a second in place of results that did not come, with a lease and without. */
+const MAX_FALLBACK_PROBES_PER_SECOND = 5;
+const MAX_URGENT_FALLBACK_PROBES_PER_SECOND = 20;
 /** Probes of back ends not seen before that are begun at a time. */
 const MAX_FIRST_PROBES = 50;
 /** After this many intervals without a result a balancer that has no lease probes by itself. */
 const STALE_INTERVALS = 3;
 /** How much later one with a lease does so, in milliseconds. */
-const STALE_EXTRA_MS = 2_000;
+const STALE_EXTRA_MS = 5_000;
 /** A probe that has brought no answer for this time is given up, in milliseconds. */
 const PROBE_LIFETIME_MS = 5_000;
 
@@ -133,9 +134,11 @@
   takeGroup(schedule, group);
   const elapsedMs = nowMs - (schedule.lastCallAtMs ?? nowMs);
   schedule.lastCallAtMs = nowMs;
-  const fallback =
-    schedule.fallbackAllowance + (elapsedMs * MAX_FALLBACK_PROBES_PER_SECOND) / 1_000;
-  schedule.fallbackAllowance = Math.min(fallback, MAX_FALLBACK_PROBES_PER_SECOND);
+  const maxFallback = schedule.isUrgent
+    ? MAX_URGENT_FALLBACK_PROBES_PER_SECOND
+    : MAX_FALLBACK_PROBES_PER_SECOND;
+  const fallback = schedule.fallbackAllowance + (elapsedMs * maxFallback) / 1_000;
+  schedule.fallbackAllowance = Math.min(fallback, maxFallback);
   return [
     ...firstProbes(schedule, nowMs),
     ...visitRing(schedule, schedule.local, elapsedMs, nowMs),
