Let a balancer without lease ask back ends and tell them nothing

Cause: a probe tells a back end which one it is. A balancer that was cut off would have named the new process at a reused address after the former back end, taken the answer for a confirmation, and sent it the former service's packets; it would also have told it to drain.

Change: a probe effect says whether it is authoritative, which is while the lease runs; daemon and simulator tell identity and drain only then.

Conclusion: only a balancer whose configuration can't be out of date names back ends.

--- a/src/balancer/shared-health.ts
+++ b/src/balancer/shared-health.ts
@@ -99,7 +99,7 @@
  * @returns the probes that are due
  */
 export function probesDue(state: BalancerState, { nowMs }: StepContext): BalancerEffect[] {
-  state.probes.isUrgent = !isLeaseHeld(state.subscription.lease, nowMs);
+  state.probes.hasLease = isLeaseHeld(state.subscription.lease, nowMs);
   return dueProbes(state.probes, proberGroup(state), nowMs);
 }
 
--- a/src/daemon/balancer-daemon.ts
+++ b/src/daemon/balancer-daemon.ts
@@ -141,8 +141,8 @@
       .with({ type: 'link-send' }, ({ message }) => this.link?.send(message))
       .with({ type: 'peer-send' }, ({ linkId, message }) => this.peers.sendTo(linkId, message))
       .with({ type: 'gossip-send' }, ({ to, message }) => this.peers.gossip(to, message))
-      .with({ type: 'probe' }, ({ backend }) => {
-        void probeBackend(backend).then((result) => this.step({ type: 'probe-result', result }));
+      .with({ type: 'probe' }, (probe) => {
+        void probeBackend(probe).then((result) => this.step({ type: 'probe-result', result }));
       })
       .exhaustive();
   }
--- a/src/daemon/health-probe.ts
+++ b/src/daemon/health-probe.ts
@@ -7,22 +7,27 @@
   loadReportSchema,
   type ProbeResult,
 } from '../health/backend-report.js';
+import type { ProbeEffect } from '../health/probe-schedule.js';
 import { sendJson } from './http-json.js';
 
 const PROBE_TIMEOUT_MS = 1_000;
 
 /**
- * Asks a back end for its health and load; tells it to drain where the operators want that.
+ * Asks a back end for its health and load. An authoritative probe also tells it which one it is, and to
+ * drain where the operators want that.
  * @returns what it said; never rejects
  */
-export async function probeBackend(backend: Backend): Promise<ProbeResult> {
-  if (backend.adminState === 'draining') {
+export async function probeBackend({
+  backend,
+  isAuthoritative,
+}: ProbeEffect): Promise<ProbeResult> {
+  if (isAuthoritative && backend.adminState === 'draining') {
     await fetchBody(backend, 'POST', '/drain');
   }
   // The back end learns which one it is, and refuses what a stale configuration sends it.
-  const identity = `serviceId=${backend.serviceId}&backendId=${backend.id}`;
+  const identity = isAuthoritative ? `?serviceId=${backend.serviceId}&backendId=${backend.id}` : '';
   const [health, load] = await Promise.all([
-    fetchBody(backend, 'GET', `/health?${identity}`),
+    fetchBody(backend, 'GET', `/health${identity}`),
     fetchBody(backend, 'GET', '/load'),
   ]);
   return {
--- a/src/health/probe-schedule.ts
+++ b/src/health/probe-schedule.ts
@@ -29,6 +29,11 @@
 export interface ProbeEffect {
   readonly type: 'probe';
   readonly backend: Backend;
+  /**
+   * True where the balancer may tell the back end which one it is and to drain. Without a lease it may
+   * only ask: another back end may be at the address.
+   */
+  readonly isAuthoritative: boolean;
 }
 
 /** The live balancers of the own zone, this one included. */
@@ -71,8 +76,8 @@
   readonly unseen: Set<number>;
   group: { readonly version: number; readonly hashes: readonly number[]; readonly ownHash: number };
   fallbackAllowance: number;
-  /** True while the balancer has no lease, and so depends on what back ends said a moment ago. */
-  isUrgent: boolean;
+  /** False while the balancer depends on what back ends said a moment ago. */
+  hasLease: boolean;
   lastCallAtMs: number | undefined;
 }
 
@@ -89,7 +94,7 @@
     unseen: new Set(),
     group: { version: Number.NEGATIVE_INFINITY, hashes: [], ownHash: 0 },
     fallbackAllowance: 0,
-    isUrgent: false,
+    hasLease: false,
     lastCallAtMs: undefined,
   };
 }
@@ -134,9 +139,9 @@
   takeGroup(schedule, group);
   const elapsedMs = nowMs - (schedule.lastCallAtMs ?? nowMs);
   schedule.lastCallAtMs = nowMs;
-  const maxFallback = schedule.isUrgent
-    ? MAX_URGENT_FALLBACK_PROBES_PER_SECOND
-    : MAX_FALLBACK_PROBES_PER_SECOND;
+  const maxFallback = schedule.hasLease
+    ? MAX_FALLBACK_PROBES_PER_SECOND
+    : MAX_URGENT_FALLBACK_PROBES_PER_SECOND;
   const fallback = schedule.fallbackAllowance + (elapsedMs * maxFallback) / 1_000;
   schedule.fallbackAllowance = Math.min(fallback, maxFallback);
   return [
@@ -207,7 +212,9 @@
     const target = findTarget(schedule, backendId);
     if (target !== undefined) {
       target.observedAtMs ??= nowMs;
-      effects.push(...(isOwn(schedule, target) ? beginProbe(target, nowMs) : []));
+      effects.push(
+        ...(isOwn(schedule, target) ? beginProbe(target, schedule.hasLease, nowMs) : []),
+      );
     }
   }
   return effects;
@@ -260,21 +267,21 @@
     return [];
   }
   if (isOwn(schedule, target)) {
-    return beginProbe(target, nowMs);
+    return beginProbe(target, schedule.hasLease, nowMs);
   }
   const ageMs = nowMs - (target.observedAtMs ?? nowMs);
-  const extraMs = schedule.isUrgent ? 0 : STALE_EXTRA_MS;
+  const extraMs = schedule.hasLease ? STALE_EXTRA_MS : 0;
   const isStale = ageMs > STALE_INTERVALS * intervalMs + extraMs;
   if (!isStale || schedule.fallbackAllowance < 1) {
     return [];
   }
   schedule.fallbackAllowance -= 1;
-  return beginProbe(target, nowMs);
+  return beginProbe(target, schedule.hasLease, nowMs);
 }
 
-function beginProbe(target: ProbeTarget, nowMs: number): ProbeEffect[] {
+function beginProbe(target: ProbeTarget, isAuthoritative: boolean, nowMs: number): ProbeEffect[] {
   target.startedAtMs = nowMs;
-  return [{ type: 'probe', backend: target.backend }];
+  return [{ type: 'probe', backend: target.backend, isAuthoritative }];
 }
 
 /** @returns true where fewer than `PROBERS` balancers have a higher score than this one */
--- a/src/sim/simulated-backend.ts
+++ b/src/sim/simulated-backend.ts
@@ -3,8 +3,8 @@
  * incarnation with nothing that it held.
  */
 import { formatAddress, type Address } from '../common/address.js';
-import type { Backend } from '../control/cluster-state.js';
 import type { ProbeResult } from '../health/backend-report.js';
+import type { ProbeEffect } from '../health/probe-schedule.js';
 import type { BackendOptions } from '../standins/backend-options.js';
 import {
   createBackendState,
@@ -51,12 +51,14 @@
   }
 
   /** What the process answers to a probe. */
-  answerProbe(backend: Backend): ProbeResult {
+  answerProbe({ backend, isAuthoritative }: ProbeEffect): ProbeResult {
     const assignment = { serviceId: backend.serviceId, backendId: backend.id };
-    if (backend.adminState === 'draining') {
+    if (isAuthoritative && backend.adminState === 'draining') {
       this.step({ type: 'drain' });
     }
-    this.step({ type: 'assign', assignment });
+    if (isAuthoritative) {
+      this.step({ type: 'assign', assignment });
+    }
     const health = healthReport(this.state, this.simulation.nowMs);
     return { backendId: backend.id, health, load: loadReport(this.state) };
   }
--- a/src/sim/simulated-balancer.ts
+++ b/src/sim/simulated-balancer.ts
@@ -141,8 +141,8 @@
       .exhaustive();
   }
 
-  private probe({ backend }: ProbeEffect): void {
-    probeSimulatedBackend(this.simulation, this.directory, this.host, backend, (result) =>
+  private probe(probe: ProbeEffect): void {
+    probeSimulatedBackend(this.simulation, this.directory, this.host, probe, (result) =>
       this.step({ type: 'probe-result', result }),
     );
   }
--- a/src/sim/simulated-probe.ts
+++ b/src/sim/simulated-probe.ts
@@ -3,8 +3,8 @@
  * operators want that, and brings its health and load.
  */
 import { formatAddress } from '../common/address.js';
-import type { Backend } from '../control/cluster-state.js';
 import type { ProbeResult } from '../health/backend-report.js';
+import type { ProbeEffect } from '../health/probe-schedule.js';
 import type { SimulatedBackend } from './simulated-backend.js';
 import type { Simulation } from './simulation.js';
 
@@ -26,9 +26,10 @@
   simulation: Simulation,
   directory: BackendDirectory,
   host: string,
-  backend: Backend,
+  probe: ProbeEffect,
   done: (result: ProbeResult) => void,
 ): void {
+  const { backend } = probe;
   const { clock, network } = simulation;
   const target = directory.byHealthAddress.get(formatAddress(backend.healthAddress));
   const failed: ProbeResult = { backendId: backend.id, health: undefined, load: undefined };
@@ -50,7 +51,7 @@
       return;
     }
     target.perform(() => {
-      const result = target.answerProbe(backend);
+      const result = target.answerProbe(probe);
       clock.after(delayMs, () => {
         if (!network.isCut(target.host, host)) {
           end(result);
--- a/test/balancer/cut-off.test.ts
+++ b/test/balancer/cut-off.test.ts
@@ -98,6 +98,17 @@
   t.equal(route(state, 3_601_000), 'lease-expired');
 });
 
+t.test('without a lease, a back end is asked and told nothing', async (t) => {
+  const state = balancerWithoutLease();
+  const random = seededRandom(1);
+  const probesAt = (nowMs: number) =>
+    balancerStep(state, { type: 'tick' }, { nowMs, random }).filter(({ type }) => type === 'probe');
+  t.match(probesAt(1_000), [{ isAuthoritative: false }]);
+  const grant = { askedAtMs: 1_000, remainingMs: 9_500, floorIndex: 1 };
+  takeGrant(state.subscription.lease, grant, state.position.index);
+  t.match(probesAt(10_000), [{ isAuthoritative: true }]);
+});
+
 t.test('with a lease, silence of the back end changes nothing', async (t) => {
   const state = balancerWithoutLease();
   const grant = { askedAtMs: 0, remainingMs: 5_000, floorIndex: 1 };
