Run the mutant that still chooses a draining back end on a schedule that shows it

Cause: whether the mutant opens a flow at the deaf back end within the 10 s depends on the schedule.

Change: seed 3, with the same check and the same mutant; the unbroken product passes that schedule too.

--- a/test/sim/flow-mutants.ts
+++ b/test/sim/flow-mutants.ts
@@ -150,7 +150,7 @@
     name: 'a draining back end is still chosen',
     check: 'leaving-backend-gets-no-work',
     scenario: scenarioNamed('bad-backends', { durationMs: 10_000 }),
-    seed: 1,
+    seed: 3,
     breakSteps: (steps) => ({
       balancer: (state, event, context) => {
         const drained = [...state.views.values()].filter(
