--- a/src/cli/bench.ts
+++ b/src/cli/bench.ts
@@ -10,6 +10,7 @@
 import { forwardBench } from '../experiment/bench-forward.js';
 import { hollowBench } from '../experiment/bench-hollow.js';
 import { inForceBench } from '../experiment/bench-in-force.js';
+import { probeBench } from '../experiment/bench-probe.js';
 import { placementBench } from '../experiment/bench-placement.js';
 import { exitCodes } from '../flow/error-kinds.js';
 
@@ -20,6 +21,7 @@
   controlBench,
   hollowBench,
   inForceBench,
+  probeBench,
 ];
 
 const DEFAULT_SEED = 1;
@@ -54,6 +56,7 @@
     const known = benches.map((candidate) => candidate.name).join(', ');
     throw new RangeError(`there is no bench ${name}; there are: ${known}.`);
   }
+  const commit = currentCommit();
   const result = await bench.run({
     rounds: optionalRounds(flags.rounds),
     seed: wholeSeed(flags.seed ?? DEFAULT_SEED),
@@ -63,7 +66,7 @@
   process.stdout.write(`${describe(result.table)}\n`);
   result.missed.forEach((target) => process.stdout.write(`Not reached: ${target}\n`));
   if (flags.out !== undefined) {
-    writeFileSync(flags.out, `${JSON.stringify(withOrigin(name, result), undefined, 2)}\n`);
+    writeFileSync(flags.out, `${JSON.stringify(withOrigin(name, commit, result), undefined, 2)}\n`);
   }
   if (flags.json === true) {
     process.stdout.write(`${JSON.stringify(result.figures)}\n`);
@@ -103,11 +106,12 @@
   return table.toString();
 }
 
-function withOrigin(name: string, result: BenchResult): object {
+/** The commit is the one that stood checked out when the run began. */
+function withOrigin(name: string, commit: string, result: BenchResult): object {
   const flags = process.argv.slice(process.argv.indexOf(name) + 1).join(' ');
   return {
     command: `amberlift bench ${name} ${flags}`.trim(),
-    commit: currentCommit(),
+    commit,
     missed: result.missed,
     figures: result.figures,
   };
