--- a/src/experiment/bench-probe.ts
+++ b/src/experiment/bench-probe.ts
@@ -87,7 +87,11 @@
   const startCpu = process.cpuUsage();
   const lane = async () => {
     for (let probe = 0; probe < PROBES_PER_ROUND / CONCURRENCY; probe += 1) {
-      const { health } = await probeBackend(backend);
+      const { health } = await probeBackend({
+        type: 'probe',
+        backend: backend,
+        isAuthoritative: true,
+      });
       if (health === undefined) {
         throw new Error('The back end did not answer a probe.');
       }
