--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -1,4 +1,4 @@
-// Writes the files that are made from others: the statement parser and the command reference.
+// Writes the files that are made from others: the statement parser and the references.
 // Usage: npm run generate
 import { writeFileSync } from 'node:fs';
 import { PARSER_FILE, parserSource } from '../dist/test/language/parser-source.js';
@@ -10,3 +10,7 @@
 const reference = await import('../dist/test/language/reference-source.js');
 writeFileSync(reference.REFERENCE_FILE, await reference.referenceSource());
 console.log(`Wrote ${reference.REFERENCE_FILE}.`);
+
+const settings = await import('../dist/test/settings/reference-source.js');
+writeFileSync(settings.SETTINGS_REFERENCE_FILE, await settings.settingsReferenceSource());
+console.log(`Wrote ${settings.SETTINGS_REFERENCE_FILE}.`);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -21,6 +21,7 @@
   { name: 'ctl', load: async () => (await import('./ctl.js')).registerCtl },
   { name: 'demo', load: async () => (await import('./demo.js')).registerDemo },
   { name: 'fleet', load: async () => (await import('./fleet.js')).registerFleet },
+  { name: 'report', load: async () => (await import('./report.js')).registerReport },
   { name: 'bench', load: async () => (await import('./bench.js')).registerBench },
   { name: 'backend', load: async () => (await import('./backend.js')).registerBackend },
   { name: 'fabric', load: async () => (await import('./fabric.js')).registerFabric },
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -23,49 +23,73 @@
 const positive = z.number().int().positive();
 
 const balancerSection = z.strictObject({
-  /** UDP address for packets from the fabric; port 0 lets the system choose. */
-  frontAddress: addressText.prefault('127.0.0.1:0'),
-  /** UDP address from which back ends are spoken to. */
-  backAddress: addressText.prefault('127.0.0.1:0'),
-  /** UDP address for gossip with other balancers. */
-  gossipAddress: addressText.prefault('127.0.0.1:0'),
-  /** TCP address at which other balancers get the configuration from this one. */
-  linkAddress: addressText.prefault('127.0.0.1:0'),
-  /** Gossip addresses of other balancers, from the platform's list; some of them may be gone. */
-  seeds: z.array(addressText).default([]),
-  /** Addresses of the control machines. */
-  controlAddresses: z.array(addressText).default([]),
-  /** Bound of pending opens. */
-  maxPendingOpens: positive.default(defaultBalancerOptions.maxPendingOpens),
-  /** How long one back end may take to answer an open, in milliseconds. */
-  openAttemptTimeoutMs: positive.default(defaultBalancerOptions.openAttemptTimeoutMs),
-  /** How many back ends an open is tried on. */
-  maxOpenAttempts: positive.default(defaultBalancerOptions.maxOpenAttempts),
-  /** Time between two health probes of a back end, in milliseconds. */
-  probeIntervalMs: positive.default(defaultBalancerOptions.probeIntervalMs),
-  /** How long a planned stop goes on forwarding while the fabric's list lags, in milliseconds. */
-  stopGraceMs: z.number().int().min(0).default(6000),
+  frontAddress: addressText
+    .prefault('127.0.0.1:0')
+    .describe('UDP address for packets from the fabric; port 0 lets the system choose.'),
+  backAddress: addressText
+    .prefault('127.0.0.1:0')
+    .describe('UDP address from which back ends are spoken to.'),
+  gossipAddress: addressText
+    .prefault('127.0.0.1:0')
+    .describe('UDP address for gossip with other balancers.'),
+  linkAddress: addressText
+    .prefault('127.0.0.1:0')
+    .describe('TCP address at which other balancers get the configuration from this one.'),
+  seeds: z
+    .array(addressText)
+    .default([])
+    .describe(
+      "Gossip addresses of other balancers, from the platform's list; some of them may be gone.",
+    ),
+  controlAddresses: z.array(addressText).default([]).describe('Addresses of the control machines.'),
+  maxPendingOpens: positive
+    .default(defaultBalancerOptions.maxPendingOpens)
+    .describe('Bound of pending opens.'),
+  openAttemptTimeoutMs: positive
+    .default(defaultBalancerOptions.openAttemptTimeoutMs)
+    .describe('How long one back end may take to answer an open, in milliseconds.'),
+  maxOpenAttempts: positive
+    .default(defaultBalancerOptions.maxOpenAttempts)
+    .describe('How many back ends an open is tried on.'),
+  probeIntervalMs: positive
+    .default(defaultBalancerOptions.probeIntervalMs)
+    .describe('Time between two health probes of a back end, in milliseconds.'),
+  stopGraceMs: z
+    .number()
+    .int()
+    .min(0)
+    .default(6000)
+    .describe(
+      "How long a planned stop goes on forwarding while the fabric's list lags, in milliseconds.",
+    ),
 });
 
 const controlSection = z.strictObject({
-  /** TCP address that balancers connect to. */
-  linkAddress: addressText.prefault('127.0.0.1:0'),
-  /** HTTP address of the operator interface. */
-  operatorAddress: addressText.prefault('127.0.0.1:0'),
-  /**
-   * The other control machines with which a new cluster begins, the same list on all; a machine with
-   * an empty disk announces itself to them.
-   */
+  linkAddress: addressText
+    .prefault('127.0.0.1:0')
+    .describe('TCP address that balancers connect to.'),
+  operatorAddress: addressText
+    .prefault('127.0.0.1:0')
+    .describe('HTTP address of the operator interface.'),
   peers: z
     .array(z.strictObject({ nodeId: z.string().min(1), linkAddress: addressText }))
-    .default([]),
-  /** Bearer token for changes of the control machines themselves; without it there are none. */
-  adminToken: z.string().min(MIN_KEY_LENGTH).optional(),
-  /** Certificate and key of the operator interface (PEM files); without them it has no TLS. */
+    .default([])
+    .describe(
+      'The other control machines with which a new cluster begins, the same list on all; a machine with an empty disk announces itself to them.',
+    ),
+  adminToken: z
+    .string()
+    .min(MIN_KEY_LENGTH)
+    .optional()
+    .describe(
+      'Bearer token for changes of the control machines themselves; without it there are none.',
+    ),
   operatorTls: z
     .strictObject({ certificateFile: z.string().min(1), keyFile: z.string().min(1) })
-    .optional(),
-  /** Operators and their bearer tokens, taken at the first start of a cluster. */
+    .optional()
+    .describe(
+      'Certificate and key of the operator interface (PEM files); without them it has no TLS.',
+    ),
   operators: z
     .array(
       z.strictObject({
@@ -78,23 +102,29 @@
         addressRanges: z.array(addressRangeText).optional(),
       }),
     )
-    .default([]),
+    .default([])
+    .describe('Operators and their bearer tokens, taken at the first start of a cluster.'),
 });
 
 /** Schema of a whole settings file. */
 export const settingsSchema = z.strictObject({
-  /** Name of this process in logs and lists; unique in the cluster. */
-  nodeId: z.string().min(1),
-  /** Zone that this process runs in. */
-  zone: z.string().min(1).default('zone-a'),
-  /** Folder for all files of this process; daemons with state need it. */
-  dataFolder: z.string().min(1).optional(),
-  /** Shared by all processes of one cluster; links with another key are refused. */
-  clusterKey: z.string().min(MIN_KEY_LENGTH),
-  /** Lowest log level that is written. */
-  logLevel: z.enum(logLevels).default('info'),
-  balancer: balancerSection.prefault({}),
-  control: controlSection.prefault({}),
+  nodeId: z
+    .string()
+    .min(1)
+    .describe('Name of this process in logs and lists; unique in the cluster.'),
+  zone: z.string().min(1).default('zone-a').describe('Zone that this process runs in.'),
+  dataFolder: z
+    .string()
+    .min(1)
+    .optional()
+    .describe('Folder for all files of this process; daemons with state need it.'),
+  clusterKey: z
+    .string()
+    .min(MIN_KEY_LENGTH)
+    .describe('Shared by all processes of one cluster; links with another key are refused.'),
+  logLevel: z.enum(logLevels).default('info').describe('Lowest log level that is written.'),
+  balancer: balancerSection.prefault({}).describe('Read by balancers.'),
+  control: controlSection.prefault({}).describe('Read by control machines.'),
 });
 
 /** The checked settings of a process. */
--- a/test/daemon/control-daemon.test.ts
+++ b/test/daemon/control-daemon.test.ts
@@ -158,3 +158,19 @@
   t.equal(serviceNames(after).length, 50);
   await after.stop();
 });
+
+t.test('a control machine without a cluster sends operators on, and refuses none', async (t) => {
+  const folder = await mkdtemp(join(tmpdir(), 'amberlift-control-'));
+  const peers = 'control.peers=[{nodeId: c0, linkAddress: "127.0.0.1:9"}]';
+  const daemon = await startDaemon(folder, 'c1', [peers]);
+  const response = await sendJson({
+    to: daemon.operatorAddress,
+    method: 'GET',
+    path: '/v1/show',
+    bearerToken: OPERATOR_TOKEN,
+    timeoutMs: 3_000,
+  });
+  t.match(response._unsafeUnwrap(), { status: 503, body: { error: { kind: 'no-quorum' } } });
+  await daemon.stop();
+  await rm(folder, { recursive: true });
+});
--- /dev/null
+++ b/test/settings/reference-source.ts
@@ -0,0 +1,10 @@
+/** @file Makes docs/SETTINGS.md as it is committed: the reference text in the formatter's layout. */
+import { format, resolveConfig } from 'prettier';
+import { settingsReference } from '../../src/settings/settings-reference.js';
+
+export const SETTINGS_REFERENCE_FILE = 'docs/SETTINGS.md';
+
+export async function settingsReferenceSource(): Promise<string> {
+  const config = await resolveConfig(SETTINGS_REFERENCE_FILE);
+  return format(settingsReference(), { ...config, filepath: SETTINGS_REFERENCE_FILE });
+}
