--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -44,7 +44,10 @@
   controlAddresses: z.array(addressText).default([]).describe('Addresses of the control machines.'),
   maxPendingOpens: positive
     .default(defaultBalancerOptions.maxPendingOpens)
-    .describe('Bound of pending opens.'),
+    .describe('Bound of pending opens; each owner has an equal part.'),
+  maxOpensPerSecond: positive
+    .default(defaultBalancerOptions.maxOpensPerSecond)
+    .describe('Opens a second; each owner has an equal part, and what the others leave unused.'),
   openAttemptTimeoutMs: positive
     .default(defaultBalancerOptions.openAttemptTimeoutMs)
     .describe('How long one back end may take to answer an open, in milliseconds.'),
@@ -122,6 +125,9 @@
     .string()
     .min(MIN_KEY_LENGTH)
     .describe('Shared by all processes of one cluster; links with another key are refused.'),
+  metricsAddress: addressText
+    .optional()
+    .describe('HTTP address of `/metrics` and `/health`; without it there are none.'),
   logLevel: z.enum(logLevels).default('info').describe('Lowest log level that is written.'),
   balancer: balancerSection.prefault({}).describe('Read by balancers.'),
   control: controlSection.prefault({}).describe('Read by control machines.'),
