Test the probe schedule of a balancer that has a lease

Change: their schedules have a lease, as those of the daemon soon do. This file was run again, the whole suite was not.

--- a/test/health/probe-sharing.test.ts
+++ b/test/health/probe-sharing.test.ts
@@ -32,6 +32,7 @@
 
 function scheduleOf(backends: readonly Backend[]): ProbeSchedule {
   const schedule = createProbeSchedule(INTERVAL_MS, ZONE);
+  schedule.hasLease = true;
   backends.forEach((backend) => setProbeTarget(schedule, backend));
   return schedule;
 }
