--- a/src/sim/virtual-clock.ts
+++ b/src/sim/virtual-clock.ts
@@ -3,24 +3,17 @@
  * are equal, so that one seed gives one order.
  */
 import { setImmediate as drainMicrotasks } from 'node:timers/promises';
-
-interface ScheduledAction {
-  readonly atMs: number;
-  readonly order: number;
-  readonly run: () => void;
-}
+import { TimedQueue } from '../common/timed-queue.js';
 
 /** A clock with a queue of actions; times in milliseconds. */
 export class VirtualClock {
-  private readonly heap: ScheduledAction[] = [];
-  private nextOrder = 0;
+  private readonly actions = new TimedQueue();
   private promisesPending = false;
   nowMs = 0;
 
   /** Runs an action after a delay. */
   after(delayMs: number, run: () => void): void {
-    this.push({ atMs: this.nowMs + Math.max(0, delayMs), order: this.nextOrder, run });
-    this.nextOrder += 1;
+    this.actions.add(this.nowMs + Math.max(0, delayMs), run);
   }
 
   /** Tells that the action under way has settled a promise: its continuations run before the next action. */
@@ -31,8 +24,7 @@
   /** Runs all actions that are due up to a time. */
   async runUntil(endMs: number): Promise<void> {
     await this.settlePromises();
-    for (let next = this.heap[0]; next !== undefined && next.atMs <= endMs; next = this.heap[0]) {
-      this.pop();
+    for (let next = this.actions.takeDue(endMs); next; next = this.actions.takeDue(endMs)) {
       this.nowMs = next.atMs;
       next.run();
       if (this.promisesPending) {
@@ -48,50 +40,4 @@
       await drainMicrotasks();
     }
   }
-
-  private push(action: ScheduledAction): void {
-    const { heap } = this;
-    let position = heap.length;
-    heap.push(action);
-    while (position > 0) {
-      const parent = (position - 1) >>> 1;
-      const above = heap[parent];
-      if (above === undefined || !isBefore(action, above)) {
-        break;
-      }
-      heap[position] = above;
-      position = parent;
-    }
-    heap[position] = action;
-  }
-
-  private pop(): void {
-    const { heap } = this;
-    const last = heap.pop();
-    if (last === undefined || heap.length === 0) {
-      return;
-    }
-    let position = 0;
-    for (;;) {
-      const child = smallerChild(heap, position);
-      const below = heap[child];
-      if (below === undefined || !isBefore(below, last)) {
-        break;
-      }
-      heap[position] = below;
-      position = child;
-    }
-    heap[position] = last;
-  }
-}
-
-function smallerChild(heap: readonly ScheduledAction[], position: number): number {
-  const left = 2 * position + 1;
-  const one = heap[left];
-  const other = heap[left + 1];
-  return one !== undefined && other !== undefined && isBefore(other, one) ? left + 1 : left;
-}
-
-function isBefore(one: ScheduledAction, other: ScheduledAction): boolean {
-  return one.atMs < other.atMs || (one.atMs === other.atMs && one.order < other.order);
 }
--- a/test/consensus/control-network.ts
+++ b/test/consensus/control-network.ts
@@ -16,7 +16,7 @@
 } from '../../src/control/control-step.js';
 import type { PeerEnvelope } from '../../src/control/peer-messages.js';
 import type { AmberliftError } from '../../src/flow/error-kinds.js';
-import { EventQueue } from './event-queue.js';
+import { TimedQueue } from '../../src/common/timed-queue.js';
 import { Invariants } from './invariants.js';
 import { VirtualDisk } from './virtual-disk.js';
 
@@ -73,7 +73,7 @@
   nowMs = START_TIME_MS;
   /** Part of the messages that are lost from now on. */
   lossRate: number;
-  private readonly queue = new EventQueue();
+  private readonly queue = new TimedQueue();
   private readonly tickMs: number;
   private groups: readonly (readonly NodeId[])[] | undefined;
   private nextId = 1;
