--- a/src/experiment/bench-hollow.ts
+++ b/src/experiment/bench-hollow.ts
@@ -47,7 +47,7 @@
     idleMs: number('idle-ms', isQuick ? 3_000 : 10_000),
     loadMs: number('load-ms', isQuick ? 5_000 : 20_000),
     compression: number('compression', 37.5),
-    scenarioBalancers: isQuick ? 20 : 100,
+    scenarioBalancers: number('scenario-balancers', isQuick ? 20 : 100),
   };
 }
 
