--- a/src/experiment/bench-hollow.ts
+++ b/src/experiment/bench-hollow.ts
@@ -15,13 +15,14 @@
 const BYTES_PER_MB = 1_000_000;
 const FULL_SIZES = [50, 150, 500, 1_500];
 const QUICK_SIZES = [25, 50];
+const SETTINGS = ['quick', 'sizes', 'idle-ms', 'load-ms', 'compression', 'scenario-balancers'];
 
 /** The bench. */
 export const hollowBench: Bench = {
   name: 'hollow',
   summary: 'control traffic, processor time and memory per node at up to 1,500 hollow balancers',
   run: async (options) => {
-    refuseUnknownSettings(options, ['quick', 'sizes', 'idle-ms', 'load-ms', 'compression']);
+    refuseUnknownSettings(options, SETTINGS);
     const report = await runInThread(benchOptions(options), (line) => options.progress(line));
     return summarize(report);
   },
