--- a/src/client/operator-client.ts
+++ b/src/client/operator-client.ts
@@ -5,7 +5,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { addressSchema, type Address } from '../common/address.js';
+import { addressSchema } from '../common/address-schema.js';
+import type { Address } from '../common/address.js';
 import type { OperatorCommand } from '../control/commands.js';
 import type { OperatorQuery } from '../control/queries.js';
 import type { QueryResult, VisibleAcceptedOutcome } from '../control/views/view-types.js';
--- a/src/common/address.ts
+++ b/src/common/address.ts
@@ -2,7 +2,6 @@
  * @file IP addresses with ports, and their text form.
  */
 import { isIP } from 'node:net';
-import { z } from 'zod';
 
 /** An IP number and a port. */
 export interface Address {
@@ -12,13 +11,8 @@
   readonly port: number;
 }
 
-const MAX_PORT = 65_535;
-
-/** Schema of an address, for settings, commands and messages. */
-export const addressSchema = z.strictObject({
-  host: z.string().refine((text) => isIP(text) !== 0, 'an IP number such as 127.0.0.1'),
-  port: z.number().int().min(0).max(MAX_PORT),
-});
+/** The highest port number. */
+export const MAX_PORT = 65_535;
 
 /**
  * @returns `host:port`, with IPv6 numbers in brackets; used as a map key and in logs
--- /dev/null
+++ b/src/common/frame-codec.ts
@@ -0,0 +1,86 @@
+/**
+ * @file Frames on a stream: four bytes of length, then that many bytes of MessagePack. A frame without
+ * content is a pulse. Length and nothing else is believed before a frame is whole, and it is bounded.
+ */
+import { Packr } from 'msgpackr';
+
+const LENGTH_BYTES = 4;
+
+/** The longest frame that is taken, in bytes. */
+export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+
+const packr = new Packr({ useRecords: false });
+
+/** A frame without content. */
+export const pulseFrame: Uint8Array = Buffer.alloc(LENGTH_BYTES);
+
+/**
+ * @returns the frame of a message
+ */
+export function encodeFrame(message: object): Buffer {
+  const content = packr.pack(message);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + content.length);
+  frame.writeUInt32BE(content.length, 0);
+  frame.set(content, LENGTH_BYTES);
+  return frame;
+}
+
+/** What came out of a stream. */
+export type DecodedFrames =
+  | { readonly type: 'messages'; readonly messages: readonly unknown[] }
+  /** The stream can not be read on. */
+  | { readonly type: 'malformed'; readonly reason: string };
+
+/** Takes a stream apart into messages. */
+export class FrameDecoder {
+  private waiting: Buffer[] = [];
+  private waitingBytes = 0;
+  /** How many bytes are needed before anything can be done. */
+  private neededBytes = LENGTH_BYTES;
+
+  constructor(private readonly maxFrameBytes: number = MAX_FRAME_BYTES) {}
+
+  /** Takes the next bytes; `malformed` is final. */
+  push(chunk: Buffer): DecodedFrames {
+    this.waiting.push(chunk);
+    this.waitingBytes += chunk.length;
+    const messages: unknown[] = [];
+    while (this.waitingBytes >= this.neededBytes) {
+      const bytes = this.joined();
+      const length = bytes.readUInt32BE(0);
+      if (length > this.maxFrameBytes) {
+        return { type: 'malformed', reason: `A frame of ${length} bytes is too long.` };
+      }
+      const end = LENGTH_BYTES + length;
+      if (bytes.length < end) {
+        this.neededBytes = end;
+        break;
+      }
+      this.keep(bytes.subarray(end));
+      if (length > 0) {
+        try {
+          messages.push(packr.unpack(bytes.subarray(LENGTH_BYTES, end)));
+        } catch {
+          return { type: 'malformed', reason: 'A frame is no MessagePack.' };
+        }
+      }
+    }
+    return { type: 'messages', messages };
+  }
+
+  private joined(): Buffer {
+    const [first] = this.waiting;
+    if (this.waiting.length === 1 && first !== undefined) {
+      return first;
+    }
+    const bytes = Buffer.concat(this.waiting, this.waitingBytes);
+    this.waiting = [bytes];
+    return bytes;
+  }
+
+  private keep(rest: Buffer): void {
+    this.waiting = rest.length === 0 ? [] : [rest];
+    this.waitingBytes = rest.length;
+    this.neededBytes = LENGTH_BYTES;
+  }
+}
--- a/src/consensus/consensus-state.ts
+++ b/src/consensus/consensus-state.ts
@@ -26,6 +26,12 @@
   readonly snapshotChunkBytes: number;
   /** Entries kept before a snapshot, for members that lag a little. */
   readonly trailingEntries: number;
+  /**
+   * An entry is committed only once so many voters have it on disk, or all where there are fewer. More
+   * than a quorum lets that many disks less one be lost right after an acknowledgement. Default 1: a
+   * quorum decides alone.
+   */
+  readonly minimumCopies?: number;
 }
 
 /** The options of a control machine. */
--- a/src/consensus/membership.ts
+++ b/src/consensus/membership.ts
@@ -33,6 +33,16 @@
   | { readonly type: 'add-member'; readonly member: Omit<Member, 'role'> }
   /** Makes a learner that has caught up a voter. */
   | { readonly type: 'promote-member'; readonly nodeId: NodeId }
+  /**
+   * Makes a learner that has caught up a voter in the place of a voter whose disk is gone for good. Safe
+   * in one step only because the replaced voter can never vote or acknowledge again: any quorum of the
+   * old voters then leaves out the lost one, and so meets any quorum of the new voters.
+   */
+  | {
+      readonly type: 'replace-member';
+      readonly nodeId: NodeId;
+      readonly lostNodeId: NodeId;
+    }
   | { readonly type: 'remove-member'; readonly nodeId: NodeId };
 
 /** No members: the membership of a machine that belongs to no cluster yet. */
@@ -59,6 +69,16 @@
   return Math.floor(votersOf(membership).length / 2) + 1;
 }
 
+/**
+ * @param minimumCopies how many disks must hold an entry before it counts as committed
+ * @returns how many voters must have an entry on disk: a quorum, and as many copies as are asked for
+ *   where there are so many voters
+ */
+export function commitSize(membership: Membership, minimumCopies: number): number {
+  const voters = votersOf(membership).length;
+  return Math.max(quorumSize(membership), Math.min(minimumCopies, voters));
+}
+
 /**
  * @returns members ordered by node ID
  */
@@ -89,6 +109,24 @@
       ? sortedMembership([...others, { ...member, role: 'voter' }])
       : undefined;
   }
+  if (change.type === 'replace-member') {
+    return replacedMembership(membership, member, change.lostNodeId);
+  }
   const isLastVoter = member.role === 'voter' && votersOf(membership).length === 1;
   return isLastVoter ? undefined : sortedMembership(others);
 }
+
+function replacedMembership(
+  membership: Membership,
+  learner: Member,
+  lostNodeId: NodeId,
+): Membership | undefined {
+  const lost = findMember(membership, lostNodeId);
+  if (learner.role !== 'learner' || lost?.role !== 'voter') {
+    return undefined;
+  }
+  const others = membership.members.filter(
+    ({ nodeId }) => nodeId !== learner.nodeId && nodeId !== lostNodeId,
+  );
+  return sortedMembership([...others, { ...learner, role: 'voter' }]);
+}
--- a/src/consensus/proposals.ts
+++ b/src/consensus/proposals.ts
@@ -65,7 +65,8 @@
   if (pending > state.commitIndex || state.commitIndex < role.termStartIndex) {
     return 'Another membership change is under way.';
   }
-  if (change.type === 'promote-member' && !hasCaughtUp(state, role, change.nodeId)) {
+  const isPromotion = change.type === 'promote-member' || change.type === 'replace-member';
+  if (isPromotion && !hasCaughtUp(state, role, change.nodeId)) {
     return `Member ${change.nodeId} has not caught up.`;
   }
   if (!hasHeardFromQuorum(scope, role, membership)) {
--- a/src/consensus/replication.ts
+++ b/src/consensus/replication.ts
@@ -10,7 +10,14 @@
   type Progress,
 } from './consensus-state.js';
 import type { LogEntry } from './log.js';
-import { findMember, quorumSize, votersOf, type Membership, type NodeId } from './membership.js';
+import {
+  commitSize,
+  findMember,
+  quorumSize,
+  votersOf,
+  type Membership,
+  type NodeId,
+} from './membership.js';
 import type { AppendResponse, Sender } from './messages.js';
 import { confirmReads, releaseWaitingReads } from './read-index.js';
 import { advanceCommit, becomeFollower, sendNow } from './roles.js';
@@ -189,7 +196,7 @@
   const matches = votersOf(membership)
     .map((voter) => matchOf(state, role, voter.nodeId))
     .sort((a, b) => b - a);
-  const index = matches[quorumSize(membership) - 1] ?? 0;
+  const index = matches[commitSize(membership, state.options.minimumCopies ?? 1) - 1] ?? 0;
   if (index > state.commitIndex && state.log.termAt(index) === state.term) {
     advanceCommit(scope, index);
     releaseWaitingReads(scope);
--- a/src/control/commands.ts
+++ b/src/control/commands.ts
@@ -3,7 +3,8 @@
  * outcomes.
  */
 import { z } from 'zod';
-import { addressSchema, type Address } from '../common/address.js';
+import { addressSchema } from '../common/address-schema.js';
+import type { Address } from '../common/address.js';
 import { parseAddressRange } from '../common/address-range.js';
 import type { AmberliftError } from '../flow/error-kinds.js';
 import { placementPolicyNames } from './cluster-state.js';
--- a/src/daemon/consensus-storage.ts
+++ b/src/daemon/consensus-storage.ts
@@ -29,9 +29,14 @@
   readonly storageId: string;
 }
 
+/** Waits between two tries of a write that failed. */
+export type RetryPause = () => Promise<void>;
+
 /** The opened disk of a control machine. */
 export class ConsensusStorage {
   private failure: string | undefined;
+  /** Length of the log file up to the last write that surely lasts. */
+  private logBytes: number;
   /** Ends with the write under way. */
   private lastWrite: Promise<void> = Promise.resolve();
 
@@ -39,20 +44,28 @@
     private readonly folder: StorageFolder,
     /** What was found at the start. */
     readonly recovered: RecoveredState,
-  ) {}
+    logBytes: number,
+    private readonly pause: RetryPause | undefined,
+  ) {
+    this.logBytes = logBytes;
+  }
 
   /**
    * Recovers what is on disk; an empty folder gets a new storage ID.
+   * @param pause with it, a write that fails is tried again until it lasts, so that a full disk is
+   *   borne without a restart; without it, the first failure is final
    * @returns the storage, or `storage-failed` where the disk is damaged or another machine's
    */
   static async open(
     folder: StorageFolder,
     nodeId: string,
     makeStorageId: () => string = randomUUID,
+    pause?: RetryPause,
   ): Promise<Result<ConsensusStorage, AmberliftError>> {
     try {
       const recovered = await recover(folder, nodeId, makeStorageId);
-      return ok(new ConsensusStorage(folder, recovered));
+      const logBytes = (await folder.read(LOG_FILE))?.length ?? 0;
+      return ok(new ConsensusStorage(folder, recovered, logBytes, pause));
     } catch (cause) {
       const message = cause instanceof Error ? cause.message : String(cause);
       return err(amberliftError('storage-failed', message));
@@ -64,7 +77,7 @@
    * what the disk holds is not known until it is read again.
    */
   persist(effect: PersistEffect): Promise<void> {
-    const write = this.perform(effect);
+    const write = this.pause === undefined ? this.perform(effect) : this.insist(effect, this.pause);
     this.lastWrite = write.catch(() => undefined);
     return write;
   }
@@ -89,24 +102,48 @@
     }
   }
 
+  /** Tries a write until it lasts; what a failed try left is cut off first. */
+  private async insist(effect: PersistEffect, pause: RetryPause): Promise<void> {
+    for (let isFirst = true; ; isFirst = false) {
+      try {
+        if (!isFirst && effect.type === 'persist') {
+          await this.folder.truncate(LOG_FILE, this.logBytes);
+        }
+        await (effect.type === 'persist'
+          ? this.append(effect.records)
+          : this.replaceAll(effect.snapshot, effect.records));
+        return;
+      } catch {
+        await pause();
+      }
+    }
+  }
+
   private async append(records: readonly LogRecord[]): Promise<void> {
-    await this.folder.append(LOG_FILE, encodeRecord(packr.pack(records)));
+    const record = encodeRecord(packr.pack(records));
+    await this.folder.append(LOG_FILE, record);
     await this.folder.sync(LOG_FILE);
+    this.logBytes += record.length;
   }
 
   private async replaceAll(snapshot: Snapshot, records: readonly LogRecord[]): Promise<void> {
     await replaceFile(this.folder, SNAPSHOT_FILE, snapshot);
-    await replaceFile(this.folder, LOG_FILE, records);
+    this.logBytes = await replaceFile(this.folder, LOG_FILE, records);
   }
 }
 
-/** Writes a file of one record so that after a crash the old or the new one is there. */
-async function replaceFile(folder: StorageFolder, name: string, content: object): Promise<void> {
+/**
+ * Writes a file of one record so that after a crash the old or the new one is there.
+ * @returns its length in bytes
+ */
+async function replaceFile(folder: StorageFolder, name: string, content: object): Promise<number> {
   const temporary = name + TEMPORARY_SUFFIX;
-  await folder.write(temporary, encodeRecord(packr.pack(content)));
+  const record = encodeRecord(packr.pack(content));
+  await folder.write(temporary, record);
   await folder.sync(temporary);
   await folder.rename(temporary, name);
   await folder.syncFolder();
+  return record.length;
 }
 
 async function recover(
--- /dev/null
+++ b/src/daemon/frame-links.ts
@@ -0,0 +1,153 @@
+/**
+ * @file TCP links that notice by themselves that the other end is gone: each end sends a pulse now and
+ * then, and an end that hears nothing for some time closes the link. Cuts of the network say nothing,
+ * and a link that hangs would otherwise hang for minutes.
+ */
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import type { Address } from '../common/address.js';
+import { encodeFrame, FrameDecoder, pulseFrame } from '../common/frame-codec.js';
+
+/** Times and bounds of links. */
+export interface FrameLinkOptions {
+  /** Time between two pulses, in milliseconds. */
+  readonly pulseIntervalMs: number;
+  /** A link that brings nothing for so long is closed, in milliseconds. */
+  readonly silentAfterMs: number;
+  /** What waits to be sent beyond this is dropped, in bytes. */
+  readonly maxUnsentBytes: number;
+}
+
+/** Options that suit machines of one region. */
+export const defaultFrameLinkOptions: FrameLinkOptions = {
+  pulseIntervalMs: 400,
+  silentAfterMs: 1_200,
+  maxUnsentBytes: 4 * 1024 * 1024,
+};
+
+/** One end of a link. */
+export interface FrameLink {
+  /** Sends a message; drops it where too much waits already. */
+  send(message: object): void;
+  close(): void;
+}
+
+/** What the owner of links wants to hear. */
+export interface FrameLinkHandlers {
+  /** @returns false where the message is not one that belongs here; the link is closed then */
+  onMessage(message: unknown, link: FrameLink): boolean;
+  onClose(link: FrameLink, reason: string): void;
+}
+
+interface OpenLink extends FrameLink {
+  readonly socket: Socket;
+  heardAtMs: number;
+  sentAtMs: number;
+}
+
+/** All links of a process, with one timer for their pulses. */
+export class FrameLinks {
+  private readonly links = new Set<OpenLink>();
+  private readonly servers = new Set<Server>();
+  private readonly timer: NodeJS.Timeout;
+  /** Messages that were dropped since their link was full. */
+  droppedMessages = 0;
+  /** Links that were closed since what they brought did not belong there. */
+  malformedLinks = 0;
+
+  constructor(private readonly options: FrameLinkOptions = defaultFrameLinkOptions) {
+    this.timer = setInterval(() => this.keepAlive(), options.pulseIntervalMs);
+    this.timer.unref();
+  }
+
+  /**
+   * Connects to a process.
+   * @returns the link at once; messages sent before the connection stands are queued
+   */
+  connect(to: Address, handlers: FrameLinkHandlers): FrameLink {
+    return this.wrap(connect(to.port, to.host), handlers);
+  }
+
+  /**
+   * Listens for links.
+   * @returns the address; rejects where it can't be bound
+   */
+  async listen(address: Address, handlers: FrameLinkHandlers): Promise<Address> {
+    const server = createServer((socket) => this.wrap(socket, handlers));
+    server.listen(address.port, address.host);
+    await once(server, 'listening');
+    server.on('error', () => undefined);
+    this.servers.add(server);
+    const { port } = server.address() as AddressInfo;
+    return { host: address.host, port };
+  }
+
+  /** Closes everything. */
+  close(): void {
+    clearInterval(this.timer);
+    this.servers.forEach((server) => server.close());
+    this.links.forEach(({ socket }) => socket.destroy());
+  }
+
+  private wrap(socket: Socket, handlers: FrameLinkHandlers): OpenLink {
+    const now = performance.now();
+    const decoder = new FrameDecoder();
+    let reason = 'The other end closed the link.';
+    const link: OpenLink = {
+      socket,
+      heardAtMs: now,
+      sentAtMs: now,
+      send: (message) => this.send(link, message),
+      close: () => socket.destroy(),
+    };
+    const refuse = (cause: string) => {
+      reason = cause;
+      this.malformedLinks += 1;
+      socket.destroy();
+    };
+    this.links.add(link);
+    socket.setNoDelay(true);
+    socket.on('data', (chunk) => {
+      link.heardAtMs = performance.now();
+      const decoded = decoder.push(chunk);
+      if (decoded.type === 'malformed') {
+        refuse(decoded.reason);
+        return;
+      }
+      const isFit = decoded.messages.every((message) => handlers.onMessage(message, link));
+      if (!isFit) {
+        refuse('A message does not belong here.');
+      }
+    });
+    socket.on('error', (cause) => {
+      reason = cause.message;
+    });
+    socket.on('close', () => {
+      this.links.delete(link);
+      handlers.onClose(link, reason);
+    });
+    return link;
+  }
+
+  private send(link: OpenLink, message: object): void {
+    const { socket } = link;
+    if (socket.writableLength > this.options.maxUnsentBytes) {
+      this.droppedMessages += 1;
+    } else if (socket.writable) {
+      link.sentAtMs = performance.now();
+      socket.write(encodeFrame(message));
+    }
+  }
+
+  private keepAlive(): void {
+    const now = performance.now();
+    for (const link of this.links) {
+      if (now - link.heardAtMs > this.options.silentAfterMs) {
+        link.socket.destroy();
+      } else if (now - link.sentAtMs >= this.options.pulseIntervalMs / 2 && link.socket.writable) {
+        link.sentAtMs = now;
+        link.socket.write(pulseFrame);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/declared/check-config.ts
@@ -0,0 +1,65 @@
+/**
+ * @file What a declared configuration must fulfil beyond its form.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import type { DeclaredConfig, DeclaredRoute } from './declared-config.js';
+
+/**
+ * Checks what the parts of a configuration say of each other.
+ * @returns the configuration, or `invalid-command` with the first fault
+ */
+export function checkDeclaredConfig(
+  config: DeclaredConfig,
+): Result<DeclaredConfig, AmberliftError> {
+  const fault = versionFault(config) ?? serviceFault(config) ?? routesFault(config);
+  return fault === undefined ? ok(config) : err(amberliftError('invalid-command', fault));
+}
+
+function versionFault({ version }: DeclaredConfig): string | undefined {
+  return Number.isSafeInteger(version) && version > 0
+    ? undefined
+    : 'The version must be a positive whole number.';
+}
+
+function serviceFault({ services }: DeclaredConfig): string | undefined {
+  const names = new Set<string>();
+  for (const { name } of services) {
+    if (names.has(name)) {
+      return `Service ${name} is declared twice.`;
+    }
+    names.add(name);
+  }
+  return undefined;
+}
+
+function routesFault({ routes, services }: DeclaredConfig): string | undefined {
+  const serviceNames = new Set(services.map(({ name }) => name));
+  const places = new Set<string>();
+  for (const route of routes) {
+    const place = `${route.host}:${route.port}`;
+    if (places.has(place)) {
+      return `Two routes stand at ${place}.`;
+    }
+    places.add(place);
+    const fault = routeFault(route, serviceNames);
+    if (fault !== undefined) {
+      return fault;
+    }
+  }
+  return undefined;
+}
+
+function routeFault(route: DeclaredRoute, serviceNames: ReadonlySet<string>): string | undefined {
+  const { name, targets, timeoutMs } = route;
+  if (!(timeoutMs > 0)) {
+    return `Route ${name} has no time-out.`;
+  }
+  const unknown = targets.find(({ service }) => !serviceNames.has(service));
+  if (unknown !== undefined) {
+    return `Route ${name} names the unknown service ${unknown.service}.`;
+  }
+  const hasBadWeight = targets.some(({ weight }) => !(weight >= 0 && Number.isFinite(weight)));
+  const totalWeight = targets.reduce((sum, { weight }) => sum + weight, 0);
+  return hasBadWeight || !(totalWeight > 0) ? `Route ${name} has no valid weights.` : undefined;
+}
--- /dev/null
+++ b/src/group/group-events.ts
@@ -0,0 +1,57 @@
+/**
+ * @file Events and effects of the step of a control machine of a group.
+ */
+import type { Address } from '../common/address.js';
+import type { PersistEffect, PersistEvent } from '../consensus/persisted-state.js';
+import type { BackendRecord } from '../registry/backend-record.js';
+import type { FeedMessage, PeerMessage, SubscribeMessage } from './group-messages.js';
+import type { ConfigDocument } from './replicated-state.js';
+
+/** Names a call of a back end or operator until it is answered; positive. */
+export type RequestId = number;
+/** Names a link of a balancer. */
+export type LinkId = number;
+
+/** What can happen to a control machine. */
+export type GroupEvent =
+  | {
+      readonly type: 'heartbeat';
+      readonly requestId: RequestId;
+      readonly record: BackendRecord;
+      readonly isDraining: boolean;
+    }
+  | { readonly type: 'deregister'; readonly requestId: RequestId; readonly backendId: string }
+  /** The document is valid; it holds where its version is the highest. */
+  | {
+      readonly type: 'declare-config';
+      readonly requestId: RequestId;
+      readonly document: ConfigDocument;
+    }
+  | { readonly type: 'read-config'; readonly requestId: RequestId }
+  | { readonly type: 'peer-message'; readonly message: PeerMessage }
+  | { readonly type: 'subscribe'; readonly linkId: LinkId; readonly message: SubscribeMessage }
+  | { readonly type: 'link-closed'; readonly linkId: LinkId }
+  | PersistEvent
+  | { readonly type: 'tick' }
+  /** The process is about to stop: leadership is handed over. */
+  | { readonly type: 'stop' };
+
+/** How a call is answered. */
+export type GroupReply =
+  | { readonly type: 'accepted' }
+  | { readonly type: 'config'; readonly document: ConfigDocument | undefined }
+  /** Nothing is promised: it may or may not come to hold. */
+  | { readonly type: 'unavailable'; readonly reason: string };
+
+/** What the step asks of its surroundings. */
+export type GroupEffect =
+  | PersistEffect
+  | { readonly type: 'send-peer'; readonly to: Address; readonly message: PeerMessage }
+  | { readonly type: 'send-feed'; readonly linkId: LinkId; readonly message: FeedMessage }
+  | { readonly type: 'reply'; readonly requestId: RequestId; readonly reply: GroupReply }
+  /** A decision that changed what this process believes; for logs. */
+  | {
+      readonly type: 'decision';
+      readonly name: string;
+      readonly fields: Readonly<Record<string, string | number | boolean | undefined>>;
+    };
--- /dev/null
+++ b/src/group/group-messages.ts
@@ -0,0 +1,91 @@
+/**
+ * @file Messages of the control group: among control machines, and between a control machine and the
+ * balancers that it feeds. They travel as MessagePack in frames over TCP.
+ */
+import type { Address } from '../common/address.js';
+import type { ConsensusMessage, Sender } from '../consensus/messages.js';
+import type { DeclaredConfig } from '../declared/declared-config.js';
+import type { BackendRecord, Departure } from '../registry/backend-record.js';
+import type { ConfigDocument, GroupCommand } from './replicated-state.js';
+
+/** A heartbeat that is passed on, with its age so that clocks need not agree. */
+export interface AgedRecord {
+  readonly record: BackendRecord;
+  /** Milliseconds since the heartbeat came. */
+  readonly ageMs: number;
+}
+
+/** A balancer as the group knows it. */
+export interface BalancerInfo {
+  readonly name: string;
+  readonly zone: string;
+  /** UDP address at which other balancers reach it. */
+  readonly peerAddress: Address;
+}
+
+/** A control machine as the group knows it. */
+export interface ControlInfo {
+  readonly linkAddress: Address;
+}
+
+/** What a request of a client asks of the leader. */
+export type LeaderRequest =
+  { readonly type: 'command'; readonly command: GroupCommand } | { readonly type: 'read-config' };
+
+/** How the leader answered. */
+export type LeaderAnswer =
+  | { readonly type: 'committed' }
+  | { readonly type: 'config'; readonly document: ConfigDocument | undefined }
+  | { readonly type: 'refused'; readonly reason: string };
+
+/** From one control machine to another. */
+export type PeerMessage =
+  | {
+      readonly type: 'consensus';
+      readonly clusterId: string;
+      readonly from: Sender;
+      /** Where the sender is reached. */
+      readonly replyTo: Address;
+      readonly toNodeId: string;
+      readonly message: ConsensusMessage;
+    }
+  /** The sender belongs to no group, or has not heard from its leader for some time. */
+  | { readonly type: 'announce'; readonly from: Sender; readonly linkAddress: Address }
+  /** The sender stops for good, or at least for now; asked of the leader. */
+  | { readonly type: 'leave'; readonly from: Sender }
+  | { readonly type: 'heartbeats'; readonly records: readonly AgedRecord[] }
+  | {
+      readonly type: 'balancers';
+      readonly sender: Address;
+      readonly balancers: readonly BalancerInfo[];
+    }
+  | {
+      readonly type: 'forward';
+      readonly forwardId: number;
+      readonly replyTo: Address;
+      readonly request: LeaderRequest;
+    }
+  | { readonly type: 'forward-reply'; readonly forwardId: number; readonly answer: LeaderAnswer };
+
+/** From a balancer to the control machine that feeds it; the first message of a link. */
+export interface SubscribeMessage {
+  readonly type: 'subscribe';
+  readonly balancer: BalancerInfo;
+  /** Version of the configuration that it holds; 0 for none. */
+  readonly configVersion: number;
+}
+
+/** From a control machine to a balancer. Absent parts have not changed. */
+export interface FeedMessage {
+  readonly type: 'feed';
+  /** True where the sender follows a leader that a quorum follows, and so knows what is committed. */
+  readonly isCurrent: boolean;
+  readonly config?: DeclaredConfig;
+  readonly records?: readonly AgedRecord[];
+  readonly departures?: readonly Departure[];
+  readonly balancers?: readonly BalancerInfo[];
+  readonly controls?: readonly ControlInfo[];
+}
+
+/** Every message that comes in at the link address of a control machine. */
+export type ControlInboundMessage = PeerMessage | SubscribeMessage;
--- /dev/null
+++ b/src/group/group-state.ts
@@ -0,0 +1,234 @@
+/**
+ * @file The state of a control machine of a group, and its options.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import {
+  createConsensusState,
+  currentMembership,
+  type ConsensusOptions,
+  type ConsensusState,
+} from '../consensus/consensus-state.js';
+import { findMember, type Member, type NodeId } from '../consensus/membership.js';
+import type { RecoveredState } from '../consensus/persisted-state.js';
+import type { DeclaredConfig } from '../declared/declared-config.js';
+import { HeartbeatRegistry } from '../registry/heartbeat-registry.js';
+import type { LinkId, RequestId } from './group-events.js';
+import type { AgedRecord, BalancerInfo, LeaderRequest } from './group-messages.js';
+import { decodeGroupCommand, ReplicatedState, type ConfigDocument } from './replicated-state.js';
+
+/** Storage ID of the members with which a group begins, the same on each. */
+export const FIRST_STORAGE_ID = 'first';
+
+/** Options of a control machine; all times in milliseconds. */
+export interface GroupOptions {
+  readonly linkAddress: Address;
+  /** Link addresses of the machines with which the group begins, and by which it is found later. */
+  readonly seeds: readonly Address[];
+  /** True at the first start of the whole system, with empty disks. */
+  readonly isFirstStart: boolean;
+  /** How many disks may be lost right after an acknowledgement. */
+  readonly tolerableLosses: number;
+  /** Time between two heartbeats of a back end. */
+  readonly heartbeatIntervalMs: number;
+  /** A back end that is silent for so long is forgotten. */
+  readonly forgetBackendAfterMs: number;
+  /** A voter above the number needed that is silent for so long is removed. */
+  readonly removeVoterAfterMs: number;
+  /** A client hears after this time at the latest. */
+  readonly requestDeadlineMs: number;
+  /** Translates a document; it was checked before it came into the log. */
+  readonly readDocument: (document: ConfigDocument) => DeclaredConfig;
+  readonly consensus: ConsensusOptions;
+}
+
+/** A call that waits for its answer. */
+export interface WaitingCall {
+  readonly deadlineMs: number;
+  readonly request: LeaderRequest;
+}
+
+/** Who gets the answer to a proposal or read of this leader. */
+export type AnswerTo =
+  | { readonly type: 'client'; readonly requestId: RequestId }
+  | { readonly type: 'peer'; readonly address: Address; readonly forwardId: number };
+
+/** A proposal or read under way. */
+export interface PendingAnswer {
+  readonly answerTo: AnswerTo;
+  readonly request: LeaderRequest;
+}
+
+/** A machine that asks to be taken in. */
+export interface Announced {
+  readonly nodeId: NodeId;
+  readonly storageId: string;
+  readonly linkAddress: Address;
+  readonly heardAtMs: number;
+}
+
+/** A balancer that gets its feed from here. */
+export interface Subscriber {
+  readonly balancer: BalancerInfo;
+  /** Version of the configuration that was sent last. */
+  configVersion: number;
+  /** True until the whole state has been sent. */
+  isNew: boolean;
+}
+
+/** What has changed since the last feed. */
+export interface FeedChanges {
+  records: AgedRecord[];
+  departures: { backendId: string; kind: 'draining' | 'gone' }[];
+  listsChanged: boolean;
+}
+
+/** The balancers that another control machine feeds. */
+export interface BalancersOfPeer {
+  readonly balancers: readonly BalancerInfo[];
+  readonly heardAtMs: number;
+}
+
+/** The state of one control machine. */
+export interface GroupState {
+  readonly options: GroupOptions;
+  readonly consensus: ConsensusState;
+  readonly replicated: ReplicatedState;
+  readonly registry: HeartbeatRegistry;
+  readonly clusterId: string;
+  /** Calls of clients of this machine. */
+  readonly waiting: Map<RequestId, WaitingCall>;
+  /** Proposals and reads under way here, by the number that consensus knows. */
+  readonly answers: Map<number, PendingAnswer>;
+  /** The proposal at each index of the log that is not committed yet. */
+  readonly proposals: Map<number, { readonly term: number; readonly proposalId: number }>;
+  /** Where this machine looks for the group; from the settings. */
+  seeds: readonly Address[];
+  nextProposalId: number;
+  readonly announced: Map<NodeId, Announced>;
+  /** Where machines outside the membership are answered. */
+  readonly replyAddresses: Map<NodeId, Address>;
+  nextAnnounceAtMs: number;
+  /** Heartbeats that the other control machines have not been told yet. */
+  heartbeatsToShare: AgedRecord[];
+  readonly subscribers: Map<LinkId, Subscriber>;
+  readonly peerBalancers: Map<string, BalancersOfPeer>;
+  changes: FeedChanges;
+  nextBalancersShareAtMs: number;
+  nextPulseAtMs: number;
+  wasCurrent: boolean;
+  /** The translated form of the configuration that holds. */
+  config: DeclaredConfig | undefined;
+  isStopping: boolean;
+}
+
+/** Times out and bounds that suit a group within one region. */
+export const groupConsensusOptions = {
+  heartbeatIntervalMs: 150,
+  electionTimeoutMs: 700,
+  maxBatchEntries: 64,
+  maxBatchBytes: 512 * 1024,
+  maxInFlightBatches: 4,
+  snapshotChunkBytes: 256 * 1024,
+  trailingEntries: 16,
+} as const;
+
+/**
+ * @returns the name of a member: the machine and its disk, so that a machine with an empty disk is
+ *   another member
+ */
+export function memberName(linkAddress: Address, storageId: string): NodeId {
+  return `${formatAddress(linkAddress)}#${storageId}`;
+}
+
+/**
+ * @param recovered what was found on disk
+ * @returns the state of a control machine that starts
+ */
+export function createGroupState(options: GroupOptions, recovered: RecoveredState): GroupState {
+  const nodeId = memberName(options.linkAddress, recovered.storageId);
+  const consensus = createConsensusState(nodeId, recovered, options.consensus);
+  const replicated = recoverReplicated(consensus);
+  const document = replicated.config;
+  return {
+    options,
+    consensus,
+    replicated,
+    registry: new HeartbeatRegistry(),
+    clusterId: clusterIdOf(options.seeds),
+    waiting: new Map(),
+    answers: new Map(),
+    proposals: new Map(),
+    seeds: options.seeds,
+    nextProposalId: 1,
+    announced: new Map(),
+    replyAddresses: new Map(),
+    nextAnnounceAtMs: Number.NEGATIVE_INFINITY,
+    heartbeatsToShare: [],
+    subscribers: new Map(),
+    peerBalancers: new Map(),
+    changes: noChanges(),
+    nextBalancersShareAtMs: Number.NEGATIVE_INFINITY,
+    nextPulseAtMs: Number.NEGATIVE_INFINITY,
+    wasCurrent: false,
+    config: document === undefined ? undefined : options.readDocument(document),
+    isStopping: false,
+  };
+}
+
+/** Applies what is known to be committed. */
+function recoverReplicated({ snapshot, log, commitIndex }: ConsensusState): ReplicatedState {
+  const replicated = new ReplicatedState();
+  if (snapshot !== undefined) {
+    replicated.restore(snapshot.data);
+  }
+  for (const { content } of log.slice((snapshot?.index ?? 0) + 1, commitIndex)) {
+    if (content.type === 'command') {
+      replicated.apply(decodeGroupCommand(content.data));
+    }
+  }
+  return replicated;
+}
+
+/** Seeds may change later; the ID is taken from them only at the first start. */
+function clusterIdOf(seeds: readonly Address[]): string {
+  return seeds.map(formatAddress).sort().join(',');
+}
+
+/**
+ * @returns changes of nothing
+ */
+export function noChanges(): FeedChanges {
+  return { records: [], departures: [], listsChanged: false };
+}
+
+/**
+ * @returns the members other than this machine
+ */
+export function otherMembers(state: GroupState): Member[] {
+  return currentMembership(state.consensus).members.filter(
+    ({ nodeId }) => nodeId !== state.consensus.nodeId,
+  );
+}
+
+/**
+ * @returns the link address of the leader, where another machine leads
+ */
+export function leaderAddress(state: GroupState): Address | undefined {
+  const { leaderId, nodeId } = state.consensus;
+  if (leaderId === undefined || leaderId === nodeId) {
+    return undefined;
+  }
+  return findMember(currentMembership(state.consensus), leaderId)?.linkAddress;
+}
+
+/**
+ * @returns true where this machine leads a quorum, or follows a leader that it has heard lately
+ */
+export function isCurrent(state: GroupState, nowMs: number): boolean {
+  const { role, leaderId, heardFromLeaderAtMs, options, commitIndex } = state.consensus;
+  if (role.name === 'leader') {
+    return commitIndex >= role.termStartIndex;
+  }
+  const isFollowing = leaderId !== undefined;
+  return isFollowing && nowMs - heardFromLeaderAtMs <= options.electionTimeoutMs;
+}
--- /dev/null
+++ b/src/group/leader-requests.ts
@@ -0,0 +1,186 @@
+/**
+ * @file The way of a call to the leader and back. A call that reaches another machine is passed on to
+ * the leader; where none is known, or no answer comes in time, the client hears so at once, and goes on
+ * to another machine.
+ */
+import { match } from 'ts-pattern';
+import type { ConsensusEvent } from '../consensus/consensus-events.js';
+import type { GroupEffect, GroupReply, RequestId } from './group-events.js';
+import type { LeaderAnswer, LeaderRequest, PeerMessage } from './group-messages.js';
+import { leaderAddress, type AnswerTo, type GroupState } from './group-state.js';
+import { encodeGroupCommand } from './replicated-state.js';
+
+/** Runs a consensus event and gives its effects. */
+export type RunConsensus = (event: ConsensusEvent) => GroupEffect[];
+
+/**
+ * Brings a call to the leader.
+ */
+export function startCall(
+  state: GroupState,
+  requestId: RequestId,
+  request: LeaderRequest,
+  nowMs: number,
+  run: RunConsensus,
+): GroupEffect[] {
+  if (state.consensus.role.name === 'leader') {
+    state.waiting.set(requestId, { request, deadlineMs: nowMs + state.options.requestDeadlineMs });
+    return performAsLeader(state, request, { type: 'client', requestId }, run);
+  }
+  const leader = leaderAddress(state);
+  if (leader === undefined) {
+    return [reply(requestId, { type: 'unavailable', reason: 'No leader is known.' })];
+  }
+  state.waiting.set(requestId, { request, deadlineMs: nowMs + state.options.requestDeadlineMs });
+  const { linkAddress: replyTo } = state.options;
+  return [
+    {
+      type: 'send-peer',
+      to: leader,
+      message: { type: 'forward', forwardId: requestId, replyTo, request },
+    },
+  ];
+}
+
+/**
+ * Takes a call that another machine passed on.
+ */
+export function takeForward(
+  state: GroupState,
+  message: Extract<PeerMessage, { type: 'forward' }>,
+  run: RunConsensus,
+): GroupEffect[] {
+  const answerTo: AnswerTo = {
+    type: 'peer',
+    address: message.replyTo,
+    forwardId: message.forwardId,
+  };
+  if (state.consensus.role.name !== 'leader') {
+    return [answerCall(state, answerTo, refused('This machine does not lead.'))];
+  }
+  return performAsLeader(state, message.request, answerTo, run);
+}
+
+/**
+ * Takes the leader's answer to a call that was passed on.
+ */
+export function takeForwardReply(
+  state: GroupState,
+  message: Extract<PeerMessage, { type: 'forward-reply' }>,
+): GroupEffect[] {
+  return answerClient(state, message.forwardId, message.answer);
+}
+
+function performAsLeader(
+  state: GroupState,
+  request: LeaderRequest,
+  answerTo: AnswerTo,
+  run: RunConsensus,
+): GroupEffect[] {
+  const proposalId = state.nextProposalId;
+  state.nextProposalId += 1;
+  state.answers.set(proposalId, { answerTo, request });
+  const needsNoEntry = request.type === 'read-config' || changesNothing(state, request);
+  // What is held already is only confirmed: that this machine still leads.
+  return needsNoEntry
+    ? run({ type: 'read', readId: proposalId })
+    : run({ type: 'propose', proposalId, data: encodeGroupCommand(request.command) });
+}
+
+function changesNothing(
+  state: GroupState,
+  request: Extract<LeaderRequest, { type: 'command' }>,
+): boolean {
+  const { command } = request;
+  return match(command)
+    .with(
+      { type: 'declare-config' },
+      ({ document }) => document.version <= (state.replicated.config?.version ?? 0),
+    )
+    .with({ type: 'note-departure' }, ({ departure }) => {
+      const known = state.replicated.departureOf(departure.backendId);
+      return known === 'gone' || known === departure.kind;
+    })
+    .exhaustive();
+}
+
+/**
+ * Answers the call behind a proposal or read.
+ */
+export function finishCall(
+  state: GroupState,
+  proposalId: number,
+  answer: LeaderAnswer,
+): GroupEffect[] {
+  const pending = state.answers.get(proposalId);
+  state.answers.delete(proposalId);
+  return pending === undefined ? [] : [answerCall(state, pending.answerTo, answer)];
+}
+
+/**
+ * Answers the call behind a read: whoever asked for the configuration gets it, whoever sent a change
+ * that is held already hears that it holds.
+ */
+export function finishRead(state: GroupState, readId: number): GroupEffect[] {
+  const isQuestion = state.answers.get(readId)?.request.type === 'read-config';
+  const document = state.replicated.config;
+  return finishCall(
+    state,
+    readId,
+    isQuestion ? { type: 'config', document } : { type: 'committed' },
+  );
+}
+
+function answerCall(state: GroupState, answerTo: AnswerTo, answer: LeaderAnswer): GroupEffect {
+  if (answerTo.type === 'peer') {
+    const { address, forwardId } = answerTo;
+    return {
+      type: 'send-peer',
+      to: address,
+      message: { type: 'forward-reply', forwardId, answer },
+    };
+  }
+  state.waiting.delete(answerTo.requestId);
+  return reply(answerTo.requestId, replyOf(answer));
+}
+
+function answerClient(
+  state: GroupState,
+  requestId: RequestId,
+  answer: LeaderAnswer,
+): GroupEffect[] {
+  return state.waiting.delete(requestId) ? [reply(requestId, replyOf(answer))] : [];
+}
+
+function replyOf(answer: LeaderAnswer): GroupReply {
+  return match(answer)
+    .with({ type: 'committed' }, (): GroupReply => ({ type: 'accepted' }))
+    .with({ type: 'config' }, ({ document }): GroupReply => ({ type: 'config', document }))
+    .with({ type: 'refused' }, ({ reason }): GroupReply => ({ type: 'unavailable', reason }))
+    .exhaustive();
+}
+
+/**
+ * Gives up calls that have waited for too long.
+ */
+export function expireCalls(state: GroupState, nowMs: number): GroupEffect[] {
+  const effects: GroupEffect[] = [];
+  for (const [requestId, { deadlineMs }] of state.waiting) {
+    if (nowMs >= deadlineMs) {
+      state.waiting.delete(requestId);
+      effects.push(reply(requestId, { type: 'unavailable', reason: 'No answer came in time.' }));
+    }
+  }
+  return effects;
+}
+
+/**
+ * @returns the answer for a call that could not be performed
+ */
+export function refused(reason: string): LeaderAnswer {
+  return { type: 'refused', reason };
+}
+
+function reply(requestId: RequestId, content: GroupReply): GroupEffect {
+  return { type: 'reply', requestId, reply: content };
+}
--- /dev/null
+++ b/src/group/replicated-state.ts
@@ -0,0 +1,120 @@
+/**
+ * @file What the control group agrees on and never loses: the declared configuration that holds, and
+ * which back ends have said that they leave.
+ */
+import { Packr } from 'msgpackr';
+import {
+  isLaterDeparture,
+  type Departure,
+  type DepartureKind,
+} from '../registry/backend-record.js';
+
+/** A configuration as it was sent, with the version that it carries. */
+export interface ConfigDocument {
+  readonly version: number;
+  /** The text that was sent, to be given back unchanged. */
+  readonly text: string;
+}
+
+/** A change of the replicated state. */
+export type GroupCommand =
+  | { readonly type: 'declare-config'; readonly document: ConfigDocument }
+  | { readonly type: 'note-departure'; readonly departure: Departure };
+
+/** What a command changed. */
+export type AppliedChange =
+  | { readonly type: 'config-changed'; readonly document: ConfigDocument }
+  | { readonly type: 'departure-noted'; readonly departure: Departure }
+  | { readonly type: 'nothing-changed' };
+
+/** Departures beyond this number are forgotten, oldest first. */
+const MAX_DEPARTURES = 20_000;
+
+const packr = new Packr({ useRecords: false });
+
+interface SnapshotContent {
+  readonly config: ConfigDocument | undefined;
+  readonly departures: [string, DepartureKind][];
+}
+
+/** The state machine of the group; the same commands give the same state on every member. */
+export class ReplicatedState {
+  private document: ConfigDocument | undefined;
+  private departures = new Map<string, DepartureKind>();
+
+  /** The configuration that holds. */
+  get config(): ConfigDocument | undefined {
+    return this.document;
+  }
+
+  /** All departures, oldest first. */
+  allDepartures(): Departure[] {
+    return [...this.departures].map(([backendId, kind]) => ({ backendId, kind }));
+  }
+
+  departureOf(backendId: string): DepartureKind | undefined {
+    return this.departures.get(backendId);
+  }
+
+  /**
+   * Applies a command that is committed.
+   * @returns what changed; a version at or below the one held changes nothing, whatever its content
+   */
+  apply(command: GroupCommand): AppliedChange {
+    return command.type === 'declare-config'
+      ? this.declareConfig(command.document)
+      : this.noteDeparture(command.departure);
+  }
+
+  /** @returns the whole state as bytes */
+  encode(): Uint8Array {
+    const content: SnapshotContent = { config: this.document, departures: [...this.departures] };
+    return packr.pack(content);
+  }
+
+  /** Replaces the state by an encoded one. */
+  restore(data: Uint8Array): void {
+    const content = packr.unpack(data) as SnapshotContent;
+    this.document = content.config ?? undefined;
+    this.departures = new Map(content.departures);
+  }
+
+  private declareConfig(document: ConfigDocument): AppliedChange {
+    if (this.document !== undefined && document.version <= this.document.version) {
+      return { type: 'nothing-changed' };
+    }
+    this.document = document;
+    return { type: 'config-changed', document };
+  }
+
+  private noteDeparture(departure: Departure): AppliedChange {
+    const { backendId, kind } = departure;
+    if (!isLaterDeparture(kind, this.departures.get(backendId))) {
+      return { type: 'nothing-changed' };
+    }
+    this.departures.set(backendId, kind);
+    this.forgetOldest();
+    return { type: 'departure-noted', departure };
+  }
+
+  private forgetOldest(): void {
+    const [oldest] = this.departures.keys();
+    if (this.departures.size > MAX_DEPARTURES && oldest !== undefined) {
+      this.departures.delete(oldest);
+    }
+  }
+}
+
+/**
+ * @returns a command as bytes, for the log
+ */
+export function encodeGroupCommand(command: GroupCommand): Uint8Array {
+  return packr.pack(command);
+}
+
+/**
+ * @returns the command of a log entry
+ */
+export function decodeGroupCommand(data: Uint8Array): GroupCommand {
+  return packr.unpack(data) as GroupCommand;
+}
--- /dev/null
+++ b/src/ingress/feed-source.ts
@@ -0,0 +1,96 @@
+/**
+ * @file Which control machine a balancer gets its feed from: one that says that it is current, another
+ * one as soon as it is silent or ceases to be.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import type { ControlInfo } from '../group/group-messages.js';
+
+/** A link that brings nothing for so long is given up, in milliseconds. */
+const SILENT_AFTER_MS = 1_000;
+/** A control machine that is not current for so long is given up, in milliseconds. */
+const STALE_AFTER_MS = 600;
+/** A link must bring its first message within this time, in milliseconds. */
+const FIRST_WORD_AFTER_MS = 700;
+/** Time before the next try, in milliseconds. */
+const RETRY_AFTER_MS = 150;
+
+/** What the owner of the link should do now. */
+export type FeedAction =
+  | { readonly type: 'connect'; readonly address: Address }
+  | { readonly type: 'close' }
+  | { readonly type: 'wait' };
+
+/** Chooses the control machine. */
+export class FeedSource {
+  private candidates: Address[];
+  private next: number;
+  private linked:
+    { sinceMs: number; heardAtMs: number | undefined; currentAtMs: number } | undefined;
+  private retryAtMs = Number.NEGATIVE_INFINITY;
+
+  /**
+   * @param seeds where to look first
+   * @param offset spreads balancers over the control machines
+   */
+  constructor(
+    private seeds: readonly Address[],
+    offset: number,
+  ) {
+    this.candidates = [...seeds];
+    this.next = offset;
+  }
+
+  /** Takes the list of control machines; seeds stay in it, since the list may be old. */
+  takeControls(controls: readonly ControlInfo[]): void {
+    const addresses = [...controls.map(({ linkAddress }) => linkAddress), ...this.seeds];
+    const byText = new Map(addresses.map((address) => [formatAddress(address), address]));
+    this.candidates = [...byText.values()];
+  }
+
+  /** Takes other seeds, beside the control machines known already. */
+  takeSeeds(seeds: readonly Address[]): void {
+    this.seeds = seeds;
+    this.takeControls(this.candidates.map((linkAddress) => ({ linkAddress })));
+  }
+
+  /** Notes a message of the control machine. */
+  heard(isCurrent: boolean, nowMs: number): void {
+    if (this.linked !== undefined) {
+      this.linked.heardAtMs = nowMs;
+      this.linked.currentAtMs = isCurrent ? nowMs : this.linked.currentAtMs;
+    }
+  }
+
+  /** Notes that the link is closed. */
+  closed(nowMs: number): void {
+    this.linked = undefined;
+    this.retryAtMs = nowMs + RETRY_AFTER_MS;
+  }
+
+  /** Decides what to do with the link. */
+  act(nowMs: number): FeedAction {
+    if (this.linked !== undefined) {
+      return this.isUseless(this.linked, nowMs) ? { type: 'close' } : { type: 'wait' };
+    }
+    if (nowMs < this.retryAtMs || this.candidates.length === 0) {
+      return { type: 'wait' };
+    }
+    const address = this.candidates[this.next % this.candidates.length];
+    this.next += 1;
+    if (address === undefined) {
+      return { type: 'wait' };
+    }
+    this.linked = { sinceMs: nowMs, heardAtMs: undefined, currentAtMs: nowMs };
+    return { type: 'connect', address };
+  }
+
+  private isUseless(link: NonNullable<typeof this.linked>, nowMs: number): boolean {
+    if (link.heardAtMs === undefined) {
+      return nowMs - link.sinceMs > FIRST_WORD_AFTER_MS;
+    }
+    return (
+      nowMs - link.heardAtMs > SILENT_AFTER_MS ||
+      nowMs - link.currentAtMs > STALE_AFTER_MS + SILENT_AFTER_MS
+    );
+  }
+}
--- /dev/null
+++ b/src/ingress/flow-activity.ts
@@ -0,0 +1,130 @@
+/**
+ * @file An estimate of the requests in progress at each back end, from the packets of clients alone: a
+ * request is in progress from its first data until the client acknowledges bytes of the answer. It
+ * serves placement only; no packet of an established flow needs it, and it may be lost at any time.
+ */
+import type { KnownBackend } from './backend-table.js';
+import type { FlowKey, PacketView } from './packet-view.js';
+
+/** What is remembered of one flow. */
+interface FlowActivity {
+  readonly backend: KnownBackend;
+  /** End of the data that the client has sent. */
+  sentEnd: number;
+  /** What the client had acknowledged when it sent its last data. */
+  acknowledgedAtRequest: number;
+  isBusy: boolean;
+  lastPacketAtMs: number;
+}
+
+/** An open that brings no request, or a request without any answer, counts for so long. */
+const BUSY_LIFETIME_MS = 2_500;
+/** Flows beyond this number are not counted. */
+const MAX_FLOWS = 100_000;
+
+/** The flows that passed this balancer lately. */
+export class FlowActivities {
+  private readonly flows = new Map<FlowKey, FlowActivity>();
+
+  constructor(private readonly idleTimeoutMs: () => number) {}
+
+  /** How many flows are remembered. */
+  get size(): number {
+    return this.flows.size;
+  }
+
+  /** Notes that a new flow was placed; it counts as busy until its request comes and is answered. */
+  open(key: FlowKey, backend: KnownBackend, nowMs: number): void {
+    if (this.flows.get(key)?.backend === backend) {
+      return;
+    }
+    this.end(key);
+    this.remember(key, backend, nowMs, true);
+  }
+
+  /** Notes a packet of an established flow. */
+  note(key: FlowKey, backend: KnownBackend, packet: PacketView, nowMs: number): void {
+    if (packet.isFinish || packet.isReset) {
+      this.end(key);
+      return;
+    }
+    const known = this.flows.get(key);
+    const flow = known?.backend === backend ? known : this.replace(key, backend, nowMs);
+    if (flow === undefined) {
+      return;
+    }
+    flow.lastPacketAtMs = nowMs;
+    if (packet.dataLength > 0) {
+      this.noteData(flow, packet);
+    } else if (flow.isBusy && packet.acknowledged !== flow.acknowledgedAtRequest) {
+      this.setBusy(flow, flow.acknowledgedAtRequest === 0);
+      flow.acknowledgedAtRequest = packet.acknowledged;
+    }
+  }
+
+  /** Forgets flows that have rested for too long, and requests that nobody answers. */
+  sweep(nowMs: number): void {
+    const idleTimeoutMs = this.idleTimeoutMs();
+    for (const [key, flow] of this.flows) {
+      const restedMs = nowMs - flow.lastPacketAtMs;
+      if (restedMs > idleTimeoutMs) {
+        this.end(key);
+      } else if (flow.isBusy && restedMs > BUSY_LIFETIME_MS) {
+        this.setBusy(flow, false);
+      }
+    }
+  }
+
+  private noteData(flow: FlowActivity, packet: PacketView): void {
+    const end = (packet.sequence + packet.dataLength) >>> 0;
+    const isNew = ((end - flow.sentEnd) | 0) > 0 || flow.sentEnd === 0;
+    if (isNew) {
+      flow.sentEnd = end;
+      flow.acknowledgedAtRequest = packet.acknowledged;
+      this.setBusy(flow, true);
+    }
+  }
+
+  private replace(key: FlowKey, backend: KnownBackend, nowMs: number): FlowActivity | undefined {
+    this.end(key);
+    return this.remember(key, backend, nowMs, false);
+  }
+
+  private remember(
+    key: FlowKey,
+    backend: KnownBackend,
+    nowMs: number,
+    isBusy: boolean,
+  ): FlowActivity | undefined {
+    if (this.flows.size >= MAX_FLOWS) {
+      return undefined;
+    }
+    const flow: FlowActivity = {
+      backend,
+      sentEnd: 0,
+      acknowledgedAtRequest: 0,
+      isBusy: false,
+      lastPacketAtMs: nowMs,
+    };
+    this.flows.set(key, flow);
+    backend.own.flows += 1;
+    this.setBusy(flow, isBusy);
+    return flow;
+  }
+
+  private end(key: FlowKey): void {
+    const flow = this.flows.get(key);
+    if (flow !== undefined) {
+      this.setBusy(flow, false);
+      flow.backend.own.flows -= 1;
+      this.flows.delete(key);
+    }
+  }
+
+  private setBusy(flow: FlowActivity, isBusy: boolean): void {
+    if (flow.isBusy !== isBusy) {
+      flow.isBusy = isBusy;
+      flow.backend.own.busy += isBusy ? 1 : -1;
+    }
+  }
+}
--- /dev/null
+++ b/src/ingress/packet-step.ts
@@ -0,0 +1,128 @@
+/**
+ * @file The decision for each packet of a client: a packet with a token goes to the back end that the
+ * token names; an open goes where its first copy went, or to a back end of the route's service.
+ */
+import { chooseBackend } from './placement.js';
+import type { KnownBackend } from './backend-table.js';
+import { isReady, knowsCurrent, type IngressState } from './ingress-state.js';
+import { flowKeyOf, type FlowKey, type PacketView } from './packet-view.js';
+
+/** Why a packet was dropped or its open refused. */
+export type DropReason =
+  'unknown-token' | 'no-token' | 'not-ready' | 'not-current' | 'no-route' | 'no-backend';
+
+/** What becomes of a packet. */
+export type PacketDecision =
+  | { readonly type: 'forward'; readonly backend: KnownBackend }
+  /** Tell the client that the flow was not opened. */
+  | { readonly type: 'reset'; readonly reason: DropReason }
+  | { readonly type: 'drop'; readonly reason: DropReason }
+  /** A copy whose first went through another balancer: ask the others, then call `placeOpen`. */
+  | { readonly type: 'ask-peers'; readonly key: FlowKey };
+
+/** A service whose back ends may not all be known yet is not refused for so many heartbeat intervals. */
+const LEARNING_INTERVALS = 2;
+
+/**
+ * Decides on a packet.
+ */
+export function decidePacket(
+  state: IngressState,
+  packet: PacketView,
+  nowMs: number,
+): PacketDecision {
+  if (packet.isOpen) {
+    return decideOpen(state, packet, nowMs);
+  }
+  if (packet.token === 0) {
+    return { type: 'drop', reason: 'no-token' };
+  }
+  const backend = state.backends.resolve(packet.token);
+  if (backend === undefined) {
+    return { type: 'drop', reason: 'unknown-token' };
+  }
+  state.activities.note(flowKeyOf(packet), backend, packet, nowMs);
+  return { type: 'forward', backend };
+}
+
+function decideOpen(state: IngressState, packet: PacketView, nowMs: number): PacketDecision {
+  if (state.firstCurrentAtMs === undefined || state.routes.config === undefined) {
+    return { type: 'drop', reason: 'not-ready' };
+  }
+  const key = flowKeyOf(packet);
+  const placed = state.opens.recall(key, nowMs);
+  if (placed !== undefined) {
+    return forwardCopy(state, placed.backendId);
+  }
+  if (!state.routes.has(packet.destinationHost, packet.destinationPort)) {
+    return knowsCurrent(state, nowMs)
+      ? { type: 'reset', reason: 'no-route' }
+      : { type: 'drop', reason: 'not-current' };
+  }
+  if (packet.copyNumber > 0 && state.hasPeers) {
+    return { type: 'ask-peers', key };
+  }
+  return placeOpen(state, packet, nowMs);
+}
+
+function forwardCopy(state: IngressState, backendId: string): PacketDecision {
+  const backend = state.backends.find(backendId);
+  return backend === undefined
+    ? { type: 'drop', reason: 'unknown-token' }
+    : { type: 'forward', backend };
+}
+
+/**
+ * Places an open for which no earlier copy is known.
+ */
+export function placeOpen(state: IngressState, packet: PacketView, nowMs: number): PacketDecision {
+  const service = state.routes.nextService(packet.destinationHost, packet.destinationPort);
+  if (service === undefined) {
+    return { type: 'reset', reason: 'no-route' };
+  }
+  const { backends, options } = state;
+  const backend = chooseBackend(backends, service, options, hashOf(packet), nowMs);
+  if (backend === undefined) {
+    return isLearning(state, nowMs)
+      ? { type: 'drop', reason: 'no-backend' }
+      : { type: 'reset', reason: 'no-backend' };
+  }
+  const key = flowKeyOf(packet);
+  state.opens.remember(key, backend.id, nowMs);
+  state.activities.open(key, backend, nowMs);
+  return { type: 'forward', backend };
+}
+
+/**
+ * Another balancer has placed the first copy of an open.
+ */
+export function takePlacedElsewhere(
+  state: IngressState,
+  key: FlowKey,
+  backendId: string,
+  nowMs: number,
+): PacketDecision {
+  state.opens.remember(key, backendId, nowMs);
+  return forwardCopy(state, backendId);
+}
+
+/** Just after a start, and while cut off, back ends may exist that are not known here. */
+function isLearning(state: IngressState, nowMs: number): boolean {
+  const { firstCurrentAtMs, options } = state;
+  const sinceMs = nowMs - (firstCurrentAtMs ?? nowMs);
+  return (
+    !isReady(state) ||
+    !knowsCurrent(state, nowMs) ||
+    sinceMs < LEARNING_INTERVALS * options.heartbeatIntervalMs
+  );
+}
+
+const HASH_MULTIPLIER = 0x9e3779b1;
+
+function hashOf(packet: PacketView): number {
+  const mixed = Math.imul(
+    packet.sourceHost ^ (packet.sourcePort * HASH_MULTIPLIER),
+    HASH_MULTIPLIER,
+  );
+  return (mixed ^ (mixed >>> 15)) >>> 0;
+}
--- a/src/standins/fabric-process.ts
+++ b/src/standins/fabric-process.ts
@@ -4,7 +4,8 @@
  * experiment the balancers to which packets are lost (`POST /cut`).
  */
 import { z } from 'zod';
-import { addressSchema, formatAddress, type Address } from '../common/address.js';
+import { addressSchema } from '../common/address-schema.js';
+import { formatAddress, type Address } from '../common/address.js';
 import { readBody, respondJson } from '../daemon/http-json.js';
 import { listenHttp } from '../daemon/http-server.js';
 import { systemContextSource } from '../daemon/system-context.js';
--- a/src/toolbox/state-export.ts
+++ b/src/toolbox/state-export.ts
@@ -4,7 +4,7 @@
  */
 import { err, ok, type Result } from 'neverthrow';
 import { z } from 'zod';
-import { addressSchema } from '../common/address.js';
+import { addressSchema } from '../common/address-schema.js';
 import { buildConfigLookup } from '../control/config-lookup.js';
 import {
   emptyClusterState,
