--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -1,62 +1,51 @@
 /**
- * @file The daemon of a control machine of a group: disk, links and timer around the group step. The
- * calls of back ends and operators come in through `call`.
+ * @file The daemon of a control machine of a group: disk, links and timer around its process. The calls
+ * of back ends and operators come in through `call`.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
+import { formatAddress, type Address } from '../common/address.js';
 import type { PersistEffect } from '../consensus/persisted-state.js';
 import type { AmberliftError } from '../flow/error-kinds.js';
-import type {
-  GroupEffect,
-  GroupEvent,
-  GroupReply,
-  LinkId,
-  RequestId,
-} from '../group/group-events.js';
-import {
-  createGroupState,
-  FIRST_STORAGE_ID,
-  type GroupOptions,
-  type GroupState,
-} from '../group/group-state.js';
-import { groupStep } from '../group/group-step.js';
+import type { GroupReply, LinkId } from '../group/group-events.js';
+import { createGroupState, FIRST_STORAGE_ID, type GroupOptions } from '../group/group-state.js';
 import { isFirstMember } from '../group/membership-duties.js';
 import { parseControlInbound } from '../group/message-schemas.js';
-import { formatAddress, type Address } from '../common/address.js';
 import { ConsensusStorage } from './consensus-storage.js';
 import { logDecision } from './decision-log.js';
 import { FrameLinks, type FrameLink } from './frame-links.js';
+import { GroupProcess, type GroupCall, type GroupSurroundings } from './group-process.js';
 import { PeerDialer } from './peer-dialer.js';
 import { openStorageFolder } from './storage-folder.js';
 import { systemContextSource } from './system-context.js';
 
 const TICK_INTERVAL_MS = 50;
 const RETRY_WRITE_AFTER_MS = 200;
+const MAX_OPEN_ATTEMPTS = 300;
+const SLOW_WRITE_MS = 500;
+/** Time for what was sent at a stop to leave. */
 const STOP_DELAY_MS = 250;
 
-/** A call of a client without the number by which it is answered. */
-export type GroupCall = DistributiveOmit<
-  Extract<GroupEvent, { readonly requestId: RequestId }>,
-  'requestId'
->;
-
-type DistributiveOmit<T, K extends PropertyKey> = T extends unknown ? Omit<T, K> : never;
-
 /** A running control machine. */
 export class GroupDaemon {
-  private readonly contexts = systemContextSource();
   private readonly links = new FrameLinks();
-  private readonly dialer = new PeerDialer(this.links);
-  private readonly calls = new Map<RequestId, (reply: GroupReply) => void>();
   private readonly feedLinks = new Map<LinkId, FrameLink>();
   private readonly linkIds = new Map<FrameLink, LinkId>();
-  private nextNumber = 1;
+  private readonly group: GroupProcess;
   private timer: NodeJS.Timeout | undefined;
 
-  private constructor(
-    private readonly state: GroupState,
-    private readonly storage: ConsensusStorage,
-  ) {}
+  private constructor(options: GroupOptions, storage: ConsensusStorage) {
+    const contexts = systemContextSource();
+    const dialer = new PeerDialer(this.links);
+    const surroundings: GroupSurroundings = {
+      context: () => contexts.now(),
+      sendToPeer: (to, message) => dialer.send(to, message),
+      sendFeed: (linkId, message) => this.feedLinks.get(linkId)?.send(message),
+      persist: (effect) => persist(storage, effect),
+      note: (name, fields) => logDecision('control', name, fields),
+    };
+    this.group = new GroupProcess(createGroupState(options, storage.recovered), surroundings);
+  }
 
   /**
    * Opens the disk, waiting where it is full or does not answer, and starts.
@@ -67,83 +56,38 @@
     dataFolder: string,
   ): Promise<Result<GroupDaemon, AmberliftError>> {
     const opened = await openDisk(options, dataFolder);
-    if (opened.isErr()) {
-      return opened.map((): never => {
-        throw new Error('unreachable');
-      });
+    const created = opened.map((storage) => new GroupDaemon(options, storage));
+    if (created.isOk()) {
+      await created.value.run(options.linkAddress);
     }
-    const storage = opened.value;
-    const state = createGroupState(options, storage.recovered);
-    const daemon = new GroupDaemon(state, storage);
-    await daemon.links.listen(options.linkAddress, {
-      onMessage: (message, link) => daemon.receive(message, link),
-      onClose: (link) => daemon.forgetLink(link),
-    });
-    daemon.timer = setInterval(() => daemon.step({ type: 'tick' }), TICK_INTERVAL_MS);
-    daemon.step({ type: 'tick' });
-    return opened.map(() => daemon);
+    return created;
   }
 
-  /** Brings a call of a client into the group; always answered within the request deadline. */
+  /** Brings a call of a client into the group; answered within the request deadline. */
   call(call: GroupCall): Promise<GroupReply> {
-    const requestId = this.nextNumber;
-    this.nextNumber += 1;
-    return new Promise((resolve) => {
-      this.calls.set(requestId, resolve);
-      this.step({ ...call, requestId });
-    });
+    return new Promise((resolve) => this.group.call(call, resolve));
   }
 
   /** Takes other seeds, by which this machine finds the group. */
   takeSeeds(seeds: readonly Address[]): void {
-    this.state.seeds = seeds;
+    this.group.state.seeds = seeds;
   }
 
   /** Hands leadership over and stops. */
   async stop(): Promise<void> {
-    this.step({ type: 'stop' });
+    this.group.stop();
     await sleep(STOP_DELAY_MS);
     clearInterval(this.timer);
     this.links.close();
   }
 
-  private step(event: GroupEvent): void {
-    const effects = groupStep(this.state, event, this.contexts.now());
-    effects.forEach((effect) => this.perform(effect));
-  }
-
-  private perform(effect: GroupEffect): void {
-    switch (effect.type) {
-      case 'send-peer':
-        this.dialer.send(effect.to, effect.message);
-        return;
-      case 'send-feed':
-        this.feedLinks.get(effect.linkId)?.send(effect.message);
-        return;
-      case 'reply':
-        this.calls.get(effect.requestId)?.(effect.reply);
-        this.calls.delete(effect.requestId);
-        return;
-      case 'decision':
-        logDecision('control', effect.name, effect.fields);
-        return;
-      case 'persist':
-      case 'persist-snapshot':
-        this.persist(effect);
-        return;
-    }
-  }
-
-  /** Never fails: the storage tries until the write lasts. */
-  private persist(effect: PersistEffect): void {
-    const startedAtMs = performance.now();
-    void this.storage.persist(effect).then(() => {
-      const tookMs = Math.round(performance.now() - startedAtMs);
-      if (tookMs > SLOW_WRITE_MS) {
-        logDecision('control', 'slow write', { tookMs });
-      }
-      this.step({ type: 'persisted', writeId: effect.writeId });
+  private async run(linkAddress: Address): Promise<void> {
+    await this.links.listen(linkAddress, {
+      onMessage: (message, link) => this.receive(message, link),
+      onClose: (link) => this.forgetLink(link),
     });
+    this.timer = setInterval(() => this.group.tick(), TICK_INTERVAL_MS);
+    this.group.tick();
   }
 
   private receive(message: unknown, link: FrameLink): boolean {
@@ -153,14 +97,13 @@
       return false;
     }
     if (parsed.type !== 'subscribe') {
-      this.step({ type: 'peer-message', message: parsed });
+      this.group.takePeerMessage(parsed);
       return true;
     }
-    const linkId = this.nextNumber;
-    this.nextNumber += 1;
-    this.feedLinks.set(linkId, link);
-    this.linkIds.set(link, linkId);
-    this.step({ type: 'subscribe', linkId, message: parsed });
+    this.group.subscribe(parsed, (linkId) => {
+      this.feedLinks.set(linkId, link);
+      this.linkIds.set(link, linkId);
+    });
     return true;
   }
 
@@ -169,12 +112,20 @@
     if (linkId !== undefined) {
       this.linkIds.delete(link);
       this.feedLinks.delete(linkId);
-      this.step({ type: 'link-closed', linkId });
+      this.group.closeLink(linkId);
     }
   }
 }
 
-const SLOW_WRITE_MS = 500;
+/** Never fails: the storage tries until the write lasts. */
+async function persist(storage: ConsensusStorage, effect: PersistEffect): Promise<void> {
+  const startedAtMs = performance.now();
+  await storage.persist(effect);
+  const tookMs = Math.round(performance.now() - startedAtMs);
+  if (tookMs > SLOW_WRITE_MS) {
+    logDecision('control', 'slow write', { tookMs });
+  }
+}
 
 /** A full disk can't be opened the first time; it is tried until it can. */
 async function openDisk(
@@ -205,5 +156,3 @@
     await pause();
   }
 }
-
-const MAX_OPEN_ATTEMPTS = 300;
--- /dev/null
+++ b/src/daemon/group-process.ts
@@ -0,0 +1,112 @@
+/**
+ * @file A control machine of a group without its sockets and its disk: it carries out the effects of the
+ * group step through its surroundings, which are real in the daemon and virtual in the simulator.
+ */
+import type { Address } from '../common/address.js';
+import type { StepContext } from '../common/step.js';
+import type { PersistEffect } from '../consensus/persisted-state.js';
+import type {
+  GroupEffect,
+  GroupEvent,
+  GroupReply,
+  LinkId,
+  RequestId,
+} from '../group/group-events.js';
+import type { FeedMessage, PeerMessage, SubscribeMessage } from '../group/group-messages.js';
+import type { GroupState } from '../group/group-state.js';
+import { groupStep } from '../group/group-step.js';
+import type { DecisionFields } from './decision-log.js';
+
+type DistributiveOmit<T, K extends PropertyKey> = T extends unknown ? Omit<T, K> : never;
+
+/** A call of a client without the number by which it is answered. */
+export type GroupCall = DistributiveOmit<
+  Extract<GroupEvent, { readonly requestId: RequestId }>,
+  'requestId'
+>;
+
+/** What a control machine needs of the world. */
+export interface GroupSurroundings {
+  context(): StepContext;
+  sendToPeer(to: Address, message: PeerMessage): void;
+  sendFeed(linkId: LinkId, message: FeedMessage): void;
+  /** Resolves once the write lasts; never rejects. */
+  persist(effect: PersistEffect): Promise<void>;
+  /** Takes the line of a decision. */
+  note(name: string, fields: DecisionFields): void;
+}
+
+/** A control machine of a group. */
+export class GroupProcess {
+  private readonly calls = new Map<RequestId, (reply: GroupReply) => void>();
+  private nextNumber = 1;
+
+  constructor(
+    /** Read by tests and the simulator's checks. */
+    readonly state: GroupState,
+    private readonly surroundings: GroupSurroundings,
+  ) {}
+
+  /** Brings a call of a client into the group; answered within the request deadline. */
+  call(call: GroupCall, answer: (reply: GroupReply) => void): void {
+    const requestId = this.nextNumber;
+    this.nextNumber += 1;
+    this.calls.set(requestId, answer);
+    this.step({ ...call, requestId });
+  }
+
+  takePeerMessage(message: PeerMessage): void {
+    this.step({ type: 'peer-message', message });
+  }
+
+  /** @returns the ID of the balancer's link */
+  subscribe(message: SubscribeMessage, send: (linkId: LinkId) => void): LinkId {
+    const linkId = this.nextNumber;
+    this.nextNumber += 1;
+    send(linkId);
+    this.step({ type: 'subscribe', linkId, message });
+    return linkId;
+  }
+
+  closeLink(linkId: LinkId): void {
+    this.step({ type: 'link-closed', linkId });
+  }
+
+  tick(): void {
+    this.step({ type: 'tick' });
+  }
+
+  /** Hands leadership over. */
+  stop(): void {
+    this.step({ type: 'stop' });
+  }
+
+  private step(event: GroupEvent): void {
+    const effects = groupStep(this.state, event, this.surroundings.context());
+    effects.forEach((effect) => this.perform(effect));
+  }
+
+  private perform(effect: GroupEffect): void {
+    switch (effect.type) {
+      case 'send-peer':
+        this.surroundings.sendToPeer(effect.to, effect.message);
+        return;
+      case 'send-feed':
+        this.surroundings.sendFeed(effect.linkId, effect.message);
+        return;
+      case 'reply':
+        this.calls.get(effect.requestId)?.(effect.reply);
+        this.calls.delete(effect.requestId);
+        return;
+      case 'decision':
+        this.surroundings.note(effect.name, effect.fields);
+        return;
+      case 'persist':
+      case 'persist-snapshot':
+        void this.surroundings.persist(effect).then(() => {
+          this.step({ type: 'persisted', writeId: effect.writeId });
+        });
+        return;
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/ingress-process.ts
@@ -0,0 +1,297 @@
+/**
+ * @file A balancer without its sockets: it carries out the decisions of `src/ingress` through its
+ * surroundings, which are real in the daemon and virtual in the simulator. The packet format comes in as
+ * a codec.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+import type { BalancerInfo } from '../group/group-messages.js';
+import { parseFeed, type BalancerMessage } from '../group/message-schemas.js';
+import { ingressTick, ownReport, takeFeed, takeReport } from '../ingress/feed-step.js';
+import { FeedSource } from '../ingress/feed-source.js';
+import {
+  createIngressState,
+  isReady,
+  type IngressOptions,
+  type IngressState,
+} from '../ingress/ingress-state.js';
+import {
+  decidePacket,
+  placeOpen,
+  takePlacedElsewhere,
+  type DropReason,
+  type PacketDecision,
+} from '../ingress/packet-step.js';
+import type { FlowKey, PacketView } from '../ingress/packet-view.js';
+import type { DecisionFields } from './decision-log.js';
+
+/** Reads and writes packets of one format. */
+export interface PacketCodec {
+  /** @returns the view of a packet, or undefined where the datagram is none */
+  read(datagram: Uint8Array): PacketView | undefined;
+  /** @returns the datagram for a back end: what names it, then the packet with its token */
+  toBackend(datagram: Uint8Array, instanceBytes: Uint8Array, token: number): Uint8Array;
+  /** @returns a reset of the flow that a client's packet belongs to */
+  resetFor(packet: PacketView): Uint8Array;
+  /** @returns where the client of a packet takes packets */
+  clientAddress(packet: PacketView): Address;
+}
+
+/** A link to the control machine that feeds this balancer. */
+export interface ControlLink {
+  send(message: object): void;
+  close(): void;
+}
+
+/** What happens on such a link. */
+export interface ControlLinkHandlers {
+  /** @returns false where the message does not belong there; the link is closed then */
+  onMessage(message: unknown, link: ControlLink): boolean;
+  onClose(link: ControlLink, reason: string): void;
+}
+
+/** What a balancer needs of the world. */
+export interface IngressSurroundings {
+  nowMs(): number;
+  sendPacket(datagram: Uint8Array, to: Address): void;
+  sendToBalancer(to: Address, message: BalancerMessage): void;
+  connectControl(to: Address, handlers: ControlLinkHandlers): ControlLink;
+  after(delayMs: number, run: () => void): void;
+  /** Takes the line of a decision. */
+  note(name: string, fields: DecisionFields): void;
+}
+
+/** Who a balancer is and whom it asks. */
+export interface IngressProcessOptions {
+  readonly ingress: IngressOptions;
+  /** UDP, towards other balancers. */
+  readonly peerAddress: Address;
+  /** Link addresses of control machines. */
+  readonly controlSeeds: readonly Address[];
+}
+
+const REPORT_INTERVAL_MS = 250;
+const SWEEP_INTERVAL_MS = 1_000;
+/** How long other balancers may take to say that they placed an open. */
+const ASK_PEERS_MS = 30;
+const MAX_HELD = 10_000;
+
+interface HeldOpen {
+  readonly datagram: Uint8Array;
+  readonly packet: PacketView;
+}
+
+/** A balancer. */
+export class IngressProcess {
+  /** Packets by what became of them. */
+  readonly counts = new Map<string, number>();
+  /** Read by tests and the simulator's checks. */
+  readonly state: IngressState;
+  /** When the last packet of a client came, in milliseconds. */
+  lastPacketAtMs = 0;
+  private readonly source: FeedSource;
+  private readonly held = new Map<FlowKey, HeldOpen>();
+  private peers: BalancerInfo[] = [];
+  private controlLink: ControlLink | undefined;
+  private nextReportAtMs = 0;
+  private nextSweepAtMs = 0;
+
+  constructor(
+    private readonly options: IngressProcessOptions,
+    private readonly codec: PacketCodec,
+    private readonly surroundings: IngressSurroundings,
+  ) {
+    this.state = createIngressState(options.ingress);
+    this.source = new FeedSource(options.controlSeeds, spreadOf(options.ingress.name));
+  }
+
+  /** True where new flows may be sent here. */
+  get isReady(): boolean {
+    return isReady(this.state);
+  }
+
+  /** Takes other control machines to look for. */
+  takeSeeds(seeds: readonly Address[]): void {
+    this.source.takeSeeds(seeds);
+  }
+
+  /** Not ready from now on; packets are forwarded as before. */
+  leave(): void {
+    this.state.isStopping = true;
+  }
+
+  /** Takes a datagram of a client. */
+  takePacket(datagram: Uint8Array): void {
+    const packet = this.codec.read(datagram);
+    if (packet === undefined) {
+      this.count('malformed');
+      return;
+    }
+    const nowMs = this.surroundings.nowMs();
+    this.lastPacketAtMs = nowMs;
+    this.carryOut(decidePacket(this.state, packet, nowMs), datagram, packet);
+  }
+
+  /** Takes a message of another balancer. */
+  takeBalancerMessage(message: BalancerMessage): void {
+    const nowMs = this.surroundings.nowMs();
+    switch (message.type) {
+      case 'load-report':
+        takeReport(this.state, message.name, message.loads, nowMs);
+        return;
+      case 'find-open': {
+        const placed = this.state.opens.recall(message.key, nowMs);
+        if (placed !== undefined) {
+          const { backendId } = placed;
+          const found: BalancerMessage = { type: 'open-found', key: message.key, backendId };
+          this.surroundings.sendToBalancer(message.replyTo, found);
+        }
+        return;
+      }
+      case 'open-found':
+        this.forwardHeld(message.key, message.backendId, nowMs);
+        return;
+    }
+  }
+
+  private carryOut(decision: PacketDecision, datagram: Uint8Array, packet: PacketView): void {
+    switch (decision.type) {
+      case 'forward': {
+        const { address, instanceBytes, token } = decision.backend;
+        this.surroundings.sendPacket(this.codec.toBackend(datagram, instanceBytes, token), address);
+        this.count('forwarded');
+        return;
+      }
+      case 'reset':
+        this.surroundings.sendPacket(this.codec.resetFor(packet), this.codec.clientAddress(packet));
+        this.refuse('reset', decision.reason, packet);
+        return;
+      case 'drop':
+        this.refuse('dropped', decision.reason, packet);
+        return;
+      case 'ask-peers':
+        this.askPeers(decision.key, datagram, packet);
+        return;
+    }
+  }
+
+  private refuse(outcome: string, reason: DropReason, packet: PacketView): void {
+    this.count(`${outcome}:${reason}`);
+    if (packet.isOpen || reason === 'unknown-token') {
+      const { sourceHost, sourcePort, token } = packet;
+      this.surroundings.note(outcome, { reason, sourceHost, sourcePort, token });
+    }
+  }
+
+  private askPeers(key: FlowKey, datagram: Uint8Array, packet: PacketView): void {
+    if (this.held.has(key) || this.held.size >= MAX_HELD) {
+      return;
+    }
+    this.held.set(key, { datagram: Uint8Array.from(datagram), packet });
+    this.sendToPeers({ type: 'find-open', key, replyTo: this.options.peerAddress });
+    this.surroundings.after(ASK_PEERS_MS, () => this.placeHeld(key));
+  }
+
+  /** No other balancer has placed it. */
+  private placeHeld(key: FlowKey): void {
+    const held = this.held.get(key);
+    if (held !== undefined) {
+      this.held.delete(key);
+      const decision = placeOpen(this.state, held.packet, this.surroundings.nowMs());
+      this.carryOut(decision, held.datagram, held.packet);
+    }
+  }
+
+  private forwardHeld(key: FlowKey, backendId: string, nowMs: number): void {
+    const held = this.held.get(key);
+    if (held !== undefined) {
+      this.held.delete(key);
+      const decision = takePlacedElsewhere(this.state, key, backendId, nowMs);
+      this.carryOut(decision, held.datagram, held.packet);
+    }
+  }
+
+  private sendToPeers(message: BalancerMessage): void {
+    this.peers.forEach(({ peerAddress }) => this.surroundings.sendToBalancer(peerAddress, message));
+  }
+
+  /** Does what is due. */
+  tick(): void {
+    const nowMs = this.surroundings.nowMs();
+    this.followFeed(nowMs);
+    if (nowMs >= this.nextReportAtMs && this.peers.length > 0) {
+      this.nextReportAtMs = nowMs + REPORT_INTERVAL_MS;
+      const loads = ownReport(this.state);
+      this.sendToPeers({ type: 'load-report', name: this.options.ingress.name, loads });
+    }
+    if (nowMs >= this.nextSweepAtMs) {
+      this.nextSweepAtMs = nowMs + SWEEP_INTERVAL_MS;
+      ingressTick(this.state, nowMs);
+    }
+  }
+
+  private followFeed(nowMs: number): void {
+    const action = this.source.act(nowMs);
+    if (action.type === 'close') {
+      this.controlLink?.close();
+    } else if (action.type === 'connect') {
+      this.subscribe(action.address);
+    }
+  }
+
+  private subscribe(to: Address): void {
+    const { ingress, peerAddress } = this.options;
+    const link = this.surroundings.connectControl(to, {
+      onMessage: (message, from) => this.receiveFeed(message, from),
+      onClose: (closed, reason) => {
+        if (closed === this.controlLink) {
+          this.controlLink = undefined;
+          this.surroundings.note('feed lost', { control: formatAddress(to), reason });
+          this.source.closed(this.surroundings.nowMs());
+        }
+      },
+    });
+    this.controlLink = link;
+    link.send({
+      type: 'subscribe',
+      balancer: { name: ingress.name, zone: ingress.zone, peerAddress },
+      configVersion: this.state.routes.config?.version ?? 0,
+    });
+  }
+
+  private receiveFeed(value: unknown, from: ControlLink): boolean {
+    const message = parseFeed(value);
+    if (message === undefined || from !== this.controlLink) {
+      return false;
+    }
+    const nowMs = this.surroundings.nowMs();
+    const wasReady = this.isReady;
+    this.source.heard(message.isCurrent, nowMs);
+    if (message.controls !== undefined) {
+      this.source.takeControls(message.controls);
+    }
+    if (message.balancers !== undefined) {
+      this.peers = message.balancers.filter(({ name }) => name !== this.options.ingress.name);
+    }
+    const isNewer = takeFeed(this.state, message, nowMs);
+    if (isNewer) {
+      this.surroundings.note('config in force', { version: message.config?.version });
+    }
+    if (this.isReady !== wasReady) {
+      this.surroundings.note('ready', { backends: this.state.backends.size });
+    }
+    return true;
+  }
+
+  private count(name: string): void {
+    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+  }
+}
+
+/** Spreads balancers over the control machines by their names. */
+function spreadOf(name: string): number {
+  let sum = 0;
+  for (const letter of name) {
+    sum += letter.codePointAt(0) ?? 0;
+  }
+  return sum;
+}
