--- /dev/null
+++ b/src/sim/ingress/ingress-faults.ts
@@ -0,0 +1,248 @@
+/**
+ * @file Faults of the simulated deployment, drawn from a seed. Control machines that are lost at the
+ * same time stay within what the deployment must bear, but for faults that take all of them and give
+ * their disks back.
+ */
+import { SIMULATED_SERVICES } from './stand-in-operator.js';
+import type { IngressWorld } from './ingress-world.js';
+import type { SimulatedControlMachine } from './simulated-control-machine.js';
+
+/** What can happen. */
+export const ingressFaultKinds = [
+  'control-killed',
+  'control-powered-off',
+  'control-wiped',
+  'control-cut',
+  'control-disk-full',
+  'all-controls-killed',
+  'balancer-killed',
+  'balancer-cut',
+  'backend-crashed',
+  'backend-replaced',
+  'backend-replaced-at-its-address',
+  'backend-leaves-at-once',
+  'config-changed',
+  'datagrams-lost',
+  'acknowledgements-lost',
+] as const;
+
+/** One kind of fault. */
+export type IngressFaultKind = (typeof ingressFaultKinds)[number];
+
+const SHORT_MS = 1_000;
+const SPREAD_MS = 3_000;
+/** Cuts may outlast the time within which a configuration is in force. */
+const LONG_CUT_MS = 6_000;
+const LOSS_SHARE = 0.03;
+const ACK_LOSS_SHARE = 0.6;
+
+/** Brings faults about. */
+export class IngressFaults {
+  private readonly lostControls = new Set<SimulatedControlMachine>();
+
+  constructor(private readonly world: IngressWorld) {}
+
+  /** Brings about a fault of a drawn kind; none where it would lose too much at once. */
+  strike(kind: IngressFaultKind): void {
+    const { world } = this;
+    world.log.push(`${world.clock.nowMs.toFixed(0)} fault ${kind}`);
+    switch (kind) {
+      case 'control-killed':
+        this.loseControl((control) => control.kill(), true);
+        return;
+      case 'control-powered-off':
+        this.loseControl((control) => control.powerOff(), true);
+        return;
+      case 'control-wiped':
+        this.loseControl((control) => control.wipe(), true);
+        return;
+      case 'control-cut':
+        this.cutControl();
+        return;
+      case 'control-disk-full':
+        this.fillDisk();
+        return;
+      case 'all-controls-killed':
+        this.killAllControls();
+        return;
+      case 'balancer-killed':
+        this.killBalancer();
+        return;
+      case 'balancer-cut':
+        this.cutBalancer();
+        return;
+      case 'config-changed':
+        world.operator.declareNext();
+        return;
+      case 'datagrams-lost':
+        this.loseDatagrams();
+        return;
+      case 'acknowledgements-lost':
+        this.loseAcknowledgements();
+        return;
+      default:
+        this.endBackend(kind);
+    }
+  }
+
+  /** Two disks are lost and all other machines lose power, right after an acknowledgement. */
+  wipeSomePowerOffAll(): void {
+    const { world } = this;
+    const { controls, options, random } = world;
+    const first = random.nextInt(controls.length);
+    controls.forEach((control, index) => {
+      const offset = (index - first + controls.length) % controls.length;
+      if (offset < options.tolerableLosses) {
+        control.wipe();
+      } else {
+        control.powerOff();
+      }
+    });
+    world.balancers.forEach((balancer) => balancer.kill());
+    this.disturb(SHORT_MS);
+    world.clock.after(SHORT_MS, () => {
+      controls.forEach((control) => control.start(false));
+      world.balancers.forEach((balancer) => balancer.start());
+    });
+  }
+
+  private get durationMs(): number {
+    return SHORT_MS + this.world.random.nextFloat() * SPREAD_MS;
+  }
+
+  private disturb(forMs: number): void {
+    this.world.oracle.noteDisturbed(this.world.clock.nowMs + forMs);
+  }
+
+  private drawControl(): SimulatedControlMachine | undefined {
+    const { controls, options, random } = this.world;
+    const free = controls.filter((control) => !this.lostControls.has(control));
+    const canLose = this.lostControls.size < options.tolerableLosses;
+    return canLose ? free[random.nextInt(free.length)] : undefined;
+  }
+
+  /** A machine counts as lost until it has had time to catch up. */
+  private countAsLost(control: SimulatedControlMachine, forMs: number): void {
+    this.lostControls.add(control);
+    this.disturb(forMs);
+    this.world.clock.after(forMs + this.world.options.catchUpMs, () => {
+      this.lostControls.delete(control);
+    });
+  }
+
+  private loseControl(lose: (control: SimulatedControlMachine) => void, returns: boolean): void {
+    const control = this.drawControl();
+    if (control === undefined) {
+      return;
+    }
+    const forMs = this.durationMs;
+    lose(control);
+    this.countAsLost(control, forMs);
+    if (returns) {
+      this.world.clock.after(forMs, () => control.start(false));
+    }
+  }
+
+  private cutControl(): void {
+    const control = this.drawControl();
+    if (control === undefined) {
+      return;
+    }
+    const forMs = this.durationMs + this.world.random.nextFloat() * LONG_CUT_MS;
+    const others = this.world.controls.filter((other) => other !== control);
+    const cut = (isCut: boolean) =>
+      others.forEach((other) =>
+        this.world.wires.cut(control.address.host, other.address.host, isCut),
+      );
+    cut(true);
+    this.countAsLost(control, forMs);
+    this.world.clock.after(forMs, () => cut(false));
+  }
+
+  private fillDisk(): void {
+    const control = this.drawControl();
+    if (control !== undefined) {
+      const forMs = this.durationMs;
+      control.disk.isFull = true;
+      this.countAsLost(control, forMs);
+      this.world.clock.after(forMs, () => {
+        control.disk.isFull = false;
+      });
+    }
+  }
+
+  /** All processes end at once and come back with their disks. */
+  private killAllControls(): void {
+    const running = this.world.controls.filter(({ isRunning }) => isRunning);
+    running.forEach((control) => control.kill());
+    this.disturb(SHORT_MS);
+    this.world.clock.after(SHORT_MS, () => running.forEach((control) => control.start(false)));
+  }
+
+  private killBalancer(): void {
+    const { balancers, random, clock } = this.world;
+    const balancer = balancers[random.nextInt(balancers.length)];
+    const forMs = this.durationMs;
+    balancer?.kill();
+    this.disturb(forMs);
+    clock.after(forMs, () => balancer?.start());
+  }
+
+  private cutBalancer(): void {
+    const { balancers, controls, random, clock, wires } = this.world;
+    const balancer = balancers[random.nextInt(balancers.length)];
+    if (balancer === undefined) {
+      return;
+    }
+    const forMs = this.durationMs;
+    const cut = (isCut: boolean) =>
+      controls.forEach(({ address }) => wires.cut(balancer.host, address.host, isCut));
+    cut(true);
+    this.disturb(forMs);
+    clock.after(forMs, () => cut(false));
+  }
+
+  private loseDatagrams(): void {
+    const { wires, clock } = this.world;
+    const forMs = this.durationMs;
+    wires.lossShare = LOSS_SHARE;
+    this.disturb(forMs);
+    clock.after(forMs, () => {
+      wires.lossShare = 0;
+    });
+  }
+
+  private loseAcknowledgements(): void {
+    const { operator, clock } = this.world;
+    operator.lostShare = ACK_LOSS_SHARE;
+    clock.after(this.durationMs, () => {
+      operator.lostShare = 0;
+    });
+  }
+
+  private endBackend(kind: IngressFaultKind): void {
+    const { world } = this;
+    const alive = world.backends.filter(({ isAlive }) => isAlive);
+    const backend = alive[world.random.nextInt(alive.length)];
+    if (backend === undefined) {
+      return;
+    }
+    const { service, address } = backend.identity;
+    if (kind === 'backend-crashed') {
+      backend.crash();
+      this.disturb(0);
+      world.clock.after(SHORT_MS, () => world.addBackend(service));
+      return;
+    }
+    if (kind === 'backend-replaced-at-its-address') {
+      const other = SIMULATED_SERVICES.find((name) => name !== service) ?? service;
+      world.addBackend(service);
+      backend.leave(true, () => {
+        world.clock.after(SHORT_MS, () => world.addBackend(other, address));
+      });
+      return;
+    }
+    world.addBackend(service);
+    backend.leave(kind === 'backend-replaced', () => undefined);
+  }
+}
--- /dev/null
+++ b/src/sim/ingress/ingress-oracle.ts
@@ -0,0 +1,157 @@
+/**
+ * @file The oracle of the simulated deployment: it is told what clients, back ends and the operator see,
+ * and says what must never be.
+ */
+
+/** What is checked. */
+export type IngressCheck =
+  /** An open flow is reset by another than its back end, or its packets go elsewhere. */
+  | 'flow'
+  /** A service takes a flow of a route that never named it. */
+  | 'route'
+  /** A packet was changed on its way. */
+  | 'altered-packet'
+  /** A leaving back end is given a new flow after the bound. */
+  | 'drain'
+  /** A read, or the handling of a new flow, is older than what was acknowledged. */
+  | 'config'
+  /** What was acknowledged is gone. */
+  | 'lost'
+  /** Service does not come back. */
+  | 'recover';
+
+/** A violation, with the time at which it was seen. */
+export interface IngressViolation {
+  readonly check: IngressCheck;
+  readonly atMs: number;
+  readonly detail: string;
+}
+
+interface AcknowledgedConfig {
+  readonly version: number;
+  readonly atMs: number;
+}
+
+/** Judges a run. */
+export class IngressOracle {
+  readonly violations: IngressViolation[] = [];
+  /** Services that any configuration ever sent gave a route. */
+  private readonly allowed = new Map<string, Set<string>>();
+  private readonly departures = new Map<string, number>();
+  private acknowledged: AcknowledgedConfig | undefined;
+  /** When the last disturbance ended, or Infinity while one lasts. */
+  private disturbedUntilMs = Number.NEGATIVE_INFINITY;
+  servedRequests = 0;
+
+  constructor(
+    private readonly bounds: {
+      readonly drainBoundMs: number;
+      readonly applyBoundMs: number;
+      readonly contactMs: number;
+    },
+  ) {}
+
+  /** Version of the newest configuration that was acknowledged; 0 for none. */
+  get acknowledgedVersion(): number {
+    return this.acknowledged?.version ?? 0;
+  }
+
+  noteDisturbed(untilMs: number): void {
+    this.disturbedUntilMs = Math.max(this.disturbedUntilMs, untilMs);
+  }
+
+  /** The operator sends a configuration. */
+  noteRouteAllowed(route: string, service: string): void {
+    const services = this.allowed.get(route) ?? new Set<string>();
+    services.add(service);
+    this.allowed.set(route, services);
+  }
+
+  noteConfigAcknowledged(version: number, atMs: number): void {
+    if (version > this.acknowledgedVersion) {
+      this.acknowledged = { version, atMs };
+    }
+  }
+
+  noteDepartureAcknowledged(backendId: string, atMs: number): void {
+    if (!this.departures.has(backendId)) {
+      this.departures.set(backendId, atMs);
+    }
+  }
+
+  /** A read of the configuration, begun at `sentAtMs`, was answered. */
+  noteRead(version: number, sentAtMs: number, nowMs: number): void {
+    const { acknowledged, bounds } = this;
+    const isDue = acknowledged !== undefined && sentAtMs > acknowledged.atMs + bounds.applyBoundMs;
+    if (isDue && version < acknowledged.version) {
+      this.report('config', nowMs, `read version ${version} after ${acknowledged.version}`);
+    }
+  }
+
+  /** The configuration that is read back after everything. */
+  noteFinalRead(version: number, nowMs: number): void {
+    if (version < this.acknowledgedVersion) {
+      this.report(
+        'lost',
+        nowMs,
+        `version ${version} is held, ${this.acknowledgedVersion} was told`,
+      );
+    }
+  }
+
+  /** A back end takes an open; `versionAllowed` is the newest version under which it may. */
+  noteOpenTaken(
+    taken: {
+      readonly route: string;
+      readonly service: string;
+      readonly backendId: string;
+      /** When the client sent it. */
+      readonly sentAtMs: number;
+      /** Newest version that gives the route to the service. */
+      readonly newestVersion: number;
+    },
+    nowMs: number,
+  ): void {
+    const { route, service, backendId } = taken;
+    if (this.allowed.get(route)?.has(service) !== true) {
+      this.report('route', nowMs, `${service} took a flow of ${route}`);
+    }
+    if (!this.isCalm(nowMs)) {
+      return;
+    }
+    const departedAtMs = this.departures.get(backendId);
+    if (departedAtMs !== undefined && nowMs > departedAtMs + this.bounds.drainBoundMs) {
+      this.report('drain', nowMs, `${backendId} took a flow after it left`);
+    }
+    const { acknowledged } = this;
+    const isDue =
+      acknowledged !== undefined &&
+      taken.sentAtMs > acknowledged.atMs + this.bounds.applyBoundMs &&
+      taken.newestVersion < acknowledged.version;
+    if (isDue) {
+      this.report('config', nowMs, `${service} took a flow of ${route} by an older version`);
+    }
+  }
+
+  noteAltered(nowMs: number, detail: string): void {
+    this.report('altered-packet', nowMs, detail);
+  }
+
+  noteFlowBroken(nowMs: number, detail: string): void {
+    this.report('flow', nowMs, detail);
+  }
+
+  noteRecovery(servedShare: number, leastShare: number, nowMs: number): void {
+    if (servedShare < leastShare) {
+      this.report('recover', nowMs, `only ${servedShare.toFixed(2)} of the requests are served`);
+    }
+  }
+
+  private isCalm(nowMs: number): boolean {
+    return nowMs > this.disturbedUntilMs + this.bounds.contactMs;
+  }
+
+  private report(check: IngressCheck, atMs: number, detail: string): void {
+    this.violations.push({ check, atMs, detail });
+  }
+}
--- /dev/null
+++ b/src/sim/ingress/ingress-world.ts
@@ -0,0 +1,206 @@
+/**
+ * @file A simulated deployment that forwards by 32-bit tokens: control machines, balancers, back ends,
+ * clients behind routers that hash by the number of balancers, and an operator, on virtual time.
+ */
+import { formatAddress, type Address } from '../../common/address.js';
+import { seededRandom } from '../../common/random.js';
+import type { RandomSource } from '../../common/step.js';
+import { formatFields, type DecisionFields } from '../../daemon/decision-log.js';
+import type { GroupCall } from '../../daemon/group-process.js';
+import type { GroupReply } from '../../group/group-events.js';
+import { VirtualClock } from '../virtual-clock.js';
+import { IngressOracle } from './ingress-oracle.js';
+import { SimulatedControlMachine } from './simulated-control-machine.js';
+import { SimulatedIngressBalancer } from './simulated-ingress-balancer.js';
+import { StandInBackend } from './stand-in-backend.js';
+import { StandInClient } from './stand-in-client.js';
+import { SIMULATED_SERVICES, StandInOperator } from './stand-in-operator.js';
+import { VirtualWires } from './virtual-wires.js';
+import type { IngressWorldOptions, IngressWorldParts } from './world-parts.js';
+
+const CONTROL_PORT = 7_700;
+const BACKEND_PORT = 9_000;
+const PROBE_INTERVAL_MS = 500;
+const MISSES_UNTIL_OUT = 2;
+const SEED_COUNT = 3;
+const CLIENT_COUNT = 12;
+const LONG_FLOW_REQUESTS = 40;
+const CALL_DELAY_MS = 1;
+const ZONES = ['zone-a', 'zone-b'] as const;
+
+/** The whole deployment. */
+export class IngressWorld {
+  readonly clock = new VirtualClock();
+  readonly random: RandomSource;
+  readonly wires: VirtualWires;
+  readonly oracle: IngressOracle;
+  readonly controls: SimulatedControlMachine[] = [];
+  readonly balancers: SimulatedIngressBalancer[] = [];
+  readonly backends: StandInBackend[] = [];
+  readonly clients: StandInClient[] = [];
+  readonly operator: StandInOperator;
+  /** Lines of decisions, kept for whoever looks for a cause. */
+  readonly log: string[] = [];
+  private readonly parts: IngressWorldParts;
+  private readonly misses = new Map<string, number>();
+  private nextBackendNumber = 1;
+  private nextControlNumber = 1;
+
+  constructor(
+    seed: number,
+    readonly options: IngressWorldOptions,
+  ) {
+    this.random = seededRandom(seed);
+    this.wires = new VirtualWires(this.clock, this.random);
+    this.oracle = new IngressOracle(options);
+    this.parts = {
+      clock: this.clock,
+      random: this.random,
+      wires: this.wires,
+      oracle: this.oracle,
+      options,
+      note: (host, name, fields) => this.note(host, name, fields),
+    };
+    const seeds = Array.from({ length: SEED_COUNT }, (_, index) => controlAddress(index + 1));
+    for (let index = 0; index < options.controlCount; index += 1) {
+      this.addControl(seeds);
+    }
+    this.operator = new StandInOperator(this.callControl, this.parts);
+    for (let index = 0; index < options.balancerCount; index += 1) {
+      this.addBalancer();
+    }
+    for (let index = 0; index < options.backendCount; index += 1) {
+      this.addBackend(SIMULATED_SERVICES[index % SIMULATED_SERVICES.length] ?? 'alpha');
+    }
+  }
+
+  /** Starts all machines and the operator's first configuration. */
+  start(): void {
+    this.controls.forEach((control) => control.start(true));
+    this.balancers.forEach((balancer) => balancer.start());
+    this.probe();
+    this.operator.declareNext();
+  }
+
+  /** Starts the clients. */
+  startClients(): void {
+    for (let index = 0; index < CLIENT_COUNT; index += 1) {
+      const requestsPerFlow = index % 2 === 0 ? 1 : LONG_FLOW_REQUESTS;
+      const client = new StandInClient(`100.64.0.${index + 1}`, requestsPerFlow, this, this.parts);
+      this.clients.push(client);
+      client.start();
+    }
+  }
+
+  async run(forMs: number): Promise<void> {
+    await this.clock.runUntil(this.clock.nowMs + forMs);
+  }
+
+  /** Adds a control machine with an empty disk; it is not started. */
+  addControl(seeds: readonly Address[]): SimulatedControlMachine {
+    const address = controlAddress(this.nextControlNumber);
+    this.nextControlNumber += 1;
+    const control = new SimulatedControlMachine(address, seeds, this.parts);
+    this.controls.push(control);
+    return control;
+  }
+
+  /** Starts a back end, at the address of one that is gone where one is given. */
+  addBackend(service: string, address?: Address): StandInBackend {
+    const number = this.nextBackendNumber;
+    this.nextBackendNumber += 1;
+    const identity = {
+      id: `backend-${number}`,
+      number,
+      service,
+      address: address ?? { host: `10.0.2.${number}`, port: BACKEND_PORT },
+      zone: ZONES[number % ZONES.length] ?? 'zone-a',
+    };
+    const backend = new StandInBackend(identity, this.parts, this.callControl, (route, ofService) =>
+      this.operator.newestVersion(route, ofService),
+    );
+    this.backends.push(backend);
+    return backend;
+  }
+
+  /** Routers hash by the number of balancers that are in. */
+  pickBalancer(flow: string): Address | undefined {
+    const inUse = this.balancers.filter(
+      ({ host }) => (this.misses.get(host) ?? 0) < MISSES_UNTIL_OUT,
+    );
+    const pool = inUse.length * 2 < this.balancers.length ? this.balancers : inUse;
+    let hash = 0;
+    for (const letter of flow) {
+      hash = (Math.imul(hash, 31) + (letter.codePointAt(0) ?? 0)) >>> 0;
+    }
+    return pool[hash % pool.length]?.packetAddress;
+  }
+
+  isHeldOpen(client: string, acceptNumber: number): boolean {
+    return this.backends.some((backend) => backend.holdsOpen(client, acceptNumber));
+  }
+
+  routes(): readonly Address[] {
+    return this.operator.routes();
+  }
+
+  /** Asks every running control machine for the configuration, until each has answered or time is up. */
+  readBackFromAll(): void {
+    for (const control of this.controls.filter(({ isRunning }) => isRunning)) {
+      control.call({ type: 'read-config' }, (reply) => {
+        if (reply.type === 'config') {
+          this.oracle.noteFinalRead(reply.document?.version ?? 0, this.clock.nowMs);
+        }
+      });
+    }
+  }
+
+  private addBalancer(): void {
+    const number = this.balancers.length + 1;
+    const zone = ZONES[number % ZONES.length] ?? 'zone-a';
+    const seeds = this.controls.slice(0, SEED_COUNT).map(({ address }) => address);
+    const balancer = new SimulatedIngressBalancer(`10.0.3.${number}`, zone, seeds, this.parts);
+    this.balancers.push(balancer);
+  }
+
+  /** A call goes to any control machine, also to dead ones. */
+  private readonly callControl = (
+    fromHost: string,
+    call: GroupCall,
+    answer: (reply: GroupReply) => void,
+  ): void => {
+    const control = this.controls[this.random.nextInt(this.controls.length)];
+    this.clock.after(CALL_DELAY_MS, () => {
+      if (control?.isRunning !== true || !this.wires.reaches(fromHost, control.address.host)) {
+        return;
+      }
+      control.call(call, (reply) => {
+        this.clock.after(CALL_DELAY_MS, () => {
+          if (this.wires.reaches(control.address.host, fromHost)) {
+            answer(reply);
+          }
+        });
+      });
+    });
+  };
+
+  private probe(): void {
+    for (const { host, isReady } of this.balancers) {
+      this.misses.set(host, isReady ? 0 : (this.misses.get(host) ?? 0) + 1);
+    }
+    this.clock.after(PROBE_INTERVAL_MS, () => this.probe());
+  }
+
+  private note(host: string, name: string, fields: DecisionFields): void {
+    this.log.push(`${this.clock.nowMs.toFixed(0)} ${host} ${name} ${formatFields(fields)}`);
+  }
+}
+
+function controlAddress(number: number): Address {
+  return { host: `10.0.1.${number}`, port: CONTROL_PORT };
+}
+
+/** @returns an address as text, for logs of tests */
+export function describeControl({ address }: SimulatedControlMachine): string {
+  return formatAddress(address);
+}
--- /dev/null
+++ b/src/sim/ingress/run-ingress-world.ts
@@ -0,0 +1,95 @@
+/**
+ * @file One run of the simulated deployment under faults drawn from a seed, with the oracle's verdict.
+ */
+import type { IngressViolation } from './ingress-oracle.js';
+import { IngressFaults, ingressFaultKinds, type IngressFaultKind } from './ingress-faults.js';
+import { IngressWorld } from './ingress-world.js';
+import { smallIngressWorld, type IngressWorldOptions } from './world-parts.js';
+
+/** What a run does. */
+export interface IngressRun {
+  readonly seed: number;
+  readonly faultCount: number;
+  /** Kinds that are drawn from. */
+  readonly kinds?: readonly IngressFaultKind[];
+  /** How it ends: two disks lost and all else without power right after an acknowledgement, or not. */
+  readonly endsWithLoss: boolean;
+  readonly options?: Partial<IngressWorldOptions>;
+  /** Breaks the world, for mutants. */
+  readonly prepare?: (world: IngressWorld) => void;
+}
+
+/** What came out. */
+export interface IngressRunReport {
+  readonly violations: readonly IngressViolation[];
+  readonly servedRequests: number;
+  readonly failedRequests: number;
+  readonly log: readonly string[];
+}
+
+const FORMATION_MS = 6_000;
+const MEAN_GAP_MS = 1_500;
+const SETTLE_MS = 12_000;
+const MEASURED_MS = 5_000;
+const LEAST_SERVED_SHARE = 0.25;
+const ACKNOWLEDGE_WITHIN_MS = 8_000;
+
+/**
+ * Runs the deployment, brings faults about, lets it recover and judges.
+ */
+export async function runIngressWorld(run: IngressRun): Promise<IngressRunReport> {
+  const world = new IngressWorld(run.seed, { ...smallIngressWorld, ...run.options });
+  const faults = new IngressFaults(world);
+  world.start();
+  await world.run(FORMATION_MS);
+  run.prepare?.(world);
+  world.startClients();
+  await world.run(MEASURED_MS);
+  const servedBefore = world.oracle.servedRequests;
+  await strikeAll(world, faults, run);
+  await finish(world, faults, run.endsWithLoss);
+  await judgeRecovery(world, servedBefore);
+  return {
+    violations: world.oracle.violations,
+    servedRequests: world.oracle.servedRequests,
+    failedRequests: world.clients.reduce((sum, client) => sum + client.failedRequests, 0),
+    log: world.log,
+  };
+}
+
+async function strikeAll(
+  world: IngressWorld,
+  faults: IngressFaults,
+  { faultCount, kinds = ingressFaultKinds }: IngressRun,
+): Promise<void> {
+  for (let struck = 0; struck < faultCount; struck += 1) {
+    const kind = kinds[world.random.nextInt(kinds.length)];
+    if (kind !== undefined) {
+      faults.strike(kind);
+    }
+    await world.run(world.random.nextFloat() * 2 * MEAN_GAP_MS);
+  }
+}
+
+async function finish(
+  world: IngressWorld,
+  faults: IngressFaults,
+  endsWithLoss: boolean,
+): Promise<void> {
+  await world.run(SETTLE_MS);
+  if (endsWithLoss) {
+    world.operator.declareNext(() => faults.wipeSomePowerOffAll());
+    await world.run(ACKNOWLEDGE_WITHIN_MS);
+    await world.run(SETTLE_MS);
+  }
+}
+
+async function judgeRecovery(world: IngressWorld, servedBefore: number): Promise<void> {
+  const { oracle } = world;
+  const servedAtStart = oracle.servedRequests;
+  await world.run(MEASURED_MS);
+  const servedShare = (oracle.servedRequests - servedAtStart) / Math.max(1, servedBefore);
+  oracle.noteRecovery(servedShare, LEAST_SERVED_SHARE, world.clock.nowMs);
+  world.readBackFromAll();
+  await world.run(MEASURED_MS);
+}
--- /dev/null
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -0,0 +1,196 @@
+/**
+ * @file A control machine of the simulated deployment: its disk outlives its process.
+ */
+import type { Address } from '../../common/address.js';
+import { formatAddress } from '../../common/address.js';
+import { groupConsensusOptions } from '../../group/group-state.js';
+import type { GroupReply, LinkId } from '../../group/group-events.js';
+import { createGroupState, FIRST_STORAGE_ID } from '../../group/group-state.js';
+import type { PeerMessage } from '../../group/group-messages.js';
+import { isFirstMember } from '../../group/membership-duties.js';
+import { parseControlInbound } from '../../group/message-schemas.js';
+import { ConsensusStorage } from '../../daemon/consensus-storage.js';
+import { GroupProcess, type GroupCall } from '../../daemon/group-process.js';
+import type { DeclaredConfig } from '../../declared/declared-config.js';
+import type { ConfigDocument } from '../../group/replicated-state.js';
+import { VirtualDisk } from '../virtual-disk.js';
+import type { VirtualLink } from './virtual-wires.js';
+import type { IngressWorldParts } from './world-parts.js';
+
+const TICK_MS = 50;
+const RETRY_WRITE_MS = 200;
+const REQUEST_DEADLINE_MS = 850;
+
+/** Reads the documents of the simulated operator: the configuration as JSON. */
+export function readSimulatedDocument({ text }: ConfigDocument): DeclaredConfig {
+  return JSON.parse(text) as DeclaredConfig;
+}
+
+/** One control machine. */
+export class SimulatedControlMachine {
+  readonly disk: VirtualDisk;
+  process: GroupProcess | undefined;
+  private generation = 0;
+  private readonly peerLinks = new Map<string, VirtualLink>();
+  private readonly feedLinks = new Map<LinkId, VirtualLink>();
+  private readonly linkIds = new Map<VirtualLink, LinkId>();
+  private nextStorageNumber = 1;
+
+  constructor(
+    readonly address: Address,
+    private readonly seeds: readonly Address[],
+    private readonly parts: IngressWorldParts,
+  ) {
+    this.disk = new VirtualDisk(parts.clock, parts.random);
+  }
+
+  get isRunning(): boolean {
+    return this.process !== undefined;
+  }
+
+  /** Starts the process; it runs once its disk is read. */
+  start(isFirstStart: boolean): void {
+    this.generation += 1;
+    const { generation } = this;
+    const { clock, wires } = this.parts;
+    wires.hostStarted(this.address.host);
+    const makeStorageId = isFirstMember(this.address, this.seeds, isFirstStart)
+      ? () => FIRST_STORAGE_ID
+      : () => this.freshStorageId();
+    const pause = () => this.pause();
+    const name = formatAddress(this.address);
+    void ConsensusStorage.open(this.disk.open(), name, makeStorageId, pause).then((opened) => {
+      if (generation === this.generation) {
+        this.run(opened._unsafeUnwrap(), isFirstStart, generation);
+      }
+    });
+    clock.notePromise();
+  }
+
+  /** The process dies; what was written stays. */
+  kill(): void {
+    this.end();
+    this.disk.processDied();
+  }
+
+  /** The machine loses power: what was not synced is lost, whole or in part. */
+  powerOff(): void {
+    this.end();
+    this.disk.crash();
+  }
+
+  /** The machine loses its disk. */
+  wipe(): void {
+    this.end();
+    this.disk.wipe();
+  }
+
+  /** A call of a back end or the operator; unanswered where the process is not running. */
+  call(call: GroupCall, answer: (reply: GroupReply) => void): void {
+    this.process?.call(call, answer);
+  }
+
+  private end(): void {
+    this.generation += 1;
+    this.process = undefined;
+    this.peerLinks.clear();
+    this.feedLinks.clear();
+    this.linkIds.clear();
+    this.parts.wires.hostDied(this.address.host);
+  }
+
+  private run(storage: ConsensusStorage, isFirstStart: boolean, generation: number): void {
+    const { clock, wires, random, options } = this.parts;
+    const state = createGroupState(
+      {
+        linkAddress: this.address,
+        seeds: this.seeds,
+        isFirstStart,
+        tolerableLosses: options.tolerableLosses,
+        heartbeatIntervalMs: options.heartbeatIntervalMs,
+        forgetBackendAfterMs: options.flowLifetimeMs,
+        removeVoterAfterMs: options.catchUpMs / 2,
+        requestDeadlineMs: REQUEST_DEADLINE_MS,
+        readDocument: readSimulatedDocument,
+        consensus: { ...groupConsensusOptions, minimumCopies: options.minimumCopies },
+      },
+      storage.recovered,
+    );
+    const process = new GroupProcess(state, {
+      context: () => ({ nowMs: clock.nowMs, random }),
+      sendToPeer: (to, message) => this.sendToPeer(to, message),
+      sendFeed: (linkId, message) => this.feedLinks.get(linkId)?.send(message),
+      persist: (effect) => storage.persist(effect).finally(() => clock.notePromise()),
+      note: (name, fields) => this.parts.note(this.address.host, name, fields),
+    });
+    this.process = process;
+    wires.listen(this.address, {
+      onMessage: (message, link) => this.receive(message, link),
+      onClose: (link) => this.forgetLink(link),
+    });
+    this.tick(process, generation);
+  }
+
+  private tick(process: GroupProcess, generation: number): void {
+    if (generation === this.generation) {
+      process.tick();
+      this.parts.clock.after(TICK_MS, () => this.tick(process, generation));
+    }
+  }
+
+  private sendToPeer(to: Address, message: PeerMessage): void {
+    const name = formatAddress(to);
+    const known = this.peerLinks.get(name);
+    if (known !== undefined) {
+      known.send(message);
+      return;
+    }
+    const link = this.parts.wires.connect(this.address.host, to, {
+      onMessage: () => false,
+      onClose: () => this.peerLinks.delete(name),
+    });
+    this.peerLinks.set(name, link);
+    link.send(message);
+  }
+
+  private receive(message: unknown, link: VirtualLink): boolean {
+    const parsed = parseControlInbound(message);
+    if (parsed === undefined) {
+      return false;
+    }
+    if (parsed.type === 'subscribe') {
+      this.process?.subscribe(parsed, (linkId) => {
+        this.feedLinks.set(linkId, link);
+        this.linkIds.set(link, linkId);
+      });
+    } else {
+      this.process?.takePeerMessage(parsed);
+    }
+    return true;
+  }
+
+  private forgetLink(link: VirtualLink): void {
+    const linkId = this.linkIds.get(link);
+    if (linkId !== undefined) {
+      this.linkIds.delete(link);
+      this.feedLinks.delete(linkId);
+      this.process?.closeLink(linkId);
+    }
+  }
+
+  private freshStorageId(): string {
+    const number = this.nextStorageNumber;
+    this.nextStorageNumber += 1;
+    return `disk-${number}`;
+  }
+
+  private pause(): Promise<void> {
+    const { clock } = this.parts;
+    return new Promise((resolve) => {
+      clock.after(RETRY_WRITE_MS, () => {
+        clock.notePromise();
+        resolve();
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -0,0 +1,94 @@
+/**
+ * @file A balancer of the simulated deployment: the process of the daemon over virtual sockets.
+ */
+import { Packr } from 'msgpackr';
+import type { Address } from '../../common/address.js';
+import { IngressProcess } from '../../daemon/ingress-process.js';
+import { parseBalancerMessage } from '../../group/message-schemas.js';
+import { standInCodec } from './stand-in-packet.js';
+import type { IngressWorldParts } from './world-parts.js';
+
+const TICK_MS = 100;
+const PACKET_PORT = 8_000;
+const PEER_PORT = 7_700;
+const FEED_FRESH_MS = 1_500;
+const packr = new Packr({ useRecords: false });
+
+/** One balancer. */
+export class SimulatedIngressBalancer {
+  process: IngressProcess | undefined;
+  private generation = 0;
+
+  constructor(
+    readonly host: string,
+    private readonly zone: string,
+    private readonly controls: readonly Address[],
+    private readonly parts: IngressWorldParts,
+  ) {}
+
+  get isReady(): boolean {
+    return this.process?.isReady === true;
+  }
+
+  /** Where routers send packets. */
+  get packetAddress(): Address {
+    return { host: this.host, port: PACKET_PORT };
+  }
+
+  start(): void {
+    this.generation += 1;
+    const { generation, host } = this;
+    const { clock, wires, options } = this.parts;
+    const peerAddress: Address = { host, port: PEER_PORT };
+    wires.hostStarted(host);
+    const process = new IngressProcess(
+      {
+        ingress: {
+          name: host,
+          zone: this.zone,
+          heartbeatIntervalMs: options.heartbeatIntervalMs,
+          flowLifetimeMs: options.flowLifetimeMs,
+          feedFreshMs: FEED_FRESH_MS,
+        },
+        peerAddress,
+        controlSeeds: this.controls,
+      },
+      standInCodec,
+      {
+        nowMs: () => clock.nowMs,
+        sendPacket: (datagram, to) => wires.sendDatagram(host, to, datagram),
+        sendToBalancer: (to, message) => wires.sendDatagram(host, to, packr.pack(message)),
+        connectControl: (to, handlers) => wires.connect(host, to, handlers),
+        after: (delayMs, run) =>
+          clock.after(delayMs, () => {
+            if (generation === this.generation) {
+              run();
+            }
+          }),
+        note: (name, fields) => this.parts.note(host, name, fields),
+      },
+    );
+    this.process = process;
+    wires.onDatagram(this.packetAddress, (bytes) => process.takePacket(bytes));
+    wires.onDatagram(peerAddress, (bytes) => {
+      const message = parseBalancerMessage(packr.unpack(bytes));
+      if (message !== undefined) {
+        process.takeBalancerMessage(message);
+      }
+    });
+    this.tick(process, generation);
+  }
+
+  kill(): void {
+    this.generation += 1;
+    this.process = undefined;
+    this.parts.wires.hostDied(this.host);
+  }
+
+  private tick(process: IngressProcess, generation: number): void {
+    if (generation === this.generation) {
+      process.tick();
+      this.parts.clock.after(TICK_MS, () => this.tick(process, generation));
+    }
+  }
+}
--- /dev/null
+++ b/src/sim/ingress/stand-in-backend.ts
@@ -0,0 +1,253 @@
+/**
+ * @file A stand-in back end: registers by heartbeats, takes flows and answers requests, drains, leaves
+ * with or without a word.
+ */
+import { formatAddress, type Address } from '../../common/address.js';
+import type { GroupCall } from '../../daemon/group-process.js';
+import type { GroupReply } from '../../group/group-events.js';
+import {
+  decodeForBackend,
+  encodePacket,
+  isIntact,
+  sealPacket,
+  type PacketKind,
+  type StandInPacket,
+} from './stand-in-packet.js';
+import type { IngressWorldParts } from './world-parts.js';
+
+const CALL_TIMEOUT_MS = 1_000;
+const WORK_MS = 20;
+const FIRST_RESEND_MS = 200;
+const LAST_RESEND_MS = 1_600;
+const WARM_UP_MS = 2_000;
+const CAPACITY = 2;
+const INSTANCE_DIGITS = 16;
+const HEXADECIMAL = 16;
+
+/** Brings a call to some control machine; unanswered where that one is dead or cut off. */
+export type CallControl = (
+  fromHost: string,
+  call: GroupCall,
+  answer: (reply: GroupReply) => void,
+) => void;
+
+interface BackendFlow {
+  readonly acceptNumber: number;
+  /** True once the client has named the accept. */
+  isOpen: boolean;
+}
+
+/** What a back end is. */
+export interface BackendIdentity {
+  readonly id: string;
+  readonly number: number;
+  readonly service: string;
+  readonly address: Address;
+  readonly zone: string;
+}
+
+/** One start of a back end. */
+export class StandInBackend {
+  readonly instanceNumber: string;
+  isAlive = true;
+  private isDraining = false;
+  private sequence = 0;
+  private nextAcceptNumber: number;
+  private readonly flows = new Map<string, BackendFlow>();
+  private readonly startedAtMs: number;
+
+  constructor(
+    readonly identity: BackendIdentity,
+    private readonly parts: IngressWorldParts,
+    private readonly callControl: CallControl,
+    /** @returns the newest version that gives the route to the service */
+    private readonly newestVersion: (route: string, service: string) => number,
+  ) {
+    this.instanceNumber = identity.number.toString(HEXADECIMAL).padStart(INSTANCE_DIGITS, '0');
+    this.nextAcceptNumber = identity.number * 1_000_000 + 1;
+    this.startedAtMs = parts.clock.nowMs;
+    parts.wires.hostStarted(identity.address.host);
+    parts.wires.onDatagram(identity.address, (bytes) => this.receive(bytes));
+    this.beat();
+  }
+
+  /** @returns true where this back end holds the flow and the client has opened it */
+  holdsOpen(client: string, acceptNumber: number): boolean {
+    const flow = this.flows.get(client);
+    return this.isAlive && flow?.isOpen === true && flow.acceptNumber === acceptNumber;
+  }
+
+  /** Ends without a word. */
+  crash(): void {
+    this.isAlive = false;
+    this.parts.wires.hostDied(this.identity.address.host);
+  }
+
+  /** Says that it leaves, serves on, deregisters and ends. */
+  leave(saysDraining: boolean, ended: () => void): void {
+    const { clock, options } = this.parts;
+    const endSoon = () =>
+      clock.after(options.drainBoundMs + WORK_MS, () => {
+        if (saysDraining) {
+          this.insist({ type: 'deregister', backendId: this.identity.id }, () => undefined);
+        }
+        clock.after(CALL_TIMEOUT_MS, () => {
+          this.crash();
+          ended();
+        });
+      });
+    const acknowledged = () => {
+      this.parts.oracle.noteDepartureAcknowledged(this.identity.id, clock.nowMs);
+      endSoon();
+    };
+    if (saysDraining) {
+      this.isDraining = true;
+      this.insist(() => this.heartbeat(), acknowledged);
+    } else {
+      this.insist({ type: 'deregister', backendId: this.identity.id }, acknowledged);
+    }
+  }
+
+  /** Sends the same call until it is acknowledged. */
+  private insist(call: GroupCall | (() => GroupCall), acknowledged: () => void): void {
+    let isDone = false;
+    const attempt = () => {
+      if (isDone || !this.isAlive) {
+        return;
+      }
+      let isAnswered = false;
+      const answer = (reply: GroupReply) => {
+        if (isDone || isAnswered) {
+          return;
+        }
+        isAnswered = true;
+        if (reply.type === 'accepted') {
+          isDone = true;
+          acknowledged();
+        } else {
+          attempt();
+        }
+      };
+      const { host } = this.identity.address;
+      this.callControl(host, typeof call === 'function' ? call() : call, answer);
+      this.parts.clock.after(CALL_TIMEOUT_MS, () => answer({ type: 'unavailable', reason: '' }));
+    };
+    attempt();
+  }
+
+  private beat(): void {
+    if (!this.isAlive) {
+      return;
+    }
+    const { clock, options } = this.parts;
+    if (!this.isDraining) {
+      this.insist(this.heartbeat(), () => undefined);
+    }
+    clock.after(options.heartbeatIntervalMs, () => this.beat());
+  }
+
+  private heartbeat(): GroupCall {
+    this.sequence += 1;
+    const { id, service, address, zone } = this.identity;
+    const ageMs = this.parts.clock.nowMs - this.startedAtMs;
+    return {
+      type: 'heartbeat',
+      isDraining: this.isDraining,
+      record: {
+        id,
+        instanceNumber: this.instanceNumber,
+        service,
+        address,
+        zone,
+        capacity: CAPACITY,
+        warmUpLeftMs: Math.max(0, WARM_UP_MS - ageMs),
+        sequence: this.sequence,
+      },
+    };
+  }
+
+  private receive(bytes: Uint8Array): void {
+    const { instance, packet } = decodeForBackend(bytes);
+    if (instance !== this.instanceNumber || !this.isAlive) {
+      return;
+    }
+    const { clock, oracle } = this.parts;
+    if (!isIntact(packet)) {
+      oracle.noteAltered(clock.nowMs, `${packet.kind} of ${formatAddress(packet.from)}`);
+      return;
+    }
+    if (packet.kind === 'open') {
+      this.takeOpen(packet);
+    } else {
+      this.takeRequest(packet);
+    }
+  }
+
+  private takeOpen(packet: StandInPacket): void {
+    const { clock, oracle } = this.parts;
+    const client = formatAddress(packet.from);
+    const known = this.flows.get(client);
+    const flow = known ?? { acceptNumber: this.nextAcceptNumber, isOpen: false };
+    if (known === undefined) {
+      this.nextAcceptNumber += 1;
+      this.flows.set(client, flow);
+      const route = formatAddress(packet.to);
+      const { service, id } = this.identity;
+      const newestVersion = this.newestVersion(route, service);
+      const sentAtMs = clock.nowMs;
+      const taken = { route, service, backendId: id, sentAtMs, newestVersion };
+      oracle.noteOpenTaken(taken, clock.nowMs);
+    }
+    if (!flow.isOpen) {
+      this.answer(packet, 'accept', flow.acceptNumber);
+      if (known === undefined) {
+        this.acceptAgain(packet, flow, FIRST_RESEND_MS);
+      }
+    }
+  }
+
+  /** An accept that the client does not name may have been lost; it is sent again. */
+  private acceptAgain(packet: StandInPacket, flow: BackendFlow, delayMs: number): void {
+    this.parts.clock.after(delayMs, () => {
+      if (!flow.isOpen && delayMs <= LAST_RESEND_MS) {
+        this.answer(packet, 'accept', flow.acceptNumber);
+        this.acceptAgain(packet, flow, 2 * delayMs);
+      }
+    });
+  }
+
+  private takeRequest(packet: StandInPacket): void {
+    const client = formatAddress(packet.from);
+    const flow = this.flows.get(client);
+    if (flow?.acceptNumber !== packet.acceptNumber) {
+      this.answer(packet, 'reset', flow?.acceptNumber ?? 0);
+      return;
+    }
+    flow.isOpen = true;
+    if (packet.kind === 'finish') {
+      this.flows.delete(client);
+    } else if (packet.kind === 'data') {
+      this.parts.clock.after(WORK_MS, () => this.answer(packet, 'data', flow.acceptNumber));
+    }
+  }
+
+  private answer(packet: StandInPacket, kind: PacketKind, acceptNumber: number): void {
+    if (!this.isAlive) {
+      return;
+    }
+    const { from, to, token, requestId, sequence, dataLength } = packet;
+    const answer = sealPacket({
+      kind,
+      from: to,
+      to: from,
+      token,
+      copyNumber: 0,
+      acceptNumber,
+      requestId,
+      sequence: 0,
+      acknowledged: sequence + dataLength,
+      dataLength: 0,
+    });
+    this.parts.wires.sendDatagram(this.identity.address.host, from, encodePacket(answer));
+  }
+}
--- /dev/null
+++ b/src/sim/ingress/stand-in-client.ts
@@ -0,0 +1,222 @@
+/**
+ * @file A stand-in client: opens flows with copies, sends requests on them with resends, and follows
+ * the last token that it got, even where that is the wrong one.
+ */
+import type { Address } from '../../common/address.js';
+import { formatAddress } from '../../common/address.js';
+import {
+  decodePacket,
+  encodePacket,
+  sealPacket,
+  type PacketKind,
+  type StandInPacket,
+} from './stand-in-packet.js';
+import type { IngressWorldParts } from './world-parts.js';
+
+const COPY_DELAYS_MS = [0, 200, 600];
+const PART_DELAYS_MS = [0, 4, 8];
+const OPEN_TIMEOUT_MS = 1_400;
+const FIRST_RESEND_MS = 200;
+const REQUEST_DEADLINE_MS = 2_000;
+const RETRY_PAUSE_MS = 50;
+const MAX_PAUSE_MS = 600;
+const REQUEST_BYTES = 100;
+const FIRST_PORT = 20_000;
+const LAST_PORT = 60_000;
+
+/** What a client needs of the world. */
+export interface ClientWorld {
+  /** @returns the balancer that the routers pick for a flow */
+  pickBalancer(flow: string): Address | undefined;
+  /** @returns true where some back end holds this flow open and lives */
+  isHeldOpen(client: string, acceptNumber: number): boolean;
+  /** @returns the routes of now */
+  routes(): readonly Address[];
+}
+
+type FlowState =
+  { readonly name: 'opening' } | { readonly name: 'open'; readonly acceptNumber: number };
+
+/** One client, with one flow at a time. */
+export class StandInClient {
+  servedRequests = 0;
+  failedRequests = 0;
+  private port = FIRST_PORT;
+  private flow: FlowState = { name: 'opening' };
+  private token = 0;
+  private route: Address = { host: '198.18.0.1', port: 443 };
+  private requestId = 0;
+  private sequence = 1;
+  /** Numbers what the client waits for, so that late timers do nothing. */
+  private stage = 0;
+  private requestsLeft = 0;
+  private isStopped = false;
+
+  constructor(
+    readonly host: string,
+    private readonly requestsPerFlow: number,
+    private readonly world: ClientWorld,
+    private readonly parts: IngressWorldParts,
+  ) {}
+
+  start(): void {
+    this.openFlow();
+  }
+
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  private get address(): Address {
+    return { host: this.host, port: this.port };
+  }
+
+  private openFlow(): void {
+    const routes = this.world.routes();
+    const route = routes[this.parts.random.nextInt(Math.max(1, routes.length))];
+    if (this.isStopped || route === undefined) {
+      return;
+    }
+    this.port = this.port >= LAST_PORT ? FIRST_PORT : this.port + 1;
+    this.parts.wires.onDatagram(this.address, (bytes) => this.receive(bytes));
+    this.route = route;
+    this.flow = { name: 'opening' };
+    this.token = 0;
+    this.sequence = 1;
+    this.requestsLeft = this.requestsPerFlow;
+    const stage = this.nextStage();
+    const { clock } = this.parts;
+    COPY_DELAYS_MS.forEach((delayMs, copyNumber) => {
+      clock.after(delayMs, () => {
+        if (stage === this.stage) {
+          this.send('open', { copyNumber, dataLength: 0 });
+        }
+      });
+    });
+    clock.after(OPEN_TIMEOUT_MS, () => this.failUnlessMoved(stage));
+  }
+
+  private receive(bytes: Uint8Array): void {
+    const packet = decodePacket(bytes);
+    if (packet?.to.port !== this.port) {
+      return;
+    }
+    switch (packet.kind) {
+      case 'accept':
+        this.takeAccept(packet);
+        return;
+      case 'data':
+        this.takeAnswer(packet);
+        return;
+      case 'reset':
+        this.takeReset(packet);
+        return;
+      default:
+        return;
+    }
+  }
+
+  private takeAccept(packet: StandInPacket): void {
+    this.token = packet.token;
+    if (this.flow.name === 'opening') {
+      this.flow = { name: 'open', acceptNumber: packet.acceptNumber };
+      this.sendRequest();
+    }
+  }
+
+  private sendRequest(): void {
+    const stage = this.nextStage();
+    this.requestId += 1;
+    // A request takes several packets, which follow the last token that came, each for itself.
+    PART_DELAYS_MS.forEach((delayMs) => {
+      this.parts.clock.after(delayMs, () => {
+        if (stage === this.stage) {
+          this.send('data', { copyNumber: 0, dataLength: REQUEST_BYTES });
+        }
+      });
+    });
+    this.parts.clock.after(FIRST_RESEND_MS, () => this.sendCopy(stage, 2 * FIRST_RESEND_MS));
+    this.parts.clock.after(REQUEST_DEADLINE_MS, () => this.failUnlessMoved(stage));
+  }
+
+  private sendCopy(stage: number, resendMs: number): void {
+    if (stage === this.stage) {
+      this.send('data', { copyNumber: 0, dataLength: REQUEST_BYTES });
+      this.parts.clock.after(resendMs, () => this.sendCopy(stage, 2 * resendMs));
+    }
+  }
+
+  private takeAnswer(packet: StandInPacket): void {
+    this.token = packet.token;
+    if (packet.requestId !== this.requestId || this.flow.name !== 'open') {
+      return;
+    }
+    const { clock, random, oracle } = this.parts;
+    this.servedRequests += 1;
+    oracle.servedRequests += 1;
+    this.requestsLeft -= 1;
+    this.sequence += REQUEST_BYTES;
+    const stage = this.nextStage();
+    this.requestId += 1;
+    this.send('acknowledge', { copyNumber: 0, dataLength: 0 });
+    clock.after(random.nextFloat() * MAX_PAUSE_MS, () => {
+      if (stage !== this.stage) {
+        return;
+      }
+      if (this.requestsLeft > 0) {
+        this.sendRequest();
+      } else {
+        this.send('finish', { copyNumber: 0, dataLength: 0 });
+        this.openFlow();
+      }
+    });
+  }
+
+  private takeReset(packet: StandInPacket): void {
+    const { clock, oracle } = this.parts;
+    if (this.flow.name === 'open') {
+      const client = formatAddress(this.address);
+      const { acceptNumber } = this.flow;
+      const isFromHolder = packet.acceptNumber === acceptNumber;
+      if (!isFromHolder && this.world.isHeldOpen(client, acceptNumber)) {
+        oracle.noteFlowBroken(clock.nowMs, `flow ${client} was reset by another`);
+      }
+    }
+    this.failUnlessMoved(this.stage);
+  }
+
+  private failUnlessMoved(stage: number): void {
+    if (stage === this.stage) {
+      this.failedRequests += 1;
+      this.nextStage();
+      this.parts.clock.after(RETRY_PAUSE_MS, () => this.openFlow());
+    }
+  }
+
+  private nextStage(): number {
+    this.stage += 1;
+    return this.stage;
+  }
+
+  private send(
+    kind: PacketKind,
+    { copyNumber, dataLength }: { readonly copyNumber: number; readonly dataLength: number },
+  ): void {
+    const packet = sealPacket({
+      kind,
+      from: this.address,
+      to: this.route,
+      token: kind === 'open' ? 0 : this.token,
+      copyNumber,
+      acceptNumber: this.flow.name === 'open' ? this.flow.acceptNumber : 0,
+      requestId: this.requestId,
+      sequence: this.sequence,
+      acknowledged: kind === 'acknowledge' ? this.requestId : copyNumber,
+      dataLength,
+    });
+    const balancer = this.world.pickBalancer(`${formatAddress(this.address)}`);
+    if (balancer !== undefined) {
+      this.parts.wires.sendDatagram(this.host, balancer, encodePacket(packet));
+    }
+  }
+}
--- /dev/null
+++ b/src/sim/ingress/stand-in-operator.ts
@@ -0,0 +1,121 @@
+/**
+ * @file A stand-in operator: declares configurations with rising versions, sends each again until it is
+ * acknowledged, to any control machine, and reads the configuration now and then.
+ */
+import { formatAddress, type Address } from '../../common/address.js';
+import type { DeclaredConfig, DeclaredRoute } from '../../declared/declared-config.js';
+import type { CallControl } from './stand-in-backend.js';
+import type { IngressWorldParts } from './world-parts.js';
+
+const OPERATOR_HOST = '100.127.0.1';
+const CALL_TIMEOUT_MS = 1_000;
+const RETRY_PAUSE_MS = 100;
+const READ_INTERVAL_MS = 200;
+const IDLE_TIMEOUT_MS = 15_000;
+const REQUEST_TIMEOUT_MS = 2_000;
+const ROUTE_HOST = '198.18.0.1';
+const FIRST_PORT = 443;
+const ROUTE_COUNT = 3;
+
+/** The services of the simulated deployment. */
+export const SIMULATED_SERVICES = ['alpha', 'beta'] as const;
+
+/** The operator. */
+export class StandInOperator {
+  /** Share of acknowledgements that are lost on their way. */
+  lostShare = 0;
+  private version = 0;
+  private config: DeclaredConfig | undefined;
+  /** Newest version that gives a route to a service. */
+  private readonly newest = new Map<string, number>();
+
+  constructor(
+    private readonly callControl: CallControl,
+    private readonly parts: IngressWorldParts,
+  ) {
+    this.readAgain();
+  }
+
+  /** The routes of the newest configuration that was sent. */
+  routes(): readonly Address[] {
+    return (this.config?.routes ?? []).map(({ host, port }) => ({ host, port }));
+  }
+
+  newestVersion(route: string, service: string): number {
+    return this.newest.get(`${route} ${service}`) ?? 0;
+  }
+
+  /** Sends another configuration; `acknowledged` is called once it is acknowledged. */
+  declareNext(acknowledged: (version: number) => void = () => undefined): void {
+    const { random, oracle } = this.parts;
+    this.version += 1 + random.nextInt(3);
+    const config = this.drawConfig(this.version);
+    this.config = config;
+    for (const { host, port, targets } of config.routes) {
+      const route = formatAddress({ host, port });
+      for (const { service } of targets) {
+        oracle.noteRouteAllowed(route, service);
+        this.newest.set(`${route} ${service}`, config.version);
+      }
+    }
+    this.insist(config, acknowledged);
+  }
+
+  /** Reads the configuration once; `answered` gets its version, 0 for none. */
+  read(answered: (version: number | undefined) => void): void {
+    this.callControl(OPERATOR_HOST, { type: 'read-config' }, (reply) => {
+      answered(reply.type === 'config' ? (reply.document?.version ?? 0) : undefined);
+    });
+  }
+
+  private drawConfig(version: number): DeclaredConfig {
+    const { random } = this.parts;
+    const routes = Array.from({ length: ROUTE_COUNT }, (_, index): DeclaredRoute => {
+      const service = SIMULATED_SERVICES[random.nextInt(SIMULATED_SERVICES.length)] ?? 'alpha';
+      return {
+        name: `route-${index}`,
+        host: ROUTE_HOST,
+        port: FIRST_PORT + index,
+        targets: [{ service, weight: 1 }],
+        kind: 'repeatable',
+        timeoutMs: REQUEST_TIMEOUT_MS,
+      };
+    });
+    const services = SIMULATED_SERVICES.map((name) => ({ name }));
+    return { version, routes, services, idleTimeoutMs: IDLE_TIMEOUT_MS };
+  }
+
+  private insist(config: DeclaredConfig, acknowledged: (version: number) => void): void {
+    const { clock, random, oracle } = this.parts;
+    let isDone = false;
+    const document = { version: config.version, text: JSON.stringify(config) };
+    const attempt = () => {
+      if (isDone) {
+        return;
+      }
+      this.callControl(OPERATOR_HOST, { type: 'declare-config', document }, (reply) => {
+        const isLost = random.nextFloat() < this.lostShare;
+        if (reply.type === 'accepted' && !isDone && !isLost) {
+          isDone = true;
+          oracle.noteConfigAcknowledged(config.version, clock.nowMs);
+          acknowledged(config.version);
+        }
+      });
+      clock.after(CALL_TIMEOUT_MS + RETRY_PAUSE_MS, attempt);
+    };
+    attempt();
+  }
+
+  private readAgain(): void {
+    const { clock, oracle } = this.parts;
+    clock.after(READ_INTERVAL_MS, () => {
+      const sentAtMs = clock.nowMs;
+      this.read((version) => {
+        if (version !== undefined) {
+          oracle.noteRead(version, sentAtMs, clock.nowMs);
+        }
+      });
+      this.readAgain();
+    });
+  }
+}
--- /dev/null
+++ b/src/sim/ingress/virtual-wires.ts
@@ -0,0 +1,195 @@
+/**
+ * @file The network of the simulated deployment: datagrams and links between hosts, with delays, losses
+ * and cuts that tell no one.
+ */
+import { formatAddress, type Address } from '../../common/address.js';
+import type { RandomSource } from '../../common/step.js';
+import type { VirtualClock } from '../virtual-clock.js';
+
+const DELAY_MS = 0.5;
+const JITTER_MS = 0.5;
+/** A link whose other end is gone or cut off is given up after this time. */
+const LINK_SILENT_MS = 1_200;
+const LINK_PULSE_MS = 400;
+
+/** One end of a virtual link. */
+export interface VirtualLink {
+  send(message: object): void;
+  close(): void;
+}
+
+/** What happens at one end of a link. */
+export interface VirtualLinkHandlers {
+  onMessage(message: unknown, link: VirtualLink): boolean;
+  onClose(link: VirtualLink, reason: string): void;
+}
+
+interface LinkEnd extends VirtualLink {
+  readonly host: string;
+  readonly handlers: VirtualLinkHandlers;
+  peer: LinkEnd | undefined;
+  isOpen: boolean;
+  heardAtMs: number;
+  /** When the last message from here arrives, so that messages stay in order. */
+  arrivesAtMs: number;
+}
+
+/** Carries datagrams and links. */
+export class VirtualWires {
+  /** Share of datagrams that are lost. */
+  lossShare = 0;
+  private readonly datagramHandlers = new Map<string, (bytes: Uint8Array) => void>();
+  private readonly listeners = new Map<string, VirtualLinkHandlers>();
+  private readonly cuts = new Set<string>();
+  private readonly dead = new Set<string>();
+  private readonly ends = new Set<LinkEnd>();
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly random: RandomSource,
+  ) {
+    this.pulse();
+  }
+
+  /** Cuts two hosts from each other, or joins them again. */
+  cut(a: string, b: string, isCut: boolean): void {
+    for (const pair of [`${a}|${b}`, `${b}|${a}`]) {
+      if (isCut) {
+        this.cuts.add(pair);
+      } else {
+        this.cuts.delete(pair);
+      }
+    }
+  }
+
+  /** Joins all hosts. */
+  heal(): void {
+    this.cuts.clear();
+  }
+
+  reaches(from: string, to: string): boolean {
+    return !this.cuts.has(`${from}|${to}`) && !this.dead.has(from) && !this.dead.has(to);
+  }
+
+  /** The process of a host died: its links are reset, its addresses take nothing. */
+  hostDied(host: string): void {
+    this.dead.add(host);
+    for (const address of [...this.datagramHandlers.keys(), ...this.listeners.keys()]) {
+      if (address.startsWith(`${host}:`)) {
+        this.datagramHandlers.delete(address);
+        this.listeners.delete(address);
+      }
+    }
+    for (const end of this.ends) {
+      if (end.host === host) {
+        this.drop(end, false, 'The process died.');
+      }
+    }
+  }
+
+  hostStarted(host: string): void {
+    this.dead.delete(host);
+  }
+
+  onDatagram(address: Address, handler: (bytes: Uint8Array) => void): void {
+    this.datagramHandlers.set(formatAddress(address), handler);
+  }
+
+  sendDatagram(fromHost: string, to: Address, bytes: Uint8Array): void {
+    if (this.random.nextFloat() < this.lossShare) {
+      return;
+    }
+    this.clock.after(this.delayMs(), () => {
+      if (this.reaches(fromHost, to.host)) {
+        this.datagramHandlers.get(formatAddress(to))?.(bytes);
+      }
+    });
+  }
+
+  listen(address: Address, handlers: VirtualLinkHandlers): void {
+    this.listeners.set(formatAddress(address), handlers);
+  }
+
+  /** Connects; a cut or dead host is noticed only after the silence of a link. */
+  connect(fromHost: string, to: Address, handlers: VirtualLinkHandlers): VirtualLink {
+    const near = this.makeEnd(fromHost, handlers);
+    this.clock.after(this.delayMs(), () => {
+      const listener = this.listeners.get(formatAddress(to));
+      if (!this.reaches(fromHost, to.host) || !near.isOpen) {
+        return;
+      }
+      if (listener === undefined) {
+        this.drop(near, true, 'Nobody listens.');
+        return;
+      }
+      const far = this.makeEnd(to.host, listener);
+      near.peer = far;
+      far.peer = near;
+    });
+    return near;
+  }
+
+  private makeEnd(host: string, handlers: VirtualLinkHandlers): LinkEnd {
+    const end: LinkEnd = {
+      host,
+      handlers,
+      peer: undefined,
+      isOpen: true,
+      heardAtMs: this.clock.nowMs,
+      arrivesAtMs: 0,
+      send: (message) => this.sendOn(end, message),
+      close: () => this.drop(end, true, 'Closed here.'),
+    };
+    this.ends.add(end);
+    return end;
+  }
+
+  private sendOn(end: LinkEnd, message: object): void {
+    const arrivesAtMs = Math.max(end.arrivesAtMs, this.clock.nowMs + 2 * this.delayMs());
+    end.arrivesAtMs = arrivesAtMs;
+    this.clock.after(arrivesAtMs - this.clock.nowMs, () => {
+      const { peer } = end;
+      if (!end.isOpen || peer?.isOpen !== true || !this.reaches(end.host, peer.host)) {
+        return;
+      }
+      peer.heardAtMs = this.clock.nowMs;
+      if (!peer.handlers.onMessage(structuredClone(message), peer)) {
+        this.drop(peer, true, 'A message does not belong here.');
+      }
+    });
+  }
+
+  private drop(end: LinkEnd, tells: boolean, reason: string): void {
+    if (!end.isOpen) {
+      return;
+    }
+    end.isOpen = false;
+    this.ends.delete(end);
+    const { peer } = end;
+    if (peer?.isOpen === true && this.reaches(end.host, peer.host)) {
+      this.clock.after(this.delayMs(), () => this.drop(peer, true, 'The other end closed.'));
+    }
+    if (tells) {
+      end.handlers.onClose(end, reason);
+    }
+  }
+
+  /** Each end hears of the other now and then, unless they are cut off. */
+  private pulse(): void {
+    this.clock.after(LINK_PULSE_MS, () => {
+      for (const end of [...this.ends]) {
+        const { peer } = end;
+        if (peer?.isOpen === true && this.reaches(peer.host, end.host)) {
+          end.heardAtMs = this.clock.nowMs;
+        } else if (this.clock.nowMs - end.heardAtMs > LINK_SILENT_MS) {
+          this.drop(end, true, 'Silent.');
+        }
+      }
+      this.pulse();
+    });
+  }
+
+  private delayMs(): number {
+    return DELAY_MS + this.random.nextFloat() * JITTER_MS;
+  }
+}
--- /dev/null
+++ b/test/ingress/faults.test.ts
@@ -0,0 +1,27 @@
+/** @file The simulated deployment under drawn faults: nothing is violated, and service comes back. */
+import t from 'tap';
+import { ingressFaultKinds } from '../../src/sim/ingress/ingress-faults.js';
+import { runIngressWorld } from '../../src/sim/ingress/run-ingress-world.js';
+
+const SEEDS = 12;
+const FAULTS = 12;
+
+for (const kind of ingressFaultKinds) {
+  t.test(`three times ${kind}`, async (t) => {
+    const report = await runIngressWorld({
+      seed: 7,
+      faultCount: 3,
+      kinds: [kind],
+      endsWithLoss: false,
+    });
+    t.same(report.violations, []);
+  });
+}
+
+for (let seed = 1; seed <= SEEDS; seed += 1) {
+  t.test(`faults of seed ${seed}`, async (t) => {
+    const endsWithLoss = seed % 2 === 0;
+    const report = await runIngressWorld({ seed, faultCount: FAULTS, endsWithLoss });
+    t.same(report.violations, []);
+  });
+}
