--- a/src/ingress/feed-source.ts
+++ b/src/ingress/feed-source.ts
@@ -7,12 +7,12 @@
 
 /** A link that brings nothing for so long is given up, in milliseconds. */
 const SILENT_AFTER_MS = 1_000;
-/** A control machine that is not current for so long is given up, in milliseconds. */
-const STALE_AFTER_MS = 600;
+/** A control machine that says for so long that it is not current is given up, in milliseconds. */
+const STALE_AFTER_MS = 200;
 /** A link must bring its first message within this time, in milliseconds. */
 const FIRST_WORD_AFTER_MS = 700;
 /** Time before the next try, in milliseconds. */
-const RETRY_AFTER_MS = 150;
+const RETRY_AFTER_MS = 80;
 
 /** What the owner of the link should do now. */
 export type FeedAction =
@@ -20,12 +20,18 @@
   | { readonly type: 'close' }
   | { readonly type: 'wait' };
 
+interface LinkedControl {
+  readonly sinceMs: number;
+  heardAtMs: number | undefined;
+  /** Since when it says that it is not current. */
+  staleSinceMs: number | undefined;
+}
+
 /** Chooses the control machine. */
 export class FeedSource {
   private candidates: Address[];
   private next: number;
-  private linked:
-    { sinceMs: number; heardAtMs: number | undefined; currentAtMs: number } | undefined;
+  private linked: LinkedControl | undefined;
   private retryAtMs = Number.NEGATIVE_INFINITY;
 
   /**
@@ -57,7 +63,7 @@
   heard(isCurrent: boolean, nowMs: number): void {
     if (this.linked !== undefined) {
       this.linked.heardAtMs = nowMs;
-      this.linked.currentAtMs = isCurrent ? nowMs : this.linked.currentAtMs;
+      this.linked.staleSinceMs = isCurrent ? undefined : (this.linked.staleSinceMs ?? nowMs);
     }
   }
 
@@ -80,17 +86,16 @@
     if (address === undefined) {
       return { type: 'wait' };
     }
-    this.linked = { sinceMs: nowMs, heardAtMs: undefined, currentAtMs: nowMs };
+    this.linked = { sinceMs: nowMs, heardAtMs: undefined, staleSinceMs: undefined };
     return { type: 'connect', address };
   }
 
-  private isUseless(link: NonNullable<typeof this.linked>, nowMs: number): boolean {
-    if (link.heardAtMs === undefined) {
-      return nowMs - link.sinceMs > FIRST_WORD_AFTER_MS;
+  private isUseless(link: LinkedControl, nowMs: number): boolean {
+    const { sinceMs, heardAtMs, staleSinceMs } = link;
+    if (heardAtMs === undefined) {
+      return nowMs - sinceMs > FIRST_WORD_AFTER_MS;
     }
-    return (
-      nowMs - link.heardAtMs > SILENT_AFTER_MS ||
-      nowMs - link.currentAtMs > STALE_AFTER_MS + SILENT_AFTER_MS
-    );
+    const isStale = staleSinceMs !== undefined && nowMs - staleSinceMs >= STALE_AFTER_MS;
+    return isStale || nowMs - heardAtMs > SILENT_AFTER_MS;
   }
 }
