Give each first member a storage ID of its own, and campaign soon after a start

Two changes that one test found together.

Cause: votes are remembered by the storage ID of the candidate, and all members with which a group begins were called 'first', so one vote counted for each of them: two leaders in one term. Found while looking at why a restarted group at times took 1.2 s to decide (test/group/restart).

--- a/src/consensus/consensus-state.ts
+++ b/src/consensus/consensus-state.ts
@@ -16,6 +16,11 @@
    * not heard from a quorum for this time steps down.
    */
   readonly electionTimeoutMs: number;
+  /**
+   * The same until the first word of a leader after a start: whoever hears from one refuses the pre-vote.
+   * Default `electionTimeoutMs`.
+   */
+  readonly firstElectionTimeoutMs?: number;
   /** Bound of entries in one message. */
   readonly maxBatchEntries: number;
   /** Bound of bytes in one message; a single longer entry is sent alone. */
--- a/src/consensus/roles.ts
+++ b/src/consensus/roles.ts
@@ -19,9 +19,10 @@
  * Chooses the time of the next campaign: one to two election timeouts from now.
  */
 export function resetElectionDeadline({ state, context }: StepScope): void {
-  const { electionTimeoutMs } = state.options;
-  state.electionDeadlineMs =
-    context.nowMs + electionTimeoutMs + context.random.nextFloat() * electionTimeoutMs;
+  const { electionTimeoutMs, firstElectionTimeoutMs = electionTimeoutMs } = state.options;
+  const isFirst = state.heardFromLeaderAtMs === Number.NEGATIVE_INFINITY;
+  const timeoutMs = isFirst ? firstElectionTimeoutMs : electionTimeoutMs;
+  state.electionDeadlineMs = context.nowMs + timeoutMs + context.random.nextFloat() * timeoutMs;
 }
 
 /**
--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -8,7 +8,7 @@
 import type { PersistEffect } from '../consensus/persisted-state.js';
 import type { AmberliftError } from '../flow/error-kinds.js';
 import type { GroupReply, LinkId } from '../group/group-events.js';
-import { createGroupState, FIRST_STORAGE_ID, type GroupOptions } from '../group/group-state.js';
+import { createGroupState, firstStorageId, type GroupOptions } from '../group/group-state.js';
 import { isFirstMember } from '../group/membership-duties.js';
 import { parseControlInbound } from '../group/message-schemas.js';
 import { ConsensusStorage } from './consensus-storage.js';
@@ -135,7 +135,7 @@
   const { linkAddress, seeds, isFirstStart } = options;
   const pause = () => sleep(RETRY_WRITE_AFTER_MS);
   const makeStorageId = isFirstMember(linkAddress, seeds, isFirstStart)
-    ? () => FIRST_STORAGE_ID
+    ? () => firstStorageId(linkAddress)
     : undefined;
   for (let attempt = 1; ; attempt += 1) {
     try {
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -16,8 +16,13 @@
 import type { AgedRecord, BalancerInfo, LeaderRequest } from './group-messages.js';
 import { decodeGroupCommand, ReplicatedState, type ConfigDocument } from './replicated-state.js';
 
-/** Storage ID of the members with which a group begins, the same on each. */
-export const FIRST_STORAGE_ID = 'first';
+/**
+ * @returns the storage ID of a member with which a group begins, known to all the others before it has
+ *   started; votes are counted by storage IDs, so no two members may share one
+ */
+export function firstStorageId(linkAddress: Address): string {
+  return `first-${formatAddress(linkAddress)}`;
+}
 
 /** Options of a control machine; all times in milliseconds. */
 export interface GroupOptions {
@@ -125,6 +130,7 @@
 export const groupConsensusOptions = {
   heartbeatIntervalMs: 150,
   electionTimeoutMs: 700,
+  firstElectionTimeoutMs: 150,
   maxBatchEntries: 64,
   maxBatchBytes: 512 * 1024,
   maxInFlightBatches: 4,
--- a/src/group/membership-duties.ts
+++ b/src/group/membership-duties.ts
@@ -20,7 +20,7 @@
 import type { GroupEffect } from './group-events.js';
 import type { PeerMessage } from './group-messages.js';
 import {
-  FIRST_STORAGE_ID,
+  firstStorageId,
   leaderAddress,
   memberName,
   otherMembers,
@@ -41,12 +41,16 @@
 export function firstMembershipEvent(state: GroupState): ConsensusEvent | undefined {
   const { options, consensus, clusterId } = state;
   const isBlank = consensus.clusterId === undefined && consensus.log.last.index === 0;
-  if (!options.isFirstStart || !isBlank || consensus.storageId !== FIRST_STORAGE_ID) {
+  if (
+    !options.isFirstStart ||
+    !isBlank ||
+    consensus.storageId !== firstStorageId(options.linkAddress)
+  ) {
     return undefined;
   }
   const members = options.seeds.map((linkAddress): Member => ({
-    nodeId: memberName(linkAddress, FIRST_STORAGE_ID),
-    storageId: FIRST_STORAGE_ID,
+    nodeId: memberName(linkAddress, firstStorageId(linkAddress)),
+    storageId: firstStorageId(linkAddress),
     role: 'voter',
     linkAddress,
     operatorAddress: linkAddress,
--- a/src/sim/ingress/ingress-oracle.ts
+++ b/src/sim/ingress/ingress-oracle.ts
@@ -18,7 +18,9 @@
   /** What was acknowledged is gone. */
   | 'lost'
   /** Service does not come back. */
-  | 'recover';
+  | 'recover'
+  /** Two control machines lead in one term. */
+  | 'leader';
 
 /** A violation, with the time at which it was seen. */
 export interface IngressViolation {
@@ -38,6 +40,7 @@
   /** Services that any configuration ever sent gave a route. */
   private readonly allowed = new Map<string, Set<string>>();
   private readonly departures = new Map<string, number>();
+  private readonly leaders = new Map<number, string>();
   private acknowledged: AcknowledgedConfig | undefined;
   /** When the last disturbance ended, or Infinity while one lasts. */
   private disturbedUntilMs = Number.NEGATIVE_INFINITY;
@@ -60,6 +63,15 @@
     this.disturbedUntilMs = Math.max(this.disturbedUntilMs, untilMs);
   }
 
+  /** A control machine begins to lead. */
+  noteLeader(term: number, name: string, nowMs: number): void {
+    const known = this.leaders.get(term) ?? name;
+    this.leaders.set(term, known);
+    if (known !== name) {
+      this.report('leader', nowMs, `${name} and ${known} lead in term ${term}`);
+    }
+  }
+
   /** The operator sends a configuration. */
   noteRouteAllowed(route: string, service: string): void {
     const services = this.allowed.get(route) ?? new Set<string>();
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -5,7 +5,8 @@
 import { formatAddress } from '../../common/address.js';
 import { groupConsensusOptions } from '../../group/group-state.js';
 import type { GroupReply, LinkId } from '../../group/group-events.js';
-import { createGroupState, FIRST_STORAGE_ID } from '../../group/group-state.js';
+import { createGroupState, firstStorageId } from '../../group/group-state.js';
+import type { ConsensusState } from '../../consensus/consensus-state.js';
 import type { PeerMessage } from '../../group/group-messages.js';
 import { isFirstMember } from '../../group/membership-duties.js';
 import { parseControlInbound } from '../../group/message-schemas.js';
@@ -55,7 +56,7 @@
     const { clock, wires } = this.parts;
     wires.hostStarted(this.address.host);
     const makeStorageId = isFirstMember(this.address, this.seeds, isFirstStart)
-      ? () => FIRST_STORAGE_ID
+      ? () => firstStorageId(this.address)
       : () => this.freshStorageId();
     const pause = () => this.pause();
     const name = formatAddress(this.address);
@@ -121,7 +122,10 @@
       sendToPeer: (to, message) => this.sendToPeer(to, message),
       sendFeed: (linkId, message) => this.feedLinks.get(linkId)?.send(message),
       persist: (effect) => storage.persist(effect).finally(() => clock.notePromise()),
-      note: (name, fields) => this.parts.note(this.address.host, name, fields),
+      note: (name, fields) => {
+        this.parts.note(this.address.host, name, fields);
+        this.noteLeader(state.consensus);
+      },
     });
     this.process = process;
     wires.listen(this.address, {
@@ -169,6 +173,12 @@
     return true;
   }
 
+  private noteLeader({ role, term }: ConsensusState): void {
+    if (role.name === 'leader') {
+      this.parts.oracle.noteLeader(term, this.address.host, this.parts.clock.nowMs);
+    }
+  }
+
   private forgetLink(link: VirtualLink): void {
     const linkId = this.linkIds.get(link);
     if (linkId !== undefined) {
@@ -181,7 +191,7 @@
   private freshStorageId(): string {
     const number = this.nextStorageNumber;
     this.nextStorageNumber += 1;
-    return `disk-${number}`;
+    return `disk-${number}-of-${this.address.host}`;
   }
 
   private pause(): Promise<void> {
