Replicate which back ends exist, so that a restart of everything finds them

Cause: after all processes were killed, balancers knew a back end only once its next heartbeat had come, 1.2 s later at the worst; until then opens met the few that were known (188 answers 503) and tokens of open flows were unknown. The leader now keeps a list of back ends in the replicated state, added in the background when one is heard of first; heartbeats stay soft state, and no heartbeat waits for a disk.

--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -108,6 +108,10 @@
   readonly proposals: Map<number, { readonly term: number; readonly proposalId: number }>;
   /** Where this machine looks for the group; from the settings. */
   seeds: readonly Address[];
+  /** Index of the last change of the list of back ends that was proposed here. */
+  registryProposalIndex: number;
+  /** True once the list of back ends that was found on disk is in the registry. */
+  isRegistrySeeded: boolean;
   nextProposalId: number;
   readonly announced: Map<NodeId, Announced>;
   /** Where machines outside the membership are answered. */
@@ -165,6 +169,8 @@
     answers: new Map(),
     proposals: new Map(),
     seeds: options.seeds,
+    registryProposalIndex: 0,
+    isRegistrySeeded: false,
     nextProposalId: 1,
     announced: new Map(),
     replyAddresses: new Map(),
--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -38,7 +38,8 @@
   nextMemberChange,
   noteAnnouncement,
 } from './membership-duties.js';
-import { decodeGroupCommand, type AppliedChange } from './replicated-state.js';
+import { nextRegistryCommand, seedRegistry } from './registry-duties.js';
+import { decodeGroupCommand, encodeGroupCommand, type AppliedChange } from './replicated-state.js';
 
 /** Proposal ID of the leader's own changes of the membership, for which nobody waits. */
 const OWN_PROPOSAL = 0;
@@ -199,6 +200,10 @@
 function tick(state: GroupState, context: StepContext): GroupEffect[] {
   const { nowMs } = context;
   const effects: GroupEffect[] = [];
+  if (!state.isRegistrySeeded) {
+    state.isRegistrySeeded = true;
+    seedRegistry(state, nowMs);
+  }
   const first = firstMembershipEvent(state);
   if (first !== undefined) {
     effects.push(...runConsensus(state, first, context));
@@ -207,6 +212,7 @@
   effects.push(...(state.isStopping ? askToLeave(state) : []));
   effects.push(...runConsensus(state, { type: 'tick' }, context));
   effects.push(...changeMembers(state, context));
+  effects.push(...keepBackendList(state, context));
   effects.push(...expireCalls(state, nowMs));
   effects.push(...shareWithPeers(state, nowMs));
   effects.push(...feedSubscribers(state, nowMs));
@@ -226,6 +232,16 @@
   );
 }
 
+function keepBackendList(state: GroupState, context: StepContext): GroupEffect[] {
+  const command = nextRegistryCommand(state);
+  if (command === undefined) {
+    return [];
+  }
+  state.registryProposalIndex = state.consensus.log.last.index + 1;
+  const data = encodeGroupCommand(command);
+  return runConsensus(state, { type: 'propose', proposalId: OWN_PROPOSAL, data }, context);
+}
+
 /** Leadership is handed over, and a voter that is not needed leaves, so that it may stay away. */
 function stop(state: GroupState, run: (event: ConsensusEvent) => GroupEffect[]): GroupEffect[] {
   state.isStopping = true;
@@ -336,6 +352,7 @@
   const { config } = state.replicated;
   state.config = config === undefined ? undefined : state.options.readDocument(config);
   state.changes.departures = state.replicated.allDepartures();
+  state.isRegistrySeeded = false;
   return [{ type: 'decision', name: 'snapshot taken over', fields: { version: config?.version } }];
 }
 
--- a/src/group/leader-requests.ts
+++ b/src/group/leader-requests.ts
@@ -101,6 +101,7 @@
       const known = state.replicated.departureOf(departure.backendId);
       return known === 'gone' || known === departure.kind;
     })
+    .with({ type: 'register-backends' }, { type: 'forget-backends' }, () => false)
     .exhaustive();
 }
 
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -112,6 +112,8 @@
 const command = z.discriminatedUnion('type', [
   z.object({ type: z.literal('declare-config'), document: configDocument }),
   z.object({ type: z.literal('note-departure'), departure }),
+  z.object({ type: z.literal('register-backends'), records: list(record) }),
+  z.object({ type: z.literal('forget-backends'), backendIds: list(text) }),
 ]);
 const leaderRequest = z.discriminatedUnion('type', [
   z.object({ type: z.literal('command'), command }),
--- a/src/group/replicated-state.ts
+++ b/src/group/replicated-state.ts
@@ -1,10 +1,12 @@
 /**
- * @file What the control group agrees on and never loses: the declared configuration that holds, and
- * which back ends have said that they leave.
+ * @file What the control group agrees on and never loses: the declared configuration that holds, which
+ * back ends exist, and which have said that they leave. Heartbeats stay out of it: it tells where a back
+ * end is, not how it does, so that a group that restarts as a whole need not wait for all of them.
  */
 import { Packr } from 'msgpackr';
 import {
   isLaterDeparture,
+  type BackendRecord,
   type Departure,
   type DepartureKind,
 } from '../registry/backend-record.js';
@@ -19,7 +21,11 @@
 /** A change of the replicated state. */
 export type GroupCommand =
   | { readonly type: 'declare-config'; readonly document: ConfigDocument }
-  | { readonly type: 'note-departure'; readonly departure: Departure };
+  | { readonly type: 'note-departure'; readonly departure: Departure }
+  /** Back ends that were heard of for the first time. */
+  | { readonly type: 'register-backends'; readonly records: readonly BackendRecord[] }
+  /** Back ends that were silent for so long that no flow of theirs can live. */
+  | { readonly type: 'forget-backends'; readonly backendIds: readonly string[] };
 
 /** What a command changed. */
 export type AppliedChange =
@@ -35,12 +41,14 @@
 interface SnapshotContent {
   readonly config: ConfigDocument | undefined;
   readonly departures: [string, DepartureKind][];
+  readonly backends: BackendRecord[];
 }
 
 /** The state machine of the group; the same commands give the same state on every member. */
 export class ReplicatedState {
   private document: ConfigDocument | undefined;
   private departures = new Map<string, DepartureKind>();
+  private backends = new Map<string, BackendRecord>();
 
   /** The configuration that holds. */
   get config(): ConfigDocument | undefined {
@@ -52,6 +60,15 @@
     return [...this.departures].map(([backendId, kind]) => ({ backendId, kind }));
   }
 
+  /** The back ends that exist, as they were when they were first heard of. */
+  allBackends(): IterableIterator<BackendRecord> {
+    return this.backends.values();
+  }
+
+  hasBackend(backendId: string): boolean {
+    return this.backends.has(backendId);
+  }
+
   departureOf(backendId: string): DepartureKind | undefined {
     return this.departures.get(backendId);
   }
@@ -61,14 +78,27 @@
    * @returns what changed; a version at or below the one held changes nothing, whatever its content
    */
   apply(command: GroupCommand): AppliedChange {
-    return command.type === 'declare-config'
-      ? this.declareConfig(command.document)
-      : this.noteDeparture(command.departure);
+    switch (command.type) {
+      case 'declare-config':
+        return this.declareConfig(command.document);
+      case 'note-departure':
+        return this.noteDeparture(command.departure);
+      case 'register-backends':
+        this.registerBackends(command.records);
+        return { type: 'nothing-changed' };
+      case 'forget-backends':
+        command.backendIds.forEach((id) => this.backends.delete(id));
+        return { type: 'nothing-changed' };
+    }
   }
 
   /** @returns the whole state as bytes */
   encode(): Uint8Array {
-    const content: SnapshotContent = { config: this.document, departures: [...this.departures] };
+    const content: SnapshotContent = {
+      config: this.document,
+      departures: [...this.departures],
+      backends: [...this.backends.values()],
+    };
     return packr.pack(content);
   }
 
@@ -77,6 +107,7 @@
     const content = packr.unpack(data) as SnapshotContent;
     this.document = content.config ?? undefined;
     this.departures = new Map(content.departures);
+    this.backends = new Map(content.backends.map((record) => [record.id, record]));
   }
 
   private declareConfig(document: ConfigDocument): AppliedChange {
@@ -93,10 +124,21 @@
       return { type: 'nothing-changed' };
     }
     this.departures.set(backendId, kind);
+    if (kind === 'gone') {
+      this.backends.delete(backendId);
+    }
     this.forgetOldest();
     return { type: 'departure-noted', departure };
   }
 
+  private registerBackends(records: readonly BackendRecord[]): void {
+    for (const record of records) {
+      if (this.departures.get(record.id) !== 'gone') {
+        this.backends.set(record.id, record);
+      }
+    }
+  }
+
   private forgetOldest(): void {
     const [oldest] = this.departures.keys();
     if (this.departures.size > MAX_DEPARTURES && oldest !== undefined) {
