Check every message on a link by a schema, and bound its length

Links now carry frames with a bounded length, each message is checked by a schema, and a link that brings anything else is closed.

--- a/src/daemon/balancer-daemon.ts
+++ b/src/daemon/balancer-daemon.ts
@@ -8,12 +8,12 @@
 import { createBalancerState, type BalancerState } from '../balancer/balancer-state.js';
 import { balancerStep } from '../balancer/balancer-step.js';
 import { takeBackendChanges } from '../balancer/candidates.js';
-import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
 import { reasonSentence } from '../health/explanation.js';
 import type { Settings } from '../settings/settings-schema.js';
 import { gossipAddress } from '../membership/member.js';
 import { countTraffic, type TrafficDirection } from '../dissemination/traffic.js';
 import { probeBackend } from './health-probe.js';
+import { parseFeedMessage } from './link-schemas.js';
 import { connectLink, type MessageLink } from './message-link.js';
 import { PeerSockets } from './peer-sockets.js';
 import { systemContextSource } from './system-context.js';
@@ -150,12 +150,13 @@
   private openLink(linkId: number, address: Address): void {
     this.link?.close();
     this.link = connectLink(address, {
-      onMessage: (message) =>
-        this.step({
-          type: 'link-message',
-          linkId,
-          message: message as ControlToBalancerMessage,
-        }),
+      onMessage: (value) => {
+        const message = parseFeedMessage(value);
+        if (message !== undefined) {
+          this.step({ type: 'link-message', linkId, message });
+        }
+        return message !== undefined;
+      },
       onClose: () => {
         if (!this.closed) {
           this.step({ type: 'link-closed', linkId });
--- a/src/daemon/control-daemon.ts
+++ b/src/daemon/control-daemon.ts
@@ -80,7 +80,7 @@
   const { control, nodeId, clusterKey } = settings;
   const holder: { edge?: ControlEdge; http?: Parameters<typeof listenHttp>[1] } = {};
   const links = await listenForLinks(control.linkAddress, {
-    onMessage: (message, link) => holder.edge?.onMessage(message, link),
+    onMessage: (message, link) => holder.edge?.onMessage(message, link) ?? true,
     onClose: (link) => holder.edge?.onClose(link),
     onTraffic: (direction, kind, bytes) => holder.edge?.onTraffic(direction, kind, bytes),
   });
--- a/src/daemon/control-edge.ts
+++ b/src/daemon/control-edge.ts
@@ -15,8 +15,7 @@
   type ControlState,
   type RequestId,
 } from '../control/control-step.js';
-import type { PeerEnvelope } from '../control/peer-messages.js';
-import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
+import { parseControlLinkMessage } from './link-schemas.js';
 import { countTraffic, type TrafficDirection } from '../dissemination/traffic.js';
 import type { ConsensusStorage } from './consensus-storage.js';
 import type { LinkHandlers, MessageLink } from './message-link.js';
@@ -81,14 +80,17 @@
     });
   }
 
-  onMessage(message: unknown, link: MessageLink): void {
-    const { type } = message as { type?: unknown };
-    if (type === 'peer') {
-      this.step({ type: 'peer-message', envelope: message as PeerEnvelope });
-      return;
+  onMessage(value: unknown, link: MessageLink): boolean {
+    const message = parseControlLinkMessage(value);
+    if (message === undefined) {
+      return false;
     }
-    const linkId = this.idOf(link);
-    this.step({ type: 'link-message', linkId, message: message as BalancerToControlMessage });
+    if (message.type === 'peer') {
+      this.step({ type: 'peer-message', envelope: message });
+    } else {
+      this.step({ type: 'link-message', linkId: this.idOf(link), message });
+    }
+    return true;
   }
 
   onClose(link: MessageLink): void {
--- /dev/null
+++ b/src/daemon/link-schemas.ts
@@ -0,0 +1,134 @@
+/**
+ * @file Schemas of the messages on the links of control machines and balancers. Whatever comes in is
+ * checked by them before a decision sees it; whoever sends anything else loses the link.
+ */
+import * as z from 'zod/mini';
+import {
+  addressShape,
+  consensusMessageShape,
+  countShape,
+  indexShape,
+  listOf,
+  senderShape,
+  textShape,
+} from '../consensus/message-shapes.js';
+import type { PeerEnvelope } from '../control/peer-messages.js';
+import type {
+  BalancerToControlMessage,
+  ControlToBalancerMessage,
+} from '../dissemination/link-messages.js';
+
+const position = z.object({ term: indexShape, index: indexShape });
+
+const peerMessage = z.union([
+  consensusMessageShape,
+  z.object({
+    type: z.literal('announcement'),
+    operatorAddress: addressShape,
+    wantsAnswer: z.boolean(),
+  }),
+  z.object({
+    type: z.literal('peer-refusal'),
+    kind: z.literal('wrong-cluster'),
+    reason: z.string(),
+  }),
+]);
+const peerEnvelope = z.object({
+  type: z.literal('peer'),
+  proof: textShape,
+  clusterId: z.optional(textShape),
+  from: senderShape,
+  replyTo: addressShape,
+  to: z.object({ nodeId: textShape, storageId: z.optional(textShape) }),
+  message: peerMessage,
+});
+
+const subtree = z.object({
+  members: z.optional(
+    listOf(z.object({ balancerId: textShape, zone: textShape, isLinked: z.boolean() })),
+  ),
+  commonIndex: indexShape,
+  laggards: listOf(z.object({ balancerId: textShape, index: indexShape })),
+});
+const subscribe = z.object({
+  type: z.literal('subscribe'),
+  clusterKey: textShape,
+  balancerId: textShape,
+  zone: textShape,
+  position,
+  sentAtMs: z.number(),
+  subtree: z.optional(subtree),
+});
+const acknowledge = z.object({
+  type: z.literal('acknowledge'),
+  position,
+  sentAtMs: z.number(),
+  subtree: z.optional(subtree),
+});
+const balancerToControl = z.discriminatedUnion('type', [subscribe, acknowledge]);
+
+const lease = z.object({
+  askedAtMs: z.number(),
+  remainingMs: z.number(),
+  floorIndex: indexShape,
+});
+const withId = z.looseObject({ id: indexShape });
+const change = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('service-set'), service: withId }),
+  z.object({ type: z.literal('service-removed'), serviceId: indexShape }),
+  z.object({ type: z.literal('backend-set'), backend: withId }),
+  z.object({ type: z.literal('backend-removed'), backendId: indexShape }),
+  z.object({ type: z.literal('key-set'), key: withId }),
+  z.object({ type: z.literal('key-removed'), keyId: indexShape }),
+]);
+const update = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('delta'), from: position, to: position, changes: z.array(change) }),
+  z.object({
+    type: z.literal('snapshot'),
+    to: position,
+    services: z.array(withId),
+    backends: z.array(withId),
+    keys: z.array(withId),
+  }),
+]);
+const sharedResult = z.looseObject({ backendId: indexShape, ageMs: countShape });
+const controlToBalancer = z.discriminatedUnion('type', [
+  z.object({
+    type: z.literal('heartbeat'),
+    committed: position,
+    lease: z.optional(lease),
+    leader: z.optional(addressShape),
+    subtreeSize: z.optional(countShape),
+  }),
+  z.object({ type: z.literal('update'), update }),
+  z.object({ type: z.literal('link-refused'), kind: z.literal('wrong-cluster') }),
+  z.object({ type: z.literal('health-state'), results: listOf(sharedResult) }),
+]);
+
+/**
+ * @returns the message that came to the link address of a control machine, or undefined
+ */
+export function parseControlLinkMessage(
+  value: unknown,
+): PeerEnvelope | BalancerToControlMessage | undefined {
+  const isFit = peerEnvelope.safeParse(value).success || balancerToControl.safeParse(value).success;
+  return isFit ? (value as PeerEnvelope | BalancerToControlMessage) : undefined;
+}
+
+/**
+ * @returns the message that came to the link address of a balancer, or undefined
+ */
+export function parseBalancerLinkMessage(value: unknown): BalancerToControlMessage | undefined {
+  return balancerToControl.safeParse(value).success
+    ? (value as BalancerToControlMessage)
+    : undefined;
+}
+
+/**
+ * @returns the message of the one that feeds a balancer, or undefined
+ */
+export function parseFeedMessage(value: unknown): ControlToBalancerMessage | undefined {
+  return controlToBalancer.safeParse(value).success
+    ? (value as ControlToBalancerMessage)
+    : undefined;
+}
--- a/src/daemon/message-link.ts
+++ b/src/daemon/message-link.ts
@@ -3,14 +3,13 @@
  */
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { once } from 'node:events';
-import { Packr, UnpackrStream } from 'msgpackr';
 import type { Address } from '../common/address.js';
+import { encodeFrame, FrameDecoder } from '../common/frame-codec.js';
 import type { TrafficDirection } from '../dissemination/traffic.js';
 
 const KEEP_ALIVE_MS = 5_000;
 /** A link whose other end leaves more than this unread is closed; its owner opens it anew. */
 const MAX_UNSENT_BYTES = 16 * 1024 * 1024;
-const packr = new Packr({ useRecords: false });
 
 /** One end of a link. */
 export interface MessageLink {
@@ -20,7 +19,8 @@
 
 /** What the owner of a link wants to hear. */
 export interface LinkHandlers {
-  onMessage(message: unknown, link: MessageLink): void;
+  /** @returns false where the message is not one that belongs here; the link is closed then */
+  onMessage(message: unknown, link: MessageLink): boolean;
   onClose(link: MessageLink): void;
   /** Counts a message with its bytes; of messages that come at once, the first counts them all. */
   onTraffic?(direction: TrafficDirection, kind: string, bytes: number): void;
@@ -66,13 +66,13 @@
 }
 
 function wrapLink(socket: Socket, handlers: LinkHandlers): MessageLink {
-  const decoder = new UnpackrStream({ useRecords: false });
+  const decoder = new FrameDecoder();
   const link: MessageLink = {
     send: (message) => {
       if (socket.writableLength > MAX_UNSENT_BYTES) {
         socket.destroy();
       } else if (socket.writable) {
-        const bytes = packr.pack(message);
+        const bytes = encodeFrame(message);
         socket.write(bytes);
         handlers.onTraffic?.('sent', kindOf(message), bytes.length);
       }
@@ -81,20 +81,24 @@
   };
   socket.setNoDelay(true);
   socket.setKeepAlive(true, KEEP_ALIVE_MS);
-  socket.pipe(decoder);
   let countedBytes = 0;
-  decoder.on('data', (message: unknown) => {
+  const take = (message: unknown) => {
     handlers.onTraffic?.('received', kindOf(message), socket.bytesRead - countedBytes);
     countedBytes = socket.bytesRead;
-    handlers.onMessage(message, link);
+    return handlers.onMessage(message, link);
+  };
+  socket.on('data', (chunk) => {
+    const decoded = decoder.push(chunk);
+    if (decoded.type === 'malformed' || !decoded.messages.every(take)) {
+      socket.destroy();
+    }
   });
-  decoder.on('error', () => socket.destroy());
   socket.on('error', () => socket.destroy());
   socket.on('close', () => handlers.onClose(link));
   return link;
 }
 
 function kindOf(message: unknown): string {
-  const { type } = message as { readonly type?: unknown };
-  return typeof type === 'string' ? type : 'unknown';
+  const hasType = typeof message === 'object' && message !== null && 'type' in message;
+  return hasType && typeof message.type === 'string' ? message.type : 'unknown';
 }
--- a/src/daemon/peer-links.ts
+++ b/src/daemon/peer-links.ts
@@ -54,7 +54,7 @@
   private open(address: Address, peer: PeerLink): MessageLink {
     const openedAtMs = performance.now();
     return connectLink(address, {
-      onMessage: () => undefined,
+      onMessage: () => false,
       onClose: () => {
         const lasted = performance.now() - openedAtMs > MAX_RETRY_DELAY_MS;
         peer.link = undefined;
--- a/src/daemon/peer-sockets.ts
+++ b/src/daemon/peer-sockets.ts
@@ -5,10 +5,7 @@
 import type { Address } from '../common/address.js';
 import { loggerFor } from '../common/logger.js';
 import type { BalancerEvent } from '../balancer/balancer-events.js';
-import type {
-  BalancerToControlMessage,
-  ControlToBalancerMessage,
-} from '../dissemination/link-messages.js';
+import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
 import type { LinkId } from '../dissemination/publisher.js';
 import type { TrafficDirection } from '../dissemination/traffic.js';
 import {
@@ -20,6 +17,7 @@
 import type { PeerDatagram } from '../membership/gossip-messages.js';
 import type { MemberAddresses } from '../membership/member.js';
 import type { Settings } from '../settings/settings-schema.js';
+import { parseBalancerLinkMessage } from './link-schemas.js';
 import { listenForLinks, type LinkServer, type MessageLink } from './message-link.js';
 import { bindUdp, type UdpSocket } from './udp-socket.js';
 
@@ -59,12 +57,13 @@
       sockets.receive(datagram, from),
     );
     sockets.server = await listenForLinks(balancer.linkAddress, {
-      onMessage: (message, link) =>
-        owner()?.step({
-          type: 'peer-message',
-          linkId: sockets.idOf(link),
-          message: message as BalancerToControlMessage,
-        }),
+      onMessage: (value, link) => {
+        const message = parseBalancerLinkMessage(value);
+        if (message !== undefined) {
+          owner()?.step({ type: 'peer-message', linkId: sockets.idOf(link), message });
+        }
+        return message !== undefined;
+      },
       onClose: (link) => sockets.forget(link),
       onTraffic: (direction, kind, bytes) => owner()?.countTraffic(direction, kind, bytes),
     });
--- a/src/experiment/bench-forward-control.ts
+++ b/src/experiment/bench-forward-control.ts
@@ -58,6 +58,7 @@
       }
       indexInForce = Math.max(indexInForce, sent.position.index);
       link.send({ type: 'heartbeat', committed: sent.position, lease: grantLease(sent.sentAtMs) });
+      return true;
     },
     onClose: () => undefined,
   });
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -3,95 +3,19 @@
  * one of them before any decision sees it.
  */
 import * as z from 'zod/mini';
+import {
+  addressShape as address,
+  consensusMessageShape as consensusMessage,
+  countShape as count,
+  indexShape as index,
+  listOf as list,
+  senderShape as sender,
+  textShape as text,
+} from '../consensus/message-shapes.js';
 import type { ControlInboundMessage, FeedMessage } from './group-messages.js';
 
-const MAX_TEXT = 200;
-const MAX_LIST = 20_000;
-const MAX_PORT = 65_535;
 const DOCUMENT_BYTES = 4 * 1024 * 1024;
 
-const text = z.string().check(z.maxLength(MAX_TEXT));
-const count = z.number().check(z.nonnegative());
-const index = z.int().check(z.nonnegative());
-const bytes = z.instanceof(Uint8Array);
-const address = z.object({ host: text, port: z.int().check(z.minimum(0), z.maximum(MAX_PORT)) });
-const sender = z.object({ nodeId: text, storageId: text });
-
-function list<T extends z.ZodMiniType>(item: T) {
-  return z.array(item).check(z.maxLength(MAX_LIST));
-}
-
-const member = z.object({
-  nodeId: text,
-  storageId: text,
-  role: z.enum(['voter', 'learner']),
-  linkAddress: address,
-  operatorAddress: address,
-});
-const membership = z.object({ members: list(member) });
-const entry = z.object({
-  index,
-  term: index,
-  content: z.discriminatedUnion('type', [
-    z.object({ type: z.literal('no-op') }),
-    z.object({ type: z.literal('command'), data: bytes }),
-    z.object({ type: z.literal('membership'), membership }),
-  ]),
-});
-
-const consensusMessage = z.discriminatedUnion('type', [
-  z.object({
-    type: z.literal('pre-vote-request'),
-    term: index,
-    lastIndex: index,
-    lastTerm: index,
-  }),
-  z.object({ type: z.literal('pre-vote-response'), term: index, granted: z.boolean() }),
-  z.object({
-    type: z.literal('vote-request'),
-    term: index,
-    lastIndex: index,
-    lastTerm: index,
-    isTransfer: z.boolean(),
-  }),
-  z.object({ type: z.literal('vote-response'), term: index, granted: z.boolean() }),
-  z.object({
-    type: z.literal('append-request'),
-    term: index,
-    previousIndex: index,
-    previousTerm: index,
-    entries: list(entry),
-    commitIndex: index,
-    round: index,
-  }),
-  z.object({
-    type: z.literal('append-response'),
-    term: index,
-    round: index,
-    success: z.boolean(),
-    matchIndex: z.optional(index),
-    rejectedIndex: z.optional(index),
-    hintIndex: z.optional(index),
-  }),
-  z.object({
-    type: z.literal('snapshot-chunk'),
-    term: index,
-    snapshotIndex: index,
-    snapshotTerm: index,
-    membership,
-    offset: index,
-    totalBytes: index,
-    data: bytes,
-  }),
-  z.object({
-    type: z.literal('snapshot-chunk-response'),
-    term: index,
-    snapshotIndex: index,
-    nextOffset: index,
-  }),
-  z.object({ type: z.literal('timeout-now'), term: index }),
-]);
-
 const record = z.object({
   id: text,
   instanceNumber: z.string().check(z.regex(/^[0-9a-f]{16}$/)),
--- a/test/daemon/message-link.test.ts
+++ b/test/daemon/message-link.test.ts
@@ -18,7 +18,7 @@
     server.close();
   });
   const closed = new AbortController();
-  const handlers = { onMessage: () => undefined, onClose: () => closed.abort() };
+  const handlers = { onMessage: () => true, onClose: () => closed.abort() };
   const link = connectLink({ host: '127.0.0.1', port }, handlers);
   let sent = 0;
   while (!closed.signal.aborted && sent < 100) {
--- /dev/null
+++ b/test/platform/control-api.test.ts
@@ -0,0 +1,126 @@
+/** @file The calls of back ends and operators: each becomes a call of the group or a clear answer. */
+import fc from 'fast-check';
+import t from 'tap';
+import { instanceNumberOf, translate } from '../../platform/control-api.js';
+
+const BEAT = {
+  service: 'alpha',
+  address: '10.128.0.9:8080',
+  zone: 'zone-a',
+  version: 'v1',
+  capacity: 2,
+  state: 'ready',
+  warmupLeftMs: 0,
+  callSeq: 4,
+};
+const CONFIG = {
+  version: 7,
+  routes: [
+    {
+      name: 'r-1',
+      host: '198.18.0.1',
+      pathPrefix: '/8443/',
+      type: 'safe',
+      timeoutMs: 800,
+      trafficSplit: [
+        { service: 'alpha', weight: 90 },
+        { service: 'beta', weight: 10 },
+      ],
+    },
+    { name: 'r-2', host: '198.18.0.2', pathPrefix: '/8443/', timeoutMs: 10, service: 'beta' },
+  ],
+  services: [{ name: 'alpha' }, { name: 'beta' }],
+  limits: { idleTimeoutMs: 15_000 },
+};
+
+type Changes = Readonly<Record<string, unknown>>;
+
+function putConfig(changes: Changes, route: Changes = {}) {
+  const [first, second] = CONFIG.routes;
+  const routes = [{ ...first, ...route }, second];
+  return translate('POST', '/Config.Put', JSON.stringify({ ...CONFIG, routes, ...changes }));
+}
+
+function statusOf(translated: ReturnType<typeof translate>): number {
+  return translated.type === 'answer' ? translated.answer.status : 0;
+}
+
+t.test('a heartbeat', async (t) => {
+  const path = '/Backends.Heartbeat/i-7f3a91c2';
+  const translated = translate('POST', path, JSON.stringify(BEAT));
+  t.match(translated, {
+    type: 'call',
+    call: {
+      type: 'heartbeat',
+      isDraining: false,
+      record: {
+        id: 'i-7f3a91c2',
+        instanceNumber: '000000007f3a91c2',
+        address: { host: '10.128.0.9', port: 8_080 },
+        sequence: 4,
+      },
+    },
+  });
+  const draining = translate('POST', path, JSON.stringify({ ...BEAT, state: 'draining' }));
+  t.match(draining, { call: { isDraining: true } });
+});
+
+t.test('a deregistration and a read', async (t) => {
+  t.match(translate('POST', '/Backends.Deregister/i-1', ''), {
+    call: { type: 'deregister', backendId: 'i-1' },
+  });
+  t.match(translate('GET', '/Config.Get', ''), { call: { type: 'read-config' } });
+});
+
+t.test('a configuration keeps its text', async (t) => {
+  const text = JSON.stringify(CONFIG, undefined, 1);
+  t.match(translate('POST', '/Config.Put', text), {
+    call: { type: 'declare-config', document: { version: 7, text } },
+  });
+});
+
+t.test(
+  'invalid configurations are refused, and so is an old version that is invalid',
+  async (t) => {
+    const whole = JSON.stringify(CONFIG);
+    t.equal(statusOf(translate('POST', '/Config.Put', whole.slice(0, -9))), 400, 'cut short');
+    t.equal(statusOf(putConfig({}, { service: 'gamma', trafficSplit: undefined })), 400, 'service');
+    t.equal(statusOf(putConfig({}, { host: '198.18.0.2' })), 400, 'same place');
+    t.equal(statusOf(putConfig({}, { timeoutMs: 0 })), 400, 'no time-out');
+    const weightless = [{ service: 'alpha', weight: 0 }];
+    t.equal(statusOf(putConfig({}, { trafficSplit: weightless })), 400, 'no weight');
+    t.equal(statusOf(putConfig({ version: 0 })), 400, 'no version');
+    t.equal(statusOf(putConfig({ version: 1 }, { timeoutMs: 0 })), 400, 'old and invalid');
+    t.equal(statusOf(putConfig({})), 0, 'the whole one is taken');
+  },
+);
+
+t.test('what is no call is told so', async (t) => {
+  t.equal(statusOf(translate('GET', '/', '')), 404);
+  t.equal(statusOf(translate('POST', '/Backends.Heartbeat/', JSON.stringify(BEAT))), 400);
+  t.equal(statusOf(translate('POST', '/Backends.Heartbeat/%E0', JSON.stringify(BEAT))), 400);
+  t.equal(statusOf(translate('POST', '/Backends.Heartbeat/i-1', '{}')), 400);
+});
+
+t.test('no call makes the translation throw', async (t) => {
+  const path = fc.constantFrom(
+    '/Config.Put',
+    '/Config.Get',
+    '/Backends.Heartbeat/i-1',
+    '/Backends.Deregister/',
+  );
+  const body = fc.oneof(fc.string(), fc.json());
+  fc.assert(
+    fc.property(fc.constantFrom('GET', 'POST'), path, body, (method, url, text) => {
+      const translated = translate(method, url, text);
+      return translated.type === 'call' || translated.answer.status >= 400;
+    }),
+    { seed: 1, numRuns: 1_000 },
+  );
+  t.pass();
+});
+
+t.test('the number of an instance is the hexadecimal digits of its ID', async (t) => {
+  t.equal(instanceNumberOf('i-7f3a91c2'), '000000007f3a91c2');
+  t.equal(instanceNumberOf('i-8d5f354dd3'), '0000008d5f354dd3');
+});
