Give a connection up that does not stand within 0.2 s

Test daemon/frame-links: a socket that never connects is given up before its silence would be noticed.

--- a/src/daemon/frame-links.ts
+++ b/src/daemon/frame-links.ts
@@ -14,6 +14,8 @@
   readonly pulseIntervalMs: number;
   /** A link that brings nothing for so long is closed, in milliseconds. */
   readonly silentAfterMs: number;
+  /** A connection that does not stand after so long is given up, in milliseconds. */
+  readonly connectTimeoutMs: number;
   /** What waits to be sent beyond this is dropped, in bytes. */
   readonly maxUnsentBytes: number;
 }
@@ -22,6 +24,7 @@
 export const defaultFrameLinkOptions: FrameLinkOptions = {
   pulseIntervalMs: 400,
   silentAfterMs: 1_200,
+  connectTimeoutMs: 200,
   maxUnsentBytes: 4 * 1024 * 1024,
 };
 
@@ -55,17 +58,28 @@
   /** Links that were closed since what they brought did not belong there. */
   malformedLinks = 0;
 
-  constructor(private readonly options: FrameLinkOptions = defaultFrameLinkOptions) {
+  /**
+   * @param dial opens a connection; tests give one that never stands
+   */
+  constructor(
+    private readonly options: FrameLinkOptions = defaultFrameLinkOptions,
+    private readonly dial: (to: Address) => Socket = ({ port, host }) => connect(port, host),
+  ) {
     this.timer = setInterval(() => this.keepAlive(), options.pulseIntervalMs);
     this.timer.unref();
   }
 
   /**
-   * Connects to a process.
+   * Connects to a process. A machine that is off says nothing, and the system tries again only after a
+   * second or more, so a connection that does not stand soon is given up.
    * @returns the link at once; messages sent before the connection stands are queued
    */
   connect(to: Address, handlers: FrameLinkHandlers): FrameLink {
-    return this.wrap(connect(to.port, to.host), handlers);
+    const socket = this.dial(to);
+    const giveUp = setTimeout(() => socket.destroy(), this.options.connectTimeoutMs);
+    socket.once('connect', () => clearTimeout(giveUp));
+    socket.once('close', () => clearTimeout(giveUp));
+    return this.wrap(socket, handlers);
   }
 
   /**
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -7,7 +7,7 @@
 import type { BalancerInfo } from '../group/group-messages.js';
 import { parseFeed, type BalancerMessage } from '../group/message-schemas.js';
 import { ingressTick, ownReport, takeFeed, takeReport } from '../ingress/feed-step.js';
-import { FeedSource } from '../ingress/feed-source.js';
+import { FEED_RETRY_AFTER_MS, FeedSource } from '../ingress/feed-source.js';
 import {
   createIngressState,
   isReady,
@@ -247,6 +247,9 @@
           this.controlLink = undefined;
           this.surroundings.note('feed lost', { control: formatAddress(to), reason });
           this.source.closed(this.surroundings.nowMs());
+          this.surroundings.after(FEED_RETRY_AFTER_MS, () => {
+            this.followFeed(this.surroundings.nowMs());
+          });
         }
       },
     });
--- a/src/daemon/peer-dialer.ts
+++ b/src/daemon/peer-dialer.ts
@@ -6,7 +6,7 @@
 import type { FrameLink, FrameLinks } from './frame-links.js';
 
 /** A link that could not be opened is tried again after this time, in milliseconds. */
-const RETRY_AFTER_MS = 150;
+const RETRY_AFTER_MS = 50;
 
 /** Links to other processes. */
 export class PeerDialer {
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -134,7 +134,7 @@
 export const groupConsensusOptions = {
   heartbeatIntervalMs: 150,
   electionTimeoutMs: 700,
-  firstElectionTimeoutMs: 150,
+  firstElectionTimeoutMs: 80,
   maxBatchEntries: 64,
   maxBatchBytes: 512 * 1024,
   maxInFlightBatches: 4,
--- a/src/ingress/feed-source.ts
+++ b/src/ingress/feed-source.ts
@@ -12,7 +12,7 @@
 /** A link must bring its first message within this time, in milliseconds. */
 const FIRST_WORD_AFTER_MS = 700;
 /** Time before the next try, in milliseconds. */
-const RETRY_AFTER_MS = 80;
+export const FEED_RETRY_AFTER_MS = 40;
 
 /** What the owner of the link should do now. */
 export type FeedAction =
@@ -70,7 +70,7 @@
   /** Notes that the link is closed. */
   closed(nowMs: number): void {
     this.linked = undefined;
-    this.retryAtMs = nowMs + RETRY_AFTER_MS;
+    this.retryAtMs = nowMs + FEED_RETRY_AFTER_MS;
   }
 
   /** Decides what to do with the link. */
--- a/src/sim/ingress/stand-in-client.ts
+++ b/src/sim/ingress/stand-in-client.ts
@@ -214,7 +214,7 @@
       acknowledged: kind === 'acknowledge' ? this.requestId : copyNumber,
       dataLength,
     });
-    const balancer = this.world.pickBalancer(`${formatAddress(this.address)}`);
+    const balancer = this.world.pickBalancer(formatAddress(this.address));
     if (balancer !== undefined) {
       this.parts.wires.sendDatagram(this.host, balancer, encodePacket(packet));
     }
--- /dev/null
+++ b/test/daemon/frame-links.test.ts
@@ -0,0 +1,44 @@
+/** @file Links notice by themselves that the other end is gone or never was there. */
+import { once } from 'node:events';
+import { Socket } from 'node:net';
+import t from 'tap';
+import { defaultFrameLinkOptions, FrameLinks } from '../../src/daemon/frame-links.js';
+
+const ANYWHERE = { host: '127.0.0.1', port: 0 };
+
+t.test(
+  'a connection that never stands is given up long before the link would be silent',
+  async (t) => {
+    const links = new FrameLinks(defaultFrameLinkOptions, () => new Socket());
+    t.teardown(() => links.close());
+    const startedAtMs = performance.now();
+    await new Promise<void>((resolve) => {
+      links.connect(ANYWHERE, { onMessage: () => true, onClose: () => resolve() });
+    });
+    t.ok(performance.now() - startedAtMs < defaultFrameLinkOptions.silentAfterMs);
+  },
+);
+
+t.test(
+  'a message goes over, and a link that brings something else is closed and counted',
+  async (t) => {
+    const links = new FrameLinks();
+    t.teardown(() => links.close());
+    const taken: unknown[] = [];
+    const address = await links.listen(ANYWHERE, {
+      onMessage: (message) => {
+        taken.push(message);
+        return !Array.isArray(message);
+      },
+      onClose: () => undefined,
+    });
+    const closed = new AbortController();
+    const link = links.connect(address, { onMessage: () => true, onClose: () => closed.abort() });
+    const ended = once(closed.signal, 'abort');
+    link.send({ type: 'hello' });
+    link.send(['text']);
+    await ended;
+    t.same(taken, [{ type: 'hello' }, ['text']]);
+    t.equal(links.malformedLinks, 1);
+  },
+);
