--- a/test/daemon/consensus-storage.test.ts
+++ b/test/daemon/consensus-storage.test.ts
@@ -211,3 +211,25 @@
   await t.resolves(write);
   t.strictSame(await recoveredEntries(await openStorageFolder(path)), [entry(1)]);
 });
+
+t.test('with a pause, writes are tried until they last, wherever the disk filled up', async (t) => {
+  const whole = await withThreeWrites();
+  const wholeLog = await logOf(whole);
+  for (let operations = 0; operations < 6; operations += 1) {
+    const folder = new MemoryFolder();
+    let pauses = 0;
+    const pause = async () => {
+      pauses += 1;
+      folder.operationsLeft = pauses < 3 ? 0 : Infinity;
+    };
+    const storage = await ConsensusStorage.open(folder, 'c1', () => 'disk-1', pause);
+    folder.operationsLeft = operations;
+    await storage._unsafeUnwrap().persist(append(1, entry(1)));
+    await storage._unsafeUnwrap().persist(append(2, entry(2), entry(3)));
+    await storage._unsafeUnwrap().persist(append(3, entry(4)));
+    t.ok(pauses >= 3, `full after ${operations} operations`);
+    t.same(await logOf(folder), wholeLog, 'nothing of the failed tries is left');
+    const left = folder.crashed(0);
+    t.equal((await recoveredEntries(left)).length, 4);
+  }
+});
--- /dev/null
+++ b/test/ingress/placement.test.ts
@@ -0,0 +1,136 @@
+/** @file Which back end a new flow goes to. */
+import t from 'tap';
+import { BackendTable } from '../../src/ingress/backend-table.js';
+import { createIngressState, type IngressState } from '../../src/ingress/ingress-state.js';
+import { decidePacket } from '../../src/ingress/packet-step.js';
+import type { PacketView } from '../../src/ingress/packet-view.js';
+import { chooseBackend } from '../../src/ingress/placement.js';
+
+const OPTIONS = {
+  name: 'balancer-1',
+  zone: 'zone-a',
+  heartbeatIntervalMs: 1_000,
+  flowLifetimeMs: 60_000,
+  feedFreshMs: 1_500,
+};
+const OPEN: PacketView = {
+  sourceHost: 1,
+  sourcePort: 1_000,
+  destinationHost: 0xc6120001,
+  destinationPort: 443,
+  isOpen: true,
+  isFinish: false,
+  isReset: false,
+  copyNumber: 0,
+  token: 0,
+  sequence: 0,
+  acknowledged: 0,
+  dataLength: 0,
+};
+
+function addBackend(table: BackendTable, number: number, zone: string, ageMs = 0): void {
+  const record = {
+    id: `backend-${number}`,
+    instanceNumber: number.toString(16).padStart(16, '0'),
+    service: 'alpha',
+    address: { host: `10.0.2.${number}`, port: 9_000 },
+    zone,
+    capacity: 2,
+    warmUpLeftMs: 0,
+    sequence: 1,
+  };
+  table.take({ record, ageMs }, 0);
+}
+
+function stateWith(count: number): IngressState {
+  const state = createIngressState(OPTIONS);
+  state.routes.take({
+    version: 1,
+    routes: [
+      {
+        name: 'r',
+        host: '198.18.0.1',
+        port: 443,
+        targets: [{ service: 'alpha', weight: 1 }],
+        kind: 'repeatable',
+        timeoutMs: 1_000,
+      },
+    ],
+    services: [{ name: 'alpha' }],
+    idleTimeoutMs: 15_000,
+  });
+  state.currentAtMs = 0;
+  state.firstCurrentAtMs = 0;
+  for (let number = 1; number <= count; number += 1) {
+    addBackend(state.backends, number, 'zone-a');
+  }
+  return state;
+}
+
+function chosenId(state: IngressState, port: number, nowMs: number, copyNumber = 0): string {
+  const decision = decidePacket(state, { ...OPEN, sourcePort: port, copyNumber }, nowMs);
+  return decision.type === 'forward' ? decision.backend.id : decision.type;
+}
+
+t.test('new flows are spread over the back ends of the zone', async (t) => {
+  const state = stateWith(3);
+  addBackend(state.backends, 9, 'zone-b');
+  const chosen = [1, 2, 3].map((port) => chosenId(state, port, 0));
+  t.same(new Set(chosen), new Set(['backend-1', 'backend-2', 'backend-3']));
+});
+
+t.test('another zone takes flows where the own is clearly busier', async (t) => {
+  const state = stateWith(1);
+  addBackend(state.backends, 9, 'zone-b');
+  const chosen = [1, 2, 3, 4].map((port) => chosenId(state, port, 0));
+  t.ok(chosen.includes('backend-9'), chosen.join(' '));
+  t.equal(chosen[0], 'backend-1');
+});
+
+t.test('a copy goes where the first went', async (t) => {
+  const state = stateWith(3);
+  const first = chosenId(state, 1, 0);
+  chosenId(state, 2, 10);
+  t.equal(chosenId(state, 1, 200, 1), first);
+  t.equal(chosenId(state, 1, 600, 2), first);
+});
+
+t.test('a back end that misses two opens is passed over for a while', async (t) => {
+  const state = stateWith(2);
+  const dead = chosenId(state, 1, 0);
+  chosenId(state, 1, 200, 1);
+  chosenId(state, 1, 600, 2);
+  const later = [11, 12, 13, 14, 15, 16].map((port) => chosenId(state, port, 700));
+  t.notOk(later.includes(dead), later.join(' '));
+  const muchLater = [21, 22, 23, 24].map((port) => chosenId(state, port, 4_000));
+  t.ok(muchLater.includes(dead), 'then it is tried again');
+});
+
+t.test('a packet of an established flow shows that a back end answers', async (t) => {
+  const state = stateWith(2);
+  const slow = chosenId(state, 1, 0);
+  chosenId(state, 1, 200, 1);
+  chosenId(state, 1, 600, 2);
+  const token = state.backends.find(slow)?.token ?? 0;
+  decidePacket(state, { ...OPEN, sourcePort: 1, isOpen: false, token, dataLength: 9 }, 650);
+  const later = [11, 12, 13, 14].map((port) => chosenId(state, port, 700));
+  t.ok(later.includes(slow), later.join(' '));
+});
+
+t.test('a back end that is silent for long is used only where no other is', async (t) => {
+  const table = new BackendTable();
+  addBackend(table, 1, 'zone-a', 4_000);
+  table.observe(0);
+  t.equal(chooseBackend(table, 'alpha', OPTIONS, 0, 0)?.id, 'backend-1');
+  addBackend(table, 2, 'zone-b');
+  for (let hash = 0; hash < 4; hash += 1) {
+    t.equal(chooseBackend(table, 'alpha', OPTIONS, hash, 0)?.id, 'backend-2');
+  }
+});
+
+t.test('a service without back ends is refused once all are known', async (t) => {
+  const state = stateWith(0);
+  t.equal(chosenId(state, 1, 100), 'drop', 'they may still come');
+  state.currentAtMs = 2_500;
+  t.equal(chosenId(state, 2, 2_500), 'reset');
+});
