--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -5,12 +5,9 @@
 import { match } from 'ts-pattern';
 import { formatAddress } from '../common/address.js';
 import type { StepContext } from '../common/step.js';
-import { consensusStep } from '../consensus/consensus-step.js';
-import type { ConsensusEffect, ConsensusEvent } from '../consensus/consensus-events.js';
+import type { ConsensusEvent } from '../consensus/consensus-events.js';
 import { currentMembership } from '../consensus/consensus-state.js';
-import type { LogEntry } from '../consensus/log.js';
-import { findMember, votersOf } from '../consensus/membership.js';
-import type { ConsensusMessage } from '../consensus/messages.js';
+import { findMember } from '../consensus/membership.js';
 import { isLaterDeparture, type BackendRecord } from '../registry/backend-record.js';
 import {
   addSubscriber,
@@ -19,18 +16,11 @@
   shareWithPeers,
   takeBalancers,
 } from './balancer-feed.js';
+import { OWN_PROPOSAL, runConsensus } from './group-consensus.js';
 import type { GroupEffect, GroupEvent, RequestId } from './group-events.js';
 import type { AgedRecord, PeerMessage } from './group-messages.js';
 import { isCurrent, leaderAddress, type GroupState } from './group-state.js';
-import {
-  expireCalls,
-  finishCall,
-  finishRead,
-  refused,
-  startCall,
-  takeForward,
-  takeForwardReply,
-} from './leader-requests.js';
+import { expireCalls, startCall, takeForward, takeForwardReply } from './leader-requests.js';
 import {
   announceWhereDue,
   firstMembershipEvent,
@@ -39,14 +29,7 @@
   noteAnnouncement,
 } from './membership-duties.js';
 import { nextRegistryCommand, seedRegistry } from './registry-duties.js';
-import { decodeGroupCommand, encodeGroupCommand, type AppliedChange } from './replicated-state.js';
-
-/** Proposal ID of the leader's own changes of the membership, for which nobody waits. */
-const OWN_PROPOSAL = 0;
-/** A snapshot is taken after so many bytes of commands. */
-const SNAPSHOT_AFTER_BYTES = 2 * 1024 * 1024;
-/** ... or after so many entries. */
-const SNAPSHOT_AFTER_ENTRIES = 256;
+import { encodeGroupCommand } from './replicated-state.js';
 
 /**
  * Takes one event.
@@ -258,142 +241,6 @@
   return [{ type: 'send-peer', to: leader, message }];
 }
 
-/** Runs the consensus step and takes its effects, among them those that change the state here. */
-function runConsensus(
-  state: GroupState,
-  event: ConsensusEvent,
-  context: StepContext,
-): GroupEffect[] {
-  const effects = consensusStep(state.consensus, event, context);
-  const taken = effects.flatMap((effect) => takeConsensusEffect(state, effect));
-  return [...taken, ...takeSnapshotWhereDue(state, context)];
-}
-
-function takeConsensusEffect(state: GroupState, consensusEffect: ConsensusEffect): GroupEffect[] {
-  return match(consensusEffect)
-    .with({ type: 'persist' }, { type: 'persist-snapshot' }, (effect): GroupEffect[] => [effect])
-    .with({ type: 'consensus-send' }, ({ to, message }) => sendConsensus(state, to, message))
-    .with({ type: 'committed' }, ({ entries }) =>
-      entries.flatMap((entry) => applyEntry(state, entry)),
-    )
-    .with({ type: 'restore-snapshot' }, ({ snapshot }) => restore(state, snapshot.data))
-    .with({ type: 'proposal-appended' }, ({ proposalId, index, term }) => {
-      if (proposalId !== OWN_PROPOSAL) {
-        state.proposals.set(index, { proposalId, term });
-      }
-      return [];
-    })
-    .with({ type: 'proposal-refused' }, ({ proposalId, reason }) =>
-      finishCall(state, proposalId, refused(reason)),
-    )
-    .with({ type: 'read-ready' }, ({ readId }) => finishRead(state, readId))
-    .with({ type: 'read-refused' }, ({ readId, kind }) =>
-      finishCall(state, readId, refused(`The read was refused: ${kind}.`)),
-    )
-    .with({ type: 'leadership-lost' }, ({ kind }) => abandonProposals(state, kind))
-    .with({ type: 'role-changed' }, () => [roleDecision(state)])
-    .exhaustive();
-}
-
-function sendConsensus(state: GroupState, to: string, message: ConsensusMessage): GroupEffect[] {
-  const { consensus, options, replyAddresses } = state;
-  const member = findMember(currentMembership(consensus), to);
-  const address = member?.linkAddress ?? replyAddresses.get(to);
-  if (address === undefined || consensus.clusterId === undefined) {
-    return [];
-  }
-  const peerMessage: PeerMessage = {
-    type: 'consensus',
-    clusterId: consensus.clusterId,
-    from: { nodeId: consensus.nodeId, storageId: consensus.storageId },
-    replyTo: options.linkAddress,
-    toNodeId: to,
-    message,
-  };
-  return [{ type: 'send-peer', to: address, message: peerMessage }];
-}
-
-function applyEntry(state: GroupState, entry: LogEntry): GroupEffect[] {
-  const { content, index, term } = entry;
-  if (content.type === 'membership') {
-    state.changes.listsChanged = true;
-    return [membershipDecision(state, index)];
-  }
-  if (content.type === 'no-op') {
-    return [];
-  }
-  const change = state.replicated.apply(decodeGroupCommand(content.data));
-  const decisions = noteChange(state, change);
-  const proposal = state.proposals.get(index);
-  state.proposals.delete(index);
-  if (proposal?.term !== term) {
-    return decisions;
-  }
-  return [...decisions, ...finishCall(state, proposal.proposalId, { type: 'committed' })];
-}
-
-function noteChange(state: GroupState, applied: AppliedChange): GroupEffect[] {
-  return match(applied)
-    .with({ type: 'config-changed' }, ({ document }): GroupEffect[] => {
-      state.config = state.options.readDocument(document);
-      const fields = { version: document.version, routes: state.config.routes.length };
-      return [{ type: 'decision', name: 'config in force', fields }];
-    })
-    .with({ type: 'departure-noted' }, ({ departure }): GroupEffect[] => {
-      state.changes.departures.push(departure);
-      return [{ type: 'decision', name: 'departure', fields: { ...departure } }];
-    })
-    .with({ type: 'nothing-changed' }, () => [])
-    .exhaustive();
-}
-
-function restore(state: GroupState, data: Uint8Array): GroupEffect[] {
-  state.replicated.restore(data);
-  const { config } = state.replicated;
-  state.config = config === undefined ? undefined : state.options.readDocument(config);
-  state.changes.departures = state.replicated.allDepartures();
-  state.isRegistrySeeded = false;
-  return [{ type: 'decision', name: 'snapshot taken over', fields: { version: config?.version } }];
-}
-
-/** What was proposed may still be committed; the same call sent again tells. */
-function abandonProposals(state: GroupState, kind: string): GroupEffect[] {
-  state.proposals.clear();
-  return [...state.answers.keys()].flatMap((proposalId) =>
-    finishCall(state, proposalId, refused(`Leadership was lost: ${kind}.`)),
-  );
-}
-
-function takeSnapshotWhereDue(state: GroupState, context: StepContext): GroupEffect[] {
-  const { consensus, replicated } = state;
-  const snapshotIndex = consensus.snapshot?.index ?? 0;
-  const entries = consensus.commitIndex - snapshotIndex;
-  const bytes = entries * (replicated.config?.text.length ?? 0);
-  const isDue = entries >= SNAPSHOT_AFTER_ENTRIES || (entries > 0 && bytes >= SNAPSHOT_AFTER_BYTES);
-  if (!isDue) {
-    return [];
-  }
-  const data = replicated.encode();
-  return runConsensus(
-    state,
-    { type: 'snapshot-taken', index: consensus.commitIndex, data },
-    context,
-  );
-}
-
 function unavailable(requestId: RequestId, reason: string): GroupEffect {
   return { type: 'reply', requestId, reply: { type: 'unavailable', reason } };
 }
-
-function roleDecision(state: GroupState): GroupEffect {
-  const { role, term, leaderId, commitIndex } = state.consensus;
-  const fields = { role: role.name, term, leader: leaderId, commit: commitIndex };
-  return { type: 'decision', name: 'role', fields };
-}
-
-function membershipDecision(state: GroupState, index: number): GroupEffect {
-  const membership = currentMembership(state.consensus);
-  const members = membership.members.map(({ nodeId }) => nodeId).join(' ');
-  const fields = { index, voters: votersOf(membership).length, members };
-  return { type: 'decision', name: 'membership', fields };
-}
