Never wait for whoever reads the log lines

Cause: writes to a pipe on standard error wait for the reader in Node.js, so a reader that stands still would hold up packets. Lines now gather behind one write in a thread of the pool, up to 256 KiB; what is over it is dropped, counted and told.

--- a/src/common/logger.ts
+++ b/src/common/logger.ts
@@ -31,6 +31,20 @@
 /** A logger of one part. */
 export type Logger = Pick<loglevel.Logger, 'trace' | 'debug' | 'info' | 'warn' | 'error'>;
 
+/** Takes a line with its end. */
+export type LogSink = (line: string) => void;
+
+let sink: LogSink = (line) => {
+  process.stderr.write(line);
+};
+
+/**
+ * Sends all lines elsewhere from now on; daemons must not wait for whoever reads their lines.
+ */
+export function setLogSink(newSink: LogSink): void {
+  sink = newSink;
+}
+
 /**
  * @param part the part whose prefix each line carries
  * @returns the logger of that part
@@ -38,7 +52,7 @@
 export function loggerFor(part: LogPart): Logger {
   const logger = loglevel.getLogger(part);
   logger.methodFactory = (level) => (message: unknown) => {
-    process.stderr.write(`${new Date().toISOString()} ${level} [${part}] ${String(message)}\n`);
+    sink(`${new Date().toISOString()} ${level} [${part}] ${String(message)}\n`);
   };
   logger.setLevel(loglevel.getLevel());
   return logger;
--- /dev/null
+++ b/src/daemon/line-writer.ts
@@ -0,0 +1,61 @@
+/**
+ * @file Writes log lines without ever waiting for whoever reads them. Lines gather while a write is under
+ * way; what is beyond the bound is dropped and counted, and a line tells how many.
+ */
+import { write } from 'node:fs';
+
+/** Starts a write and calls back once it has ended, well or not. */
+export type StartWrite = (text: string, ended: () => void) => void;
+
+const STANDARD_ERROR = 2;
+const MAX_WAITING_CHARACTERS = 256 * 1024;
+
+/** A bounded queue of lines before a file. */
+export class LineWriter {
+  private waiting: string[] = [];
+  private waitingCharacters = 0;
+  private isWriting = false;
+  private droppedSinceLast = 0;
+  /** Lines that were dropped so far. */
+  droppedLines = 0;
+
+  constructor(
+    private readonly startWrite: StartWrite = writeToStandardError,
+    private readonly maxWaitingCharacters: number = MAX_WAITING_CHARACTERS,
+  ) {}
+
+  /** Takes a line with its end; returns at once. */
+  writeLine(line: string): void {
+    if (this.waitingCharacters + line.length > this.maxWaitingCharacters) {
+      this.droppedLines += 1;
+      this.droppedSinceLast += 1;
+      return;
+    }
+    this.waiting.push(line);
+    this.waitingCharacters += line.length;
+    this.writeOn();
+  }
+
+  private writeOn(): void {
+    if (this.isWriting || this.waiting.length === 0) {
+      return;
+    }
+    if (this.droppedSinceLast > 0) {
+      this.waiting.push(`${this.droppedSinceLast} lines were dropped here\n`);
+      this.droppedSinceLast = 0;
+    }
+    const text = this.waiting.join('');
+    this.waiting = [];
+    this.waitingCharacters = 0;
+    this.isWriting = true;
+    this.startWrite(text, () => {
+      this.isWriting = false;
+      this.writeOn();
+    });
+  }
+}
+
+/** Uses a thread of the pool, which may wait for the reader; the process does not. */
+function writeToStandardError(text: string, ended: () => void): void {
+  write(STANDARD_ERROR, text, () => ended());
+}
