--- /dev/null
+++ b/test/ingress/route-table.test.ts
@@ -0,0 +1,62 @@
+/** @file The routes in force: shares by weight, and never an older configuration after a newer one. */
+import t from 'tap';
+import type { DeclaredConfig } from '../../src/declared/declared-config.js';
+import { RouteTable } from '../../src/ingress/route-table.js';
+
+const HOST = 0xc6120001;
+const PORT = 443;
+
+function config(version: number, weights: readonly number[]): DeclaredConfig {
+  const services = weights.map((_, index) => ({ name: `service-${index}` }));
+  return {
+    version,
+    routes: [
+      {
+        name: 'route',
+        host: '198.18.0.1',
+        port: PORT,
+        targets: weights.map((weight, index) => ({ service: `service-${index}`, weight })),
+        kind: 'repeatable',
+        timeoutMs: 1_000,
+      },
+    ],
+    services,
+    idleTimeoutMs: 15_000,
+  };
+}
+
+t.test('after any number of flows each target is within one flow of its share', async (t) => {
+  const weights = [90, 7, 3];
+  const total = 100;
+  const table = new RouteTable();
+  table.take(config(1, weights));
+  const taken = new Map<string, number>();
+  for (let flows = 1; flows <= 500; flows += 1) {
+    const service = table.nextService(HOST, PORT) ?? '';
+    taken.set(service, (taken.get(service) ?? 0) + 1);
+    const worst = weights.map((weight, index) =>
+      Math.abs((taken.get(`service-${index}`) ?? 0) - (flows * weight) / total),
+    );
+    if (Math.max(...worst) > 1) {
+      t.fail(`after ${flows} flows: ${worst.join(' ')}`);
+      return;
+    }
+  }
+  t.pass();
+});
+
+t.test('a target without weight takes nothing', async (t) => {
+  const table = new RouteTable();
+  table.take(config(1, [1, 0]));
+  const services = Array.from({ length: 20 }, () => table.nextService(HOST, PORT));
+  t.same(new Set(services), new Set(['service-0']));
+});
+
+t.test('an older configuration, or the same again, changes nothing', async (t) => {
+  const table = new RouteTable();
+  t.ok(table.take(config(5, [1])));
+  t.notOk(table.take(config(4, [0, 1])));
+  t.notOk(table.take(config(5, [0, 1])));
+  t.equal(table.nextService(HOST, PORT), 'service-0');
+  t.equal(table.nextService(HOST, PORT + 1), undefined);
+});
