Keep the links of a process in one place, for daemons and simulator

Cause: the table of links by ID stood five times (control-edge, peer-sockets, group-daemon and both simulated control machines), the outgoing links four times (peer-links, peer-dialer, simulated-peer-links, simulated-control-machine), each with its own delays. Change: src/common/link-table.ts and dialed-links.ts; the simulated deployment now waits before it opens a broken link again, as the daemon does. Cause: the stand-in operator drew a control machine at random for each try and met the smaller half eight times in a row. Ruled out: the group itself, which had a leader 0.2 s after the cut and heard of none of the calls. The stand-ins now go on to another machine after a failure, and at once after a refusal, as real callers do; the test is unchanged.

--- a/src/daemon/control-edge.ts
+++ b/src/daemon/control-edge.ts
@@ -4,6 +4,8 @@
 import { randomBytes } from 'node:crypto';
 import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
 import { match } from 'ts-pattern';
+import { createDialedLinks } from '../common/dialed-links.js';
+import { createLinkTable } from '../common/link-table.js';
 import { loggerFor } from '../common/logger.js';
 import type { PersistEffect } from '../consensus/persisted-state.js';
 import type { CommandEntry, CommandOutcome } from '../control/commands.js';
@@ -18,25 +20,29 @@
 import { parseControlLinkMessage } from './link-schemas.js';
 import { countTraffic, type TrafficDirection } from '../dissemination/traffic.js';
 import type { ConsensusStorage } from './consensus-storage.js';
-import type { LinkHandlers, MessageLink } from './message-link.js';
+import { connectLink, type LinkHandlers, type MessageLink } from './message-link.js';
 import type { QueryAnswer } from './operator-api.js';
-import { PeerLinks } from './peer-links.js';
 import { systemContextSource } from './system-context.js';
 
 const TICK_INTERVAL_MS = 20;
+const FIRST_RETRY_DELAY_MS = 50;
+const MAX_RETRY_DELAY_MS = 1_000;
 
 /** A control machine's step with its links, its disk and those who wait for answers. */
 export class ControlEdge implements LinkHandlers {
   private readonly contexts = systemContextSource();
   private readonly logger = loggerFor('consensus');
-  private readonly peers = new PeerLinks();
+  private readonly peers = createDialedLinks<MessageLink>({
+    nowMs: () => performance.now(),
+    dial: (to, onClose) => connectLink(to, { onMessage: () => false, onClose }),
+    firstRetryDelayMs: FIRST_RETRY_DELAY_MS,
+    maxRetryDelayMs: MAX_RETRY_DELAY_MS,
+  });
   private readonly commands = new Map<RequestId, (outcome: CommandOutcome) => void>();
   private readonly queries = new Map<RequestId, (answer: QueryAnswer) => void>();
-  private readonly linkIds = new Map<MessageLink, number>();
-  private readonly links = new Map<number, MessageLink>();
+  private readonly links = createLinkTable<MessageLink>();
   private readonly timer: NodeJS.Timeout;
   private nextRequestId = 1;
-  private nextLinkId = 1;
   private lastRefusal: string | undefined;
 
   constructor(
@@ -88,16 +94,14 @@
     if (message.type === 'peer') {
       this.step({ type: 'peer-message', envelope: message });
     } else {
-      this.step({ type: 'link-message', linkId: this.idOf(link), message });
+      this.step({ type: 'link-message', linkId: this.links.idOf(link), message });
     }
     return true;
   }
 
   onClose(link: MessageLink): void {
-    const linkId = this.linkIds.get(link);
+    const linkId = this.links.remove(link);
     if (linkId !== undefined) {
-      this.linkIds.delete(link);
-      this.links.delete(linkId);
       this.step({ type: 'link-closed', linkId });
     }
   }
@@ -108,7 +112,7 @@
 
   close(): void {
     clearInterval(this.timer);
-    this.peers.close();
+    this.peers.close((link) => link.close());
   }
 
   private tick(): void {
@@ -127,23 +131,11 @@
     return requestId;
   }
 
-  private idOf(link: MessageLink): number {
-    const known = this.linkIds.get(link);
-    if (known !== undefined) {
-      return known;
-    }
-    const linkId = this.nextLinkId;
-    this.nextLinkId += 1;
-    this.linkIds.set(link, linkId);
-    this.links.set(linkId, link);
-    return linkId;
-  }
-
   private perform(effect: ControlEffect): void {
     match(effect)
       .with({ type: 'persist' }, { type: 'persist-snapshot' }, (write) => this.persist(write))
       .with({ type: 'peer-send' }, ({ address, envelope }) => this.peers.send(address, envelope))
-      .with({ type: 'link-send' }, ({ linkId, message }) => this.links.get(linkId)?.send(message))
+      .with({ type: 'link-send' }, ({ linkId, message }) => this.links.find(linkId)?.send(message))
       .with({ type: 'operator-reply' }, ({ requestId, outcome }) => {
         this.commands.get(requestId)?.(outcome);
         this.commands.delete(requestId);
--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -5,9 +5,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
 import { formatAddress, type Address } from '../common/address.js';
+import { createDialedLinks } from '../common/dialed-links.js';
+import { createLinkTable } from '../common/link-table.js';
 import type { PersistEffect } from '../consensus/persisted-state.js';
 import type { AmberliftError } from '../flow/error-kinds.js';
-import type { GroupReply, LinkId } from '../group/group-events.js';
+import type { GroupReply } from '../group/group-events.js';
 import { createGroupState, firstStorageId, type GroupOptions } from '../group/group-state.js';
 import { isFirstMember } from '../group/membership-duties.js';
 import { parseControlInbound } from '../group/message-schemas.js';
@@ -15,12 +17,13 @@
 import { logDecision } from './decision-log.js';
 import { FrameLinks, type FrameLink } from './frame-links.js';
 import { GroupProcess, type GroupCall, type GroupSurroundings } from './group-process.js';
-import { PeerDialer } from './peer-dialer.js';
 import { openStorageFolder } from './storage-folder.js';
 import { systemContextSource } from './system-context.js';
 
 const TICK_INTERVAL_MS = 50;
 const RETRY_WRITE_AFTER_MS = 200;
+/** A link to another control machine that could not be opened is tried again after this time. */
+const RETRY_LINK_AFTER_MS = 50;
 const MAX_OPEN_ATTEMPTS = 300;
 const SLOW_WRITE_MS = 500;
 /** Time for what was sent at a stop to leave. */
@@ -29,18 +32,23 @@
 /** A running control machine. */
 export class GroupDaemon {
   private readonly links = new FrameLinks();
-  private readonly feedLinks = new Map<LinkId, FrameLink>();
-  private readonly linkIds = new Map<FrameLink, LinkId>();
+  private readonly feedLinks = createLinkTable<FrameLink>();
+  private readonly peers = createDialedLinks<FrameLink>({
+    nowMs: () => performance.now(),
+    // Nothing but pulses comes back on a link that was dialed.
+    dial: (to, onClose) => this.links.connect(to, { onMessage: () => false, onClose }),
+    firstRetryDelayMs: RETRY_LINK_AFTER_MS,
+    maxRetryDelayMs: RETRY_LINK_AFTER_MS,
+  });
   private readonly group: GroupProcess;
   private timer: NodeJS.Timeout | undefined;
 
   private constructor(options: GroupOptions, storage: ConsensusStorage) {
     const contexts = systemContextSource();
-    const dialer = new PeerDialer(this.links);
     const surroundings: GroupSurroundings = {
       context: () => contexts.now(),
-      sendToPeer: (to, message) => dialer.send(to, message),
-      sendFeed: (linkId, message) => this.feedLinks.get(linkId)?.send(message),
+      sendToPeer: (to, message) => this.peers.send(to, message),
+      sendFeed: (linkId, message) => this.feedLinks.find(linkId)?.send(message),
       persist: (effect) => persist(storage, effect),
       note: (name, fields) => logDecision('control', name, fields),
     };
@@ -78,6 +86,7 @@
     this.group.stop();
     await sleep(STOP_DELAY_MS);
     clearInterval(this.timer);
+    this.peers.close((link) => link.close());
     this.links.close();
   }
 
@@ -100,18 +109,13 @@
       this.group.takePeerMessage(parsed);
       return true;
     }
-    this.group.subscribe(parsed, (linkId) => {
-      this.feedLinks.set(linkId, link);
-      this.linkIds.set(link, linkId);
-    });
+    this.group.subscribe(this.feedLinks.idOf(link), parsed);
     return true;
   }
 
   private forgetLink(link: FrameLink): void {
-    const linkId = this.linkIds.get(link);
+    const linkId = this.feedLinks.remove(link);
     if (linkId !== undefined) {
-      this.linkIds.delete(link);
-      this.feedLinks.delete(linkId);
       this.group.closeLink(linkId);
     }
   }
--- a/src/daemon/group-process.ts
+++ b/src/daemon/group-process.ts
@@ -5,13 +5,8 @@
 import type { Address } from '../common/address.js';
 import type { StepContext } from '../common/step.js';
 import type { PersistEffect } from '../consensus/persisted-state.js';
-import type {
-  GroupEffect,
-  GroupEvent,
-  GroupReply,
-  LinkId,
-  RequestId,
-} from '../group/group-events.js';
+import type { LinkId } from '../common/link-table.js';
+import type { GroupEffect, GroupEvent, GroupReply, RequestId } from '../group/group-events.js';
 import type { FeedMessage, PeerMessage, SubscribeMessage } from '../group/group-messages.js';
 import type { GroupState } from '../group/group-state.js';
 import { groupStep } from '../group/group-step.js';
@@ -59,13 +54,9 @@
     this.step({ type: 'peer-message', message });
   }
 
-  /** @returns the ID of the balancer's link */
-  subscribe(message: SubscribeMessage, send: (linkId: LinkId) => void): LinkId {
-    const linkId = this.nextNumber;
-    this.nextNumber += 1;
-    send(linkId);
+  /** A balancer wants the feed on its link. */
+  subscribe(linkId: LinkId, message: SubscribeMessage): void {
     this.step({ type: 'subscribe', linkId, message });
-    return linkId;
   }
 
   closeLink(linkId: LinkId): void {
--- a/src/daemon/peer-sockets.ts
+++ b/src/daemon/peer-sockets.ts
@@ -3,6 +3,7 @@
  * over which they get the configuration.
  */
 import type { Address } from '../common/address.js';
+import { createLinkTable } from '../common/link-table.js';
 import { loggerFor } from '../common/logger.js';
 import type { BalancerEvent } from '../balancer/balancer-events.js';
 import type { ControlToBalancerMessage } from '../dissemination/link-messages.js';
@@ -29,12 +30,10 @@
 
 /** The sockets towards other balancers. */
 export class PeerSockets {
-  private readonly linkIds = new Map<MessageLink, LinkId>();
-  private readonly links = new Map<LinkId, MessageLink>();
+  private readonly links = createLinkTable<MessageLink>();
   private readonly key: GossipKey;
   private udp: UdpSocket | undefined;
   private server: LinkServer | undefined;
-  private nextLinkId = 1;
   private hasWarned = false;
 
   private constructor(
@@ -60,7 +59,7 @@
       onMessage: (value, link) => {
         const message = parseBalancerLinkMessage(value);
         if (message !== undefined) {
-          owner()?.step({ type: 'peer-message', linkId: sockets.idOf(link), message });
+          owner()?.step({ type: 'peer-message', linkId: sockets.links.idOf(link), message });
         }
         return message !== undefined;
       },
@@ -83,7 +82,7 @@
   }
 
   sendTo(linkId: LinkId, message: ControlToBalancerMessage): void {
-    this.links.get(linkId)?.send(message);
+    this.links.find(linkId)?.send(message);
   }
 
   async close(): Promise<void> {
@@ -108,23 +107,9 @@
     }
   }
 
-  private idOf(link: MessageLink): LinkId {
-    const known = this.linkIds.get(link);
-    if (known !== undefined) {
-      return known;
-    }
-    const linkId = this.nextLinkId;
-    this.nextLinkId += 1;
-    this.linkIds.set(link, linkId);
-    this.links.set(linkId, link);
-    return linkId;
-  }
-
   private forget(link: MessageLink): void {
-    const linkId = this.linkIds.get(link);
+    const linkId = this.links.remove(link);
     if (linkId !== undefined) {
-      this.linkIds.delete(link);
-      this.links.delete(linkId);
       this.owner()?.step({ type: 'peer-closed', linkId });
     }
   }
--- a/src/group/balancer-feed.ts
+++ b/src/group/balancer-feed.ts
@@ -3,8 +3,9 @@
  * what changes, gathered for a tick, and a pulse where nothing does.
  */
 import { formatAddress } from '../common/address.js';
+import type { LinkId } from '../common/link-table.js';
 import { currentMembership } from '../consensus/consensus-state.js';
-import type { GroupEffect, LinkId } from './group-events.js';
+import type { GroupEffect } from './group-events.js';
 import type {
   AgedRecord,
   BalancerInfo,
--- a/src/group/group-events.ts
+++ b/src/group/group-events.ts
@@ -2,6 +2,7 @@
  * @file Events and effects of the step of a control machine of a group.
  */
 import type { Address } from '../common/address.js';
+import type { LinkId } from '../common/link-table.js';
 import type { PersistEffect, PersistEvent } from '../consensus/persisted-state.js';
 import type { BackendRecord } from '../registry/backend-record.js';
 import type { FeedMessage, PeerMessage, SubscribeMessage } from './group-messages.js';
@@ -9,8 +10,6 @@
 
 /** Names a call of a back end or operator until it is answered; positive. */
 export type RequestId = number;
-/** Names a link of a balancer. */
-export type LinkId = number;
 
 /** What can happen to a control machine. */
 export type GroupEvent =
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -2,6 +2,7 @@
  * @file The state of a control machine of a group, and its options.
  */
 import { formatAddress, type Address } from '../common/address.js';
+import type { LinkId } from '../common/link-table.js';
 import {
   createConsensusState,
   currentMembership,
@@ -12,7 +13,7 @@
 import type { RecoveredState } from '../consensus/persisted-state.js';
 import type { DeclaredConfig } from '../declared/declared-config.js';
 import { HeartbeatRegistry } from '../registry/heartbeat-registry.js';
-import type { LinkId, RequestId } from './group-events.js';
+import type { RequestId } from './group-events.js';
 import type { AgedRecord, BalancerInfo, LeaderRequest } from './group-messages.js';
 import { decodeGroupCommand, ReplicatedState, type ConfigDocument } from './replicated-state.js';
 
--- a/src/sim/ingress/ingress-world.ts
+++ b/src/sim/ingress/ingress-world.ts
@@ -43,6 +43,8 @@
   readonly log: string[] = [];
   private readonly parts: IngressWorldParts;
   private readonly misses = new Map<string, number>();
+  /** The control machine that each caller called last. */
+  private readonly lastCalled = new Map<string, SimulatedControlMachine>();
   private nextBackendNumber = 1;
   private nextControlNumber = 1;
 
@@ -163,13 +165,13 @@
     this.balancers.push(balancer);
   }
 
-  /** A call goes to any control machine, also to dead ones. */
+  /** A call goes to any control machine, also to dead ones, but not to the caller's last one again. */
   private readonly callControl = (
     fromHost: string,
     call: GroupCall,
     answer: (reply: GroupReply) => void,
   ): void => {
-    const control = this.controls[this.random.nextInt(this.controls.length)];
+    const control = this.pickControl(fromHost);
     this.clock.after(CALL_DELAY_MS, () => {
       if (control?.isRunning !== true || !this.wires.reaches(fromHost, control.address.host)) {
         return;
@@ -184,6 +186,17 @@
     });
   };
 
+  private pickControl(fromHost: string): SimulatedControlMachine | undefined {
+    const last = this.lastCalled.get(fromHost);
+    const others = this.controls.filter((control) => control !== last);
+    const pool = others.length > 0 ? others : this.controls;
+    const control = pool[this.random.nextInt(pool.length)];
+    if (control !== undefined) {
+      this.lastCalled.set(fromHost, control);
+    }
+    return control;
+  }
+
   private probe(): void {
     for (const { host, isReady } of this.balancers) {
       this.misses.set(host, isReady ? 0 : (this.misses.get(host) ?? 0) + 1);
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -3,11 +3,12 @@
  */
 import type { Address } from '../../common/address.js';
 import { formatAddress } from '../../common/address.js';
+import { createDialedLinks, type DialedLinks } from '../../common/dialed-links.js';
+import { createLinkTable } from '../../common/link-table.js';
 import { groupConsensusOptions } from '../../group/group-state.js';
-import type { GroupReply, LinkId } from '../../group/group-events.js';
+import type { GroupReply } from '../../group/group-events.js';
 import { createGroupState, firstStorageId } from '../../group/group-state.js';
 import type { ConsensusState } from '../../consensus/consensus-state.js';
-import type { PeerMessage } from '../../group/group-messages.js';
 import { isFirstMember } from '../../group/membership-duties.js';
 import { parseControlInbound } from '../../group/message-schemas.js';
 import { ConsensusStorage } from '../../daemon/consensus-storage.js';
@@ -20,6 +21,7 @@
 
 const TICK_MS = 50;
 const RETRY_WRITE_MS = 200;
+const RETRY_LINK_AFTER_MS = 50;
 const REQUEST_DEADLINE_MS = 850;
 
 /** Reads the documents of the simulated operator: the configuration as JSON. */
@@ -32,9 +34,8 @@
   readonly disk: VirtualDisk;
   process: GroupProcess | undefined;
   private generation = 0;
-  private readonly peerLinks = new Map<string, VirtualLink>();
-  private readonly feedLinks = new Map<LinkId, VirtualLink>();
-  private readonly linkIds = new Map<VirtualLink, LinkId>();
+  private peerLinks: DialedLinks<VirtualLink> | undefined;
+  private readonly feedLinks = createLinkTable<VirtualLink>();
   private nextStorageNumber = 1;
 
   constructor(
@@ -94,9 +95,8 @@
   private end(): void {
     this.generation += 1;
     this.process = undefined;
-    this.peerLinks.clear();
+    this.peerLinks?.close(() => undefined);
     this.feedLinks.clear();
-    this.linkIds.clear();
     this.parts.wires.hostDied(this.address.host);
   }
 
@@ -117,10 +117,18 @@
       },
       storage.recovered,
     );
+    const peerLinks = createDialedLinks<VirtualLink>({
+      nowMs: () => clock.nowMs,
+      dial: (to, onClose) =>
+        wires.connect(this.address.host, to, { onMessage: () => false, onClose }),
+      firstRetryDelayMs: RETRY_LINK_AFTER_MS,
+      maxRetryDelayMs: RETRY_LINK_AFTER_MS,
+    });
+    this.peerLinks = peerLinks;
     const process = new GroupProcess(state, {
       context: () => ({ nowMs: clock.nowMs, random }),
-      sendToPeer: (to, message) => this.sendToPeer(to, message),
-      sendFeed: (linkId, message) => this.feedLinks.get(linkId)?.send(message),
+      sendToPeer: (to, message) => peerLinks.send(to, message),
+      sendFeed: (linkId, message) => this.feedLinks.find(linkId)?.send(message),
       persist: (effect) => storage.persist(effect).finally(() => clock.notePromise()),
       note: (name, fields) => {
         this.parts.note(this.address.host, name, fields);
@@ -142,31 +150,13 @@
     }
   }
 
-  private sendToPeer(to: Address, message: PeerMessage): void {
-    const name = formatAddress(to);
-    const known = this.peerLinks.get(name);
-    if (known !== undefined) {
-      known.send(message);
-      return;
-    }
-    const link = this.parts.wires.connect(this.address.host, to, {
-      onMessage: () => false,
-      onClose: () => this.peerLinks.delete(name),
-    });
-    this.peerLinks.set(name, link);
-    link.send(message);
-  }
-
   private receive(message: unknown, link: VirtualLink): boolean {
     const parsed = parseControlInbound(message);
     if (parsed === undefined) {
       return false;
     }
     if (parsed.type === 'subscribe') {
-      this.process?.subscribe(parsed, (linkId) => {
-        this.feedLinks.set(linkId, link);
-        this.linkIds.set(link, linkId);
-      });
+      this.process?.subscribe(this.feedLinks.idOf(link), parsed);
     } else {
       this.process?.takePeerMessage(parsed);
     }
@@ -180,10 +170,8 @@
   }
 
   private forgetLink(link: VirtualLink): void {
-    const linkId = this.linkIds.get(link);
+    const linkId = this.feedLinks.remove(link);
     if (linkId !== undefined) {
-      this.linkIds.delete(link);
-      this.feedLinks.delete(linkId);
       this.process?.closeLink(linkId);
     }
   }
--- a/src/sim/ingress/stand-in-operator.ts
+++ b/src/sim/ingress/stand-in-operator.ts
@@ -89,21 +89,26 @@
     const { clock, random, oracle } = this.parts;
     let isDone = false;
     const document = { version: config.version, text: JSON.stringify(config) };
-    const attempt = () => {
-      if (isDone) {
+    let attempts = 0;
+    const attempt = (number: number) => {
+      if (isDone || number !== attempts) {
         return;
       }
+      attempts += 1;
+      const again = attempts;
       this.callControl(OPERATOR_HOST, { type: 'declare-config', document }, (reply) => {
         const isLost = random.nextFloat() < this.lostShare;
         if (reply.type === 'accepted' && !isDone && !isLost) {
           isDone = true;
           oracle.noteConfigAcknowledged(config.version, clock.nowMs);
           acknowledged(config.version);
+        } else if (reply.type === 'unavailable') {
+          clock.after(RETRY_PAUSE_MS, () => attempt(again));
         }
       });
-      clock.after(CALL_TIMEOUT_MS + RETRY_PAUSE_MS, attempt);
+      clock.after(CALL_TIMEOUT_MS + RETRY_PAUSE_MS, () => attempt(again));
     };
-    attempt();
+    attempt(0);
   }
 
   private readAgain(): void {
--- a/src/sim/simulated-control.ts
+++ b/src/sim/simulated-control.ts
@@ -4,6 +4,7 @@
  */
 import { match } from 'ts-pattern';
 import type { Address } from '../common/address.js';
+import type { DialedLinks } from '../common/dialed-links.js';
 import type { PersistEffect } from '../consensus/persisted-state.js';
 import { operatorTokenHash } from '../control/command-hash.js';
 import { SYSTEM_OPERATOR, type CommandEntry, type CommandOutcome } from '../control/commands.js';
@@ -20,7 +21,7 @@
 import type { AmberliftError } from '../flow/error-kinds.js';
 import { TOKEN_KEY_LENGTH_BYTES } from '../flow/token.js';
 import { configDigest } from './config-digest.js';
-import { SimulatedPeerLinks } from './simulated-peer-links.js';
+import { createSimulatedPeerLinks } from './simulated-peer-links.js';
 import { SimulatedProcess } from './simulated-process.js';
 import type { LinkAcceptor, Simulation } from './simulation.js';
 import { VirtualDisk } from './virtual-disk.js';
@@ -60,7 +61,7 @@
   /** Undefined while it reads its disk. */
   state: ControlState | undefined;
   private storage: ConsensusStorage | undefined;
-  private readonly peerLinks: SimulatedPeerLinks;
+  private peerLinks: DialedLinks<VirtualLinkEnd> | undefined;
   private readonly links = new Map<number, VirtualLinkEnd>();
   private readonly commands = new Map<number, (outcome: CommandOutcome) => void>();
   private readonly queries = new Map<number, (shown: ShownState) => void>();
@@ -76,7 +77,6 @@
   ) {
     super(simulation, 'control', options.name, options.linkAddress.host, options.zone);
     this.disk = new VirtualDisk(simulation.clock, simulation.fork());
-    this.peerLinks = new SimulatedPeerLinks(simulation, this.host);
     simulation.listen(options.linkAddress, {
       host: this.host,
       isListening: () => this.status !== 'down' && this.state !== undefined,
@@ -114,7 +114,7 @@
     this.disk.crash();
     this.links.forEach((link) => link.vanish());
     this.links.clear();
-    this.peerLinks.vanish();
+    this.peerLinks?.close((link) => link.vanish());
     this.crash();
   }
 
@@ -141,12 +141,13 @@
     this.queries.clear();
     this.links.forEach((link) => link.close());
     this.links.clear();
-    this.peerLinks.close();
+    this.peerLinks?.close((link) => link.close());
   }
 
   private begin(storage: ConsensusStorage): void {
     const { linkAddress, operatorAddress, peers, clusterKey } = this.options;
     this.storage = storage;
+    this.peerLinks = createSimulatedPeerLinks(this.simulation, this.host);
     this.notedIndex = 0;
     this.state = createControlState({
       nodeId: this.name,
@@ -200,7 +201,7 @@
     match(effect)
       .with({ type: 'persist' }, { type: 'persist-snapshot' }, (write) => this.persist(write))
       .with({ type: 'peer-send' }, ({ address, envelope }) =>
-        this.peerLinks.send(address, envelope),
+        this.peerLinks?.send(address, envelope),
       )
       .with({ type: 'link-send' }, ({ linkId, message }) => this.links.get(linkId)?.send(message))
       .with({ type: 'operator-reply' }, ({ requestId, outcome }) => {
