Work the times out from the bounds of the settings, and keep the HTTP plumbing out of the adapter

Cause: contactMs and drainMs were checked and used by nothing, configApplyMs was not read at all, and every time-out was a constant that suits today's bounds. A deployment with narrower ones would have kept its old time-outs (a link that hangs: 1.2 s; a feed: 1 s) and missed them. Change: src/group/timing.ts gives consensus, links and feed their times from contactMs, configApplyMs and drainMs; never longer than today's, so nothing changes on the bounds in use. maxFds bounds HTTP connections, memoryMb the flows that are counted for placement (199 bytes each, measured with 100,000), a forwarding form other than the one that is spoken is refused, contracts that are not known are named. The listener of calls, its answers and its bounds are src/daemon/call-listener.ts; platform/control-api only names paths and bodies. Tests: platform/settings (fails on the old code: fields not read), platform/control-api unchanged but for its imports.

--- a/src/daemon/frame-links.ts
+++ b/src/daemon/frame-links.ts
@@ -7,6 +7,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import type { Address } from '../common/address.js';
 import { encodeFrame, FrameDecoder, pulseFrame } from '../common/frame-codec.js';
+import type { Timing } from '../group/timing.js';
 
 /** Times and bounds of links. */
 export interface FrameLinkOptions {
@@ -20,13 +21,14 @@
   readonly maxUnsentBytes: number;
 }
 
-/** Options that suit machines of one region. */
-export const defaultFrameLinkOptions: FrameLinkOptions = {
-  pulseIntervalMs: 400,
-  silentAfterMs: 1_200,
-  connectTimeoutMs: 200,
-  maxUnsentBytes: 4 * 1024 * 1024,
-};
+const MAX_UNSENT_BYTES = 4 * 1024 * 1024;
+
+/**
+ * @returns the options of links with these times
+ */
+export function frameLinkOptions({ links }: Timing): FrameLinkOptions {
+  return { ...links, maxUnsentBytes: MAX_UNSENT_BYTES };
+}
 
 /** One end of a link. */
 export interface FrameLink {
@@ -62,7 +64,7 @@
    * @param dial opens a connection; tests give one that never stands
    */
   constructor(
-    private readonly options: FrameLinkOptions = defaultFrameLinkOptions,
+    private readonly options: FrameLinkOptions,
     private readonly dial: (to: Address) => Socket = ({ port, host }) => connect(port, host),
   ) {
     this.timer = setInterval(() => this.keepAlive(), options.pulseIntervalMs);
--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -15,7 +15,7 @@
 import { parseControlInbound } from '../group/message-schemas.js';
 import { ConsensusStorage } from './consensus-storage.js';
 import { logDecision } from './decision-log.js';
-import { FrameLinks, type FrameLink } from './frame-links.js';
+import { frameLinkOptions, FrameLinks, type FrameLink } from './frame-links.js';
 import { GroupProcess, type GroupCall, type GroupSurroundings } from './group-process.js';
 import { openStorageFolder } from './storage-folder.js';
 import { systemContextSource } from './system-context.js';
@@ -31,7 +31,7 @@
 
 /** A running control machine. */
 export class GroupDaemon {
-  private readonly links = new FrameLinks();
+  private readonly links: FrameLinks;
   private readonly feedLinks = createLinkTable<FrameLink>();
   private readonly peers = createDialedLinks<FrameLink>({
     nowMs: () => performance.now(),
@@ -44,6 +44,7 @@
   private timer: NodeJS.Timeout | undefined;
 
   private constructor(options: GroupOptions, storage: ConsensusStorage) {
+    this.links = new FrameLinks(frameLinkOptions(options.timing));
     const contexts = systemContextSource();
     const surroundings: GroupSurroundings = {
       context: () => contexts.now(),
--- a/src/daemon/ingress-daemon.ts
+++ b/src/daemon/ingress-daemon.ts
@@ -5,8 +5,9 @@
 import { Packr } from 'msgpackr';
 import type { Address } from '../common/address.js';
 import { parseBalancerMessage, type BalancerMessage } from '../group/message-schemas.js';
+import type { Timing } from '../group/timing.js';
 import { logDecision } from './decision-log.js';
-import { FrameLinks } from './frame-links.js';
+import { frameLinkOptions, FrameLinks } from './frame-links.js';
 import { IngressProcess, type IngressProcessOptions, type PacketCodec } from './ingress-process.js';
 import { bindUdp, type UdpSocket } from './udp-socket.js';
 
@@ -14,6 +15,7 @@
 export interface IngressDaemonOptions extends IngressProcessOptions {
   /** UDP, where the packets of clients come in. */
   readonly packetAddress: Address;
+  readonly timing: Timing;
 }
 
 const TICK_INTERVAL_MS = 100;
@@ -25,13 +27,14 @@
 
 /** A running balancer. */
 export class IngressDaemon {
-  private readonly links = new FrameLinks();
+  private readonly links: FrameLinks;
   private readonly process: IngressProcess;
   private packets: UdpSocket | undefined;
   private peerSocket: UdpSocket | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   private constructor(options: IngressDaemonOptions, codec: PacketCodec) {
+    this.links = new FrameLinks(frameLinkOptions(options.timing));
     this.process = new IngressProcess(options, codec, {
       nowMs: () => performance.now(),
       sendPacket: (datagram, to) => this.packets?.send(datagram, to),
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -101,7 +101,8 @@
     private readonly surroundings: IngressSurroundings,
   ) {
     this.state = createIngressState(options.ingress);
-    this.source = new FeedSource(options.controlSeeds, spreadOf(options.ingress.name));
+    const { name, feed } = options.ingress;
+    this.source = new FeedSource(options.controlSeeds, spreadOf(name), feed);
   }
 
   /** True where new flows may be sent here. */
--- a/src/group/balancer-feed.ts
+++ b/src/group/balancer-feed.ts
@@ -21,8 +21,6 @@
   type Subscriber,
 } from './group-state.js';
 
-/** Time between two messages to a balancer where nothing changes. */
-const PULSE_INTERVAL_MS = 400;
 /** Time between two lists of balancers to the other control machines. */
 const SHARE_BALANCERS_INTERVAL_MS = 1_000;
 /** A list of balancers of another control machine counts for so long. */
@@ -122,7 +120,7 @@
     }
   }
   if (isPulseDue) {
-    state.nextPulseAtMs = nowMs + PULSE_INTERVAL_MS;
+    state.nextPulseAtMs = nowMs + state.options.timing.feedPulseIntervalMs;
   }
   state.wasCurrent = current;
   state.changes = noChanges();
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -14,6 +14,7 @@
 import type { DeclaredConfig } from '../declared/declared-config.js';
 import { HeartbeatRegistry } from '../registry/heartbeat-registry.js';
 import type { RequestId } from './group-events.js';
+import type { Timing } from './timing.js';
 import type { AgedRecord, BalancerInfo, LeaderRequest } from './group-messages.js';
 import { decodeGroupCommand, ReplicatedState, type ConfigDocument } from './replicated-state.js';
 
@@ -44,7 +45,9 @@
   readonly requestDeadlineMs: number;
   /** Translates a document; it was checked before it came into the log. */
   readonly readDocument: (document: ConfigDocument) => DeclaredConfig;
-  readonly consensus: ConsensusOptions;
+  readonly timing: Timing;
+  /** Synced copies that an acknowledgement waits for. */
+  readonly minimumCopies: number;
 }
 
 /** A call that waits for its answer. */
@@ -131,11 +134,7 @@
   isStopping: boolean;
 }
 
-/** Times out and bounds that suit a group within one region. */
-export const groupConsensusOptions = {
-  heartbeatIntervalMs: 150,
-  electionTimeoutMs: 700,
-  firstElectionTimeoutMs: 80,
+const batchOptions = {
   maxBatchEntries: 64,
   maxBatchBytes: 512 * 1024,
   maxInFlightBatches: 4,
@@ -143,6 +142,14 @@
   trailingEntries: 16,
 } as const;
 
+/**
+ * @param minimumCopies synced copies that an acknowledgement waits for
+ * @returns the options of the group's consensus
+ */
+function groupConsensusOptions(timing: Timing, minimumCopies: number): ConsensusOptions {
+  return { ...batchOptions, ...timing.consensus, minimumCopies };
+}
+
 /**
  * @returns the name of a member: the machine and its disk, so that a machine with an empty disk is
  *   another member
@@ -157,7 +164,8 @@
  */
 export function createGroupState(options: GroupOptions, recovered: RecoveredState): GroupState {
   const nodeId = memberName(options.linkAddress, recovered.storageId);
-  const consensus = createConsensusState(nodeId, recovered, options.consensus);
+  const consensusOptions = groupConsensusOptions(options.timing, options.minimumCopies);
+  const consensus = createConsensusState(nodeId, recovered, consensusOptions);
   const replicated = recoverReplicated(consensus);
   const document = replicated.config;
   return {
--- a/src/group/membership-duties.ts
+++ b/src/group/membership-duties.ts
@@ -78,7 +78,7 @@
   const isSettled =
     consensus.role.name === 'leader' ||
     (isVoter(consensus) &&
-      nowMs - consensus.heardFromLeaderAtMs < 2 * options.consensus.electionTimeoutMs);
+      nowMs - consensus.heardFromLeaderAtMs < 2 * options.timing.consensus.electionTimeoutMs);
   if (isSettled || state.isStopping || nowMs < state.nextAnnounceAtMs) {
     return [];
   }
--- a/src/ingress/feed-source.ts
+++ b/src/ingress/feed-source.ts
@@ -4,13 +4,8 @@
  */
 import { formatAddress, type Address } from '../common/address.js';
 import type { ControlInfo } from '../group/group-messages.js';
+import type { FeedTiming } from '../group/timing.js';
 
-/** A link that brings nothing for so long is given up, in milliseconds. */
-const SILENT_AFTER_MS = 1_000;
-/** A control machine that says for so long that it is not current is given up, in milliseconds. */
-const STALE_AFTER_MS = 200;
-/** A link must bring its first message within this time, in milliseconds. */
-const FIRST_WORD_AFTER_MS = 700;
 /** Time before the next try, in milliseconds. */
 export const FEED_RETRY_AFTER_MS = 40;
 
@@ -41,6 +36,7 @@
   constructor(
     private seeds: readonly Address[],
     offset: number,
+    private readonly timing: FeedTiming,
   ) {
     this.candidates = [...seeds];
     this.next = offset;
@@ -92,10 +88,11 @@
 
   private isUseless(link: LinkedControl, nowMs: number): boolean {
     const { sinceMs, heardAtMs, staleSinceMs } = link;
+    const { silentAfterMs, staleAfterMs, firstMessageAfterMs } = this.timing;
     if (heardAtMs === undefined) {
-      return nowMs - sinceMs > FIRST_WORD_AFTER_MS;
+      return nowMs - sinceMs > firstMessageAfterMs;
     }
-    const isStale = staleSinceMs !== undefined && nowMs - staleSinceMs >= STALE_AFTER_MS;
-    return isStale || nowMs - heardAtMs > SILENT_AFTER_MS;
+    const isStale = staleSinceMs !== undefined && nowMs - staleSinceMs >= staleAfterMs;
+    return isStale || nowMs - heardAtMs > silentAfterMs;
   }
 }
--- a/src/ingress/flow-activity.ts
+++ b/src/ingress/flow-activity.ts
@@ -19,14 +19,19 @@
 
 /** An open that brings no request, or a request without any answer, counts for so long. */
 const BUSY_LIFETIME_MS = 2_500;
-/** Flows beyond this number are not counted. */
-const MAX_FLOWS = 100_000;
 
 /** The flows that passed this balancer lately. */
 export class FlowActivities {
   private readonly flows = new Map<FlowKey, FlowActivity>();
 
-  constructor(private readonly idleTimeoutMs: () => number) {}
+  /**
+   * @param idleTimeoutMs a flow that has rested for this long is forgotten
+   * @param maxFlows flows beyond this number are not counted
+   */
+  constructor(
+    private readonly idleTimeoutMs: () => number,
+    private readonly maxFlows: number,
+  ) {}
 
   /** How many flows are remembered. */
   get size(): number {
@@ -96,7 +101,7 @@
     nowMs: number,
     isBusy: boolean,
   ): FlowActivity | undefined {
-    if (this.flows.size >= MAX_FLOWS) {
+    if (this.flows.size >= this.maxFlows) {
       return undefined;
     }
     const flow: FlowActivity = {
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -1,6 +1,7 @@
 /**
  * @file The state of a balancer that forwards by 32-bit tokens, and its options.
  */
+import type { FeedTiming } from '../group/timing.js';
 import { BackendTable } from './backend-table.js';
 import { FlowActivities } from './flow-activity.js';
 import { OpenMemory } from './open-memory.js';
@@ -12,14 +13,32 @@
   readonly name: string;
   /** A flow does not live longer. */
   readonly flowLifetimeMs: number;
-  /** What was told counts as current for so long. */
-  readonly feedFreshMs: number;
+  /** When the control machine that feeds it is given up. */
+  readonly feed: FeedTiming;
+  /** Flows beyond this number are not counted for placement. */
+  readonly maxCountedFlows: number;
 }
 
 /** How long copies of an open may come after the first. */
 const OPEN_LIFETIME_MS = 2_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
+/** Counting flows may take this part of the memory of a process. */
+const COUNTED_FLOWS_SHARE = 0.25;
+/** What one counted flow takes; measured 199 bytes by the heap with 100,000. */
+const BYTES_PER_COUNTED_FLOW = 300;
+const MAX_COUNTED_FLOWS = 100_000;
+const BYTES_PER_MB = 1_000_000;
+
+/**
+ * @param memoryMb what the process may take, in megabytes; undefined for no bound
+ * @returns how many flows a balancer counts for placement
+ */
+export function countedFlowsFor(memoryMb: number | undefined): number {
+  const budgetBytes = (memoryMb ?? Number.POSITIVE_INFINITY) * BYTES_PER_MB * COUNTED_FLOWS_SHARE;
+  return Math.min(MAX_COUNTED_FLOWS, Math.floor(budgetBytes / BYTES_PER_COUNTED_FLOW));
+}
+
 /** The state of one balancer. */
 export interface IngressState {
   readonly options: IngressOptions;
@@ -60,7 +79,10 @@
     routes,
     backends: new BackendTable(),
     opens: new OpenMemory(OPEN_LIFETIME_MS),
-    activities: new FlowActivities(() => routes.config?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS),
+    activities: new FlowActivities(
+      () => routes.config?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
+      options.maxCountedFlows,
+    ),
     currentAtMs: undefined,
     firstCurrentAtMs: undefined,
     isStopping: false,
@@ -73,7 +95,7 @@
  * @returns true where what this balancer knows was current a moment ago
  */
 export function knowsCurrent(state: IngressState, nowMs: number): boolean {
-  return state.currentAtMs !== undefined && nowMs - state.currentAtMs <= state.options.feedFreshMs;
+  return state.currentAtMs !== undefined && nowMs - state.currentAtMs <= state.options.feed.freshMs;
 }
 
 /**
--- a/src/sim/ingress/ingress-world.ts
+++ b/src/sim/ingress/ingress-world.ts
@@ -8,6 +8,7 @@
 import { formatFields, type DecisionFields } from '../../daemon/decision-log.js';
 import type { GroupCall } from '../../daemon/group-process.js';
 import type { GroupReply } from '../../group/group-events.js';
+import { timingFor } from '../../group/timing.js';
 import { VirtualClock } from '../virtual-clock.js';
 import { IngressOracle } from './ingress-oracle.js';
 import { SimulatedControlMachine } from './simulated-control-machine.js';
@@ -61,6 +62,11 @@
       wires: this.wires,
       oracle: this.oracle,
       options,
+      timing: timingFor({
+        contactMs: options.contactMs,
+        applyMs: options.applyBoundMs,
+        drainMs: options.drainBoundMs,
+      }),
       note: (host, name, fields) => this.note(host, name, fields),
     };
     const seeds = Array.from({ length: SEED_COUNT }, (_, index) => controlAddress(index + 1));
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -5,7 +5,6 @@
 import { formatAddress } from '../../common/address.js';
 import { createDialedLinks, type DialedLinks } from '../../common/dialed-links.js';
 import { createLinkTable } from '../../common/link-table.js';
-import { groupConsensusOptions } from '../../group/group-state.js';
 import type { GroupReply } from '../../group/group-events.js';
 import { createGroupState, firstStorageId } from '../../group/group-state.js';
 import type { ConsensusState } from '../../consensus/consensus-state.js';
@@ -113,7 +112,8 @@
         removeVoterAfterMs: options.catchUpMs / 2,
         requestDeadlineMs: REQUEST_DEADLINE_MS,
         readDocument: readSimulatedDocument,
-        consensus: { ...groupConsensusOptions, minimumCopies: options.minimumCopies },
+        timing: this.parts.timing,
+        minimumCopies: options.minimumCopies,
       },
       storage.recovered,
     );
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -11,7 +11,7 @@
 const TICK_MS = 100;
 const PACKET_PORT = 8_000;
 const PEER_PORT = 7_700;
-const FEED_FRESH_MS = 1_500;
+const MAX_COUNTED_FLOWS = 100_000;
 const packr = new Packr({ useRecords: false });
 
 /** One balancer. */
@@ -48,7 +48,8 @@
           zone: this.zone,
           heartbeatIntervalMs: options.heartbeatIntervalMs,
           flowLifetimeMs: options.flowLifetimeMs,
-          feedFreshMs: FEED_FRESH_MS,
+          feed: this.parts.timing.feed,
+          maxCountedFlows: MAX_COUNTED_FLOWS,
         },
         peerAddress,
         controlSeeds: this.controls,
--- a/src/sim/ingress/world-parts.ts
+++ b/src/sim/ingress/world-parts.ts
@@ -3,6 +3,7 @@
  */
 import type { RandomSource } from '../../common/step.js';
 import type { DecisionFields } from '../../daemon/decision-log.js';
+import type { Timing } from '../../group/timing.js';
 import type { VirtualClock } from '../virtual-clock.js';
 import type { IngressOracle } from './ingress-oracle.js';
 import type { VirtualWires } from './virtual-wires.js';
@@ -50,6 +51,7 @@
   readonly wires: VirtualWires;
   readonly oracle: IngressOracle;
   readonly options: IngressWorldOptions;
+  readonly timing: Timing;
   /** Takes the line of a decision of a machine. */
   note(host: string, name: string, fields: DecisionFields): void;
 }
--- a/test/daemon/frame-links.test.ts
+++ b/test/daemon/frame-links.test.ts
@@ -2,14 +2,16 @@
 import { once } from 'node:events';
 import { Socket } from 'node:net';
 import t from 'tap';
-import { defaultFrameLinkOptions, FrameLinks } from '../../src/daemon/frame-links.js';
+import { frameLinkOptions, FrameLinks } from '../../src/daemon/frame-links.js';
+import { widestTiming } from '../../src/group/timing.js';
 
+const OPTIONS = frameLinkOptions(widestTiming);
 const ANYWHERE = { host: '127.0.0.1', port: 0 };
 
 t.test(
   'a connection that never stands is given up, however long a link may be silent',
   async (t) => {
-    const patient = { ...defaultFrameLinkOptions, silentAfterMs: Number.POSITIVE_INFINITY };
+    const patient = { ...OPTIONS, silentAfterMs: Number.POSITIVE_INFINITY };
     const links = new FrameLinks(patient, () => new Socket());
     t.teardown(() => links.close());
     await new Promise<void>((resolve) => {
@@ -22,7 +24,7 @@
 t.test(
   'a message goes over, and a link that brings something else is closed and counted',
   async (t) => {
-    const links = new FrameLinks();
+    const links = new FrameLinks(OPTIONS);
     t.teardown(() => links.close());
     const taken: unknown[] = [];
     const address = await links.listen(ANYWHERE, {
--- a/test/ingress/feed-source.test.ts
+++ b/test/ingress/feed-source.test.ts
@@ -1,6 +1,7 @@
 /** @file A balancer finds a control machine that is current, and leaves one that is not. */
 import t from 'tap';
 import type { Address } from '../../src/common/address.js';
+import { widestTiming } from '../../src/group/timing.js';
 import { FeedSource } from '../../src/ingress/feed-source.js';
 
 const STEP_MS = 100;
@@ -36,7 +37,7 @@
 }
 
 t.test('two machines that are not current are passed within a second', async (t) => {
-  const source = new FeedSource(CONTROLS, 0);
+  const source = new FeedSource(CONTROLS, 0, widestTiming.feed);
   const { currentAtMs } = runSource(
     source,
     ({ host }) => (host === '10.0.1.3' ? 'current' : 'stale'),
@@ -46,7 +47,7 @@
 });
 
 t.test('two machines that are silent are passed within two seconds', async (t) => {
-  const source = new FeedSource(CONTROLS, 0);
+  const source = new FeedSource(CONTROLS, 0, widestTiming.feed);
   const { currentAtMs } = runSource(
     source,
     ({ host }) => (host === '10.0.1.3' ? 'current' : 'silent'),
--- a/test/ingress/placement.test.ts
+++ b/test/ingress/placement.test.ts
@@ -1,5 +1,6 @@
 /** @file Which back end a new flow goes to. */
 import t from 'tap';
+import { widestTiming } from '../../src/group/timing.js';
 import { BackendTable } from '../../src/ingress/backend-table.js';
 import { createIngressState, type IngressState } from '../../src/ingress/ingress-state.js';
 import { decidePacket } from '../../src/ingress/packet-step.js';
@@ -11,7 +12,8 @@
   zone: 'zone-a',
   heartbeatIntervalMs: 1_000,
   flowLifetimeMs: 60_000,
-  feedFreshMs: 1_500,
+  feed: widestTiming.feed,
+  maxCountedFlows: 1_000,
 };
 const OPEN: PacketView = {
   sourceHost: 1,
--- a/test/platform/control-api.test.ts
+++ b/test/platform/control-api.test.ts
@@ -1,7 +1,8 @@
 /** @file The calls of back ends and operators: each becomes a call of the group or a clear answer. */
 import fc from 'fast-check';
 import t from 'tap';
-import { instanceNumberOf, translate } from '../../platform/control-api.js';
+import { instanceNumberOf, translateCall } from '../../platform/control-api.js';
+import type { TranslatedCall } from '../../src/daemon/call-listener.js';
 
 const BEAT = {
   service: 'alpha',
@@ -33,6 +34,10 @@
   limits: { idleTimeoutMs: 15_000 },
 };
 
+function translate(method: string, path: string, body: string): TranslatedCall {
+  return translateCall({ method, path, body, bearerToken: '' });
+}
+
 type Changes = Readonly<Record<string, unknown>>;
 
 function putConfig(changes: Changes, route: Changes = {}) {
@@ -41,7 +46,7 @@
   return translate('POST', '/Config.Put', JSON.stringify({ ...CONFIG, routes, ...changes }));
 }
 
-function statusOf(translated: ReturnType<typeof translate>): number {
+function statusOf(translated: TranslatedCall): number {
   return translated.type === 'answer' ? translated.answer.status : 0;
 }
 
--- a/test/platform/settings.test.ts
+++ b/test/platform/settings.test.ts
@@ -1,7 +1,13 @@
 /** @file The settings of the platform are checked, unknown fields passed over. */
 import fc from 'fast-check';
 import t from 'tap';
-import { internalAddress, parseSettings, seedAddresses } from '../../platform/settings.js';
+import {
+  internalAddress,
+  parseSettings,
+  seedAddresses,
+  settingsTiming,
+  unknownContracts,
+} from '../../platform/settings.js';
 
 const SETTINGS = {
   nodeName: 'front-1',
@@ -14,7 +20,18 @@
   heartbeatMs: 1_200,
   listen: { datagramAddr: '10.1.0.10:8172', ready: '10.1.0.10:8167', control: null },
   tolerate: { machines: 2, zones: 0 },
-  bounds: { contactMs: 4_000, syncS: 4, drainMs: 3_000, graceS: 6, flowLifetimeS: 60, more: 1 },
+  contracts: ['base', 'drain'],
+  forwarding: 'echo',
+  limits: { memoryMb: 350, maxFds: 4_100 },
+  bounds: {
+    contactMs: 4_000,
+    configApplyMs: 3_000,
+    syncS: 4,
+    drainMs: 3_000,
+    graceS: 6,
+    flowLifetimeS: 60,
+    more: 1,
+  },
   somethingNew: { a: 1 },
 };
 
@@ -27,11 +44,32 @@
   ]);
 });
 
+t.test('narrow bounds make times shorter, wide ones none longer', async (t) => {
+  const timingOf = (bounds: object) =>
+    settingsTiming(
+      parseSettings({ ...SETTINGS, bounds: { ...SETTINGS.bounds, ...bounds } })._unsafeUnwrap(),
+    );
+  const usual = timingOf({});
+  t.same(timingOf({ contactMs: 40_000 }), usual);
+  t.equal(timingOf({ contactMs: 2_000 }).links.silentAfterMs, usual.links.silentAfterMs / 2);
+  t.equal(timingOf({ configApplyMs: 1_500 }).feed.silentAfterMs, usual.feed.silentAfterMs / 2);
+  t.equal(timingOf({ drainMs: 1_500 }).feed.freshMs, usual.feed.freshMs / 2);
+  t.ok(timingOf({ drainMs: 1 }).consensus.electionTimeoutMs >= 150, 'no election at every pause');
+});
+
+t.test('parts of the rules that are not known are named', async (t) => {
+  const settings = parseSettings({ ...SETTINGS, contracts: ['base', 'tides'] })._unsafeUnwrap();
+  t.same(unknownContracts(settings), ['tides']);
+});
+
 t.test('bad settings name the field', async (t) => {
   const cases: readonly (readonly [string, object])[] = [
     ['seeds', { seeds: ['somewhere'] }],
     ['heartbeatMs', { heartbeatMs: 0 }],
     ['bounds', { bounds: {} }],
+    ['bounds.configApplyMs', { bounds: { ...SETTINGS.bounds, configApplyMs: 0 } }],
+    ['forwarding', { forwarding: 'tunnel' }],
+    ['limits.maxFds', { limits: { maxFds: -1 } }],
     ['tolerate.machines', { tolerate: { machines: -1 } }],
   ];
   for (const [field, change] of cases) {
