Run declared configurations and registering back ends without any platform

Cause: routes with weights, declared configurations, registration and 32-bit tokens could be used only through the adapter of the platform, though they are the product's own; nobody could check or plan a configuration before sending it. The packets of the simulator's stand-ins are the product's packets now, checked field by field. Answers of calls come from the table of error kinds; a body that is too large is 400 now, as an invalid command (413 before), and both end a caller's attempts.

--- a/src/cli/check.ts
+++ b/src/cli/check.ts
@@ -1,6 +1,6 @@
 /**
- * @file `amberlift check`: checks a settings file, or operator statements against an export of the
- * state, before they are used.
+ * @file `amberlift check`: checks a settings file, a declared configuration, or operator statements against
+ * an export of the state, before they are used.
  */
 import { readFileSync } from 'node:fs';
 import type { CAC } from 'cac';
@@ -10,11 +10,13 @@
 import { checkStatements, type StatementCheck } from '../toolbox/check.js';
 import { parseStateExport, stateOf } from '../toolbox/state-export.js';
 import { reportError } from './daemon-command.js';
+import { readDeclaredFile } from './declared-command.js';
 
 interface CheckFlags {
   readonly config?: string;
   readonly statements?: string;
   readonly state?: string;
+  readonly declared?: string;
   readonly json?: boolean;
 }
 
@@ -27,13 +29,18 @@
     .option('--config <file>', 'Settings file (YAML) to check')
     .option('--statements <file>', 'Operator statements to check, one a line')
     .option('--state <file>', 'What "amberlift ctl --json" printed for show services and backends')
+    .option('--declared <file>', 'Declared configuration (YAML or JSON) to check')
     .option('--json', 'Print one line of JSON')
     .action(run);
 }
 
 function run(flags: CheckFlags): void {
+  if (flags.declared !== undefined) {
+    checkDeclared(flags.declared, flags.json ?? false);
+    return;
+  }
   if (flags.config === undefined && flags.statements === undefined) {
-    throw new RangeError('check needs --config, or --statements with --state.');
+    throw new RangeError('check needs --config, --declared, or --statements with --state.');
   }
   if (flags.config !== undefined) {
     const settings = loadSettings({ file: flags.config, overrides: [] });
@@ -55,6 +62,14 @@
   process.exitCode = accepted ? exitCodes.success : exitCodes.refused;
 }
 
+function checkDeclared(file: string, asJson: boolean): void {
+  readDeclaredFile(file).match(({ version, routes, services }) => {
+    const summary = { accepted: true, version, routes: routes.length, services: services.length };
+    const sentence = `Version ${version} is valid: ${routes.length} routes, ${services.length} services.`;
+    process.stdout.write(`${asJson ? JSON.stringify(summary) : sentence}\n`);
+  }, reportError);
+}
+
 function checkFile(file: string, stateFile: string | undefined): StatementCheck[] | undefined {
   if (stateFile === undefined) {
     throw new RangeError('--statements needs --state.');
--- a/src/cli/ctl.ts
+++ b/src/cli/ctl.ts
@@ -1,9 +1,11 @@
 /**
- * @file `amberlift ctl`: the operators' client. Runs one statement, a script, or an interactive prompt.
+ * @file `amberlift ctl`: the operators' client. Runs one statement, a script, or an interactive prompt; `apply
+ * FILE` and `show config` speak to a group that takes declared configurations.
  */
 import { readFile, writeFile } from 'node:fs/promises';
 import type { CAC } from 'cac';
 import { newCommandId } from '../client/command-ids.js';
+import { createDeclaredClient, type DeclaredClient } from '../client/declared-client.js';
 import { runInteractive } from '../client/interactive.js';
 import { OperatorClient } from '../client/operator-client.js';
 import { runScript } from '../client/script.js';
@@ -14,7 +16,9 @@
 } from '../client/statement-runner.js';
 import { MAX_COMMAND_ID_LENGTH } from '../control/commands.js';
 import { ctlOptions } from '../language/command-reference.js';
+import type { Address } from '../common/address.js';
 import { addressFlag } from './address-flag.js';
+import { parseDeclaredCommand, runDeclaredCommand } from './declared-command.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
@@ -44,6 +48,11 @@
 }
 
 async function run(words: readonly string[], flags: CtlFlags): Promise<void> {
+  const declared = parseDeclaredCommand(words);
+  if (declared !== undefined) {
+    await runDeclaredCommand(declared, await declaredClientFromFlags(flags), flags.json ?? false);
+    return;
+  }
   const options: RunnerOptions = {
     client: await clientFromFlags(flags),
     json: flags.json ?? false,
@@ -62,19 +71,36 @@
   }
 }
 
-async function clientFromFlags(flags: CtlFlags): Promise<OperatorClient> {
+async function declaredClientFromFlags(flags: CtlFlags): Promise<DeclaredClient> {
+  return createDeclaredClient({
+    controlAddresses: controlAddressesOf(flags),
+    operatorToken: await tokenOf(flags),
+  });
+}
+
+function controlAddressesOf(flags: CtlFlags): Address[] {
   const controls = [flags.control ?? []].flat();
   if (controls.length === 0) {
     throw new TypeError('--control: the operator address of a control machine is needed.');
   }
+  return controls.map((text) => addressFlag('control', text));
+}
+
+async function tokenOf(flags: CtlFlags): Promise<string | undefined> {
   const token =
     flags.tokenFile === undefined ? flags.token : await readFile(flags.tokenFile, 'utf8');
-  if (token === undefined) {
+  return token === undefined ? undefined : String(token).trim();
+}
+
+async function clientFromFlags(flags: CtlFlags): Promise<OperatorClient> {
+  const controlAddresses = controlAddressesOf(flags);
+  const bearerToken = await tokenOf(flags);
+  if (bearerToken === undefined) {
     throw new TypeError('--token-file or --token is needed.');
   }
   return new OperatorClient({
-    controlAddresses: controls.map((text) => addressFlag('control', text)),
-    bearerToken: String(token).trim(),
+    controlAddresses,
+    bearerToken,
     ca: flags.ca === undefined ? undefined : await readFile(flags.ca, 'utf8'),
   });
 }
--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -3,10 +3,11 @@
  * on standard output once ready, and stopping on a signal.
  */
 import type { CAC, Command } from 'cac';
-import { setLogLevel } from '../common/logger.js';
+import type { z } from 'zod';
+import { setLogLevel, type LogLevel } from '../common/logger.js';
 import { answerFor, exitCodes, type AmberliftError } from '../flow/error-kinds.js';
-import { loadSettings } from '../settings/load-settings.js';
-import type { Settings } from '../settings/settings-schema.js';
+import { loadSettingsAs } from '../settings/load-settings.js';
+import { settingsSchema, type Settings } from '../settings/settings-schema.js';
 
 /** Flags by which settings are given. */
 export interface SettingsFlags {
@@ -31,8 +32,19 @@
  * @returns the settings, or undefined after an error
  */
 export function settingsFromFlags(flags: SettingsFlags): Settings | undefined {
+  return settingsFromFlagsAs(settingsSchema, flags);
+}
+
+/**
+ * The same for processes with settings of another form.
+ * @returns the settings, or undefined after an error
+ */
+export function settingsFromFlagsAs<Schema extends z.ZodType<{ logLevel: LogLevel }>>(
+  schema: Schema,
+  flags: SettingsFlags,
+): z.infer<Schema> | undefined {
   const overrides = (flags.set ?? []).filter((text) => text !== 'undefined');
-  const settings = loadSettings({ file: flags.config, overrides });
+  const settings = loadSettingsAs(schema, { file: flags.config, overrides });
   if (settings.isErr()) {
     reportError(settings.error);
     return undefined;
--- /dev/null
+++ b/src/cli/group.ts
@@ -0,0 +1,73 @@
+/**
+ * @file `amberlift group`: runs a control machine of a group that takes declared configurations and heartbeats.
+ */
+import type { CAC } from 'cac';
+import { createCallListener } from '../daemon/call-listener.js';
+import { createDeclaredApi } from '../daemon/declared-api.js';
+import { GroupDaemon } from '../daemon/group-daemon.js';
+import { listenHttp } from '../daemon/http-server.js';
+import type { DeclaredConfig } from '../declared/declared-config.js';
+import { timingFor } from '../group/timing.js';
+import { groupSettingsSchema } from '../settings/token-settings.js';
+import {
+  announceReady,
+  reportError,
+  settingsFromFlagsAs,
+  stopOnSignal,
+  withSettingsFlags,
+  type SettingsFlags,
+} from './daemon-command.js';
+
+/** A caller has gone on to another control machine after this time, in milliseconds. */
+const REQUEST_DEADLINE_MS = 2_000;
+/** Part of the time that a new machine has until it counts. */
+const REMOVE_VOTER_SHARE = 0.5;
+
+/**
+ * Registers the subcommand.
+ */
+export function registerGroup(cli: CAC): void {
+  withSettingsFlags(
+    cli,
+    'group',
+    'Run a control machine that takes declared configurations',
+  ).action(run);
+}
+
+async function run(flags: SettingsFlags): Promise<void> {
+  const settings = settingsFromFlagsAs(groupSettingsSchema, flags);
+  if (settings === undefined) {
+    return;
+  }
+  const { linkAddress, callAddress, tolerableLosses, operatorToken } = settings;
+  const daemon = await GroupDaemon.start(
+    {
+      linkAddress,
+      seeds: settings.seeds,
+      isFirstStart: settings.isFirstStart,
+      tolerableLosses,
+      heartbeatIntervalMs: settings.heartbeatIntervalMs,
+      forgetBackendAfterMs: settings.flowLifetimeMs,
+      removeVoterAfterMs: settings.catchUpMs * REMOVE_VOTER_SHARE,
+      requestDeadlineMs: REQUEST_DEADLINE_MS,
+      // The text was checked and written by `declared-api.ts` before it came into the log.
+      readDocument: ({ text }) => JSON.parse(text) as DeclaredConfig,
+      timing: timingFor(settings.bounds),
+      minimumCopies: tolerableLosses + 1,
+    },
+    settings.dataFolder,
+  );
+  if (daemon.isErr()) {
+    reportError(daemon.error);
+    return;
+  }
+  const listener = createCallListener(createDeclaredApi(operatorToken), (call) =>
+    daemon.value.call(call),
+  );
+  const calls = await listenHttp(callAddress, listener);
+  stopOnSignal(async () => {
+    await daemon.value.stop();
+    await calls.close();
+  });
+  announceReady({ linkAddress, callAddress });
+}
--- /dev/null
+++ b/src/cli/ingress.ts
@@ -0,0 +1,63 @@
+/**
+ * @file `amberlift ingress`: runs a balancer that forwards by 32-bit tokens.
+ */
+import type { CAC } from 'cac';
+import { IngressDaemon } from '../daemon/ingress-daemon.js';
+import { listenHttp } from '../daemon/http-server.js';
+import { timingFor } from '../group/timing.js';
+import { countedFlowsFor } from '../ingress/ingress-state.js';
+import { tokenPacketCodec } from '../ingress/token-packet.js';
+import { ingressSettingsSchema } from '../settings/token-settings.js';
+import {
+  announceReady,
+  settingsFromFlagsAs,
+  stopOnSignal,
+  withSettingsFlags,
+  type SettingsFlags,
+} from './daemon-command.js';
+
+/**
+ * Registers the subcommand.
+ */
+export function registerIngress(cli: CAC): void {
+  withSettingsFlags(
+    cli,
+    'ingress',
+    'Run a balancer of a deployment with back ends that register',
+  ).action(run);
+}
+
+async function run(flags: SettingsFlags): Promise<void> {
+  const settings = settingsFromFlagsAs(ingressSettingsSchema, flags);
+  if (settings === undefined) {
+    return;
+  }
+  const { name, zone, packetAddress, peerAddress, readyAddress } = settings;
+  const timing = timingFor(settings.bounds);
+  const daemon = await IngressDaemon.start(
+    {
+      ingress: {
+        name,
+        zone,
+        heartbeatIntervalMs: settings.heartbeatIntervalMs,
+        flowLifetimeMs: settings.flowLifetimeMs,
+        feed: timing.feed,
+        maxCountedFlows: countedFlowsFor(settings.memoryMb),
+      },
+      timing,
+      packetAddress,
+      peerAddress,
+      controlSeeds: settings.controlSeeds,
+    },
+    tokenPacketCodec,
+  );
+  const ready = await listenHttp(readyAddress, (_request, response) => {
+    response.writeHead(daemon.isReady ? 200 : 503, { 'content-length': 0 });
+    response.end();
+  });
+  stopOnSignal(async () => {
+    await daemon.stop(settings.stopWithinMs);
+    await ready.close();
+  });
+  announceReady({ packetAddress, peerAddress, readyAddress });
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -18,6 +18,8 @@
 const subcommands: readonly Subcommand[] = [
   { name: 'balancer', load: async () => (await import('./balancer.js')).registerBalancer },
   { name: 'control', load: async () => (await import('./control.js')).registerControl },
+  { name: 'ingress', load: async () => (await import('./ingress.js')).registerIngress },
+  { name: 'group', load: async () => (await import('./group.js')).registerGroup },
   { name: 'ctl', load: async () => (await import('./ctl.js')).registerCtl },
   { name: 'demo', load: async () => (await import('./demo.js')).registerDemo },
   { name: 'fleet', load: async () => (await import('./fleet.js')).registerFleet },
--- a/src/cli/plan.ts
+++ b/src/cli/plan.ts
@@ -1,5 +1,6 @@
 /**
- * @file `amberlift plan`: shows what adding, draining or retiring a back end would do.
+ * @file `amberlift plan`: shows what adding, draining or retiring a back end would do, or what a declared
+ * configuration would change.
  */
 import { readFileSync } from 'node:fs';
 import type { CAC } from 'cac';
@@ -11,6 +12,7 @@
 import { planChange, type ChangePlan } from '../toolbox/plan.js';
 import { parseStateExport } from '../toolbox/state-export.js';
 import { reportError } from './daemon-command.js';
+import { planDeclaredFile } from './declared-command.js';
 
 const DEFAULT_CONNECTION_LIMIT = 2_000;
 const DEFAULT_MOVES_PER_SECOND = 100;
@@ -20,6 +22,8 @@
   readonly state?: string;
   readonly connectionLimit: number;
   readonly movesPerSecond: number;
+  readonly declared?: string;
+  readonly against?: string;
   readonly json?: boolean;
 }
 
@@ -36,13 +40,22 @@
     .option('--moves-per-second <count>', 'Flows that a draining back end lets go a second', {
       default: DEFAULT_MOVES_PER_SECOND,
     })
+    .option('--declared <file>', 'Declared configuration (YAML or JSON) that would be applied')
+    .option(
+      '--against <file>',
+      'What "amberlift ctl --json show config" printed; without it, nothing holds',
+    )
     .option('--json', 'Print one line of JSON')
     .action(run);
 }
 
 function run(words: readonly string[], flags: PlanFlags): void {
+  if (flags.declared !== undefined) {
+    planDeclaredFile(flags.declared, flags.against, flags.json ?? false);
+    return;
+  }
   if (flags.state === undefined) {
-    throw new RangeError('plan needs --state.');
+    throw new RangeError('plan needs --state or --declared.');
   }
   const options = {
     connectionLimit: positive('connection-limit', flags.connectionLimit),
--- a/src/daemon/call-listener.ts
+++ b/src/daemon/call-listener.ts
@@ -8,6 +8,7 @@
   RequestListener,
   ServerResponse,
 } from 'node:http';
+import { amberliftError, answerFor, type ErrorKind } from '../flow/error-kinds.js';
 import type { GroupReply } from '../group/group-events.js';
 import type { GroupCall } from './group-process.js';
 
@@ -51,14 +52,14 @@
 ): RequestListener {
   return (request, response) => {
     answerRequest(request, response).catch(() => {
-      respond(response, faultAnswer(500, 'internal'));
+      respond(response, errorAnswer('internal', 'The call failed.'));
     });
   };
 
   async function answerRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readText(request);
     if (body === undefined) {
-      respond(response, faultAnswer(413, 'too large'));
+      respond(response, errorAnswer('invalid-command', 'The body is too large.'));
       return;
     }
     const translated = translate(callRequestOf(request, body));
@@ -74,10 +75,18 @@
 }
 
 /**
- * @returns the answer of a request that can't be taken
+ * @returns the answer that the table of errors gives for a kind
  */
-export function faultAnswer(status: number, error: string): HttpAnswer {
-  return { status, body: JSON.stringify({ error }) };
+export function errorAnswer(kind: ErrorKind, message: string): HttpAnswer {
+  const error = amberliftError(kind, message);
+  return { status: answerFor(kind).httpStatus, body: JSON.stringify({ error }) };
+}
+
+/**
+ * @returns an answer in place of a call
+ */
+export function refusedCall(kind: ErrorKind, message: string): TranslatedCall {
+  return { type: 'answer', answer: errorAnswer(kind, message) };
 }
 
 /**
@@ -115,10 +124,10 @@
       return { status: 200, body: '{}' };
     case 'config':
       return reply.document === undefined
-        ? faultAnswer(404, 'no configuration yet')
+        ? errorAnswer('not-found', 'There is no configuration yet.')
         : { status: 200, body: reply.document.text };
     case 'unavailable':
-      return faultAnswer(503, reply.reason);
+      return errorAnswer('no-quorum', reply.reason);
   }
 }
 
--- a/src/daemon/http-json.ts
+++ b/src/daemon/http-json.ts
@@ -12,7 +12,7 @@
 /** One HTTP request of ours. */
 export interface JsonRequest {
   readonly to: Address;
-  readonly method: 'GET' | 'POST';
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   readonly path: string;
   readonly body?: unknown;
   readonly bearerToken?: string | undefined;
--- a/src/daemon/ingress-daemon.ts
+++ b/src/daemon/ingress-daemon.ts
@@ -8,7 +8,8 @@
 import type { Timing } from '../group/timing.js';
 import { logDecision } from './decision-log.js';
 import { frameLinkOptions, FrameLinks } from './frame-links.js';
-import { IngressProcess, type IngressProcessOptions, type PacketCodec } from './ingress-process.js';
+import type { PacketCodec } from '../ingress/packet-codec.js';
+import { IngressProcess, type IngressProcessOptions } from './ingress-process.js';
 import { bindUdp, type UdpSocket } from './udp-socket.js';
 
 /** Where a balancer listens besides. */
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -21,21 +21,10 @@
   type DropReason,
   type PacketDecision,
 } from '../ingress/packet-step.js';
+import type { PacketCodec } from '../ingress/packet-codec.js';
 import type { FlowKey, PacketView } from '../ingress/packet-view.js';
 import type { DecisionFields } from './decision-log.js';
 
-/** Reads and writes packets of one format. */
-export interface PacketCodec {
-  /** @returns the view of a packet, or undefined where the datagram is none */
-  read(datagram: Uint8Array): PacketView | undefined;
-  /** @returns the datagram for a back end: what names it, then the packet with its token */
-  toBackend(datagram: Uint8Array, instanceBytes: Uint8Array, token: number): Uint8Array;
-  /** @returns a reset of the flow that a client's packet belongs to */
-  resetFor(packet: PacketView): Uint8Array;
-  /** @returns where the client of a packet takes packets */
-  clientAddress(packet: PacketView): Address;
-}
-
 /** A link to the control machine that feeds this balancer. */
 export interface ControlLink {
   send(message: object): void;
--- /dev/null
+++ b/src/declared/parse-config.ts
@@ -0,0 +1,45 @@
+/**
+ * @file The product's own form of a declared configuration, checked whole.
+ */
+import { err, type Result } from 'neverthrow';
+import * as z from 'zod/mini';
+import { describeFaults } from '../common/schema-faults.js';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import { checkDeclaredConfig } from './check-config.js';
+import type { DeclaredConfig } from './declared-config.js';
+
+const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
+const MAX_PORT = 65_535;
+
+const targetSchema = z.strictObject({
+  service: z.string().check(z.minLength(1)),
+  weight: z._default(z.number(), 1),
+});
+
+const configSchema = z.strictObject({
+  version: z.int().check(z.positive()),
+  services: z.array(z.strictObject({ name: z.string().check(z.minLength(1)) })),
+  routes: z.array(
+    z.strictObject({
+      name: z.string().check(z.minLength(1)),
+      host: z.ipv4(),
+      port: z.int().check(z.positive(), z.maximum(MAX_PORT)),
+      targets: z.array(targetSchema).check(z.minLength(1)),
+      kind: z.enum(['repeatable', 'at-most-once']),
+      timeoutMs: z.number(),
+    }),
+  ),
+  idleTimeoutMs: z._default(z.number().check(z.positive()), DEFAULT_IDLE_TIMEOUT_MS),
+});
+
+/**
+ * @param content what a file or a call holds, as plain values
+ * @returns the configuration, or `invalid-command` with every fault of its form, or the first beyond it
+ */
+export function parseDeclaredConfig(content: unknown): Result<DeclaredConfig, AmberliftError> {
+  const parsed = configSchema.safeParse(content);
+  if (parsed.success) {
+    return checkDeclaredConfig(parsed.data);
+  }
+  return err(amberliftError('invalid-command', describeFaults(parsed.error)));
+}
--- /dev/null
+++ b/src/ingress/packet-codec.ts
@@ -0,0 +1,20 @@
+/**
+ * @file What a balancer needs of a packet format.
+ */
+import type { Address } from '../common/address.js';
+import type { PacketView } from './packet-view.js';
+
+/** Reads and writes packets of one format. */
+export interface PacketCodec {
+  /** @returns the view of a packet, or undefined where the datagram is none; never throws */
+  read(datagram: Uint8Array): PacketView | undefined;
+  /**
+   * @param datagram one that `read` took
+   * @returns the datagram for a back end: what names it, then the packet with its token
+   */
+  toBackend(datagram: Uint8Array, instanceBytes: Uint8Array, token: number): Uint8Array;
+  /** @returns a reset of the flow that a client's packet belongs to */
+  resetFor(packet: PacketView): Uint8Array;
+  /** @returns where the client of a packet takes packets */
+  clientAddress(packet: PacketView): Address;
+}
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -24,9 +24,20 @@
  * @returns the checked settings, or `invalid-settings`
  */
 export function loadSettings(source: SettingsSource): Result<Settings, AmberliftError> {
+  return loadSettingsAs(settingsSchema, source);
+}
+
+/**
+ * @param schema what the settings of the process must look like
+ * @returns the checked settings, or `invalid-settings`
+ */
+export function loadSettingsAs<Schema extends z.ZodType>(
+  schema: Schema,
+  source: SettingsSource,
+): Result<z.infer<Schema>, AmberliftError> {
   return readFile(source.file)
     .andThen((base) => applyOverrides(base, source.overrides))
-    .andThen((value) => check(value, source.file ?? 'flags'));
+    .andThen((value) => check(schema, value, source.file ?? 'flags'));
 }
 
 function readFile(file: string | undefined): Result<PlainObject, AmberliftError> {
@@ -72,8 +83,12 @@
   setPath(child, rest, value);
 }
 
-function check(value: PlainObject, file: string): Result<Settings, AmberliftError> {
-  const parsed = settingsSchema.safeParse(value);
+function check<Schema extends z.ZodType>(
+  schema: Schema,
+  value: PlainObject,
+  file: string,
+): Result<z.infer<Schema>, AmberliftError> {
+  const parsed = schema.safeParse(value);
   if (parsed.success) {
     return ok(parsed.data);
   }
--- a/src/settings/settings-reference.ts
+++ b/src/settings/settings-reference.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import { exitCodes } from '../flow/error-kinds.js';
 import { settingsSchema } from './settings-schema.js';
+import { groupSettingsSchema, ingressSettingsSchema } from './token-settings.js';
 
 /** The parts of a JSON schema that the reference shows. */
 interface OptionSchema {
@@ -33,24 +34,28 @@
  * @returns the reference in Markdown
  */
 export function settingsReference(): string {
-  const schema = z.toJSONSchema(settingsSchema, {
-    io: 'input',
-    unrepresentable: 'any',
-  }) as OptionSchema;
   const codes = Object.entries(exitCodes).map(([name, code]) => {
     return `| ${code} | ${exitCodeMeanings[name as keyof typeof exitCodes]} |`;
   });
   return `# Settings
 
-Made by \`npm run generate\` from src/settings/settings-schema.ts; not to be edited by hand.
+Made by \`npm run generate\` from the schemas in src/settings; not to be edited by hand.
 
 A process reads one YAML file, given by \`--config FILE\`, and overrides by \`--set path.to.option=value\`,
 the value written as in YAML. An unknown option, a wrong type or a value out of bounds stops the start
 with exit code ${exitCodes.settings} and a line with file, path, what was found and what is allowed.
 
-| option | type | default | meaning |
-| --- | --- | --- | --- |
-${rowsOf(schema, '').join('\n')}
+## \`amberlift balancer\` and \`amberlift control\`
+
+${tableOf(settingsSchema)}
+
+## \`amberlift ingress\`
+
+${tableOf(ingressSettingsSchema)}
+
+## \`amberlift group\`
+
+${tableOf(groupSettingsSchema)}
 
 ## Exit codes
 
@@ -60,6 +65,12 @@
 `;
 }
 
+function tableOf(schema: z.ZodType): string {
+  const options = z.toJSONSchema(schema, { io: 'input', unrepresentable: 'any' }) as OptionSchema;
+  const head = ['| option | type | default | meaning |', '| --- | --- | --- | --- |'];
+  return [...head, ...rowsOf(options, '')].join('\n');
+}
+
 function rowsOf(schema: OptionSchema, prefix: string): string[] {
   return Object.entries(schema.properties ?? {}).flatMap(([name, option]) => {
     const path = `${prefix}${name}`;
--- /dev/null
+++ b/src/settings/token-settings.ts
@@ -0,0 +1,102 @@
+/**
+ * @file The settings of the processes that forward by 32-bit tokens: `amberlift ingress` and
+ * `amberlift group`.
+ */
+import { z } from 'zod';
+import { parseAddress } from '../common/address.js';
+import { logLevels } from '../common/logger.js';
+
+const MIN_TOKEN_LENGTH = 8;
+
+/** An address written as `host:port`, with a port of its own: others must know it before it starts. */
+const addressText = z.string().transform((text, context) => {
+  const address = parseAddress(text);
+  if (address === undefined || address.port === 0) {
+    context.addIssue({ code: 'custom', message: 'allowed: IP:PORT, such as 127.0.0.1:7000' });
+    return z.NEVER;
+  }
+  return address;
+});
+const positive = z.number().positive();
+
+const boundsSection = z.strictObject({
+  contactMs: positive
+    .default(4_000)
+    .describe('A machine keeps all bounds again this long after a disturbance, in milliseconds.'),
+  applyMs: positive
+    .default(3_000)
+    .describe('A configuration is in force this long after its acknowledgement, in milliseconds.'),
+  drainMs: positive
+    .default(3_000)
+    .describe(
+      'A back end takes no new flow this long after its departure was acknowledged, in milliseconds.',
+    ),
+});
+
+const sharedOptions = {
+  name: z.string().min(1).describe('Name of this process in logs; unique in the deployment.'),
+  logLevel: z.enum(logLevels).default('info').describe('Lowest log level that is written.'),
+  metricsAddress: addressText
+    .optional()
+    .describe('HTTP address of `/metrics`; without it there is none.'),
+  heartbeatIntervalMs: positive
+    .default(1_000)
+    .describe('Time between two heartbeats of a back end, in milliseconds.'),
+  flowLifetimeMs: positive
+    .default(60_000)
+    .describe('A flow does not live longer, in milliseconds.'),
+  bounds: boundsSection.prefault({}).describe('What must hold; the times out follow from it.'),
+};
+
+/** Schema of the settings of `amberlift ingress`. */
+export const ingressSettingsSchema = z.strictObject({
+  ...sharedOptions,
+  zone: z.string().min(1).default('zone-a').describe('Zone that this process runs in.'),
+  packetAddress: addressText.describe('UDP address for packets of clients.'),
+  peerAddress: addressText.describe('UDP address for messages of other balancers.'),
+  readyAddress: addressText.describe('HTTP address that answers 200 while new flows may come.'),
+  controlSeeds: z
+    .array(addressText)
+    .min(1)
+    .describe('Link addresses of control machines; the others are learned from them.'),
+  memoryMb: positive.optional().describe('What the process may take, in megabytes.'),
+  stopWithinMs: positive
+    .default(4_000)
+    .describe('The longest time that a planned stop goes on forwarding, in milliseconds.'),
+});
+
+/** Schema of the settings of `amberlift group`. */
+export const groupSettingsSchema = z.strictObject({
+  ...sharedOptions,
+  dataFolder: z.string().min(1).describe('Folder for all files of this process.'),
+  linkAddress: addressText.describe('TCP address for control machines and balancers.'),
+  callAddress: addressText.describe('HTTP address for back ends and operators.'),
+  seeds: z
+    .array(addressText)
+    .min(1)
+    .describe('Link addresses of the machines with which the group begins, the same on all.'),
+  isFirstStart: z
+    .boolean()
+    .default(false)
+    .describe('True only when the whole group starts for the first time, with empty disks.'),
+  tolerableLosses: z
+    .number()
+    .int()
+    .min(0)
+    .default(1)
+    .describe('How many disks may be lost right after an acknowledgement.'),
+  catchUpMs: positive
+    .default(4_000)
+    .describe('A machine with an empty disk counts again this long after its start.'),
+  operatorToken: z
+    .string()
+    .min(MIN_TOKEN_LENGTH)
+    .optional()
+    .describe('Bearer token of whoever declares and reads configurations.'),
+});
+
+/** The checked settings of a balancer that forwards by 32-bit tokens. */
+export type IngressSettings = z.infer<typeof ingressSettingsSchema>;
+
+/** The checked settings of a control machine of a group. */
+export type GroupSettings = z.infer<typeof groupSettingsSchema>;
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -5,7 +5,7 @@
 import type { Address } from '../../common/address.js';
 import { IngressProcess } from '../../daemon/ingress-process.js';
 import { parseBalancerMessage } from '../../group/message-schemas.js';
-import { standInCodec } from './stand-in-packet.js';
+import { tokenPacketCodec } from '../../ingress/token-packet.js';
 import type { IngressWorldParts } from './world-parts.js';
 
 const TICK_MS = 100;
@@ -54,7 +54,7 @@
         peerAddress,
         controlSeeds: this.controls,
       },
-      standInCodec,
+      tokenPacketCodec,
       {
         nowMs: () => clock.nowMs,
         sendPacket: (datagram, to) => wires.sendDatagram(host, to, datagram),
--- a/src/sim/ingress/stand-in-backend.ts
+++ b/src/sim/ingress/stand-in-backend.ts
@@ -11,8 +11,8 @@
   isIntact,
   sealPacket,
   type PacketKind,
-  type StandInPacket,
-} from './stand-in-packet.js';
+  type TokenPacket,
+} from '../../ingress/token-packet.js';
 import type { IngressWorldParts } from './world-parts.js';
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -167,11 +167,16 @@
   }
 
   private receive(bytes: Uint8Array): void {
-    const { instance, packet } = decodeForBackend(bytes);
+    const { clock, oracle } = this.parts;
+    const received = decodeForBackend(bytes);
+    if (received === undefined) {
+      oracle.noteAltered(clock.nowMs, 'bytes that are no packet');
+      return;
+    }
+    const { instance, packet } = received;
     if (instance !== this.instanceNumber || !this.isAlive) {
       return;
     }
-    const { clock, oracle } = this.parts;
     if (!isIntact(packet)) {
       oracle.noteAltered(clock.nowMs, `${packet.kind} of ${formatAddress(packet.from)}`);
       return;
@@ -183,7 +188,7 @@
     }
   }
 
-  private takeOpen(packet: StandInPacket): void {
+  private takeOpen(packet: TokenPacket): void {
     const { clock, oracle } = this.parts;
     const client = formatAddress(packet.from);
     const known = this.flows.get(client);
@@ -207,7 +212,7 @@
   }
 
   /** An accept that the client does not name may have been lost; it is sent again. */
-  private acceptAgain(packet: StandInPacket, flow: BackendFlow, delayMs: number): void {
+  private acceptAgain(packet: TokenPacket, flow: BackendFlow, delayMs: number): void {
     this.parts.clock.after(delayMs, () => {
       if (!flow.isOpen && delayMs <= LAST_RESEND_MS) {
         this.answer(packet, 'accept', flow.acceptNumber);
@@ -216,7 +221,7 @@
     });
   }
 
-  private takeRequest(packet: StandInPacket): void {
+  private takeRequest(packet: TokenPacket): void {
     const client = formatAddress(packet.from);
     const flow = this.flows.get(client);
     if (flow?.acceptNumber !== packet.acceptNumber) {
@@ -231,7 +236,7 @@
     }
   }
 
-  private answer(packet: StandInPacket, kind: PacketKind, acceptNumber: number): void {
+  private answer(packet: TokenPacket, kind: PacketKind, acceptNumber: number): void {
     if (!this.isAlive) {
       return;
     }
--- a/src/sim/ingress/stand-in-client.ts
+++ b/src/sim/ingress/stand-in-client.ts
@@ -9,8 +9,8 @@
   encodePacket,
   sealPacket,
   type PacketKind,
-  type StandInPacket,
-} from './stand-in-packet.js';
+  type TokenPacket,
+} from '../../ingress/token-packet.js';
 import type { IngressWorldParts } from './world-parts.js';
 
 const COPY_DELAYS_MS = [0, 200, 600];
@@ -116,7 +116,7 @@
     }
   }
 
-  private takeAccept(packet: StandInPacket): void {
+  private takeAccept(packet: TokenPacket): void {
     this.token = packet.token;
     if (this.flow.name === 'opening') {
       this.flow = { name: 'open', acceptNumber: packet.acceptNumber };
@@ -146,7 +146,7 @@
     }
   }
 
-  private takeAnswer(packet: StandInPacket): void {
+  private takeAnswer(packet: TokenPacket): void {
     this.token = packet.token;
     if (packet.requestId !== this.requestId || this.flow.name !== 'open') {
       return;
@@ -172,7 +172,7 @@
     });
   }
 
-  private takeReset(packet: StandInPacket): void {
+  private takeReset(packet: TokenPacket): void {
     const { clock, oracle } = this.parts;
     if (this.flow.name === 'open') {
       const client = formatAddress(this.address);
--- a/test/ingress/mutants.test.ts
+++ b/test/ingress/mutants.test.ts
@@ -5,7 +5,7 @@
 import type { IngressCheck } from '../../src/sim/ingress/ingress-oracle.js';
 import type { IngressWorld } from '../../src/sim/ingress/ingress-world.js';
 import { runIngressWorld } from '../../src/sim/ingress/run-ingress-world.js';
-import { decodePacket, encodePacket } from '../../src/sim/ingress/stand-in-packet.js';
+import { decodePacket, encodePacket } from '../../src/ingress/token-packet.js';
 
 interface IngressMutant {
   readonly name: string;
