Tell the story of a request from logs: decision lines with its ID, metrics for the new roles, explain

Cause: when a request failed, logs named departures and roles but no flow, no request and no back end, and there were no metrics for the balancers and control machines of a group. Metrics by prom-client, loaded at the first scrape, also as `metrics` of the roles. `amberlift explain ID LOGS...` puts the lines of several processes on one time and says what stands out and what is missing.

--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -4,7 +4,8 @@
  */
 import type { CAC, Command } from 'cac';
 import type { z } from 'zod';
-import { setLogLevel, type LogLevel } from '../common/logger.js';
+import { setLogLevel, setLogSink, type LogLevel } from '../common/logger.js';
+import { LineWriter, STANDARD_ERROR, writeTo } from '../daemon/line-writer.js';
 import { answerFor, exitCodes, type AmberliftError } from '../flow/error-kinds.js';
 import { loadSettingsAs } from '../settings/load-settings.js';
 import { settingsSchema, type Settings } from '../settings/settings-schema.js';
@@ -53,6 +54,14 @@
   return settings.value;
 }
 
+/**
+ * Writes log lines without waiting for whoever reads them, from now on.
+ */
+export function logWithoutWaiting(): void {
+  const lines = new LineWriter(writeTo(STANDARD_ERROR));
+  setLogSink((line) => lines.writeLine(line));
+}
+
 /**
  * Reports an error on standard error and sets the exit code that belongs to its kind.
  */
--- /dev/null
+++ b/src/cli/explain.ts
@@ -0,0 +1,90 @@
+/**
+ * @file `amberlift explain`: tells the story of one request, flow, back end or configuration from logs.
+ */
+import { readFileSync } from 'node:fs';
+import { basename } from 'node:path';
+import type { CAC } from 'cac';
+import { exitCodes } from '../flow/error-kinds.js';
+import { explain, type Story } from '../toolbox/explain.js';
+import { parseLogLine, type LogLine } from '../toolbox/log-line.js';
+
+const STANDARD_INPUT = 0;
+const MS_PER_SECOND = 1_000;
+
+interface ExplainFlags {
+  readonly json?: boolean;
+}
+
+/**
+ * Registers the subcommand.
+ */
+export function registerExplain(cli: CAC): void {
+  cli
+    .command(
+      'explain <id> [...logs]',
+      'Tell the story of a request, flow, back end or configuration',
+    )
+    .option('--json', 'Print one line of JSON')
+    .example('amberlift explain 853dc276e3b37f50 balancer-*.log control-*.log')
+    .action(run);
+}
+
+function run(id: string | number, files: readonly string[], flags: ExplainFlags): void {
+  const lines =
+    files.length === 0
+      ? readLines(STANDARD_INPUT, 'standard input')
+      : files.flatMap((file) => readLines(file, basename(file).replace(/\.log$/, '')));
+  const story = explain(lines, String(id));
+  const text = flags.json === true ? jsonOf(story) : describe(story, String(id), lines.length);
+  process.stdout.write(`${text}\n`);
+  process.exitCode = story.subject === undefined ? exitCodes.refused : exitCodes.success;
+}
+
+function readLines(file: string | number, name: string): LogLine[] {
+  return readFileSync(file, 'utf8')
+    .split('\n')
+    .flatMap((text, index) => parseLogLine(text, name, index + 1) ?? []);
+}
+
+function jsonOf({ subject, lines, findings, gaps, skews }: Story): string {
+  const told = lines.map(({ line: { source, name, fields }, atMs }) => ({
+    at: new Date(atMs).toISOString(),
+    source,
+    name,
+    fields: Object.fromEntries(fields),
+  }));
+  return JSON.stringify({ subject, lines: told, findings, gaps, skews });
+}
+
+function describe(story: Story, id: string, lineCount: number): string {
+  const { subject, lines, findings, gaps, skews } = story;
+  if (subject === undefined) {
+    return [
+      `None of ${lineCount} lines names ${id}.`,
+      'Its first packet reached no balancer whose log is here, or its line was left out.',
+      ...section('Missing', gaps),
+    ].join('\n');
+  }
+  const startMs = lines[0]?.atMs ?? 0;
+  const width = Math.max(...lines.map(({ line }) => line.source.length));
+  return [
+    `The ${subject.type} ${id}, from ${new Date(startMs).toISOString()}:`,
+    ...lines.map(({ line, atMs }) => {
+      const at = `+${((atMs - startMs) / MS_PER_SECOND).toFixed(3)}`.padStart(9);
+      return `${at}  ${line.source.padEnd(width)}  ${line.text}`;
+    }),
+    ...section('What stands out', findings),
+    ...section('Missing', gaps),
+    ...section(
+      'Clocks',
+      skews.map(({ source, aheadMs }) => {
+        const direction = aheadMs > 0 ? 'ahead' : 'behind';
+        return `${source} is ${Math.abs(aheadMs)} ms ${direction}; its lines are shown on the others' time.`;
+      }),
+    ),
+  ].join('\n');
+}
+
+function section(title: string, sentences: readonly string[]): string[] {
+  return sentences.length === 0 ? [] : [`${title}:`, ...sentences.map((text) => `  ${text}`)];
+}
--- a/src/cli/group.ts
+++ b/src/cli/group.ts
@@ -6,11 +6,13 @@
 import { createDeclaredApi } from '../daemon/declared-api.js';
 import { GroupDaemon } from '../daemon/group-daemon.js';
 import { listenHttp } from '../daemon/http-server.js';
+import { groupMetricsListener } from '../daemon/metrics/late-metrics.js';
 import type { DeclaredConfig } from '../declared/declared-config.js';
 import { timingFor } from '../group/timing.js';
 import { groupSettingsSchema } from '../settings/token-settings.js';
 import {
   announceReady,
+  logWithoutWaiting,
   reportError,
   settingsFromFlagsAs,
   stopOnSignal,
@@ -39,6 +41,7 @@
   if (settings === undefined) {
     return;
   }
+  logWithoutWaiting();
   const { linkAddress, callAddress, tolerableLosses, operatorToken } = settings;
   const daemon = await GroupDaemon.start(
     {
@@ -65,9 +68,13 @@
     daemon.value.call(call),
   );
   const calls = await listenHttp(callAddress, listener);
+  const { metricsAddress } = settings;
+  const metrics =
+    metricsAddress && (await listenHttp(metricsAddress, groupMetricsListener(daemon.value)));
   stopOnSignal(async () => {
     await daemon.value.stop();
     await calls.close();
+    await metrics?.close();
   });
-  announceReady({ linkAddress, callAddress });
+  announceReady({ linkAddress, callAddress, ...(metricsAddress && { metricsAddress }) });
 }
--- a/src/cli/ingress.ts
+++ b/src/cli/ingress.ts
@@ -4,12 +4,14 @@
 import type { CAC } from 'cac';
 import { IngressDaemon } from '../daemon/ingress-daemon.js';
 import { listenHttp } from '../daemon/http-server.js';
+import { ingressMetricsListener } from '../daemon/metrics/late-metrics.js';
 import { timingFor } from '../group/timing.js';
 import { countedFlowsFor } from '../ingress/ingress-state.js';
 import { tokenPacketCodec } from '../ingress/token-packet.js';
 import { ingressSettingsSchema } from '../settings/token-settings.js';
 import {
   announceReady,
+  logWithoutWaiting,
   settingsFromFlagsAs,
   stopOnSignal,
   withSettingsFlags,
@@ -32,6 +34,7 @@
   if (settings === undefined) {
     return;
   }
+  logWithoutWaiting();
   const { name, zone, packetAddress, peerAddress, readyAddress } = settings;
   const timing = timingFor(settings.bounds);
   const daemon = await IngressDaemon.start(
@@ -55,9 +58,19 @@
     response.writeHead(daemon.isReady ? 200 : 503, { 'content-length': 0 });
     response.end();
   });
+  const metrics =
+    settings.metricsAddress &&
+    (await listenHttp(settings.metricsAddress, ingressMetricsListener(daemon)));
   stopOnSignal(async () => {
     await daemon.stop(settings.stopWithinMs);
     await ready.close();
+    await metrics?.close();
+  });
+  const { metricsAddress } = settings;
+  announceReady({
+    packetAddress,
+    peerAddress,
+    readyAddress,
+    ...(metricsAddress && { metricsAddress }),
   });
-  announceReady({ packetAddress, peerAddress, readyAddress });
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -31,6 +31,7 @@
   { name: 'fabric', load: async () => (await import('./fabric.js')).registerFabric },
   { name: 'callers', load: async () => (await import('./callers.js')).registerCallers },
   { name: 'simulate', load: async () => (await import('./simulate.js')).registerSimulate },
+  { name: 'explain', load: async () => (await import('./explain.js')).registerExplain },
   { name: 'replay', load: async () => (await import('./replay.js')).registerReplay },
 ];
 
--- a/src/daemon/decision-log.ts
+++ b/src/daemon/decision-log.ts
@@ -1,6 +1,7 @@
 /**
  * @file One line for each decision: the prefix of the part, the name of the decision, and its inputs as
  * `name=value`. Key and value were chosen over JSON since they cost less to write and read as sentences.
+ * Each line ends with the time since the process started, on a clock that never jumps.
  */
 import { loggerFor, type Logger, type LogPart } from '../common/logger.js';
 
@@ -13,8 +14,15 @@
  * Writes the line of a decision.
  */
 export function logDecision(part: LogPart, name: string, fields: DecisionFields): void {
+  logLine(part, name, formatFields(fields));
+}
+
+/**
+ * The same where the fields are text already.
+ */
+export function logLine(part: LogPart, name: string, fieldsText: string): void {
   const logger = loggers.get(part) ?? makeLogger(part);
-  logger.info(`${name} ${formatFields(fields)}`);
+  logger.info(`${name} ${fieldsText} upMs=${Math.round(performance.now())}`);
 }
 
 function makeLogger(part: LogPart): Logger {
--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -40,7 +40,8 @@
     firstRetryDelayMs: RETRY_LINK_AFTER_MS,
     maxRetryDelayMs: RETRY_LINK_AFTER_MS,
   });
-  private readonly group: GroupProcess;
+  /** Read by metrics. */
+  readonly group: GroupProcess;
   private timer: NodeJS.Timeout | undefined;
 
   private constructor(options: GroupOptions, storage: ConsensusStorage) {
--- a/src/daemon/group-process.ts
+++ b/src/daemon/group-process.ts
@@ -31,10 +31,22 @@
   note(name: string, fields: DecisionFields): void;
 }
 
+/** Hears of latencies, for metrics. */
+export interface GroupObserver {
+  /** A call was answered after `latencyMs`. */
+  onAnswered(call: GroupCall['type'], latencyMs: number): void;
+  /** A synced write took `latencyMs`. */
+  onPersisted(latencyMs: number): void;
+}
+
 /** A control machine of a group. */
 export class GroupProcess {
   private readonly calls = new Map<RequestId, (reply: GroupReply) => void>();
   private nextNumber = 1;
+  /** Calls by kind and answer. */
+  readonly counts = new Map<string, number>();
+  /** Set once somebody asks for metrics. */
+  observer: GroupObserver | undefined;
 
   constructor(
     /** Read by tests and the simulator's checks. */
@@ -46,7 +58,11 @@
   call(call: GroupCall, answer: (reply: GroupReply) => void): void {
     const requestId = this.nextNumber;
     this.nextNumber += 1;
-    this.calls.set(requestId, answer);
+    const startedAtMs = this.surroundings.context().nowMs;
+    this.calls.set(requestId, (reply) => {
+      this.noteAnswer(call.type, reply.type, this.surroundings.context().nowMs - startedAtMs);
+      answer(reply);
+    });
     this.step({ ...call, requestId });
   }
 
@@ -72,6 +88,20 @@
     this.step({ type: 'stop' });
   }
 
+  private noteAnswer(call: GroupCall['type'], answer: string, latencyMs: number): void {
+    const name = `${call} ${answer}`;
+    this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
+    this.observer?.onAnswered(call, latencyMs);
+  }
+
+  private persist(effect: PersistEffect): void {
+    const startedAtMs = this.surroundings.context().nowMs;
+    void this.surroundings.persist(effect).then(() => {
+      this.observer?.onPersisted(this.surroundings.context().nowMs - startedAtMs);
+      this.step({ type: 'persisted', writeId: effect.writeId });
+    });
+  }
+
   private step(event: GroupEvent): void {
     const effects = groupStep(this.state, event, this.surroundings.context());
     effects.forEach((effect) => this.perform(effect));
@@ -94,9 +124,7 @@
         return;
       case 'persist':
       case 'persist-snapshot':
-        void this.surroundings.persist(effect).then(() => {
-          this.step({ type: 'persisted', writeId: effect.writeId });
-        });
+        this.persist(effect);
         return;
     }
   }
--- a/src/daemon/ingress-daemon.ts
+++ b/src/daemon/ingress-daemon.ts
@@ -6,10 +6,11 @@
 import type { Address } from '../common/address.js';
 import { parseBalancerMessage, type BalancerMessage } from '../group/message-schemas.js';
 import type { Timing } from '../group/timing.js';
-import { logDecision } from './decision-log.js';
+import { logDecision, logLine } from './decision-log.js';
 import { frameLinkOptions, FrameLinks } from './frame-links.js';
 import type { PacketCodec } from '../ingress/packet-codec.js';
 import { IngressProcess, type IngressProcessOptions } from './ingress-process.js';
+import { createRequestLog, defaultLineBudget } from './request-log.js';
 import { bindUdp, type UdpSocket } from './udp-socket.js';
 
 /** Where a balancer listens besides. */
@@ -29,7 +30,8 @@
 /** A running balancer. */
 export class IngressDaemon {
   private readonly links: FrameLinks;
-  private readonly process: IngressProcess;
+  /** Read by metrics. */
+  readonly process: IngressProcess;
   private packets: UdpSocket | undefined;
   private peerSocket: UdpSocket | undefined;
   private timer: NodeJS.Timeout | undefined;
@@ -43,6 +45,11 @@
       connectControl: (to, handlers) => this.links.connect(to, handlers),
       after: (delayMs, run) => setTimeout(run, delayMs),
       note: (name, fields) => logDecision('balancer', name, fields),
+      packetLog: createRequestLog({
+        nowMs: () => performance.now(),
+        write: (name, text) => logLine('balancer', name, text),
+        budget: defaultLineBudget,
+      }),
     });
   }
 
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -3,7 +3,7 @@
  * surroundings, which are real in the daemon and virtual in the simulator. The packet format comes in as
  * a codec.
  */
-import { formatAddress, type Address } from '../common/address.js';
+import { formatAddress, unpackHost, type Address } from '../common/address.js';
 import type { BalancerInfo } from '../group/group-messages.js';
 import { parseFeed, type BalancerMessage } from '../group/message-schemas.js';
 import { ingressTick, ownReport, takeFeed, takeReport } from '../ingress/feed-step.js';
@@ -20,10 +20,13 @@
   takePlacedElsewhere,
   type DropReason,
   type PacketDecision,
+  type Placement,
 } from '../ingress/packet-step.js';
 import type { PacketCodec } from '../ingress/packet-codec.js';
 import type { FlowKey, PacketView } from '../ingress/packet-view.js';
+import type { KnownBackend } from '../ingress/backend-table.js';
 import type { DecisionFields } from './decision-log.js';
+import type { RequestLog } from './request-log.js';
 
 /** A link to the control machine that feeds this balancer. */
 export interface ControlLink {
@@ -45,8 +48,10 @@
   sendToBalancer(to: Address, message: BalancerMessage): void;
   connectControl(to: Address, handlers: ControlLinkHandlers): ControlLink;
   after(delayMs: number, run: () => void): void;
-  /** Takes the line of a decision. */
+  /** Takes the line of a decision that changed what this balancer believes. */
   note(name: string, fields: DecisionFields): void;
+  /** Takes the lines of decisions on packets. */
+  readonly packetLog: RequestLog;
 }
 
 /** Who a balancer is and whom it asks. */
@@ -63,6 +68,10 @@
 /** How long other balancers may take to say that they placed an open. */
 const ASK_PEERS_MS = 30;
 const MAX_HELD = 10_000;
+/** Loads are logged with two digits behind the point. */
+const LOAD_DIGITS = 100;
+
+type ForwardDecision = Extract<PacketDecision, { readonly type: 'forward' }>;
 
 interface HeldOpen {
   readonly datagram: Uint8Array;
@@ -145,12 +154,9 @@
 
   private carryOut(decision: PacketDecision, datagram: Uint8Array, packet: PacketView): void {
     switch (decision.type) {
-      case 'forward': {
-        const { address, instanceBytes, token } = decision.backend;
-        this.surroundings.sendPacket(this.codec.toBackend(datagram, instanceBytes, token), address);
-        this.count('forwarded');
+      case 'forward':
+        this.forward(decision, datagram, packet);
         return;
-      }
       case 'reset':
         this.surroundings.sendPacket(this.codec.resetFor(packet), this.codec.clientAddress(packet));
         this.refuse('reset', decision.reason, packet);
@@ -164,14 +170,80 @@
     }
   }
 
+  private forward(decision: ForwardDecision, datagram: Uint8Array, packet: PacketView): void {
+    const { backend, placement } = decision;
+    const { address, instanceBytes, token } = backend;
+    this.surroundings.sendPacket(this.codec.toBackend(datagram, instanceBytes, token), address);
+    this.count('forwarded');
+    if (placement !== undefined) {
+      this.count(`opened:${placement.type}`);
+      this.surroundings.packetLog.note('placed', this.placementFields(packet, backend, placement));
+      return;
+    }
+    if (packet.dataLength > 0) {
+      this.noteRequest(datagram, packet, backend);
+    }
+  }
+
+  private placementFields(
+    packet: PacketView,
+    backend: KnownBackend,
+    placement: Placement,
+  ): DecisionFields {
+    const { routes, backends } = this.state;
+    return {
+      flow: describeFlow(packet),
+      seq: packet.sequence,
+      copy: packet.copyNumber,
+      how: placement.type,
+      ...(placement.type === 'chosen' && {
+        service: placement.service,
+        load: Math.round(placement.load * LOAD_DIGITS) / LOAD_DIGITS,
+      }),
+      backend: backend.id,
+      silentMs: Math.round(backends.silentMs(backend)),
+      config: routes.config?.version,
+      feedAgeMs: this.feedAgeMs(),
+    };
+  }
+
+  /** Ties the ID of a request to its flow. */
+  private noteRequest(datagram: Uint8Array, packet: PacketView, backend: KnownBackend): void {
+    const request = this.codec.requestIdOf(datagram);
+    if (request !== undefined) {
+      this.surroundings.packetLog.note('request', {
+        request,
+        flow: describeFlow(packet),
+        seq: packet.sequence,
+        backend: backend.id,
+        departure: backend.departure,
+      });
+    }
+  }
+
   private refuse(outcome: string, reason: DropReason, packet: PacketView): void {
     this.count(`${outcome}:${reason}`);
     if (packet.isOpen || reason === 'unknown-token') {
-      const { sourceHost, sourcePort, token } = packet;
-      this.surroundings.note(outcome, { reason, sourceHost, sourcePort, token });
+      this.surroundings.packetLog.note(outcome, {
+        reason,
+        flow: describeFlow(packet),
+        seq: packet.sequence,
+        copy: packet.isOpen ? packet.copyNumber : undefined,
+        token: packet.token,
+        config: this.state.routes.config?.version,
+        feedAgeMs: this.feedAgeMs(),
+      });
     }
   }
 
+  /** How long ago a control machine said that what it told is current. */
+  private feedAgeMs(): number | undefined {
+    const { currentAtMs } = this.state;
+    return currentAtMs === undefined
+      ? undefined
+      : Math.round(this.surroundings.nowMs() - currentAtMs);
+  }
+
   private askPeers(key: FlowKey, datagram: Uint8Array, packet: PacketView): void {
     if (this.held.has(key) || this.held.size >= MAX_HELD) {
       return;
@@ -215,8 +287,12 @@
     }
     if (nowMs >= this.nextSweepAtMs) {
       this.nextSweepAtMs = nowMs + SWEEP_INTERVAL_MS;
-      ingressTick(this.state, nowMs);
+      ingressTick(this.state, nowMs).forEach(({ backend, from, to }) => {
+        const silentMs = Math.round(this.state.backends.silentMs(backend));
+        this.surroundings.note('backend judged', { backend: backend.id, from, to, silentMs });
+      });
     }
+    this.surroundings.packetLog.flush();
   }
 
   private followFeed(nowMs: number): void {
@@ -280,6 +356,12 @@
   }
 }
 
+/** @returns the two ends of a flow, as logs name it */
+function describeFlow(packet: PacketView): string {
+  const source = `${unpackHost(packet.sourceHost)}:${packet.sourcePort}`;
+  return `${source}>${unpackHost(packet.destinationHost)}:${packet.destinationPort}`;
+}
+
 /** Spreads balancers over the control machines by their names. */
 function spreadOf(name: string): number {
   let sum = 0;
--- a/src/daemon/line-writer.ts
+++ b/src/daemon/line-writer.ts
@@ -7,7 +7,10 @@
 /** Starts a write and calls back once it has ended, well or not. */
 export type StartWrite = (text: string, ended: () => void) => void;
 
-const STANDARD_ERROR = 2;
+/** Descriptor of standard output. */
+export const STANDARD_OUTPUT = 1;
+/** Descriptor of standard error. */
+export const STANDARD_ERROR = 2;
 const MAX_WAITING_CHARACTERS = 256 * 1024;
 
 /** A bounded queue of lines before a file. */
@@ -20,7 +23,7 @@
   droppedLines = 0;
 
   constructor(
-    private readonly startWrite: StartWrite = writeToStandardError,
+    private readonly startWrite: StartWrite,
     private readonly maxWaitingCharacters: number = MAX_WAITING_CHARACTERS,
   ) {}
 
@@ -55,7 +58,10 @@
   }
 }
 
-/** Uses a thread of the pool, which may wait for the reader; the process does not. */
-function writeToStandardError(text: string, ended: () => void): void {
-  write(STANDARD_ERROR, text, () => ended());
+/**
+ * Writes by a thread of the pool, which may wait for the reader; the process does not.
+ * @param descriptor of a file, pipe or terminal
+ */
+export function writeTo(descriptor: number): StartWrite {
+  return (text, ended) => write(descriptor, text, () => ended());
 }
--- /dev/null
+++ b/src/daemon/metrics/group-metrics.ts
@@ -0,0 +1,115 @@
+/**
+ * @file The metrics of a control machine of a group.
+ */
+import { collectDefaultMetrics, Histogram, Registry } from 'prom-client';
+import { votersOf } from '../../consensus/membership.js';
+import { currentMembership } from '../../consensus/consensus-state.js';
+import { isCurrent, type GroupState } from '../../group/group-state.js';
+import type { GroupObserver, GroupProcess } from '../group-process.js';
+import type { MetricsSource } from './metrics-server.js';
+import { registerLabelledValues, registerValue } from './state-gauge.js';
+
+const MS_PER_SECOND = 1_000;
+const LATENCY_BUCKETS_S = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5];
+
+/** What is served, and what must be told for it. */
+export interface GroupMetrics {
+  readonly source: MetricsSource;
+  /** Takes latencies from now on. */
+  readonly observer: GroupObserver;
+}
+
+/**
+ * @param nowMs the clock of the steps
+ * @returns what a control machine serves
+ */
+export function groupMetrics(process: GroupProcess, nowMs: () => number): GroupMetrics {
+  const registry = new Registry();
+  const { state } = process;
+  collectDefaultMetrics({ register: registry });
+  registerConsensus(registry, state, nowMs);
+  registerState(registry, process);
+  return {
+    source: {
+      registry,
+      health: () => {
+        const ready = isCurrent(state, nowMs());
+        return { ready, state: state.consensus.role.name };
+      },
+    },
+    observer: latencyObserver(registry),
+  };
+}
+
+function registerConsensus(registry: Registry, state: GroupState, nowMs: () => number): void {
+  const { consensus } = state;
+  const value = (name: string, help: string, read: () => number) =>
+    registerValue(registry, `amberlift_group_${name}`, help, read);
+  value('term', 'Term of this machine.', () => consensus.term);
+  value('is_leader', '1 at the leader.', () => Number(consensus.role.name === 'leader'));
+  value('is_current', '1 where this machine leads a quorum or heard its leader lately.', () =>
+    Number(isCurrent(state, nowMs())),
+  );
+  value('commit_index', 'Highest index known as committed.', () => consensus.commitIndex);
+  value('log_entries', 'Entries behind the last snapshot.', () => {
+    return consensus.log.last.index - (consensus.snapshot?.index ?? 0);
+  });
+  value('voters', 'Voters of the group as this machine knows it.', () => {
+    return votersOf(currentMembership(consensus)).length;
+  });
+  value(
+    'leader_contact_age_seconds',
+    'Time since the leader was heard; at the leader, the longest time since a voter was.',
+    () => {
+      return contactAgeMs(state, nowMs()) / MS_PER_SECOND;
+    },
+  );
+}
+
+function contactAgeMs({ consensus }: GroupState, nowMs: number): number {
+  const { role, heardFromLeaderAtMs } = consensus;
+  if (role.name !== 'leader') {
+    return Math.max(0, nowMs - heardFromLeaderAtMs);
+  }
+  const heardAtMs = [...role.progress.values()].map((progress) => progress.heardAtMs);
+  return Math.max(0, nowMs - Math.min(nowMs, ...heardAtMs));
+}
+
+function registerState(registry: Registry, { state, counts }: GroupProcess): void {
+  const value = (name: string, help: string, read: () => number) =>
+    registerValue(registry, `amberlift_group_${name}`, help, read);
+  value('config_version', 'Version of the configuration that holds here.', () => {
+    return state.config?.version ?? 0;
+  });
+  value('registered_backends', 'Back ends whose heartbeats are known.', () => state.registry.size);
+  value('departures', 'Departures that are kept.', () => state.replicated.allDepartures().length);
+  value('fed_balancers', 'Balancers that get their feed here.', () => state.subscribers.size);
+  value('waiting_calls', 'Calls that wait for their answer.', () => state.waiting.size);
+  registerLabelledValues(
+    registry,
+    'amberlift_group_calls_total',
+    'Calls of back ends and operators, by kind and answer.',
+    'call',
+    () => [...counts].map(([label, count]) => ({ label, value: count })),
+  );
+}
+
+function latencyObserver(registry: Registry): GroupObserver {
+  const calls = new Histogram({
+    name: 'amberlift_group_call_seconds',
+    help: 'Time from a call to its answer, since the first scrape.',
+    labelNames: ['call'],
+    buckets: LATENCY_BUCKETS_S,
+    registers: [registry],
+  });
+  const writes = new Histogram({
+    name: 'amberlift_group_synced_write_seconds',
+    help: 'Time of one synced write of the log or a snapshot, since the first scrape.',
+    buckets: LATENCY_BUCKETS_S,
+    registers: [registry],
+  });
+  return {
+    onAnswered: (call, latencyMs) => calls.observe({ call }, latencyMs / MS_PER_SECOND),
+    onPersisted: (latencyMs) => writes.observe(latencyMs / MS_PER_SECOND),
+  };
+}
--- /dev/null
+++ b/src/daemon/metrics/ingress-metrics.ts
@@ -0,0 +1,133 @@
+/**
+ * @file The metrics of a balancer that forwards by 32-bit tokens.
+ */
+import { collectDefaultMetrics, Registry } from 'prom-client';
+import { knowsCurrent } from '../../ingress/ingress-state.js';
+import type { IngressProcess } from '../ingress-process.js';
+import type { MetricsSource } from './metrics-server.js';
+import { registerLabelledValues, registerValue, type LabelledValue } from './state-gauge.js';
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * @param nowMs the clock of the balancer's steps
+ * @returns what a balancer serves
+ */
+export function ingressMetrics(process: IngressProcess, nowMs: () => number): MetricsSource {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  registerPackets(registry, process);
+  registerBackends(registry, process);
+  registerConfiguration(registry, process, nowMs);
+  return {
+    registry,
+    health: () => ({ ready: process.isReady, state: healthOf(process) }),
+  };
+}
+
+function registerPackets(registry: Registry, { counts }: IngressProcess): void {
+  const counted = (prefix: string): LabelledValue[] =>
+    [...counts]
+      .filter(([name]) => name.startsWith(prefix))
+      .map(([name, value]) => ({ label: name.slice(prefix.length), value }));
+  const value = (name: string, help: string, read: () => number) =>
+    registerValue(registry, `amberlift_ingress_${name}`, help, read);
+  value(
+    'forwarded_packets_total',
+    'Packets sent to back ends.',
+    () => counts.get('forwarded') ?? 0,
+  );
+  value('malformed_packets_total', 'Datagrams that are no packet.', () => {
+    return counts.get('malformed') ?? 0;
+  });
+  registerLabelledValues(
+    registry,
+    'amberlift_ingress_opens_total',
+    'Opens sent to back ends, by how the back end was found.',
+    'how',
+    () => counted('opened:'),
+  );
+  registerLabelledValues(
+    registry,
+    'amberlift_ingress_resets_total',
+    'Opens refused by a reset, by reason.',
+    'reason',
+    () => counted('reset:'),
+  );
+  registerLabelledValues(
+    registry,
+    'amberlift_ingress_dropped_packets_total',
+    'Packets dropped, by reason; unknown-token is a token miss.',
+    'reason',
+    () => counted('dropped:'),
+  );
+}
+
+function registerBackends(registry: Registry, { state }: IngressProcess): void {
+  registerLabelledValues(
+    registry,
+    'amberlift_ingress_backend_requests',
+    'Requests that seem to be in progress at a back end, over all balancers.',
+    'backend',
+    () =>
+      [...state.backends.all()].map(({ id, own, others }) => ({
+        label: id,
+        value: own.busy + others.busy,
+      })),
+  );
+  registerLabelledValues(
+    registry,
+    'amberlift_ingress_backends',
+    'Back ends known, by what is judged of them.',
+    'state',
+    () => {
+      const counts = new Map<string, number>();
+      for (const { departure, liveness } of state.backends.all()) {
+        const label = departure ?? liveness;
+        counts.set(label, (counts.get(label) ?? 0) + 1);
+      }
+      return [...counts].map(([label, value]) => ({ label, value }));
+    },
+  );
+  registerValue(
+    registry,
+    'amberlift_ingress_counted_flows',
+    'Flows that are counted for placement.',
+    () => state.activities.size,
+  );
+}
+
+function registerConfiguration(
+  registry: Registry,
+  { state }: IngressProcess,
+  nowMs: () => number,
+): void {
+  const value = (name: string, help: string, read: () => number) =>
+    registerValue(registry, `amberlift_ingress_${name}`, help, read);
+  value('config_version', 'Version of the configuration in force here.', () => {
+    return state.routes.config?.version ?? 0;
+  });
+  value('routes', 'Routes in force here.', () => state.routes.config?.routes.length ?? 0);
+  value(
+    'feed_age_seconds',
+    'Time since a control machine said that what it tells is current.',
+    () => {
+      return state.currentAtMs === undefined ? -1 : (nowMs() - state.currentAtMs) / MS_PER_SECOND;
+    },
+  );
+  value('knows_current', '1 where what is known here was current a moment ago.', () =>
+    Number(knowsCurrent(state, nowMs())),
+  );
+  value(
+    'reporting_balancers',
+    'Other balancers whose load reports count.',
+    () => state.reports.size,
+  );
+}
+
+function healthOf({ state, isReady }: IngressProcess): string {
+  if (state.isStopping) {
+    return 'stopping';
+  }
+  return isReady ? 'ready' : 'starting';
+}
--- /dev/null
+++ b/src/daemon/metrics/late-metrics.ts
@@ -0,0 +1,27 @@
+/**
+ * @file The metrics of processes that load them only once somebody asks.
+ */
+import type { RequestListener } from 'node:http';
+import type { GroupDaemon } from '../group-daemon.js';
+import type { IngressDaemon } from '../ingress-daemon.js';
+import { createMetricsListener } from './metrics-server.js';
+
+const nowMs = () => performance.now();
+
+/** @returns the listener for the metrics of a balancer */
+export function ingressMetricsListener({ process }: IngressDaemon): RequestListener {
+  return createMetricsListener(async () => {
+    const { ingressMetrics } = await import('./ingress-metrics.js');
+    return ingressMetrics(process, nowMs);
+  });
+}
+
+/** @returns the listener for the metrics of a control machine */
+export function groupMetricsListener({ group }: GroupDaemon): RequestListener {
+  return createMetricsListener(async () => {
+    const { groupMetrics } = await import('./group-metrics.js');
+    const { source, observer } = groupMetrics(group, nowMs);
+    group.observer = observer;
+    return source;
+  });
+}
--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -83,11 +83,13 @@
   if (!isCurrent(state, context.nowMs)) {
     return [unavailable(requestId, 'This machine follows no leader.')];
   }
+  const registered = registrationDecision(state, record);
   noteRecord(state, record, context.nowMs);
   if (isDraining) {
-    return noteDeparture(state, requestId, { backendId: record.id, kind: 'draining' }, context);
+    const departure = { backendId: record.id, kind: 'draining' } as const;
+    return [...registered, ...noteDeparture(state, requestId, departure, context)];
   }
-  return [{ type: 'reply', requestId, reply: { type: 'accepted' } }];
+  return [...registered, { type: 'reply', requestId, reply: { type: 'accepted' } }];
 }
 
 function noteRecord(state: GroupState, record: BackendRecord, nowMs: number): void {
@@ -98,6 +100,23 @@
   }
 }
 
+/** One line for each start of a back end that is heard of for the first time. */
+function registrationDecision(state: GroupState, record: BackendRecord): GroupEffect[] {
+  if (state.registry.get(record.id) !== undefined) {
+    return [];
+  }
+  const { id, service, zone, address, capacity, warmUpLeftMs } = record;
+  const fields = {
+    backend: id,
+    service,
+    zone,
+    address: formatAddress(address),
+    capacity,
+    warmUpLeftMs,
+  };
+  return [{ type: 'decision', name: 'backend registered', fields }];
+}
+
 /** What is committed already needs no leader: a departure is final. */
 function noteDeparture(
   state: GroupState,
--- a/src/ingress/backend-table.ts
+++ b/src/ingress/backend-table.ts
@@ -19,6 +19,9 @@
   flows: number;
 }
 
+/** What a back end's heartbeats say: heard of lately, silent for a while, or for so long that it counts as dead. */
+export type Liveness = 'heard' | 'silent' | 'dead';
+
 /** One start of a back end, as a balancer knows it. */
 export interface KnownBackend {
   readonly id: string;
@@ -33,6 +36,8 @@
   /** When its last heartbeat came, in milliseconds. */
   heardAtMs: number;
   departure: DepartureKind | undefined;
+  /** As it was judged last. */
+  liveness: Liveness;
   /** When it left, in milliseconds. */
   departedAtMs: number;
   /** Until when it is slow from its start, in milliseconds. */
@@ -151,6 +156,7 @@
       heardAtMs,
       departure: this.departures.get(record.id),
       departedAtMs: heardAtMs,
+      liveness: 'heard',
       warmUntilMs: heardAtMs + record.warmUpLeftMs,
       own: { busy: 0, flows: 0 },
       others: { busy: 0, flows: 0 },
--- a/src/ingress/feed-step.ts
+++ b/src/ingress/feed-step.ts
@@ -2,7 +2,16 @@
  * @file What a balancer takes from its control machine and from other balancers.
  */
 import type { FeedMessage } from '../group/group-messages.js';
+import type { KnownBackend, Liveness } from './backend-table.js';
 import type { BackendLoadReport, IngressState } from './ingress-state.js';
+import { livenessOf } from './placement.js';
+
+/** A back end that is judged otherwise than before. */
+export interface JudgedAnew {
+  readonly backend: KnownBackend;
+  readonly from: Liveness;
+  readonly to: Liveness;
+}
 
 /** A report of another balancer counts for so long. */
 const REPORT_LIFETIME_MS = 1_500;
@@ -54,11 +63,20 @@
 
 /**
  * Forgets what is old: flows at rest, back ends that are gone, reports of balancers that are silent.
+ * @returns back ends that are judged otherwise than before
  */
-export function ingressTick(state: IngressState, nowMs: number): void {
+export function ingressTick(state: IngressState, nowMs: number): JudgedAnew[] {
   state.activities.sweep(nowMs);
   state.backends.forget(nowMs, state.options.flowLifetimeMs);
   sumReports(state, nowMs);
+  return [...state.backends.all()].flatMap((backend) => judgeAnew(state, backend));
+}
+
+function judgeAnew(state: IngressState, backend: KnownBackend): JudgedAnew[] {
+  const from = backend.liveness;
+  const to = livenessOf(state.backends.silentMs(backend), state.options);
+  backend.liveness = to;
+  return from === to ? [] : [{ backend, from, to }];
 }
 
 function sumReports(state: IngressState, nowMs: number): void {
--- a/src/ingress/packet-codec.ts
+++ b/src/ingress/packet-codec.ts
@@ -15,6 +15,12 @@
   toBackend(datagram: Uint8Array, instanceBytes: Uint8Array, token: number): Uint8Array;
   /** @returns a reset of the flow that a client's packet belongs to */
   resetFor(packet: PacketView): Uint8Array;
+  /**
+   * Serves logs only; nothing is decided by it.
+   * @param datagram one that `read` took
+   * @returns the ID of the request that begins in a packet, or undefined where none does
+   */
+  requestIdOf(datagram: Uint8Array): string | undefined;
   /** @returns where the client of a packet takes packets */
   clientAddress(packet: PacketView): Address;
 }
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -2,7 +2,7 @@
  * @file The decision for each packet of a client: a packet with a token goes to the back end that the
  * token names; an open goes where its first copy went, or to a back end of the route's service.
  */
-import { chooseBackend } from './placement.js';
+import { chooseBackend, loadOf } from './placement.js';
 import type { KnownBackend } from './backend-table.js';
 import { isReady, knowsCurrent, type IngressState } from './ingress-state.js';
 import { flowKeyOf, type FlowKey, type PacketView } from './packet-view.js';
@@ -11,9 +11,23 @@
 export type DropReason =
   'unknown-token' | 'no-token' | 'not-ready' | 'not-current' | 'no-route' | 'no-backend';
 
+/** How the back end of an open was found. */
+export type Placement =
+  /** Chosen by load. */
+  | { readonly type: 'chosen'; readonly service: string; readonly load: number }
+  /** A copy of an open that this balancer placed. */
+  | { readonly type: 'remembered' }
+  /** A copy of an open that another balancer placed. */
+  | { readonly type: 'told-by-peer' };
+
 /** What becomes of a packet. */
 export type PacketDecision =
-  | { readonly type: 'forward'; readonly backend: KnownBackend }
+  | {
+      readonly type: 'forward';
+      readonly backend: KnownBackend;
+      /** How the back end of an open was found; undefined for packets with a token. */
+      readonly placement?: Placement;
+    }
   /** Tell the client that the flow was not opened. */
   | { readonly type: 'reset'; readonly reason: DropReason }
   | { readonly type: 'drop'; readonly reason: DropReason }
@@ -52,7 +66,7 @@
   const key = flowKeyOf(packet);
   const placed = state.opens.recall(key, nowMs);
   if (placed !== undefined) {
-    return forwardCopy(state, placed.backendId);
+    return forwardCopy(state, placed.backendId, { type: 'remembered' });
   }
   if (!state.routes.has(packet.destinationHost, packet.destinationPort)) {
     return knowsCurrent(state, nowMs)
@@ -65,11 +79,11 @@
   return placeOpen(state, packet, nowMs);
 }
 
-function forwardCopy(state: IngressState, backendId: string): PacketDecision {
+function forwardCopy(state: IngressState, backendId: string, placement: Placement): PacketDecision {
   const backend = state.backends.find(backendId);
   return backend === undefined
     ? { type: 'drop', reason: 'unknown-token' }
-    : { type: 'forward', backend };
+    : { type: 'forward', backend, placement };
 }
 
 /**
@@ -87,10 +101,11 @@
       ? { type: 'drop', reason: 'no-backend' }
       : { type: 'reset', reason: 'no-backend' };
   }
+  const load = loadOf(backend, nowMs);
   const key = flowKeyOf(packet);
   state.opens.remember(key, backend.id, nowMs);
   state.activities.open(key, backend, nowMs);
-  return { type: 'forward', backend };
+  return { type: 'forward', backend, placement: { type: 'chosen', service, load } };
 }
 
 /**
@@ -103,7 +118,7 @@
   nowMs: number,
 ): PacketDecision {
   state.opens.remember(key, backendId, nowMs);
-  return forwardCopy(state, backendId);
+  return forwardCopy(state, backendId, { type: 'told-by-peer' });
 }
 
 /** Just after a start, and while cut off, back ends may exist that are not known here. */
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -2,7 +2,7 @@
  * @file Which back end of a service takes a new flow: one of the own zone with the least load, another
  * zone's only where the own zone is clearly busier. Silent and cold back ends come later.
  */
-import type { BackendTable, KnownBackend } from './backend-table.js';
+import type { BackendTable, KnownBackend, Liveness } from './backend-table.js';
 
 /** Options of placement. */
 export interface PlacementOptions {
@@ -50,12 +50,27 @@
 function bestHeard(
   table: BackendTable,
   staying: readonly KnownBackend[],
-  { heartbeatIntervalMs }: PlacementOptions,
+  options: PlacementOptions,
 ): readonly KnownBackend[] {
-  const within = (intervals: number) =>
-    staying.filter((backend) => table.silentMs(backend) <= intervals * heartbeatIntervalMs);
-  const heard = within(SUSPECT_AFTER_INTERVALS);
-  return heard.length > 0 ? heard : within(DEAD_AFTER_INTERVALS);
+  const judgedAs = (liveness: Liveness) =>
+    staying.filter((backend) => livenessOf(table.silentMs(backend), options) === liveness);
+  const heard = judgedAs('heard');
+  return heard.length > 0 ? heard : judgedAs('silent');
+}
+
+/**
+ * @param silentMs how long nothing was heard of a back end
+ * @returns how it is judged
+ */
+export function livenessOf(
+  silentMs: number,
+  { heartbeatIntervalMs }: Pick<PlacementOptions, 'heartbeatIntervalMs'>,
+): Liveness {
+  const intervals = silentMs / heartbeatIntervalMs;
+  if (intervals <= SUSPECT_AFTER_INTERVALS) {
+    return 'heard';
+  }
+  return intervals <= DEAD_AFTER_INTERVALS ? 'silent' : 'dead';
 }
 
 function leastLoaded(
--- a/src/ingress/token-packet.ts
+++ b/src/ingress/token-packet.ts
@@ -106,6 +106,10 @@
         dataLength: 0,
       }),
     ),
+  requestIdOf: (datagram) => {
+    const requestId = decodePacket(datagram)?.requestId ?? 0;
+    return requestId === 0 ? undefined : String(requestId);
+  },
   clientAddress: ({ sourceHost, sourcePort }) => ({
     host: unpackHost(sourceHost),
     port: sourcePort,
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -67,6 +67,7 @@
             }
           }),
         note: (name, fields) => this.parts.note(host, name, fields),
+        packetLog: { note: () => undefined, flush: () => undefined },
       },
     );
     this.process = process;
--- a/test/daemon/line-writer.test.ts
+++ b/test/daemon/line-writer.test.ts
@@ -1,4 +1,6 @@
 /** @file A reader that does not read costs lines, which are counted, and nothing else. */
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
 import t from 'tap';
 import { LineWriter } from '../../src/daemon/line-writer.js';
 
@@ -32,3 +34,27 @@
   end?.();
   t.match(written[1], /995 lines were dropped here\n$/);
 });
+
+const FLOOD = `
+  import { LineWriter, STANDARD_ERROR, writeTo } from './dist/src/daemon/line-writer.js';
+  const lines = new LineWriter(writeTo(STANDARD_ERROR));
+  let turns = 0;
+  const turn = () => {
+    for (let index = 0; index < 100; index += 1) lines.writeLine('x'.repeat(200) + '\\n');
+    turns += 1;
+    if (turns < 100) setImmediate(turn);
+    else process.stdout.write(JSON.stringify({ turns, dropped: lines.droppedLines }), () => process.exit(0));
+  };
+  turn();
+`;
+
+t.test('a process goes on where nobody reads the pipe of its lines', async (t) => {
+  const child = spawn(process.execPath, ['--input-type=module', '--eval', FLOOD], {
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  // Nobody reads child.stderr: its pipe is full after 64 KB.
+  const [text] = (await once(child.stdout, 'data')) as [Buffer];
+  const told = JSON.parse(text.toString('utf8')) as { turns: number; dropped: number };
+  t.equal(told.turns, 100, 'every turn of the event loop came');
+  t.ok(told.dropped > 5_000, 'lines were dropped and counted');
+});
--- a/test/daemon/token-deployment.test.ts
+++ b/test/daemon/token-deployment.test.ts
@@ -68,6 +68,11 @@
   return JSON.parse(stdout) as unknown;
 }
 
+async function metricsAt(address: Address): Promise<string> {
+  const response = await fetch(`http://${textOf(address)}/metrics`);
+  return response.text();
+}
+
 async function bindSocket(): Promise<{ readonly socket: Socket; readonly address: Address }> {
   const socket = createSocket('udp4');
   socket.bind(0, HOST);
@@ -113,11 +118,20 @@
 
 t.test('a flow is opened through a deployment of its own', async (t) => {
   const folder = await mkdtemp(join(tmpdir(), 'amberlift-token-'));
-  const addresses = await freeAddresses(2 * CONTROL_COUNT + 3);
+  const addresses = await freeAddresses(2 * CONTROL_COUNT + 5);
   const linkAddresses = addresses.slice(0, CONTROL_COUNT);
   const callAddresses = addresses.slice(CONTROL_COUNT, 2 * CONTROL_COUNT);
-  const [packetAddress, peerAddress, readyAddress] = addresses.slice(2 * CONTROL_COUNT);
-  if (packetAddress === undefined || peerAddress === undefined || readyAddress === undefined) {
+  const [packetAddress, peerAddress, readyAddress, ...metricsAddresses] = addresses.slice(
+    2 * CONTROL_COUNT,
+  );
+  const [ingressMetrics, groupMetrics] = metricsAddresses;
+  if (
+    packetAddress === undefined ||
+    peerAddress === undefined ||
+    readyAddress === undefined ||
+    ingressMetrics === undefined ||
+    groupMetrics === undefined
+  ) {
     throw new Error('Too few ports.');
   }
   const seeds = linkAddresses.map(textOf);
@@ -130,6 +144,7 @@
       seeds,
       isFirstStart: true,
       operatorToken: TOKEN,
+      ...(index === 0 && { metricsAddress: textOf(groupMetrics) }),
     }),
   );
   const balancer = startProcess('ingress', {
@@ -138,6 +153,7 @@
     peerAddress: textOf(peerAddress),
     readyAddress: textOf(readyAddress),
     controlSeeds: seeds,
+    metricsAddress: textOf(ingressMetrics),
   });
   const processes = [...controls, balancer];
   let ended = 0;
@@ -225,6 +241,16 @@
   const answer = decodePacket(await answerTo(caller.socket, packetAddress, lost, caller.socket));
   t.match(answer, { kind: 'reset', to: caller.address }, 'no route: a reset at once');
 
+  const ofIngress = await metricsAt(ingressMetrics);
+  t.match(ofIngress, 'amberlift_ingress_config_version 2');
+  t.match(ofIngress, /amberlift_ingress_opens_total\{how="chosen"\} [1-9]/);
+  t.match(ofIngress, /amberlift_ingress_resets_total\{reason="no-route"\} [1-9]/);
+  t.match(ofIngress, 'amberlift_ingress_backends{state="heard"} 1');
+  const ofGroup = await metricsAt(groupMetrics);
+  t.match(ofGroup, 'amberlift_group_config_version 2');
+  t.match(ofGroup, 'amberlift_group_voters 3');
+  t.match(ofGroup, 'amberlift_group_is_current 1');
+
   balancer.kill('SIGTERM');
   const [code] = (await once(balancer, 'exit')) as [number];
   t.equal(code, 0, 'a planned stop ends well');
