Say why a link was given up, and tell a feed that is lost from one that is not reached

Change: reasons of both time-outs; tries that never brought anything are "feed not reached", within the budget of lines. explain tells each kind of event of a process once, and the age of the feed by which a balancer decided. Tests: frame-links, feed-source, explain, early-packets pass.

--- a/src/daemon/frame-links.ts
+++ b/src/daemon/frame-links.ts
@@ -46,6 +46,8 @@
 
 interface OpenLink extends FrameLink {
   readonly socket: Socket;
+  /** Closes the link; its owner hears why. */
+  giveUp(reason: string): void;
   heardAtMs: number;
   sentAtMs: number;
 }
@@ -78,10 +80,15 @@
    */
   connect(to: Address, handlers: FrameLinkHandlers): FrameLink {
     const socket = this.dial(to);
-    const giveUp = setTimeout(() => socket.destroy(), this.options.connectTimeoutMs);
+    const { connectTimeoutMs } = this.options;
+    const link = this.wrap(socket, handlers);
+    const giveUp = setTimeout(
+      () => link.giveUp(`No connection within ${connectTimeoutMs} ms.`),
+      connectTimeoutMs,
+    );
     socket.once('connect', () => clearTimeout(giveUp));
     socket.once('close', () => clearTimeout(giveUp));
-    return this.wrap(socket, handlers);
+    return link;
   }
 
   /**
@@ -114,12 +121,15 @@
       heardAtMs: now,
       sentAtMs: now,
       send: (message) => this.send(link, message),
-      close: () => socket.destroy(),
+      close: () => link.giveUp('Closed here.'),
+      giveUp: (cause) => {
+        reason = cause;
+        socket.destroy();
+      },
     };
     const refuse = (cause: string) => {
-      reason = cause;
       this.malformedLinks += 1;
-      socket.destroy();
+      link.giveUp(cause);
     };
     this.links.add(link);
     socket.setNoDelay(true);
@@ -159,7 +169,7 @@
     const now = performance.now();
     for (const link of this.links) {
       if (now - link.heardAtMs > this.options.silentAfterMs) {
-        link.socket.destroy();
+        link.giveUp(`Nothing came for ${this.options.silentAfterMs} ms.`);
       } else if (now - link.sentAtMs >= this.options.pulseIntervalMs / 2 && link.socket.writable) {
         link.sentAtMs = now;
         link.socket.write(pulseFrame);
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -343,8 +343,7 @@
       onClose: (closed, reason) => {
         if (closed === this.controlLink) {
           this.controlLink = undefined;
-          this.surroundings.note('feed lost', { control: formatAddress(to), reason });
-          this.source.closed(this.surroundings.nowMs());
+          this.noteFeedClosed(this.source.closed(this.surroundings.nowMs()), to, reason);
           this.surroundings.after(FEED_RETRY_AFTER_MS, () => {
             this.followFeed(this.surroundings.nowMs());
           });
@@ -359,6 +358,16 @@
     });
   }
 
+  /** Control machines that can't be reached are tried many times a second: those lines have a budget. */
+  private noteFeedClosed(hadFeed: boolean, to: Address, reason: string): void {
+    const fields = { control: formatAddress(to), reason, feedAgeMs: this.feedAgeMs() };
+    if (hadFeed) {
+      this.surroundings.note('feed lost', fields);
+    } else {
+      this.surroundings.packetLog.note('feed not reached', fields);
+    }
+  }
+
   private receiveFeed(value: unknown, from: ControlLink): boolean {
     const message = parseFeed(value);
     if (message === undefined || from !== this.controlLink) {
--- a/src/ingress/feed-source.ts
+++ b/src/ingress/feed-source.ts
@@ -63,10 +63,15 @@
     }
   }
 
-  /** Notes that the link is closed. */
-  closed(nowMs: number): void {
+  /**
+   * Notes that the link is closed.
+   * @returns true where it had brought something: the feed is lost, not merely not reached
+   */
+  closed(nowMs: number): boolean {
+    const hadFeed = this.linked?.heardAtMs !== undefined;
     this.linked = undefined;
     this.retryAtMs = nowMs + FEED_RETRY_AFTER_MS;
+    return hadFeed;
   }
 
   /** Decides what to do with the link. */
--- a/src/toolbox/explain.ts
+++ b/src/toolbox/explain.ts
@@ -222,6 +222,7 @@
       ? []
       : ['No request followed the open: the back end did not accept it, or the client gave up.']),
     ...overloadFindings(ofFlow),
+    ...staleFindings(ofFlow),
     ...resendFindings(ofFlow, asked),
   ];
 }
@@ -244,7 +245,13 @@
 }
 
 function processFindings(story: readonly TimedLine[], { fromMs }: Span): string[] {
+  const told = new Set<string>();
   return story.flatMap(({ line, atMs }) => {
+    const key = `${line.source} ${line.name}`;
+    if (told.has(key)) {
+      return [];
+    }
+    told.add(key);
     const when = describeDistance(atMs - fromMs);
     switch (line.name) {
       case 'started':
@@ -252,7 +259,9 @@
       case 'stopping':
         return [`${line.source} was told to stop ${when}.`];
       case 'feed lost':
-        return [`${line.source} lost its control machine ${when}.`];
+        return [
+          `${line.source} lost its control machine ${when}: ${line.fields.get('reason') ?? ''}`,
+        ];
       case 'error':
         return [`${line.source} had an error ${when}.`];
       default:
@@ -261,12 +270,35 @@
   });
 }
 
+/** From here on a balancer was cut off from the control machines, or had not found one yet. */
+const STALE_FEED_MS = 1_500;
+
+function staleFindings(ofFlow: readonly TimedLine[]): string[] {
+  const stale = ofFlow.find(
+    ({ line }) => Number(line.fields.get('feedAgeMs') ?? 0) > STALE_FEED_MS,
+  );
+  if (stale === undefined) {
+    return [];
+  }
+  const { source, fields } = stale.line;
+  const age = fields.get('feedAgeMs') ?? '';
+  const config = fields.get('config') ?? 'none';
+  return [
+    `${source} had heard from no current control machine for ${age} ms, and went by configuration ${config}.`,
+  ];
+}
+
+/** Copies that come closer together were not sent for want of an acknowledgement. */
+const SMALLEST_RESEND_MS = 100;
+
 /** A client sends again what is not acknowledged. */
 function resendFindings(ofFlow: readonly TimedLine[], { fromMs }: Span): string[] {
   const asked = ofFlow.find(({ line, atMs }) => line.name === 'request' && atMs >= fromMs);
   const request = asked?.line.fields.get('request');
   const sends = ofFlow.filter(({ line }) => line.fields.get('request') === request);
-  return request === undefined || sends.length < 2
+  const lastMs = sends.at(-1)?.atMs ?? 0;
+  const isResent = sends.some(({ atMs }) => lastMs - atMs >= SMALLEST_RESEND_MS);
+  return request === undefined || !isResent
     ? []
     : [
         `Its first packet was sent ${sends.length} times: the back end acknowledged none of them in time.`,
