--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -15,7 +15,6 @@
   type IngressState,
 } from '../ingress/ingress-state.js';
 import {
-  decideHeldPacket,
   decidePacket,
   placeOpen,
   takePlacedElsewhere,
@@ -24,7 +23,6 @@
   type Placement,
 } from '../ingress/packet-step.js';
 import type { PacketCodec } from '../ingress/packet-codec.js';
-import { createPacketHold } from '../ingress/packet-hold.js';
 import type { FlowKey, PacketView } from '../ingress/packet-view.js';
 import type { KnownBackend } from '../ingress/backend-table.js';
 import type { DecisionFields } from './decision-log.js';
@@ -70,10 +68,6 @@
 /** How long other balancers may take to say that they placed an open. */
 const ASK_PEERS_MS = 30;
 const MAX_HELD = 10_000;
-/** Packets that are kept from the start until there is a state. */
-const MAX_EARLY = 2_000;
-/** After this time a client has sent most of them again. */
-const MAX_EARLY_MS = 1_000;
 /** Loads are logged with two digits behind the point. */
 const LOAD_DIGITS = 100;
 
@@ -94,7 +88,6 @@
   lastPacketAtMs = 0;
   private readonly source: FeedSource;
   private readonly held = new Map<FlowKey, HeldOpen>();
-  private readonly early = createPacketHold({ maxPackets: MAX_EARLY, maxAgeMs: MAX_EARLY_MS });
   private peers: BalancerInfo[] = [];
   private controlLink: ControlLink | undefined;
   private nextReportAtMs = 0;
@@ -171,9 +164,6 @@
       case 'drop':
         this.refuse('dropped', decision.reason, packet);
         return;
-      case 'hold':
-        this.hold(datagram, packet);
-        return;
       case 'ask-peers':
         this.askPeers(decision.key, datagram, packet);
         return;
@@ -254,28 +244,6 @@
       : Math.round(this.surroundings.nowMs() - currentAtMs);
   }
 
-  private hold(datagram: Uint8Array, packet: PacketView): void {
-    const heldAtMs = this.surroundings.nowMs();
-    const isHeld = this.early.add({ datagram: Uint8Array.from(datagram), packet, heldAtMs });
-    if (isHeld) {
-      this.count('held');
-    } else {
-      this.refuse('dropped', 'not-ready', packet);
-    }
-  }
-
-  /** There is a state now: what came before it is decided on. */
-  private releaseEarly(): void {
-    const nowMs = this.surroundings.nowMs();
-    const released = this.early.release(nowMs);
-    if (released.length > 0) {
-      this.surroundings.note('early packets released', { packets: released.length });
-    }
-    for (const { datagram, packet } of released) {
-      this.carryOut(decideHeldPacket(this.state, packet, nowMs), datagram, packet);
-    }
-  }
-
   private askPeers(key: FlowKey, datagram: Uint8Array, packet: PacketView): void {
     if (this.held.has(key) || this.held.size >= MAX_HELD) {
       return;
@@ -388,7 +356,6 @@
     }
     if (this.isReady !== wasReady) {
       this.surroundings.note('ready', { backends: this.state.backends.size });
-      this.releaseEarly();
     }
     return true;
   }
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -103,12 +103,6 @@
  *   balancer does not stop. One that is cut off later goes on with what it knows.
  */
 export function isReady(state: IngressState): boolean {
-  return hasState(state) && !state.isStopping;
-}
-
-/**
- * @returns true where there is a configuration, and it was current at least once
- */
-export function hasState(state: IngressState): boolean {
-  return state.firstCurrentAtMs !== undefined && state.routes.config !== undefined;
+  const hasState = state.firstCurrentAtMs !== undefined && state.routes.config !== undefined;
+  return hasState && !state.isStopping;
 }
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -4,7 +4,7 @@
  */
 import { chooseBackend, loadOf } from './placement.js';
 import type { KnownBackend } from './backend-table.js';
-import { hasState, isReady, knowsCurrent, type IngressState } from './ingress-state.js';
+import { isReady, knowsCurrent, type IngressState } from './ingress-state.js';
 import { flowKeyOf, type FlowKey, type PacketView } from './packet-view.js';
 
 /** Why a packet was dropped or its open refused. */
@@ -31,8 +31,6 @@
   /** Tell the client that the flow was not opened. */
   | { readonly type: 'reset'; readonly reason: DropReason }
   | { readonly type: 'drop'; readonly reason: DropReason }
-  /** Nothing is known yet: keep it until the first feed, then call `decideHeldPacket`. */
-  | { readonly type: 'hold' }
   /** A copy whose first went through another balancer: ask the others, then call `placeOpen`. */
   | { readonly type: 'ask-peers'; readonly key: FlowKey };
 
@@ -55,15 +53,15 @@
   }
   const backend = state.backends.resolve(packet.token);
   if (backend === undefined) {
-    return hasState(state) ? { type: 'drop', reason: 'unknown-token' } : { type: 'hold' };
+    return { type: 'drop', reason: 'unknown-token' };
   }
   state.activities.note(flowKeyOf(packet), backend, packet, nowMs);
   return { type: 'forward', backend };
 }
 
 function decideOpen(state: IngressState, packet: PacketView, nowMs: number): PacketDecision {
-  if (!hasState(state)) {
-    return { type: 'hold' };
+  if (state.firstCurrentAtMs === undefined || state.routes.config === undefined) {
+    return { type: 'drop', reason: 'not-ready' };
   }
   const key = flowKeyOf(packet);
   const placed = state.opens.recall(key, nowMs);
@@ -81,19 +79,6 @@
   return placeOpen(state, packet, nowMs);
 }
 
-/**
- * Decides on a packet that was held until there is a state. Of an open, another balancer may have placed a
- * copy meanwhile, even where this one is the first.
- */
-export function decideHeldPacket(
-  state: IngressState,
-  packet: PacketView,
-  nowMs: number,
-): PacketDecision {
-  const decision = decidePacket(state, { ...packet, copyNumber: packet.copyNumber + 1 }, nowMs);
-  return decision.type === 'hold' ? { type: 'drop', reason: 'not-ready' } : decision;
-}
-
 function forwardCopy(state: IngressState, backendId: string, placement: Placement): PacketDecision {
   const backend = state.backends.find(backendId);
   return backend === undefined
