--- a/src/sim/ingress/ingress-oracle.ts
+++ b/src/sim/ingress/ingress-oracle.ts
@@ -9,8 +9,10 @@
   | 'flow'
   /** A service takes a flow of a route that never named it. */
   | 'route'
-  /** A packet was changed on its way. */
-  | 'altered-packet'
+  /** A back end gets what its sender did not write so. */
+  | 'unasked'
+  /** A client gets what its sender did not write so. */
+  | 'mixed'
   /** A leaving back end is given a new flow after the bound. */
   | 'drain'
   /** A read, or the handling of a new flow, is older than what was acknowledged. */
@@ -145,8 +147,14 @@
     }
   }
 
-  noteAltered(nowMs: number, detail: string): void {
-    this.report('altered-packet', nowMs, detail);
+  /** A back end gets a packet that was changed on its way. */
+  noteUnasked(nowMs: number, detail: string): void {
+    this.report('unasked', nowMs, detail);
+  }
+
+  /** A client gets a packet that was changed on its way. */
+  noteMixed(nowMs: number, detail: string): void {
+    this.report('mixed', nowMs, detail);
   }
 
   noteFlowBroken(nowMs: number, detail: string): void {
--- a/src/sim/ingress/stand-in-backend.ts
+++ b/src/sim/ingress/stand-in-backend.ts
@@ -170,7 +170,7 @@
     const { clock, oracle } = this.parts;
     const received = decodeForBackend(bytes);
     if (received === undefined) {
-      oracle.noteAltered(clock.nowMs, 'bytes that are no packet');
+      oracle.noteUnasked(clock.nowMs, 'bytes that are no packet');
       return;
     }
     const { instance, packet } = received;
@@ -178,7 +178,7 @@
       return;
     }
     if (!isIntact(packet)) {
-      oracle.noteAltered(clock.nowMs, `${packet.kind} of ${formatAddress(packet.from)}`);
+      oracle.noteUnasked(clock.nowMs, `${packet.kind} of ${formatAddress(packet.from)}`);
       return;
     }
     if (packet.kind === 'open') {
--- a/src/sim/ingress/stand-in-client.ts
+++ b/src/sim/ingress/stand-in-client.ts
@@ -7,6 +7,7 @@
 import {
   decodePacket,
   encodePacket,
+  isIntact,
   sealPacket,
   type PacketKind,
   type TokenPacket,
@@ -97,8 +98,13 @@
   }
 
   private receive(bytes: Uint8Array): void {
+    const { clock, oracle } = this.parts;
     const packet = decodePacket(bytes);
-    if (packet?.to.port !== this.port) {
+    if (packet === undefined || !isIntact(packet)) {
+      oracle.noteMixed(clock.nowMs, `to ${formatAddress(this.address)}`);
+      return;
+    }
+    if (packet.to.port !== this.port) {
       return;
     }
     switch (packet.kind) {
--- a/test/ingress/mutants.test.ts
+++ b/test/ingress/mutants.test.ts
@@ -16,6 +16,8 @@
   readonly breakWorld: (world: IngressWorld) => void;
 }
 
+const CLIENT_HOSTS = '100.64.';
+const BACKEND_HOSTS = '10.0.2.';
 const FIRST_SEED = 50;
 const SEEDS_TRIED = 6;
 
@@ -81,11 +83,18 @@
       }),
   },
   {
-    name: 'a network changes packets',
-    check: 'altered-packet',
+    name: 'packets of clients are changed on their way',
+    check: 'unasked',
     kinds: ['config-changed'],
     faultCount: 1,
-    breakWorld: alterPackets,
+    breakWorld: (world) => alterPackets(world, CLIENT_HOSTS),
+  },
+  {
+    name: 'packets of back ends are changed on their way',
+    check: 'mixed',
+    kinds: ['config-changed'],
+    faultCount: 1,
+    breakWorld: (world) => alterPackets(world, BACKEND_HOSTS),
   },
   {
     name: 'disks sync nothing',
@@ -124,11 +133,11 @@
   }
 }
 
-function alterPackets(world: IngressWorld): void {
+function alterPackets(world: IngressWorld, senderHosts: string): void {
   const { wires } = world;
   const send = wires.sendDatagram.bind(wires);
   wires.sendDatagram = (host, to, bytes) => {
-    const packet = host.startsWith('100.64.') ? decodePacket(bytes) : undefined;
+    const packet = host.startsWith(senderHosts) ? decodePacket(bytes) : undefined;
     const isData = packet?.kind === 'data';
     send(host, to, isData ? encodePacket({ ...packet, requestId: packet.requestId + 1 }) : bytes);
   };
