--- a/src/daemon/line-writer.ts
+++ b/src/daemon/line-writer.ts
@@ -58,10 +58,26 @@
   }
 }
 
+/** A pipe that takes nothing without waiting is tried again after this time. */
+const RETRY_FULL_AFTER_MS = 10;
+
 /**
  * Writes by a thread of the pool, which may wait for the reader; the process does not.
  * @param descriptor of a file, pipe or terminal
  */
 export function writeTo(descriptor: number): StartWrite {
-  return (text, ended) => write(descriptor, text, () => ended());
+  return (text, ended) => writeAll(descriptor, Buffer.from(text), ended);
+}
+
+/** A pipe may take a part only, or nothing where it was set not to wait. */
+function writeAll(descriptor: number, bytes: Uint8Array, ended: () => void): void {
+  write(descriptor, bytes, 0, bytes.length, null, (error, writtenBytes) => {
+    if (error?.code === 'EAGAIN') {
+      setTimeout(() => writeAll(descriptor, bytes, ended), RETRY_FULL_AFTER_MS).unref();
+    } else if (error !== null || writtenBytes === bytes.length) {
+      ended();
+    } else {
+      writeAll(descriptor, bytes.subarray(writtenBytes), ended);
+    }
+  });
 }
