--- a/src/group/timing.ts
+++ b/src/group/timing.ts
@@ -49,8 +49,8 @@
 const SMALLEST_SHARE = 0.25;
 
 /**
- * @returns the times, shorter where the bounds are narrow: a link that hangs, an election and another
- *   feed must all fit into the narrowest of them, twice over
+ * @returns the times, shorter where the bounds are narrow, so that giving up a silent feed and finding
+ *   another one fits into the narrowest of them
  */
 export function timingFor(bounds: DeploymentBounds): Timing {
   const share = Math.max(
