--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,6 +21,7 @@
   'registry',
   'group',
   'ingress',
+  'load-exchange',
 ];
 
 /** Words of the platform's interfaces, which only `platform/` may know. */
--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -107,11 +107,11 @@
       logDecision('control', 'link refused', { kind: 'malformed-message' });
       return false;
     }
-    if (parsed.type !== 'subscribe') {
+    if (parsed.type === 'subscribe' || parsed.type === 'load-report') {
+      this.group.takeBalancerMessage(this.feedLinks.idOf(link), parsed);
+    } else {
       this.group.takePeerMessage(parsed);
-      return true;
     }
-    this.group.subscribe(this.feedLinks.idOf(link), parsed);
     return true;
   }
 
--- a/src/daemon/group-process.ts
+++ b/src/daemon/group-process.ts
@@ -7,7 +7,7 @@
 import type { PersistEffect } from '../consensus/persisted-state.js';
 import type { LinkId } from '../common/link-table.js';
 import type { GroupEffect, GroupEvent, GroupReply, RequestId } from '../group/group-events.js';
-import type { FeedMessage, PeerMessage, SubscribeMessage } from '../group/group-messages.js';
+import type { BalancerLinkMessage, FeedMessage, PeerMessage } from '../group/group-messages.js';
 import type { GroupState } from '../group/group-state.js';
 import { groupStep } from '../group/group-step.js';
 import type { DecisionFields } from './decision-log.js';
@@ -70,9 +70,13 @@
     this.step({ type: 'peer-message', message });
   }
 
-  /** A balancer wants the feed on its link. */
-  subscribe(linkId: LinkId, message: SubscribeMessage): void {
-    this.step({ type: 'subscribe', linkId, message });
+  /** Takes a message of a balancer: it wants the feed on its link, or tells its load. */
+  takeBalancerMessage(linkId: LinkId, message: BalancerLinkMessage): void {
+    this.step(
+      message.type === 'subscribe'
+        ? { type: 'subscribe', linkId, message }
+        : { type: 'load-report', linkId, message },
+    );
   }
 
   closeLink(linkId: LinkId): void {
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -4,9 +4,9 @@
  * a codec.
  */
 import { formatAddress, unpackHost, type Address } from '../common/address.js';
-import type { BalancerInfo } from '../group/group-messages.js';
+import type { BalancerLinkMessage } from '../group/group-messages.js';
 import { parseFeed, type BalancerMessage } from '../group/message-schemas.js';
-import { ingressTick, ownReport, takeFeed, takeReport } from '../ingress/feed-step.js';
+import { ingressSweep, ownReport, takeFeed } from '../ingress/feed-step.js';
 import { FEED_RETRY_AFTER_MS, FeedSource } from '../ingress/feed-source.js';
 import {
   createIngressState,
@@ -23,14 +23,17 @@
   type Placement,
 } from '../ingress/packet-step.js';
 import type { PacketCodec } from '../ingress/packet-codec.js';
-import type { FlowKey, PacketView } from '../ingress/packet-view.js';
+import { flowKeyOf, type FlowKey, type PacketView } from '../ingress/packet-view.js';
 import type { KnownBackend } from '../ingress/backend-table.js';
+import { ASKED_HOLDERS, TOLD_HOLDERS } from '../ingress/peer-table.js';
+import { isSameLoads, type PackedLoads } from '../load-exchange/backend-load.js';
+import { exchangePeriodMs } from '../load-exchange/exchange-period.js';
 import type { DecisionFields } from './decision-log.js';
 import type { RequestLog } from './request-log.js';
 
 /** A link to the control machine that feeds this balancer. */
 export interface ControlLink {
-  send(message: object): void;
+  send(message: BalancerLinkMessage): void;
   close(): void;
 }
 
@@ -63,7 +66,6 @@
   readonly controlSeeds: readonly Address[];
 }
 
-const REPORT_INTERVAL_MS = 250;
 const SWEEP_INTERVAL_MS = 1_000;
 /** How long other balancers may take to say that they placed an open. */
 const ASK_PEERS_MS = 30;
@@ -88,9 +90,10 @@
   lastPacketAtMs = 0;
   private readonly source: FeedSource;
   private readonly held = new Map<FlowKey, HeldOpen>();
-  private peers: BalancerInfo[] = [];
   private controlLink: ControlLink | undefined;
   private nextReportAtMs = 0;
+  /** What the control machine was told last; undefined for nothing yet. */
+  private reported: PackedLoads | undefined;
   private nextSweepAtMs = 0;
 
   constructor(
@@ -134,24 +137,25 @@
   takeBalancerMessage(message: BalancerMessage): void {
     const nowMs = this.surroundings.nowMs();
     switch (message.type) {
-      case 'load-report':
-        takeReport(this.state, message.name, message.loads, nowMs);
+      case 'open-placed':
+        this.state.opens.remember(message.key, message.token, nowMs);
         return;
-      case 'find-open': {
-        const placed = this.state.opens.recall(message.key, nowMs);
-        if (placed !== undefined) {
-          const { backendId } = placed;
-          const found: BalancerMessage = { type: 'open-found', key: message.key, backendId };
-          this.surroundings.sendToBalancer(message.replyTo, found);
-        }
+      case 'find-open':
+        this.answerFindOpen(message.key, message.replyTo, nowMs);
         return;
-      }
       case 'open-found':
-        this.forwardHeld(message.key, message.backendId, nowMs);
+        this.forwardHeld(message.key, message.token, nowMs);
         return;
     }
   }
 
+  private answerFindOpen(key: FlowKey, replyTo: Address, nowMs: number): void {
+    const token = this.state.opens.recall(key, nowMs);
+    if (token !== undefined) {
+      this.surroundings.sendToBalancer(replyTo, { type: 'open-found', key, token });
+    }
+  }
+
   private carryOut(decision: PacketDecision, datagram: Uint8Array, packet: PacketView): void {
     switch (decision.type) {
       case 'forward':
@@ -177,6 +181,7 @@
     this.count('forwarded');
     if (placement !== undefined) {
       this.count(`opened:${placement.type}`);
+      this.tellHolders(packet, placement, token);
       this.surroundings.packetLog.note('placed', this.placementFields(packet, backend, placement));
       return;
     }
@@ -185,12 +190,20 @@
     }
   }
 
+  /** Those that a balancer asks which gets a copy of this open. */
+  private tellHolders(packet: PacketView, placement: Placement, token: number): void {
+    if (placement.type === 'chosen') {
+      const key = flowKeyOf(packet);
+      this.sendToHolders(key, TOLD_HOLDERS, { type: 'open-placed', key, token });
+    }
+  }
+
   private placementFields(
     packet: PacketView,
     backend: KnownBackend,
     placement: Placement,
   ): DecisionFields {
-    const { routes, backends } = this.state;
+    const { routes } = this.state;
     return {
       flow: describeFlow(packet),
       seq: packet.sequence,
@@ -201,7 +214,7 @@
         load: Math.round(placement.load * LOAD_DIGITS) / LOAD_DIGITS,
       }),
       backend: backend.id,
-      silentMs: Math.round(backends.silentMs(backend)),
+      liveness: backend.liveness,
       config: routes.config?.version,
       feedAgeMs: this.feedAgeMs(),
     };
@@ -249,11 +262,12 @@
       return;
     }
     this.held.set(key, { datagram: Uint8Array.from(datagram), packet });
-    this.sendToPeers({ type: 'find-open', key, replyTo: this.options.peerAddress });
+    const replyTo = this.options.peerAddress;
+    this.sendToHolders(key, ASKED_HOLDERS, { type: 'find-open', key, replyTo });
     this.surroundings.after(ASK_PEERS_MS, () => this.placeHeld(key));
   }
 
-  /** No other balancer has placed it. */
+  /** No holder knows of another back end. */
   private placeHeld(key: FlowKey): void {
     const held = this.held.get(key);
     if (held !== undefined) {
@@ -263,38 +277,49 @@
     }
   }
 
-  private forwardHeld(key: FlowKey, backendId: string, nowMs: number): void {
+  private forwardHeld(key: FlowKey, token: number, nowMs: number): void {
     const held = this.held.get(key);
     if (held !== undefined) {
       this.held.delete(key);
-      const decision = takePlacedElsewhere(this.state, key, backendId, nowMs);
+      const decision = takePlacedElsewhere(this.state, key, token, nowMs);
       this.carryOut(decision, held.datagram, held.packet);
     }
   }
 
-  private sendToPeers(message: BalancerMessage): void {
-    this.peers.forEach(({ peerAddress }) => this.surroundings.sendToBalancer(peerAddress, message));
+  private sendToHolders(key: FlowKey, count: number, message: BalancerMessage): void {
+    this.state.peers
+      .holdersOf(key, count)
+      .forEach(({ peerAddress }) => this.surroundings.sendToBalancer(peerAddress, message));
   }
 
   /** Does what is due. */
   tick(): void {
     const nowMs = this.surroundings.nowMs();
     this.followFeed(nowMs);
-    if (nowMs >= this.nextReportAtMs && this.peers.length > 0) {
-      this.nextReportAtMs = nowMs + REPORT_INTERVAL_MS;
-      const loads = ownReport(this.state);
-      this.sendToPeers({ type: 'load-report', name: this.options.ingress.name, loads });
-    }
+    this.reportLoads(nowMs);
     if (nowMs >= this.nextSweepAtMs) {
       this.nextSweepAtMs = nowMs + SWEEP_INTERVAL_MS;
-      ingressTick(this.state, nowMs).forEach(({ backend, from, to }) => {
-        const silentMs = Math.round(this.state.backends.silentMs(backend));
+      ingressSweep(this.state, nowMs).forEach(({ backend, from, to }) => {
+        const silentMs = Math.round(nowMs - backend.heardAtMs);
         this.surroundings.note('backend judged', { backend: backend.id, from, to, silentMs });
       });
     }
     this.surroundings.packetLog.flush();
   }
 
+  /** Tells the control machine what passes here, where that has changed. */
+  private reportLoads(nowMs: number): void {
+    if (this.controlLink === undefined || nowMs < this.nextReportAtMs) {
+      return;
+    }
+    const loads = ownReport(this.state);
+    if (this.reported === undefined || !isSameLoads(loads, this.reported)) {
+      this.reported = loads;
+      this.nextReportAtMs = nowMs + exchangePeriodMs(loads);
+      this.controlLink.send({ type: 'load-report', loads });
+    }
+  }
+
   private followFeed(nowMs: number): void {
     const action = this.source.act(nowMs);
     if (action.type === 'close') {
@@ -319,6 +344,7 @@
       },
     });
     this.controlLink = link;
+    this.reported = undefined;
     link.send({
       type: 'subscribe',
       balancer: { name: ingress.name, zone: ingress.zone, peerAddress },
@@ -347,9 +373,6 @@
     if (message.controls !== undefined) {
       this.source.takeControls(message.controls);
     }
-    if (message.balancers !== undefined) {
-      this.peers = message.balancers.filter(({ name }) => name !== this.options.ingress.name);
-    }
     const isNewer = takeFeed(this.state, message, nowMs);
     if (isNewer) {
       this.surroundings.note('config in force', { version: message.config?.version });
--- a/src/daemon/metrics/ingress-metrics.ts
+++ b/src/daemon/metrics/ingress-metrics.ts
@@ -118,11 +118,7 @@
   value('knows_current', '1 where what is known here was current a moment ago.', () =>
     Number(knowsCurrent(state, nowMs())),
   );
-  value(
-    'reporting_balancers',
-    'Other balancers whose load reports count.',
-    () => state.reports.size,
-  );
+  value('known_balancers', 'Other balancers that are known here.', () => state.peers.size);
 }
 
 function healthOf({ state, isReady }: IngressProcess): string {
--- a/src/group/group-consensus.ts
+++ b/src/group/group-consensus.ts
@@ -83,7 +83,7 @@
 function applyEntry(state: GroupState, entry: LogEntry): GroupEffect[] {
   const { content, index, term } = entry;
   if (content.type === 'membership') {
-    state.changes.listsChanged = true;
+    state.changes.controlsChanged = true;
     return [membershipDecision(state, index)];
   }
   if (content.type === 'no-op') {
--- a/src/group/group-events.ts
+++ b/src/group/group-events.ts
@@ -5,7 +5,12 @@
 import type { LinkId } from '../common/link-table.js';
 import type { PersistEffect, PersistEvent } from '../consensus/persisted-state.js';
 import type { BackendRecord } from '../registry/backend-record.js';
-import type { FeedMessage, PeerMessage, SubscribeMessage } from './group-messages.js';
+import type {
+  FeedMessage,
+  LoadReportMessage,
+  PeerMessage,
+  SubscribeMessage,
+} from './group-messages.js';
 import type { ConfigDocument } from './replicated-state.js';
 
 /** Names a call of a back end or operator until it is answered; positive. */
@@ -29,6 +34,7 @@
   | { readonly type: 'read-config'; readonly requestId: RequestId }
   | { readonly type: 'peer-message'; readonly message: PeerMessage }
   | { readonly type: 'subscribe'; readonly linkId: LinkId; readonly message: SubscribeMessage }
+  | { readonly type: 'load-report'; readonly linkId: LinkId; readonly message: LoadReportMessage }
   | { readonly type: 'link-closed'; readonly linkId: LinkId }
   | PersistEvent
   | { readonly type: 'tick' }
--- a/src/group/group-messages.ts
+++ b/src/group/group-messages.ts
@@ -5,6 +5,8 @@
 import type { Address } from '../common/address.js';
 import type { ConsensusMessage, Sender } from '../consensus/messages.js';
 import type { DeclaredConfig } from '../declared/declared-config.js';
+import type { PackedLoads } from '../load-exchange/backend-load.js';
+import type { BackendJudgement } from '../registry/backend-liveness.js';
 import type { BackendRecord, Departure } from '../registry/backend-record.js';
 import type { ConfigDocument, GroupCommand } from './replicated-state.js';
 
@@ -59,6 +61,8 @@
       readonly sender: Address;
       readonly balancers: readonly BalancerInfo[];
     }
+  /** What passes the balancers that the sender feeds, in place of what it told before. */
+  | { readonly type: 'load-sums'; readonly sender: Address; readonly loads: PackedLoads }
   | {
       readonly type: 'forward';
       readonly forwardId: number;
@@ -75,17 +79,36 @@
   readonly configVersion: number;
 }
 
+/** From a balancer to the control machine that feeds it: what passes it, in place of what it told before. */
+export interface LoadReportMessage {
+  readonly type: 'load-report';
+  readonly loads: PackedLoads;
+}
+
 /** From a control machine to a balancer. Absent parts have not changed. */
 export interface FeedMessage {
   readonly type: 'feed';
   /** True where the sender follows a leader that a quorum follows, and so knows what is committed. */
   readonly isCurrent: boolean;
+  /** True where `records` and `balancers` hold all that the sender knows. */
+  readonly isWhole?: boolean;
   readonly config?: DeclaredConfig;
+  /** Back ends that were not heard of before, or that tell something else of themselves. */
   readonly records?: readonly AgedRecord[];
+  /** Back ends that are judged otherwise than before. */
+  readonly judgements?: readonly BackendJudgement[];
   readonly departures?: readonly Departure[];
+  /** Balancers that came, or all of them where the message is whole. */
   readonly balancers?: readonly BalancerInfo[];
+  /** Names of balancers that went. */
+  readonly lostBalancers?: readonly string[];
   readonly controls?: readonly ControlInfo[];
+  /** What passes all other balancers, in place of what was told before. */
+  readonly loads?: PackedLoads;
 }
 
+/** What a balancer sends on its link. */
+export type BalancerLinkMessage = SubscribeMessage | LoadReportMessage;
+
 /** Every message that comes in at the link address of a control machine. */
-export type ControlInboundMessage = PeerMessage | SubscribeMessage;
+export type ControlInboundMessage = PeerMessage | BalancerLinkMessage;
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -12,6 +12,9 @@
 import { findMember, type Member, type NodeId } from '../consensus/membership.js';
 import type { RecoveredState } from '../consensus/persisted-state.js';
 import type { DeclaredConfig } from '../declared/declared-config.js';
+import type { PackedLoads } from '../load-exchange/backend-load.js';
+import { createLoadTotals, type LoadTotals } from '../load-exchange/load-totals.js';
+import type { BackendJudgement } from '../registry/backend-liveness.js';
 import { HeartbeatRegistry } from '../registry/heartbeat-registry.js';
 import type { RequestId } from './group-events.js';
 import type { Timing } from './timing.js';
@@ -80,15 +83,32 @@
   readonly balancer: BalancerInfo;
   /** Version of the configuration that was sent last. */
   configVersion: number;
-  /** True until the whole state has been sent. */
-  isNew: boolean;
+  phase: SubscriberPhase;
+  /** When it gets a message though nothing has changed, in milliseconds. */
+  nextPulseAtMs: number;
+  /** The version of the totals that it was told of last. */
+  loadsVersion: number;
+  /** The loads that it was told last. */
+  loads: PackedLoads;
+  /** It is told no loads before this time, in milliseconds. */
+  nextLoadsAtMs: number;
 }
 
+/** How much a balancer has been told. */
+export type SubscriberPhase =
+  /** Nothing. */
+  | 'new'
+  /** The whole state, while this machine could not say that it was current. */
+  | 'provisional'
+  /** The whole state as it was current, and all changes since. */
+  | 'fed';
+
 /** What has changed since the last feed. */
 export interface FeedChanges {
   records: AgedRecord[];
+  judgements: BackendJudgement[];
   departures: { backendId: string; kind: 'draining' | 'gone' }[];
-  listsChanged: boolean;
+  controlsChanged: boolean;
 }
 
 /** The balancers that another control machine feeds. */
@@ -125,15 +145,27 @@
   heartbeatsToShare: AgedRecord[];
   readonly subscribers: Map<LinkId, Subscriber>;
   readonly peerBalancers: Map<string, BalancersOfPeer>;
+  /** The balancers that subscribers have been told of, by their names. */
+  publishedBalancers: ReadonlyMap<string, BalancerInfo>;
   changes: FeedChanges;
   nextBalancersShareAtMs: number;
-  nextPulseAtMs: number;
+  readonly loads: LoadTotals;
+  /** The sums that the other control machines were told last. */
+  sharedSums: PackedLoads;
+  nextSumsShareAtMs: number;
+  /** They are told again after this time though nothing has changed, in milliseconds. */
+  nextSumsRefreshAtMs: number;
   wasCurrent: boolean;
+  /** Since when silence of a back end counts, in milliseconds; undefined while not current. */
+  listeningSinceMs: number | undefined;
   /** The translated form of the configuration that holds. */
   config: DeclaredConfig | undefined;
   isStopping: boolean;
 }
 
+/** The load sums of another control machine count for so long; they are told again each second. */
+const LOAD_SUMS_LIFETIME_MS = 2_500;
+
 const batchOptions = {
   maxBatchEntries: 64,
   maxBatchBytes: 512 * 1024,
@@ -187,10 +219,15 @@
     heartbeatsToShare: [],
     subscribers: new Map(),
     peerBalancers: new Map(),
+    publishedBalancers: new Map(),
     changes: noChanges(),
     nextBalancersShareAtMs: Number.NEGATIVE_INFINITY,
-    nextPulseAtMs: Number.NEGATIVE_INFINITY,
+    loads: createLoadTotals(LOAD_SUMS_LIFETIME_MS),
+    sharedSums: [],
+    nextSumsShareAtMs: Number.NEGATIVE_INFINITY,
+    nextSumsRefreshAtMs: Number.NEGATIVE_INFINITY,
     wasCurrent: false,
+    listeningSinceMs: undefined,
     config: document === undefined ? undefined : options.readDocument(document),
     isStopping: false,
   };
@@ -219,7 +256,7 @@
  * @returns changes of nothing
  */
 export function noChanges(): FeedChanges {
-  return { records: [], departures: [], listsChanged: false };
+  return { records: [], judgements: [], departures: [], controlsChanged: false };
 }
 
 /**
--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -9,13 +9,8 @@
 import { currentMembership } from '../consensus/consensus-state.js';
 import { findMember } from '../consensus/membership.js';
 import { isLaterDeparture, type BackendRecord } from '../registry/backend-record.js';
-import {
-  addSubscriber,
-  feedSubscribers,
-  removeSubscriber,
-  shareWithPeers,
-  takeBalancers,
-} from './balancer-feed.js';
+import { addSubscriber, feedNewcomer, feedSubscribers, removeSubscriber } from './balancer-feed.js';
+import { forgetOldBalancers, shareBalancers, takeBalancers } from './balancer-list.js';
 import { OWN_PROPOSAL, runConsensus } from './group-consensus.js';
 import type { GroupEffect, GroupEvent, RequestId } from './group-events.js';
 import type { AgedRecord, PeerMessage } from './group-messages.js';
@@ -28,7 +23,13 @@
   nextMemberChange,
   noteAnnouncement,
 } from './membership-duties.js';
-import { nextRegistryCommand, seedRegistry } from './registry-duties.js';
+import { feedLoads, shareLoadSums } from './load-duties.js';
+import {
+  judgeBackends,
+  nextRegistryCommand,
+  shareHeartbeats,
+  takeRecord,
+} from './registry-duties.js';
 import { encodeGroupCommand } from './replicated-state.js';
 
 /**
@@ -62,7 +63,13 @@
     .with({ type: 'peer-message' }, ({ message }) => takePeerMessage(state, message, context))
     .with({ type: 'subscribe' }, ({ linkId, message }) => {
       addSubscriber(state, linkId, message);
-      return feedSubscribers(state, nowMs);
+      return feedNewcomer(state, linkId, nowMs);
+    })
+    .with({ type: 'load-report' }, ({ linkId, message }) => {
+      if (state.subscribers.has(linkId)) {
+        state.loads.takeReport(linkId, message.loads);
+      }
+      return [];
     })
     .with({ type: 'link-closed' }, ({ linkId }) => {
       removeSubscriber(state, linkId);
@@ -84,7 +91,10 @@
     return [unavailable(requestId, 'This machine follows no leader.')];
   }
   const registered = registrationDecision(state, record);
-  noteRecord(state, record, context.nowMs);
+  const aged: AgedRecord = { record, ageMs: 0 };
+  if (takeRecord(state, aged, context.nowMs)) {
+    state.heartbeatsToShare.push(aged);
+  }
   if (isDraining) {
     const departure = { backendId: record.id, kind: 'draining' } as const;
     return [...registered, ...noteDeparture(state, requestId, departure, context)];
@@ -92,14 +102,6 @@
   return [...registered, { type: 'reply', requestId, reply: { type: 'accepted' } }];
 }
 
-function noteRecord(state: GroupState, record: BackendRecord, nowMs: number): void {
-  if (state.registry.take(record, nowMs)) {
-    const aged: AgedRecord = { record, ageMs: 0 };
-    state.heartbeatsToShare.push(aged);
-    state.changes.records.push(aged);
-  }
-}
-
 /** One line for each start of a back end that is heard of for the first time. */
 function registrationDecision(state: GroupState, record: BackendRecord): GroupEffect[] {
   if (state.registry.get(record.id) !== undefined) {
@@ -158,17 +160,17 @@
         : [];
     })
     .with({ type: 'heartbeats' }, ({ records }) => {
-      for (const aged of records) {
-        if (state.registry.take(aged.record, nowMs - aged.ageMs)) {
-          state.changes.records.push(aged);
-        }
-      }
+      records.forEach((aged) => takeRecord(state, aged, nowMs));
       return [];
     })
     .with({ type: 'balancers' }, ({ sender, balancers }) => {
       takeBalancers(state, formatAddress(sender), balancers, nowMs);
       return [];
     })
+    .with({ type: 'load-sums' }, ({ sender, loads }) => {
+      state.loads.takeSums(formatAddress(sender), loads, nowMs);
+      return [];
+    })
     .with({ type: 'forward' }, (message) => takeForward(state, message, run))
     .with({ type: 'forward-reply' }, (message) => takeForwardReply(state, message))
     .exhaustive();
@@ -202,10 +204,6 @@
 function tick(state: GroupState, context: StepContext): GroupEffect[] {
   const { nowMs } = context;
   const effects: GroupEffect[] = [];
-  if (!state.isRegistrySeeded) {
-    state.isRegistrySeeded = true;
-    seedRegistry(state, nowMs);
-  }
   const first = firstMembershipEvent(state);
   if (first !== undefined) {
     effects.push(...runConsensus(state, first, context));
@@ -216,8 +214,13 @@
   effects.push(...changeMembers(state, context));
   effects.push(...keepBackendList(state, context));
   effects.push(...expireCalls(state, nowMs));
-  effects.push(...shareWithPeers(state, nowMs));
+  judgeBackends(state, nowMs);
+  forgetOldBalancers(state, nowMs);
+  effects.push(...shareHeartbeats(state));
+  effects.push(...shareBalancers(state, nowMs));
+  effects.push(...shareLoadSums(state, nowMs));
   effects.push(...feedSubscribers(state, nowMs));
+  effects.push(...feedLoads(state, nowMs));
   state.registry.forgetSilent(nowMs, state.options.forgetBackendAfterMs);
   return effects;
 }
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -12,6 +12,7 @@
   senderShape as sender,
   textShape as text,
 } from '../consensus/message-shapes.js';
+import { NUMBERS_PER_LOAD } from '../load-exchange/backend-load.js';
 import type { ControlInboundMessage, FeedMessage } from './group-messages.js';
 
 const DOCUMENT_BYTES = 4 * 1024 * 1024;
@@ -29,6 +30,17 @@
 const agedRecord = z.object({ record, ageMs: z.number() });
 const departure = z.object({ backendId: text, kind: z.enum(['draining', 'gone']) });
 const balancer = z.object({ name: text, zone: text, peerAddress: address });
+const judgement = z.object({
+  backendId: text,
+  liveness: z.enum(['heard', 'silent', 'dead']),
+  silentMs: count,
+});
+/** Room for the load of 20,000 back ends. */
+const MAX_LOAD_NUMBERS = 20_000 * NUMBERS_PER_LOAD;
+const loads = z.array(index).check(
+  z.maxLength(MAX_LOAD_NUMBERS),
+  z.refine((numbers) => numbers.length % NUMBERS_PER_LOAD === 0, 'An entry is cut short.'),
+);
 const configDocument = z.object({
   version: index,
   text: z.string().check(z.maxLength(DOCUMENT_BYTES)),
@@ -69,7 +81,9 @@
     request: leaderRequest,
   }),
   z.object({ type: z.literal('forward-reply'), forwardId: index, answer: leaderAnswer }),
+  z.object({ type: z.literal('load-sums'), sender: address, loads }),
   z.object({ type: z.literal('subscribe'), balancer, configVersion: index }),
+  z.object({ type: z.literal('load-report'), loads }),
 ]);
 
 const target = z.object({ service: text, weight: count });
@@ -90,21 +104,21 @@
 const feed = z.object({
   type: z.literal('feed'),
   isCurrent: z.boolean(),
+  isWhole: z.optional(z.boolean()),
   config: z.optional(config),
   records: z.optional(list(agedRecord)),
+  judgements: z.optional(list(judgement)),
   departures: z.optional(list(departure)),
   balancers: z.optional(list(balancer)),
+  lostBalancers: z.optional(list(text)),
   controls: z.optional(list(z.object({ linkAddress: address }))),
+  loads: z.optional(loads),
 });
 
 const balancerMessage = z.discriminatedUnion('type', [
-  z.object({
-    type: z.literal('load-report'),
-    name: text,
-    loads: list(z.object({ token: index, busy: count, flows: count })),
-  }),
+  z.object({ type: z.literal('open-placed'), key: text, token: index }),
   z.object({ type: z.literal('find-open'), key: text, replyTo: address }),
-  z.object({ type: z.literal('open-found'), key: text, backendId: text }),
+  z.object({ type: z.literal('open-found'), key: text, token: index }),
 ]);
 
 /** From one balancer to another, in a datagram. */
--- a/src/group/registry-duties.ts
+++ b/src/group/registry-duties.ts
@@ -1,11 +1,66 @@
 /**
- * @file How the leader keeps the replicated list of back ends: those heard of for the first time are
- * added, those silent for long are dropped, a batch at a time and never in the way of a heartbeat.
+ * @file What a control machine does with the heartbeats of back ends: it keeps the last one of each, passes
+ * them on to the other control machines, judges silence, and as the leader keeps the replicated list of
+ * back ends: those heard of for the first time are added, those silent for long are dropped, a batch at a
+ * time and never in the way of a heartbeat.
  */
 import type { BackendRecord } from '../registry/backend-record.js';
-import type { GroupState } from './group-state.js';
+import type { GroupEffect } from './group-events.js';
+import type { AgedRecord } from './group-messages.js';
+import { isCurrent, otherMembers, type GroupState } from './group-state.js';
 import type { GroupCommand, ReplicatedState } from './replicated-state.js';
 
+/**
+ * Takes a heartbeat; balancers are told only where it says something new.
+ * @returns false where a later one was known
+ */
+export function takeRecord(state: GroupState, aged: AgedRecord, nowMs: number): boolean {
+  const news = state.registry.take(aged.record, nowMs - aged.ageMs);
+  if (news === 'changed') {
+    state.changes.records.push(aged);
+  }
+  return news !== 'late';
+}
+
+/**
+ * Tells the other control machines of the heartbeats that came in here.
+ */
+export function shareHeartbeats(state: GroupState): GroupEffect[] {
+  const records = state.heartbeatsToShare;
+  if (records.length === 0) {
+    return [];
+  }
+  state.heartbeatsToShare = [];
+  return otherMembers(state).map(({ linkAddress: to }) => ({
+    type: 'send-peer',
+    to,
+    message: { type: 'heartbeats', records },
+  }));
+}
+
+/**
+ * Judges the silence of back ends, as long as this machine hears of all heartbeats. Silence from before it
+ * did so counts for one interval at most.
+ */
+export function judgeBackends(state: GroupState, nowMs: number): void {
+  const { registry, options } = state;
+  if (!state.isRegistrySeeded) {
+    state.isRegistrySeeded = true;
+    seedRegistry(state, nowMs);
+  }
+  if (!isCurrent(state, nowMs)) {
+    state.listeningSinceMs = undefined;
+    return;
+  }
+  if (state.listeningSinceMs === undefined) {
+    state.listeningSinceMs = nowMs - options.heartbeatIntervalMs;
+    seedRegistry(state, nowMs);
+  }
+  const { listeningSinceMs } = state;
+  const judgements = registry.judge(nowMs, listeningSinceMs, options.heartbeatIntervalMs);
+  state.changes.judgements.push(...judgements);
+}
+
 /**
  * @returns the next change that a leader should make to the list, none while one is under way
  */
@@ -38,16 +93,15 @@
 }
 
 /**
- * Takes the replicated list into the registry, after a start or a snapshot: those back ends may well be
- * there, and are counted as heard of one heartbeat ago, until their next heartbeat tells.
+ * Takes the replicated list into the registry, after a start, a snapshot or a cut: those back ends may well
+ * be there, and are counted as heard of one heartbeat ago, until their next heartbeat tells.
  */
-export function seedRegistry(state: GroupState, nowMs: number): void {
-  const heardAtMs = nowMs - state.options.heartbeatIntervalMs;
+function seedRegistry(state: GroupState, nowMs: number): void {
+  const ageMs = state.options.heartbeatIntervalMs;
   for (const registered of state.replicated.allBackends()) {
     const record = { ...registered, warmUpLeftMs: 0 };
     if (state.registry.get(record.id) === undefined) {
-      state.registry.take(record, heardAtMs);
-      state.changes.records.push({ record, ageMs: state.options.heartbeatIntervalMs });
+      takeRecord(state, { record, ageMs }, nowMs);
     }
   }
 }
--- a/src/ingress/backend-table.ts
+++ b/src/ingress/backend-table.ts
@@ -5,6 +5,8 @@
 import { Buffer } from 'node:buffer';
 import type { Address } from '../common/address.js';
 import type { AgedRecord } from '../group/group-messages.js';
+import { eachLoad, type PackedLoads } from '../load-exchange/backend-load.js';
+import { livenessOf, type BackendJudgement, type Liveness } from '../registry/backend-liveness.js';
 import {
   isLaterDeparture,
   type BackendRecord,
@@ -19,9 +21,6 @@
   flows: number;
 }
 
-/** What a back end's heartbeats say: heard of lately, silent for a while, or for so long that it counts as dead. */
-export type Liveness = 'heard' | 'silent' | 'dead';
-
 /** One start of a back end, as a balancer knows it. */
 export interface KnownBackend {
   readonly id: string;
@@ -33,18 +32,20 @@
   /** Names it in packets of its flows; never 0. */
   readonly token: number;
   record: BackendRecord;
-  /** When its last heartbeat came, in milliseconds. */
+  /** When its last heartbeat came, in milliseconds; for one that is heard, some time before now. */
   heardAtMs: number;
   departure: DepartureKind | undefined;
-  /** As it was judged last. */
+  /** What its heartbeats say, as the control machine judges. */
   liveness: Liveness;
+  /** What they said when the logs told of it last. */
+  notedLiveness: Liveness;
   /** When it left, in milliseconds. */
   departedAtMs: number;
   /** Until when it is slow from its start, in milliseconds. */
   warmUntilMs: number;
   /** What passes this balancer. */
   readonly own: BackendLoad;
-  /** What passes the other balancers, from their last reports. */
+  /** What passes all other balancers, as the control machine told. */
   readonly others: BackendLoad;
 }
 
@@ -67,8 +68,9 @@
   private readonly byToken = new Map<number, KnownBackend>();
   private readonly byService = new Map<string, KnownBackend[]>();
   private readonly departures = new Map<string, DepartureKind>();
-  /** When the control machine last told what is current: silence is counted up to here only. */
-  private observedAtMs = 0;
+
+  /** @param heartbeatIntervalMs time between two heartbeats of a back end */
+  constructor(private readonly heartbeatIntervalMs: number) {}
 
   /** How many back ends are known. */
   get size(): number {
@@ -93,21 +95,55 @@
     return (this.byService.get(service) ?? []).filter(({ departure }) => departure === undefined);
   }
 
-  /** Takes a heartbeat that was passed on. */
+  /** Takes what a back end tells of itself, as the control machine has it. */
   take({ record, ageMs }: AgedRecord, nowMs: number): void {
     const heardAtMs = nowMs - ageMs;
-    const known = this.byId.get(record.id);
+    const known = this.byId.get(record.id) ?? this.add(record, heardAtMs);
     if (known === undefined) {
-      this.add(record, heardAtMs);
       return;
     }
+    known.liveness = livenessOf(ageMs, this.heartbeatIntervalMs);
+    known.heardAtMs = Math.max(known.heardAtMs, heardAtMs);
     if (record.sequence > known.record.sequence) {
       known.record = record;
-      known.heardAtMs = heardAtMs;
       known.warmUntilMs = heardAtMs + record.warmUpLeftMs;
     }
   }
 
+  /** Takes another judgement of a back end. */
+  judge({ backendId, liveness, silentMs }: BackendJudgement, nowMs: number): void {
+    const known = this.byId.get(backendId);
+    if (known !== undefined) {
+      known.liveness = liveness;
+      known.heardAtMs = nowMs - silentMs;
+    }
+  }
+
+  /** Takes back ends that the control machine knows nothing of as silent from now on. */
+  doubtAllBut(ids: ReadonlySet<string>, nowMs: number): void {
+    for (const backend of this.byId.values()) {
+      if (backend.liveness === 'heard' && !ids.has(backend.id)) {
+        backend.liveness = 'silent';
+        backend.heardAtMs = nowMs;
+      }
+    }
+  }
+
+  /** Takes what passes all other balancers, in place of what was told before. */
+  takeLoads(loads: PackedLoads): void {
+    for (const { others } of this.byId.values()) {
+      others.busy = 0;
+      others.flows = 0;
+    }
+    eachLoad(loads, (token, busy, flows) => {
+      const others = this.byToken.get(token)?.others;
+      if (others !== undefined) {
+        others.busy = busy;
+        others.flows = flows;
+      }
+    });
+  }
+
   /** Takes the word that a back end leaves; it may come before its first heartbeat. */
   depart({ backendId, kind }: Departure, nowMs: number): void {
     if (!isLaterDeparture(kind, this.departures.get(backendId))) {
@@ -121,16 +157,6 @@
     }
   }
 
-  /** Notes that what was told is current up to now. */
-  observe(nowMs: number): void {
-    this.observedAtMs = nowMs;
-  }
-
-  /** @returns how long a back end has been silent, as far as that is known, in milliseconds */
-  silentMs(backend: KnownBackend): number {
-    return Math.max(0, this.observedAtMs - backend.heardAtMs);
-  }
-
   /** Forgets back ends whose flows can't live any more. */
   forget(nowMs: number, lifetimeMs: number): void {
     for (const backend of this.byId.values()) {
@@ -138,13 +164,13 @@
         backend.departure === undefined
           ? backend.heardAtMs
           : Math.max(backend.departedAtMs, backend.heardAtMs);
-      if (nowMs - leftAtMs > lifetimeMs && this.silentMs(backend) > lifetimeMs) {
+      if (backend.liveness !== 'heard' && nowMs - leftAtMs > lifetimeMs) {
         this.remove(backend);
       }
     }
   }
 
-  private add(record: BackendRecord, heardAtMs: number): void {
+  private add(record: BackendRecord, heardAtMs: number): KnownBackend | undefined {
     const backend: KnownBackend = {
       id: record.id,
       service: record.service,
@@ -157,13 +183,14 @@
       departure: this.departures.get(record.id),
       departedAtMs: heardAtMs,
       liveness: 'heard',
+      notedLiveness: 'heard',
       warmUntilMs: heardAtMs + record.warmUpLeftMs,
       own: { busy: 0, flows: 0 },
       others: { busy: 0, flows: 0 },
     };
     if (this.byToken.has(backend.token)) {
       // Its flows could not be told from those of the other back end: it takes none.
-      return;
+      return undefined;
     }
     this.byId.set(backend.id, backend);
     this.byToken.set(backend.token, backend);
@@ -173,6 +200,7 @@
     } else {
       sameService.push(backend);
     }
+    return backend;
   }
 
   private remove(backend: KnownBackend): void {
--- a/src/ingress/feed-step.ts
+++ b/src/ingress/feed-step.ts
@@ -1,10 +1,15 @@
 /**
- * @file What a balancer takes from its control machine and from other balancers.
+ * @file What a balancer takes from its control machine, and what it tells it.
  */
 import type { FeedMessage } from '../group/group-messages.js';
-import type { KnownBackend, Liveness } from './backend-table.js';
-import type { BackendLoadReport, IngressState } from './ingress-state.js';
-import { livenessOf } from './placement.js';
+import {
+  packLoads,
+  type BackendLoadEntry,
+  type PackedLoads,
+} from '../load-exchange/backend-load.js';
+import type { Liveness } from '../registry/backend-liveness.js';
+import type { KnownBackend } from './backend-table.js';
+import type { IngressState } from './ingress-state.js';
 
 /** A back end that is judged otherwise than before. */
 export interface JudgedAnew {
@@ -13,88 +18,75 @@
   readonly to: Liveness;
 }
 
-/** A report of another balancer counts for so long. */
-const REPORT_LIFETIME_MS = 1_500;
+/** Loads that were told count until the feed has not been current for so long. */
+const LOADS_LIFETIME_MS = 2_000;
 
 /**
  * Takes a message of the control machine.
  * @returns true where it put another configuration in force
  */
 export function takeFeed(state: IngressState, message: FeedMessage, nowMs: number): boolean {
-  message.records?.forEach((aged) => state.backends.take(aged, nowMs));
-  message.departures?.forEach((departure) => state.backends.depart(departure, nowMs));
+  takeBackends(state, message, nowMs);
+  takePeers(state, message);
   const isNewer = message.config !== undefined && state.routes.take(message.config);
-  if (message.balancers !== undefined) {
-    state.hasPeers = message.balancers.some(({ name }) => name !== state.options.name);
+  if (message.loads !== undefined) {
+    state.backends.takeLoads(message.loads);
   }
   if (message.isCurrent) {
     state.currentAtMs = nowMs;
     state.firstCurrentAtMs ??= nowMs;
-    state.backends.observe(nowMs);
   }
   return isNewer;
 }
 
+function takeBackends(state: IngressState, message: FeedMessage, nowMs: number): void {
+  const { records, judgements, departures, isWhole, isCurrent } = message;
+  const { backends } = state;
+  records?.forEach((aged) => backends.take(aged, nowMs));
+  judgements?.forEach((judgement) => backends.judge(judgement, nowMs));
+  departures?.forEach((departure) => backends.depart(departure, nowMs));
+  if (isWhole === true && isCurrent) {
+    backends.doubtAllBut(new Set(records?.map(({ record }) => record.id)), nowMs);
+  }
+}
+
+function takePeers(state: IngressState, message: FeedMessage): void {
+  const { balancers = [], lostBalancers = [], isWhole } = message;
+  if (isWhole === true) {
+    state.peers.takeAll(balancers);
+  } else {
+    state.peers.takeChanges(balancers, lostBalancers);
+  }
+}
+
 /**
- * @returns what passes this balancer, for the others; back ends without any are left out
+ * @returns what passes this balancer; back ends without any load are left out
  */
-export function ownReport(state: IngressState): BackendLoadReport[] {
-  const loads: BackendLoadReport[] = [];
+export function ownReport(state: IngressState): PackedLoads {
+  const loads: BackendLoadEntry[] = [];
   for (const { token, own } of state.backends.all()) {
     if (own.busy > 0 || own.flows > 0) {
       loads.push({ token, busy: own.busy, flows: own.flows });
     }
   }
-  return loads;
+  return packLoads(loads);
 }
 
 /**
- * Takes the report of another balancer.
+ * Forgets what is old: flows at rest, back ends that are gone, loads that nobody told for long.
+ * @returns back ends that are judged otherwise than at the last sweep
  */
-export function takeReport(
-  state: IngressState,
-  name: string,
-  loads: readonly BackendLoadReport[],
-  nowMs: number,
-): void {
-  state.reports.set(name, { loads, heardAtMs: nowMs });
-  sumReports(state, nowMs);
-}
-
-/**
- * Forgets what is old: flows at rest, back ends that are gone, reports of balancers that are silent.
- * @returns back ends that are judged otherwise than before
- */
-export function ingressTick(state: IngressState, nowMs: number): JudgedAnew[] {
+export function ingressSweep(state: IngressState, nowMs: number): JudgedAnew[] {
   state.activities.sweep(nowMs);
   state.backends.forget(nowMs, state.options.flowLifetimeMs);
-  sumReports(state, nowMs);
-  return [...state.backends.all()].flatMap((backend) => judgeAnew(state, backend));
+  if (nowMs - (state.currentAtMs ?? nowMs) > LOADS_LIFETIME_MS) {
+    state.backends.takeLoads([]);
+  }
+  return [...state.backends.all()].flatMap(judgedAnew);
 }
 
-function judgeAnew(state: IngressState, backend: KnownBackend): JudgedAnew[] {
-  const from = backend.liveness;
-  const to = livenessOf(state.backends.silentMs(backend), state.options);
-  backend.liveness = to;
+function judgedAnew(backend: KnownBackend): JudgedAnew[] {
+  const { notedLiveness: from, liveness: to } = backend;
+  backend.notedLiveness = to;
   return from === to ? [] : [{ backend, from, to }];
 }
-
-function sumReports(state: IngressState, nowMs: number): void {
-  for (const { others } of state.backends.all()) {
-    others.busy = 0;
-    others.flows = 0;
-  }
-  for (const [name, { loads, heardAtMs }] of state.reports) {
-    if (nowMs - heardAtMs > REPORT_LIFETIME_MS) {
-      state.reports.delete(name);
-      continue;
-    }
-    for (const { token, busy, flows } of loads) {
-      const backend = state.backends.resolve(token);
-      if (backend !== undefined) {
-        backend.others.busy += busy;
-        backend.others.flows += flows;
-      }
-    }
-  }
-}
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -5,6 +5,7 @@
 import { BackendTable } from './backend-table.js';
 import { FlowActivities } from './flow-activity.js';
 import { OpenMemory } from './open-memory.js';
+import { createPeerTable, type PeerTable } from './peer-table.js';
 import type { PlacementOptions } from './placement.js';
 import { RouteTable } from './route-table.js';
 
@@ -51,22 +52,7 @@
   /** When it said so first. */
   firstCurrentAtMs: number | undefined;
   isStopping: boolean;
-  /** Reports of other balancers, by their names. */
-  readonly reports: Map<string, LoadReport>;
-  hasPeers: boolean;
-}
-
-/** What another balancer carries. */
-export interface LoadReport {
-  readonly loads: readonly BackendLoadReport[];
-  readonly heardAtMs: number;
-}
-
-/** Load of one back end at one balancer. */
-export interface BackendLoadReport {
-  readonly token: number;
-  readonly busy: number;
-  readonly flows: number;
+  readonly peers: PeerTable;
 }
 
 /**
@@ -77,7 +63,7 @@
   return {
     options,
     routes,
-    backends: new BackendTable(),
+    backends: new BackendTable(options.heartbeatIntervalMs),
     opens: new OpenMemory(OPEN_LIFETIME_MS),
     activities: new FlowActivities(
       () => routes.config?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
@@ -86,8 +72,7 @@
     currentAtMs: undefined,
     firstCurrentAtMs: undefined,
     isStopping: false,
-    reports: new Map(),
-    hasPeers: false,
+    peers: createPeerTable(options.name),
   };
 }
 
--- a/src/ingress/open-memory.ts
+++ b/src/ingress/open-memory.ts
@@ -4,26 +4,21 @@
  */
 import type { FlowKey } from './packet-view.js';
 
-/** An open that was placed. */
-export interface PlacedOpen {
-  readonly backendId: string;
-  readonly placedAtMs: number;
-}
-
-/** Opens of the last one to two periods. */
+/** Tokens of the back ends to which the opens of the last one to two periods went. */
 export class OpenMemory {
-  private young = new Map<FlowKey, PlacedOpen>();
-  private old = new Map<FlowKey, PlacedOpen>();
+  private young = new Map<FlowKey, number>();
+  private old = new Map<FlowKey, number>();
   private turnedAtMs = 0;
 
   constructor(private readonly periodMs: number) {}
 
-  remember(key: FlowKey, backendId: string, nowMs: number): void {
+  remember(key: FlowKey, token: number, nowMs: number): void {
     this.turn(nowMs);
-    this.young.set(key, { backendId, placedAtMs: nowMs });
+    this.young.set(key, token);
   }
 
-  recall(key: FlowKey, nowMs: number): PlacedOpen | undefined {
+  /** @returns the token of the back end that an open went to; undefined where none is known */
+  recall(key: FlowKey, nowMs: number): number | undefined {
     this.turn(nowMs);
     return this.young.get(key) ?? this.old.get(key);
   }
@@ -33,7 +28,7 @@
       return;
     }
     const isFresh = nowMs - this.turnedAtMs < 2 * this.periodMs;
-    this.old = isFresh ? this.young : new Map<FlowKey, PlacedOpen>();
+    this.old = isFresh ? this.young : new Map<FlowKey, number>();
     this.young = new Map();
     this.turnedAtMs = nowMs;
   }
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -66,21 +66,21 @@
   const key = flowKeyOf(packet);
   const placed = state.opens.recall(key, nowMs);
   if (placed !== undefined) {
-    return forwardCopy(state, placed.backendId, { type: 'remembered' });
+    return forwardCopy(state, placed, { type: 'remembered' });
   }
   if (!state.routes.has(packet.destinationHost, packet.destinationPort)) {
     return knowsCurrent(state, nowMs)
       ? { type: 'reset', reason: 'no-route' }
       : { type: 'drop', reason: 'not-current' };
   }
-  if (packet.copyNumber > 0 && state.hasPeers) {
+  if (packet.copyNumber > 0 && state.peers.size > 0) {
     return { type: 'ask-peers', key };
   }
   return placeOpen(state, packet, nowMs);
 }
 
-function forwardCopy(state: IngressState, backendId: string, placement: Placement): PacketDecision {
-  const backend = state.backends.find(backendId);
+function forwardCopy(state: IngressState, token: number, placement: Placement): PacketDecision {
+  const backend = state.backends.resolve(token);
   return backend === undefined
     ? { type: 'drop', reason: 'unknown-token' }
     : { type: 'forward', backend, placement };
@@ -103,7 +103,7 @@
   }
   const load = loadOf(backend, nowMs);
   const key = flowKeyOf(packet);
-  state.opens.remember(key, backend.id, nowMs);
+  state.opens.remember(key, backend.token, nowMs);
   state.activities.open(key, backend, nowMs);
   return { type: 'forward', backend, placement: { type: 'chosen', service, load } };
 }
@@ -114,11 +114,11 @@
 export function takePlacedElsewhere(
   state: IngressState,
   key: FlowKey,
-  backendId: string,
+  token: number,
   nowMs: number,
 ): PacketDecision {
-  state.opens.remember(key, backendId, nowMs);
-  return forwardCopy(state, backendId, { type: 'told-by-peer' });
+  state.opens.remember(key, token, nowMs);
+  return forwardCopy(state, token, { type: 'told-by-peer' });
 }
 
 /** Just after a start, and while cut off, back ends may exist that are not known here. */
--- /dev/null
+++ b/src/ingress/peer-table.ts
@@ -0,0 +1,84 @@
+/**
+ * @file The other balancers, and which of them keep the memory of an open: a few that all balancers choose
+ * alike by rendezvous, so that asking for a copy costs as much in a large fleet as in a small one.
+ */
+import type { BalancerInfo } from '../group/group-messages.js';
+import { hashText, rendezvousScore } from '../membership/rendezvous.js';
+import type { FlowKey } from './packet-view.js';
+
+/** The balancer that places an open tells so many others. */
+export const TOLD_HOLDERS = 2;
+/** One that has a copy asks so many; more, since the two may know different balancers for a moment. */
+export const ASKED_HOLDERS = 3;
+
+/** The balancers that a balancer knows. */
+export interface PeerTable {
+  /** How many others there are. */
+  readonly size: number;
+  /** Takes all balancers there are, this one among them or not. */
+  takeAll(balancers: readonly BalancerInfo[]): void;
+  /** Takes balancers that came and the names of those that went. */
+  takeChanges(came: readonly BalancerInfo[], went: readonly string[]): void;
+  /**
+   * @param count how many are chosen; this balancer may be one of them, and is left out then
+   * @returns the balancers that keep the memory of an open
+   */
+  holdersOf(key: FlowKey, count: number): BalancerInfo[];
+}
+
+interface KnownBalancer {
+  readonly info: BalancerInfo;
+  readonly nameHash: number;
+}
+
+interface ScoredBalancer {
+  readonly info: BalancerInfo;
+  readonly score: number;
+}
+
+/**
+ * @param ownName name of the balancer that keeps the table
+ * @returns a table without any other balancer
+ */
+export function createPeerTable(ownName: string): PeerTable {
+  const balancers = new Map<string, KnownBalancer>();
+
+  return {
+    get size() {
+      return balancers.size - Number(balancers.has(ownName));
+    },
+    takeAll,
+    takeChanges,
+    holdersOf,
+  };
+
+  function takeAll(all: readonly BalancerInfo[]): void {
+    balancers.clear();
+    takeChanges(all, []);
+  }
+
+  function takeChanges(came: readonly BalancerInfo[], went: readonly string[]): void {
+    went.forEach((name) => balancers.delete(name));
+    came.forEach((info) => balancers.set(info.name, { info, nameHash: hashText(info.name) }));
+  }
+
+  function holdersOf(key: FlowKey, count: number): BalancerInfo[] {
+    const keyHash = hashText(key);
+    const best: ScoredBalancer[] = [];
+    for (const { info, nameHash } of balancers.values()) {
+      insertScored(best, { info, score: rendezvousScore(keyHash, nameHash) }, count);
+    }
+    return best.map(({ info }) => info).filter(({ name }) => name !== ownName);
+  }
+}
+
+/** Keeps the `count` balancers with the highest scores, the highest first. */
+function insertScored(best: ScoredBalancer[], scored: ScoredBalancer, count: number): void {
+  const worse = best.findIndex(({ score }) => score < scored.score);
+  if (worse >= 0) {
+    best.splice(worse, 0, scored);
+  } else if (best.length < count) {
+    best.push(scored);
+  }
+  best.length = Math.min(best.length, count);
+}
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -2,7 +2,8 @@
  * @file Which back end of a service takes a new flow: one of the own zone with the least load, another
  * zone's only where the own zone is clearly busier. Silent and cold back ends come later.
  */
-import type { BackendTable, KnownBackend, Liveness } from './backend-table.js';
+import type { Liveness } from '../registry/backend-liveness.js';
+import type { BackendTable, KnownBackend } from './backend-table.js';
 
 /** Options of placement. */
 export interface PlacementOptions {
@@ -11,10 +12,6 @@
   readonly heartbeatIntervalMs: number;
 }
 
-/** A back end silent for more than so many heartbeat intervals is used only where no other is. */
-const SUSPECT_AFTER_INTERVALS = 2.5;
-/** ... and beyond this it counts as dead. */
-const DEAD_AFTER_INTERVALS = 6;
 /** How much an open flow counts against a request in progress. */
 const FLOW_WEIGHT = 0.04;
 /** A cold back end counts as if it had so many more requests in progress for each slot. */
@@ -34,7 +31,7 @@
   flowHash: number,
   nowMs: number,
 ): KnownBackend | undefined {
-  const candidates = bestHeard(table, table.staying(service), options);
+  const candidates = bestHeard(table.staying(service));
   const local = candidates.filter(({ zone }) => zone === options.zone);
   const remote = candidates.filter(({ zone }) => zone !== options.zone);
   const bestLocal = leastLoaded(local, flowHash, nowMs);
@@ -47,32 +44,13 @@
 }
 
 /** Those that were heard of lately; where there are none, those that were silent for a while. */
-function bestHeard(
-  table: BackendTable,
-  staying: readonly KnownBackend[],
-  options: PlacementOptions,
-): readonly KnownBackend[] {
+function bestHeard(staying: readonly KnownBackend[]): readonly KnownBackend[] {
   const judgedAs = (liveness: Liveness) =>
-    staying.filter((backend) => livenessOf(table.silentMs(backend), options) === liveness);
+    staying.filter((backend) => backend.liveness === liveness);
   const heard = judgedAs('heard');
   return heard.length > 0 ? heard : judgedAs('silent');
 }
 
-/**
- * @param silentMs how long nothing was heard of a back end
- * @returns how it is judged
- */
-export function livenessOf(
-  silentMs: number,
-  { heartbeatIntervalMs }: Pick<PlacementOptions, 'heartbeatIntervalMs'>,
-): Liveness {
-  const intervals = silentMs / heartbeatIntervalMs;
-  if (intervals <= SUSPECT_AFTER_INTERVALS) {
-    return 'heard';
-  }
-  return intervals <= DEAD_AFTER_INTERVALS ? 'silent' : 'dead';
-}
-
 function leastLoaded(
   candidates: readonly KnownBackend[],
   flowHash: number,
--- /dev/null
+++ b/src/load-exchange/backend-load.ts
@@ -0,0 +1,44 @@
+/**
+ * @file The load of back ends as processes tell it to each other: a flat list of numbers, since it is sent
+ * several times a second.
+ */
+
+/** Load of one back end, as far as one process or several have seen it. */
+export interface BackendLoadEntry {
+  /** The 32-bit token of the back end. */
+  readonly token: number;
+  /** Requests that seem to be in progress, with opens that have not brought their request yet. */
+  readonly busy: number;
+  /** Open flows. */
+  readonly flows: number;
+}
+
+/** Entries one after the other, three numbers each: token, requests, flows. */
+export type PackedLoads = readonly number[];
+
+/** How many numbers stand for one entry. */
+export const NUMBERS_PER_LOAD = 3;
+
+/** @returns the entries as a flat list */
+export function packLoads(entries: Iterable<BackendLoadEntry>): PackedLoads {
+  const packed: number[] = [];
+  for (const { token, busy, flows } of entries) {
+    packed.push(token, busy, flows);
+  }
+  return packed;
+}
+
+/** Calls back with each entry of a flat list; one that is cut short is passed over. */
+export function eachLoad(
+  packed: PackedLoads,
+  take: (token: number, busy: number, flows: number) => void,
+): void {
+  for (let at = 0; at + NUMBERS_PER_LOAD <= packed.length; at += NUMBERS_PER_LOAD) {
+    take(packed[at] ?? 0, packed[at + 1] ?? 0, packed[at + 2] ?? 0);
+  }
+}
+
+/** @returns true where two lists say the same */
+export function isSameLoads(one: PackedLoads, other: PackedLoads): boolean {
+  return one.length === other.length && one.every((value, index) => value === other[index]);
+}
--- /dev/null
+++ b/src/load-exchange/load-totals.ts
@@ -0,0 +1,124 @@
+/**
+ * @file What a control machine knows of the load of back ends: the reports of the balancers that it feeds,
+ * and the sums that the other control machines made of theirs. A balancer gets the sum of all but itself,
+ * so that what it sends and gets does not grow with the number of balancers.
+ *
+ * Reports are soft state. A report counts until the next one of the same link or the end of the link; the
+ * sums of a control machine count for `sumsLifetimeMs`, since a machine that is cut off says nothing.
+ */
+import type { LinkId } from '../common/link-table.js';
+import { eachLoad, packLoads, type BackendLoadEntry, type PackedLoads } from './backend-load.js';
+
+/** The load of back ends over all balancers. */
+export interface LoadTotals {
+  /** Takes what passes a balancer that is fed here, in place of its last report. */
+  takeReport(reporter: LinkId, loads: PackedLoads): void;
+  /** Forgets a balancer whose link is closed. */
+  dropReporter(reporter: LinkId): void;
+  /** Takes the sums of another control machine, in place of its last ones. */
+  takeSums(sender: string, loads: PackedLoads, nowMs: number): void;
+  /** Forgets control machines that have not told their sums for long. */
+  forgetSilentSenders(nowMs: number): void;
+  /** @returns the sum over the balancers that are fed here, for the other control machines */
+  ownSums(): PackedLoads;
+  /** @returns the sum over all balancers but one */
+  othersOf(reporter: LinkId): PackedLoads;
+  /** Rises with each change of any sum. */
+  readonly version: number;
+}
+
+interface SenderSums {
+  readonly loads: PackedLoads;
+  readonly heardAtMs: number;
+}
+
+interface Sum {
+  busy: number;
+  flows: number;
+}
+
+/**
+ * @param sumsLifetimeMs how long the sums of another control machine count
+ * @returns totals without any report
+ */
+export function createLoadTotals(sumsLifetimeMs: number): LoadTotals {
+  const reports = new Map<LinkId, PackedLoads>();
+  const senders = new Map<string, SenderSums>();
+  let version = 0;
+
+  return {
+    takeReport,
+    dropReporter,
+    takeSums,
+    forgetSilentSenders,
+    ownSums,
+    othersOf,
+    get version() {
+      return version;
+    },
+  };
+
+  function takeReport(reporter: LinkId, loads: PackedLoads): void {
+    reports.set(reporter, loads);
+    version += 1;
+  }
+
+  function dropReporter(reporter: LinkId): void {
+    if (reports.delete(reporter)) {
+      version += 1;
+    }
+  }
+
+  function takeSums(sender: string, loads: PackedLoads, nowMs: number): void {
+    senders.set(sender, { loads, heardAtMs: nowMs });
+    version += 1;
+  }
+
+  function forgetSilentSenders(nowMs: number): void {
+    for (const [sender, { heardAtMs }] of senders) {
+      if (nowMs - heardAtMs > sumsLifetimeMs) {
+        senders.delete(sender);
+        version += 1;
+      }
+    }
+  }
+
+  function ownSums(): PackedLoads {
+    return packSums(sumOf(reports.values()));
+  }
+
+  function othersOf(reporter: LinkId): PackedLoads {
+    const sums = sumOf(reports.values());
+    senders.forEach(({ loads }) => addTo(sums, loads, 1));
+    addTo(sums, reports.get(reporter) ?? [], -1);
+    return packSums(sums);
+  }
+}
+
+function sumOf(lists: Iterable<PackedLoads>): Map<number, Sum> {
+  const sums = new Map<number, Sum>();
+  for (const loads of lists) {
+    addTo(sums, loads, 1);
+  }
+  return sums;
+}
+
+function addTo(sums: Map<number, Sum>, loads: PackedLoads, sign: 1 | -1): void {
+  eachLoad(loads, (token, busy, flows) => {
+    const sum = sums.get(token) ?? { busy: 0, flows: 0 };
+    sum.busy += sign * busy;
+    sum.flows += sign * flows;
+    sums.set(token, sum);
+  });
+}
+
+/** Back ends without any load are left out. */
+function packSums(sums: Map<number, Sum>): PackedLoads {
+  const entries: BackendLoadEntry[] = [];
+  for (const [token, { busy, flows }] of sums) {
+    if (busy > 0 || flows > 0) {
+      entries.push({ token, busy: Math.max(0, busy), flows: Math.max(0, flows) });
+    }
+  }
+  return packLoads(entries);
+}
--- a/src/registry/heartbeat-registry.ts
+++ b/src/registry/heartbeat-registry.ts
@@ -2,6 +2,8 @@
  * @file The heartbeats of back ends as one control machine knows them: state that is rebuilt from the
  * next heartbeats wherever it is lost, and so is never written to disk.
  */
+import { formatAddress } from '../common/address.js';
+import { livenessOf, type BackendJudgement, type Liveness } from './backend-liveness.js';
 import type { BackendRecord } from './backend-record.js';
 
 /** A record with the time at which its heartbeat came. */
@@ -11,9 +13,26 @@
   readonly heardAtMs: number;
 }
 
+/** What a heartbeat brought. */
+export type HeartbeatNews =
+  /** It came after a later one of the same back end, and was passed over. */
+  | 'late'
+  /** The back end is alive; all else is as it was. */
+  | 'alive'
+  /** A back end not heard of before, or one that tells something else of itself. */
+  | 'changed';
+
+interface KnownRecord extends HeardRecord {
+  /** As it was judged last. */
+  readonly liveness: Liveness;
+}
+
+/** A warm-up that ends earlier or later than was told by more than this is news. */
+const WARM_UP_TOLERANCE_MS = 500;
+
 /** The last heartbeat of each back end. */
 export class HeartbeatRegistry {
-  private readonly records = new Map<string, HeardRecord>();
+  private readonly records = new Map<string, KnownRecord>();
 
   /** How many back ends are known. */
   get size(): number {
@@ -29,17 +48,33 @@
     return this.records.values();
   }
 
-  /**
-   * Takes a heartbeat; one that comes after a later one of the same back end is passed over.
-   * @returns true where it was taken
-   */
-  take(record: BackendRecord, heardAtMs: number): boolean {
+  /** Takes a heartbeat. */
+  take(record: BackendRecord, heardAtMs: number): HeartbeatNews {
     const known = this.records.get(record.id);
     if (known !== undefined && known.record.sequence >= record.sequence) {
-      return false;
+      return 'late';
+    }
+    const liveness = known?.liveness ?? 'heard';
+    this.records.set(record.id, { record, heardAtMs, liveness });
+    return known !== undefined && tellsTheSame(known, record, heardAtMs) ? 'alive' : 'changed';
+  }
+
+  /**
+   * Judges all back ends anew.
+   * @param listeningSinceMs since when this machine hears of all heartbeats; silence before does not count
+   * @returns those that are judged otherwise than before
+   */
+  judge(nowMs: number, listeningSinceMs: number, heartbeatIntervalMs: number): BackendJudgement[] {
+    const judgements: BackendJudgement[] = [];
+    for (const [backendId, known] of this.records) {
+      const silentMs = nowMs - Math.max(known.heardAtMs, listeningSinceMs);
+      const liveness = livenessOf(silentMs, heartbeatIntervalMs);
+      if (liveness !== known.liveness) {
+        this.records.set(backendId, { ...known, liveness });
+        judgements.push({ backendId, liveness, silentMs: Math.max(0, Math.round(silentMs)) });
+      }
     }
-    this.records.set(record.id, { record, heardAtMs });
-    return true;
+    return judgements;
   }
 
   /** Forgets back ends that have been silent for longer than `afterMs`. */
@@ -51,3 +86,15 @@
     }
   }
 }
+
+function tellsTheSame(known: HeardRecord, record: BackendRecord, heardAtMs: number): boolean {
+  const { record: before } = known;
+  const expectedWarmUpMs = Math.max(0, before.warmUpLeftMs - (heardAtMs - known.heardAtMs));
+  return (
+    before.service === record.service &&
+    before.zone === record.zone &&
+    before.capacity === record.capacity &&
+    formatAddress(before.address) === formatAddress(record.address) &&
+    Math.abs(expectedWarmUpMs - record.warmUpLeftMs) <= WARM_UP_TOLERANCE_MS
+  );
+}
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -155,8 +155,8 @@
     if (parsed === undefined) {
       return false;
     }
-    if (parsed.type === 'subscribe') {
-      this.process?.subscribe(this.feedLinks.idOf(link), parsed);
+    if (parsed.type === 'subscribe' || parsed.type === 'load-report') {
+      this.process?.takeBalancerMessage(this.feedLinks.idOf(link), parsed);
     } else {
       this.process?.takePeerMessage(parsed);
     }
--- a/test/group/message-schemas.test.ts
+++ b/test/group/message-schemas.test.ts
@@ -13,12 +13,14 @@
   configVersion: 0,
 };
 const FEED = { type: 'feed', isCurrent: true };
-const REPORT = { type: 'load-report', name: 'b', loads: [{ token: 1, busy: 0, flows: 1 }] };
+const REPORT = { type: 'load-report', loads: [1, 0, 1] };
+const PLACED = { type: 'open-placed', key: 'a>b', token: 1 };
 
 t.test('good messages are taken', async (t) => {
   t.same(parseControlInbound(SUBSCRIBE), SUBSCRIBE);
   t.same(parseFeed(FEED), FEED);
-  t.same(parseBalancerMessage(REPORT), REPORT);
+  t.same(parseControlInbound(REPORT), REPORT);
+  t.same(parseBalancerMessage(PLACED), PLACED);
 });
 
 t.test('a message with a field of another form is refused', async (t) => {
@@ -27,8 +29,13 @@
     parseControlInbound({ ...SUBSCRIBE, balancer: undefined }),
     parseFeed({ ...FEED, isCurrent: 'yes' }),
     parseFeed({ ...FEED, records: [{}] }),
-    parseBalancerMessage({ ...REPORT, loads: [{ token: 1.5, busy: 0, flows: 0 }] }),
-    parseBalancerMessage({ ...REPORT, name: 7 }),
+    parseFeed({ ...FEED, loads: [1, 0] }),
+    parseFeed({ ...FEED, judgements: [{ backendId: 'b', liveness: 'well', silentMs: 0 }] }),
+    parseControlInbound({ ...REPORT, loads: [1.5, 0, 0] }),
+    parseControlInbound({ ...REPORT, loads: [1, 0] }),
+    parseControlInbound({ ...REPORT, loads: [1, -1, 0] }),
+    parseBalancerMessage({ ...PLACED, token: 1.5 }),
+    parseBalancerMessage({ ...PLACED, key: 7 }),
   ];
   t.same(new Set(cases), new Set([undefined]));
 });
@@ -41,6 +48,8 @@
     'forward',
     'feed',
     'subscribe',
+    'load-sums',
+    'load-report',
   );
   const values = fc.oneof(
     fc.anything(),
--- a/test/ingress/mutants.test.ts
+++ b/test/ingress/mutants.test.ts
@@ -43,10 +43,7 @@
       world.balancers.forEach(({ process }) => {
         if (process !== undefined) {
           process.state.opens.recall = () => undefined;
-          Object.defineProperty(process.state, 'hasPeers', {
-            get: () => false,
-            set: () => undefined,
-          });
+          Object.defineProperty(process.state.peers, 'size', { get: () => 0 });
         }
       }),
   },
--- a/test/ingress/placement.test.ts
+++ b/test/ingress/placement.test.ts
@@ -98,9 +98,8 @@
 });
 
 t.test('a back end that is silent for long is used only where no other is', async (t) => {
-  const table = new BackendTable();
+  const table = new BackendTable(OPTIONS.heartbeatIntervalMs);
   addBackend(table, 1, 'zone-a', 4_000);
-  table.observe(0);
   t.equal(chooseBackend(table, 'alpha', OPTIONS, 0, 0)?.id, 'backend-1');
   addBackend(table, 2, 'zone-b');
   for (let hash = 0; hash < 4; hash += 1) {
