--- /dev/null
+++ b/test/load-exchange/load-totals.test.ts
@@ -0,0 +1,119 @@
+/** @file Loads over all balancers: late, lost, doubled and reordered reports, restarts, and long lists. */
+import fc from 'fast-check';
+import t from 'tap';
+import type { LinkId } from '../../src/common/link-table.js';
+import {
+  eachLoad,
+  isSameLoads,
+  packLoads,
+  type PackedLoads,
+} from '../../src/load-exchange/backend-load.js';
+import {
+  exchangePeriodMs,
+  SHORTEST_EXCHANGE_PERIOD_MS,
+} from '../../src/load-exchange/exchange-period.js';
+import { createLoadTotals } from '../../src/load-exchange/load-totals.js';
+
+const LIFETIME_MS = 1_000;
+const [FIRST, SECOND, THIRD] = [1, 2, 3].map((id) => id as LinkId) as [LinkId, LinkId, LinkId];
+
+function loads(...entries: readonly [number, number, number][]): PackedLoads {
+  return packLoads(entries.map(([token, busy, flows]) => ({ token, busy, flows })));
+}
+
+t.test('each balancer is told what all others carry', async (t) => {
+  const totals = createLoadTotals(LIFETIME_MS);
+  totals.takeReport(FIRST, loads([7, 1, 2], [8, 0, 1]));
+  totals.takeReport(SECOND, loads([7, 3, 4]));
+  totals.takeSums('other', loads([9, 5, 6]), 0);
+  t.same(totals.othersOf(FIRST), loads([7, 3, 4], [9, 5, 6]));
+  t.same(totals.othersOf(SECOND), loads([7, 1, 2], [8, 0, 1], [9, 5, 6]));
+  t.same(totals.othersOf(THIRD), loads([7, 4, 6], [8, 0, 1], [9, 5, 6]));
+  t.same(totals.ownSums(), loads([7, 4, 6], [8, 0, 1]), 'sums of others are not passed on');
+});
+
+t.test('a doubled report counts once, a later one replaces it', async (t) => {
+  const totals = createLoadTotals(LIFETIME_MS);
+  totals.takeReport(FIRST, loads([7, 1, 1]));
+  totals.takeReport(FIRST, loads([7, 1, 1]));
+  t.same(totals.ownSums(), loads([7, 1, 1]));
+  totals.takeReport(FIRST, loads([8, 2, 2]));
+  t.same(totals.ownSums(), loads([8, 2, 2]));
+});
+
+t.test('a balancer that is gone, restarted or frozen counts no longer than its link', async (t) => {
+  const totals = createLoadTotals(LIFETIME_MS);
+  totals.takeReport(FIRST, loads([7, 9, 9]));
+  totals.dropReporter(FIRST);
+  t.same(totals.ownSums(), []);
+  totals.takeReport(SECOND, loads([7, 1, 1]));
+  t.same(totals.ownSums(), loads([7, 1, 1]), 'the same balancer on its new link');
+});
+
+t.test('sums of a control machine that is cut off cease to count', async (t) => {
+  const totals = createLoadTotals(LIFETIME_MS);
+  totals.takeSums('cut', loads([7, 1, 1]), 0);
+  totals.takeSums('well', loads([7, 2, 2]), 0);
+  totals.takeSums('well', loads([7, 3, 3]), 900);
+  totals.forgetSilentSenders(1_000);
+  t.same(totals.othersOf(FIRST), loads([7, 4, 4]));
+  totals.forgetSilentSenders(1_001);
+  t.same(totals.othersOf(FIRST), loads([7, 3, 3]));
+  totals.takeSums('cut', loads([7, 1, 1]), 1_500);
+  t.same(totals.othersOf(FIRST), loads([7, 4, 4]), 'it counts again once it tells again');
+});
+
+t.test('the version rises with each change and with nothing else', async (t) => {
+  const totals = createLoadTotals(LIFETIME_MS);
+  const before = totals.version;
+  totals.dropReporter(FIRST);
+  totals.forgetSilentSenders(5_000);
+  t.equal(totals.version, before);
+  totals.takeReport(FIRST, []);
+  t.equal(totals.version, before + 1);
+});
+
+t.test('the sum of what all are told is what all carry, whatever the order', async (t) => {
+  const entry = fc.tuple(fc.nat(5), fc.nat(9), fc.nat(9));
+  const report = fc.tuple(fc.nat(3), fc.uniqueArray(entry, { selector: ([token]) => token }));
+  fc.assert(
+    fc.property(fc.array(report), (reports) => {
+      const totals = createLoadTotals(LIFETIME_MS);
+      const last = new Map<LinkId, PackedLoads>();
+      reports.forEach(([id, entries]) => {
+        last.set(id as LinkId, loads(...entries));
+        totals.takeReport(id as LinkId, loads(...entries));
+      });
+      return [...last].every(([id, own]) => {
+        const sums = new Map<number, number>();
+        [totals.othersOf(id), own].forEach((list) =>
+          eachLoad(list, (token, busy) => sums.set(token, (sums.get(token) ?? 0) + busy)),
+        );
+        const all = new Map<number, number>();
+        eachLoad(totals.ownSums(), (token, busy) => all.set(token, busy));
+        return [...sums].every(([token, busy]) => busy === (all.get(token) ?? 0));
+      });
+    }),
+    { numRuns: 500, seed: 1 },
+  );
+  t.pass();
+});
+
+t.test('a list that is cut short loses its last entry only', async (t) => {
+  const seen: number[] = [];
+  eachLoad([7, 1, 2, 8, 1], (token) => seen.push(token));
+  t.same(seen, [7]);
+  t.notOk(isSameLoads([7, 1, 2], [7, 1, 3]));
+  t.notOk(isSameLoads([7, 1, 2], [7, 1, 2, 8, 1, 1]));
+});
+
+t.test('long lists are told less often, so that the bytes a second stay bounded', async (t) => {
+  const listOf = (count: number) =>
+    packLoads(Array.from({ length: count }, (_, token) => ({ token, busy: 1, flows: 1 })));
+  t.equal(exchangePeriodMs([]), SHORTEST_EXCHANGE_PERIOD_MS);
+  t.equal(exchangePeriodMs(listOf(10)), SHORTEST_EXCHANGE_PERIOD_MS);
+  for (const count of [105, 1_000, 12_000]) {
+    const bytesPerS = (count * 7 * 1_000) / exchangePeriodMs(listOf(count));
+    t.ok(bytesPerS <= 5_100, `${count} back ends: ${bytesPerS} bytes a second`);
+  }
+});
--- /dev/null
+++ b/test/registry/heartbeat-registry.test.ts
@@ -0,0 +1,76 @@
+/** @file What a control machine keeps of heartbeats, what of it is news, and how silence is judged. */
+import t from 'tap';
+import type { BackendRecord } from '../../src/registry/backend-record.js';
+import { HeartbeatRegistry } from '../../src/registry/heartbeat-registry.js';
+
+const INTERVAL_MS = 1_000;
+const LISTENING_SINCE_MS = 0;
+
+function recordWith(changes: Partial<BackendRecord>): BackendRecord {
+  return {
+    id: 'backend-1',
+    instanceNumber: '00000000000000a1',
+    service: 'alpha',
+    address: { host: '10.0.2.1', port: 9_000 },
+    zone: 'zone-a',
+    capacity: 2,
+    warmUpLeftMs: 0,
+    sequence: 1,
+    ...changes,
+  };
+}
+
+t.test('a heartbeat that only says that the back end lives is no news', async (t) => {
+  const registry = new HeartbeatRegistry();
+  t.equal(registry.take(recordWith({}), 0), 'changed');
+  t.equal(registry.take(recordWith({ sequence: 2 }), 1_000), 'alive');
+  t.equal(registry.take(recordWith({ sequence: 2 }), 1_000), 'late', 'doubled');
+  t.equal(registry.take(recordWith({ sequence: 1 }), 1_500), 'late', 'overtaken');
+  t.equal(registry.get('backend-1')?.heardAtMs, 1_000);
+});
+
+t.test('another capacity, zone, service or address is news', async (t) => {
+  const changes: Partial<BackendRecord>[] = [
+    { capacity: 3 },
+    { zone: 'zone-b' },
+    { service: 'beta' },
+    { address: { host: '10.0.2.1', port: 9_001 } },
+  ];
+  for (const change of changes) {
+    const registry = new HeartbeatRegistry();
+    registry.take(recordWith({}), 0);
+    t.equal(registry.take(recordWith({ ...change, sequence: 2 }), 1_000), 'changed');
+  }
+});
+
+t.test('a warm-up that goes on as it was told is no news, another one is', async (t) => {
+  const registry = new HeartbeatRegistry();
+  registry.take(recordWith({ warmUpLeftMs: 2_000 }), 0);
+  t.equal(registry.take(recordWith({ sequence: 2, warmUpLeftMs: 1_100 }), 1_000), 'alive');
+  t.equal(registry.take(recordWith({ sequence: 3, warmUpLeftMs: 0 }), 2_000), 'alive');
+  t.equal(registry.take(recordWith({ sequence: 4, warmUpLeftMs: 3_000 }), 3_000), 'changed');
+});
+
+t.test('each change of a judgement is told once', async (t) => {
+  const registry = new HeartbeatRegistry();
+  registry.take(recordWith({}), 0);
+  const judge = (nowMs: number) =>
+    registry
+      .judge(nowMs, LISTENING_SINCE_MS, INTERVAL_MS)
+      .map(({ liveness, silentMs }) => [liveness, silentMs]);
+  t.same(judge(2_500), []);
+  t.same(judge(2_600), [['silent', 2_600]]);
+  t.same(judge(3_000), []);
+  t.same(judge(6_100), [['dead', 6_100]]);
+  registry.take(recordWith({ sequence: 2 }), 7_000);
+  t.same(judge(7_100), [['heard', 100]]);
+});
+
+t.test('silence from before this machine heard of all heartbeats does not count', async (t) => {
+  const registry = new HeartbeatRegistry();
+  registry.take(recordWith({}), 0);
+  t.same(registry.judge(10_000, 9_000, INTERVAL_MS), []);
+  t.same(registry.judge(11_600, 9_000, INTERVAL_MS), [
+    { backendId: 'backend-1', liveness: 'silent', silentMs: 2_600 },
+  ]);
+});
