--- a/src/sim/ingress/virtual-wires.ts
+++ b/src/sim/ingress/virtual-wires.ts
@@ -3,6 +3,7 @@
  * and cuts that tell no one.
  */
 import { formatAddress, type Address } from '../../common/address.js';
+import { encodeFrame } from '../../common/frame-codec.js';
 import type { RandomSource } from '../../common/step.js';
 import type { VirtualClock } from '../virtual-clock.js';
 
@@ -34,10 +35,14 @@
   arrivesAtMs: number;
 }
 
+/** Hears of everything that is sent, for measurements; a link ends where its other end is. */
+export type SendObserver = (fromHost: string, toHost: string, sentBytes: number) => void;
+
 /** Carries datagrams and links. */
 export class VirtualWires {
   /** Share of datagrams that are lost. */
   lossShare = 0;
+  onSent: SendObserver | undefined;
   private readonly datagramHandlers = new Map<string, (bytes: Uint8Array) => void>();
   private readonly listeners = new Map<string, VirtualLinkHandlers>();
   private readonly cuts = new Set<string>();
@@ -96,6 +101,7 @@
   }
 
   sendDatagram(fromHost: string, to: Address, bytes: Uint8Array): void {
+    this.onSent?.(fromHost, to.host, bytes.length);
     if (this.random.nextFloat() < this.lossShare) {
       return;
     }
@@ -153,6 +159,7 @@
         return;
       }
       peer.heardAtMs = this.clock.nowMs;
+      this.onSent?.(end.host, peer.host, encodeFrame(message).length);
       if (!peer.handlers.onMessage(structuredClone(message), peer)) {
         this.drop(peer, true, 'A message does not belong here.');
       }
--- /dev/null
+++ b/test/ingress/many-balancers.test.ts
@@ -0,0 +1,87 @@
+/** @file Fifty balancers: promises under faults, and what a balancer sends and gets does not grow with them. */
+import t from 'tap';
+import type { IngressFaultKind } from '../../src/sim/ingress/ingress-faults.js';
+import { IngressWorld } from '../../src/sim/ingress/ingress-world.js';
+import { runIngressWorld } from '../../src/sim/ingress/run-ingress-world.js';
+import { smallIngressWorld } from '../../src/sim/ingress/world-parts.js';
+
+const MANY = 50;
+const FEW = 8;
+const FORMATION_MS = 6_000;
+const MEASURED_MS = 10_000;
+const BALANCER_HOSTS = '10.0.3.';
+const CONTROL_HOSTS = '10.0.1.';
+const kinds: readonly IngressFaultKind[] = [
+  'balancer-killed',
+  'balancer-cut',
+  'datagrams-lost',
+  'control-killed',
+  'all-controls-killed',
+  'backend-replaced',
+];
+/** Copies of opens reach another balancer where the first one died or its answer was lost. */
+const copyKinds: readonly IngressFaultKind[] = ['datagrams-lost', 'balancer-killed'];
+
+for (let seed = 1; seed <= 3; seed += 1) {
+  t.test(`${MANY} balancers under faults of seed ${seed}`, async (t) => {
+    const report = await runIngressWorld({
+      seed,
+      faultCount: 8,
+      kinds,
+      endsWithLoss: false,
+      options: { balancerCount: MANY },
+    });
+    t.same(report.violations, []);
+    t.ok(report.servedRequests > 0);
+  });
+}
+
+t.test(`mutant: ${MANY} balancers of which none remembers an open of another`, async (t) => {
+  let isCaught = false;
+  for (let seed = 1; seed <= 6 && !isCaught; seed += 1) {
+    const run = { seed, faultCount: 10, kinds: copyKinds, endsWithLoss: false };
+    const options = { balancerCount: MANY };
+    const whole = await runIngressWorld({ ...run, options });
+    t.same(whole.violations, [], `seed ${seed} unbroken`);
+    const broken = await runIngressWorld({ ...run, options, prepare: forgetOpens });
+    isCaught = broken.violations.some(({ check }) => check === 'flow');
+  }
+  t.ok(isCaught);
+});
+
+/** No memory of opens at all, neither of those placed here nor of those told. */
+function forgetOpens(world: IngressWorld): void {
+  for (const { process } of world.balancers) {
+    if (process !== undefined) {
+      process.state.opens.recall = () => undefined;
+    }
+  }
+}
+
+/** Bytes a second between processes that one balancer sends and gets on the mean, all clients running. */
+async function controlBytesPerS(balancerCount: number): Promise<number> {
+  const world = new IngressWorld(1, { ...smallIngressWorld, balancerCount });
+  world.start();
+  await world.run(FORMATION_MS);
+  world.startClients();
+  await world.run(MEASURED_MS);
+  let bytes = 0;
+  const isInternal = (host: string) =>
+    host.startsWith(BALANCER_HOSTS) || host.startsWith(CONTROL_HOSTS);
+  world.wires.onSent = (from, to, sentBytes) => {
+    if (isInternal(from) && isInternal(to)) {
+      const ends = [from, to].filter((host) => host.startsWith(BALANCER_HOSTS)).length;
+      bytes += ends * sentBytes;
+    }
+  };
+  await world.run(MEASURED_MS);
+  return (bytes * 1_000) / MEASURED_MS / balancerCount;
+}
+
+t.test('control bytes of a balancer grow by less than a half from few to many', async (t) => {
+  const few = await controlBytesPerS(FEW);
+  const many = await controlBytesPerS(MANY);
+  t.comment(`${Math.round(few)} bytes a second at ${FEW}, ${Math.round(many)} at ${MANY}`);
+  t.ok(many < 1.5 * few, `${few} to ${many}`);
+  t.ok(many < 10_000, 'the budget of control for one balancer');
+});
