Name the mechanisms of placement, and switch each by a checked setting

Placement is a factory that closes over its policy; sampling among a few back ends where many opens are unseen is one of its choices, off by default until it is measured.

--- a/src/cli/ingress.ts
+++ b/src/cli/ingress.ts
@@ -46,6 +46,7 @@
         flowLifetimeMs: settings.flowLifetimeMs,
         feed: timing.feed,
         maxCountedFlows: countedFlowsFor(settings.memoryMb),
+        policy: settings.policy,
       },
       timing,
       packetAddress,
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -20,7 +20,7 @@
   takePlacedElsewhere,
   type DropReason,
   type PacketDecision,
-  type Placement,
+  type FoundBy,
 } from '../ingress/packet-step.js';
 import type { PacketCodec } from '../ingress/packet-codec.js';
 import { flowKeyOf, type FlowKey, type PacketView } from '../ingress/packet-view.js';
@@ -175,14 +175,14 @@
   }
 
   private forward(decision: ForwardDecision, datagram: Uint8Array, packet: PacketView): void {
-    const { backend, placement } = decision;
+    const { backend, foundBy } = decision;
     const { address, instanceBytes, token } = backend;
     this.surroundings.sendPacket(this.codec.toBackend(datagram, instanceBytes, token), address);
     this.count('forwarded');
-    if (placement !== undefined) {
-      this.count(`opened:${placement.type}`);
-      this.tellHolders(packet, placement, token);
-      this.surroundings.packetLog.note('placed', this.placementFields(packet, backend, placement));
+    if (foundBy !== undefined) {
+      this.count(`opened:${foundBy.type}`);
+      this.tellHolders(packet, foundBy, token);
+      this.surroundings.packetLog.note('placed', this.placementFields(packet, backend, foundBy));
       return;
     }
     if (packet.dataLength > 0) {
@@ -191,8 +191,9 @@
   }
 
   /** Those that a balancer asks which gets a copy of this open. */
-  private tellHolders(packet: PacketView, placement: Placement, token: number): void {
-    if (placement.type === 'chosen') {
+  private tellHolders(packet: PacketView, foundBy: FoundBy, token: number): void {
+    const isShared = this.options.ingress.policy.opens === 'shared';
+    if (isShared && foundBy.type === 'chosen') {
       const key = flowKeyOf(packet);
       this.sendToHolders(key, TOLD_HOLDERS, { type: 'open-placed', key, token });
     }
@@ -201,17 +202,17 @@
   private placementFields(
     packet: PacketView,
     backend: KnownBackend,
-    placement: Placement,
+    foundBy: FoundBy,
   ): DecisionFields {
     const { routes } = this.state;
     return {
       flow: describeFlow(packet),
       seq: packet.sequence,
       copy: packet.copyNumber,
-      how: placement.type,
-      ...(placement.type === 'chosen' && {
-        service: placement.service,
-        load: Math.round(placement.load * LOAD_DIGITS) / LOAD_DIGITS,
+      how: foundBy.type,
+      ...(foundBy.type === 'chosen' && {
+        service: foundBy.service,
+        load: Math.round(foundBy.load * LOAD_DIGITS) / LOAD_DIGITS,
       }),
       backend: backend.id,
       liveness: backend.liveness,
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -6,18 +6,24 @@
 import { FlowActivities } from './flow-activity.js';
 import { OpenMemory } from './open-memory.js';
 import { createPeerTable, type PeerTable } from './peer-table.js';
-import type { PlacementOptions } from './placement.js';
+import { createOpenRate, type OpenRate } from './open-rate.js';
+import { createPlacement, type Placement } from './placement.js';
+import type { IngressPolicy } from './policy.js';
 import { RouteTable } from './route-table.js';
 
 /** Options of a balancer; all times in milliseconds. */
-export interface IngressOptions extends PlacementOptions {
+export interface IngressOptions {
   readonly name: string;
+  readonly zone: string;
+  /** Time between two heartbeats of a back end. */
+  readonly heartbeatIntervalMs: number;
   /** A flow does not live longer. */
   readonly flowLifetimeMs: number;
   /** When the control machine that feeds it is given up. */
   readonly feed: FeedTiming;
   /** Flows beyond this number are not counted for placement. */
   readonly maxCountedFlows: number;
+  readonly policy: IngressPolicy;
 }
 
 /** How long copies of an open may come after the first. */
@@ -53,6 +59,9 @@
   firstCurrentAtMs: number | undefined;
   isStopping: boolean;
   readonly peers: PeerTable;
+  readonly placement: Placement;
+  /** Opens that are placed here. */
+  readonly openRate: OpenRate;
 }
 
 /**
@@ -73,6 +82,8 @@
     firstCurrentAtMs: undefined,
     isStopping: false,
     peers: createPeerTable(options.name),
+    placement: createPlacement(options.zone, options.policy),
+    openRate: createOpenRate(),
   };
 }
 
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -2,7 +2,6 @@
  * @file The decision for each packet of a client: a packet with a token goes to the back end that the
  * token names; an open goes where its first copy went, or to a back end of the route's service.
  */
-import { chooseBackend, loadOf } from './placement.js';
 import type { KnownBackend } from './backend-table.js';
 import { isReady, knowsCurrent, type IngressState } from './ingress-state.js';
 import { flowKeyOf, type FlowKey, type PacketView } from './packet-view.js';
@@ -12,7 +11,7 @@
   'unknown-token' | 'no-token' | 'not-ready' | 'not-current' | 'no-route' | 'no-backend';
 
 /** How the back end of an open was found. */
-export type Placement =
+export type FoundBy =
   /** Chosen by load. */
   | { readonly type: 'chosen'; readonly service: string; readonly load: number }
   /** A copy of an open that this balancer placed. */
@@ -26,7 +25,7 @@
       readonly type: 'forward';
       readonly backend: KnownBackend;
       /** How the back end of an open was found; undefined for packets with a token. */
-      readonly placement?: Placement;
+      readonly foundBy?: FoundBy;
     }
   /** Tell the client that the flow was not opened. */
   | { readonly type: 'reset'; readonly reason: DropReason }
@@ -34,6 +33,9 @@
   /** A copy whose first went through another balancer: ask the others, then call `placeOpen`. */
   | { readonly type: 'ask-peers'; readonly key: FlowKey };
 
+/** How old the load of other balancers is on the mean: the periods and ticks on the way of a report. */
+const LOADS_AGE_MS = 250;
+const MS_PER_SECOND = 1_000;
 /** A service whose back ends may not all be known yet is not refused for so many heartbeat intervals. */
 const LEARNING_INTERVALS = 2;
 
@@ -73,17 +75,18 @@
       ? { type: 'reset', reason: 'no-route' }
       : { type: 'drop', reason: 'not-current' };
   }
-  if (packet.copyNumber > 0 && state.peers.size > 0) {
+  const { opens } = state.options.policy;
+  if (packet.copyNumber > 0 && opens === 'shared' && state.peers.size > 0) {
     return { type: 'ask-peers', key };
   }
   return placeOpen(state, packet, nowMs);
 }
 
-function forwardCopy(state: IngressState, token: number, placement: Placement): PacketDecision {
+function forwardCopy(state: IngressState, token: number, foundBy: FoundBy): PacketDecision {
   const backend = state.backends.resolve(token);
   return backend === undefined
     ? { type: 'drop', reason: 'unknown-token' }
-    : { type: 'forward', backend, placement };
+    : { type: 'forward', backend, foundBy };
 }
 
 /**
@@ -94,18 +97,26 @@
   if (service === undefined) {
     return { type: 'reset', reason: 'no-route' };
   }
-  const { backends, options } = state;
-  const backend = chooseBackend(backends, service, options, hashOf(packet), nowMs);
+  const { backends, placement, openRate } = state;
+  const unseenOpens = unseenOpensAt(state, nowMs);
+  const open = { flowHash: hashOf(packet), nowMs, unseenOpens };
+  const backend = placement.choose(backends.staying(service), open);
   if (backend === undefined) {
-    return isLearning(state, nowMs)
+    return state.options.policy.learning === 'dropped' && isLearning(state, nowMs)
       ? { type: 'drop', reason: 'no-backend' }
       : { type: 'reset', reason: 'no-backend' };
   }
-  const load = loadOf(backend, nowMs);
+  const load = placement.loadOf(backend, nowMs);
+  openRate.note(nowMs);
   const key = flowKeyOf(packet);
   state.opens.remember(key, backend.token, nowMs);
   state.activities.open(key, backend, nowMs);
-  return { type: 'forward', backend, placement: { type: 'chosen', service, load } };
+  return { type: 'forward', backend, foundBy: { type: 'chosen', service, load } };
+}
+
+/** Other balancers place as many opens as this one, by estimate: routers spread flows evenly. */
+function unseenOpensAt({ openRate, peers }: IngressState, nowMs: number): number {
+  return (openRate.perSecond(nowMs) * peers.size * LOADS_AGE_MS) / MS_PER_SECOND;
 }
 
 /**
--- /dev/null
+++ b/src/ingress/policy.ts
@@ -0,0 +1,59 @@
+/**
+ * @file The mechanisms of a balancer by name, each of which can be switched by a setting, so that what a
+ * mechanism is worth is measured by settings and not by edits.
+ */
+import { err, ok, type Result } from 'neverthrow';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+
+/** What each mechanism may be; the first is the default. */
+export const policyChoices = {
+  /** Among which back ends the least loaded is taken: all, a few drawn by the flow, or one. */
+  choice: ['least-loaded', 'sampled', 'random'],
+  /** Whether back ends of the own zone come first. */
+  zones: ['own-first', 'any'],
+  /** Whether back ends that have just started come later. */
+  warmUp: ['later', 'ignored'],
+  /** Whether the load that other balancers tell counts. */
+  toldLoads: ['counted', 'ignored'],
+  /** Whether open flows at rest count beside requests in progress. */
+  flows: ['counted', 'ignored'],
+  /** Whether back ends that are silent are passed over. */
+  silence: ['passed-over', 'ignored'],
+  /** Whether other balancers are told of opens and asked for copies. */
+  opens: ['shared', 'own'],
+  /** What becomes of opens of a service without back ends while not all may be known. */
+  learning: ['dropped', 'reset'],
+} as const;
+
+type PolicyChoices = typeof policyChoices;
+
+/** How a balancer decides. */
+export type IngressPolicy = { readonly [Name in keyof PolicyChoices]: PolicyChoices[Name][number] };
+
+const names = Object.keys(policyChoices) as (keyof PolicyChoices)[];
+
+/** The policy without any setting. */
+export const defaultPolicy = Object.fromEntries(
+  names.map((name) => [name, policyChoices[name][0]]),
+) as unknown as IngressPolicy;
+
+/**
+ * Reads a policy from a text such as `zones=any,warmUp=ignored`; what it does not name has its default.
+ * @returns the policy, or `invalid-settings` with what is wrong
+ */
+export function parsePolicy(text: string): Result<IngressPolicy, AmberliftError> {
+  const changes: Record<string, string> = {};
+  for (const part of text.split(',').filter((part) => part !== '')) {
+    const [name = '', value = ''] = part.split('=', 2);
+    if (!isChoice(name, value)) {
+      return err(amberliftError('invalid-settings', `The policy has no ${part}.`));
+    }
+    changes[name] = value;
+  }
+  return ok({ ...defaultPolicy, ...changes });
+}
+
+function isChoice(name: string, value: string): boolean {
+  const known = names.find((candidate) => candidate === name);
+  return known !== undefined && policyChoices[known].some((choice) => choice === value);
+}
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -5,6 +5,7 @@
 import { z } from 'zod';
 import { parseAddress } from '../common/address.js';
 import { logLevels } from '../common/logger.js';
+import { defaultPolicy, policyChoices } from '../ingress/policy.js';
 
 const MIN_TOKEN_LENGTH = 8;
 
@@ -48,6 +49,22 @@
   bounds: boundsSection.prefault({}).describe('What must hold; the times out follow from it.'),
 };
 
+const policySection = z.strictObject({
+  choice: policyOption('choice', 'Among which back ends the least loaded is taken.'),
+  zones: policyOption('zones', 'Whether back ends of the own zone come first.'),
+  warmUp: policyOption('warmUp', 'Whether back ends that have just started come later.'),
+  toldLoads: policyOption('toldLoads', 'Whether the load that other balancers tell counts.'),
+  flows: policyOption('flows', 'Whether open flows at rest count beside requests in progress.'),
+  silence: policyOption('silence', 'Whether back ends that are silent are passed over.'),
+  opens: policyOption('opens', 'Whether balancers tell each other of opens; `own` breaks flows.'),
+  learning: policyOption('learning', 'What becomes of opens while not all back ends are known.'),
+});
+
+/** One mechanism of the policy, with its default. */
+function policyOption<Name extends keyof typeof policyChoices>(name: Name, description: string) {
+  return z.enum(policyChoices[name]).default(defaultPolicy[name]).describe(description);
+}
+
 /** Schema of the settings of `amberlift ingress`. */
 export const ingressSettingsSchema = z.strictObject({
   ...sharedOptions,
@@ -60,6 +77,7 @@
     .min(1)
     .describe('Link addresses of control machines; the others are learned from them.'),
   memoryMb: positive.optional().describe('What the process may take, in megabytes.'),
+  policy: policySection.prefault({}).describe('How new flows are placed; for measurements.'),
   stopWithinMs: positive
     .default(4_000)
     .describe('The longest time that a planned stop goes on forwarding, in milliseconds.'),
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -50,6 +50,7 @@
           flowLifetimeMs: options.flowLifetimeMs,
           feed: this.parts.timing.feed,
           maxCountedFlows: MAX_COUNTED_FLOWS,
+          policy: options.policy,
         },
         peerAddress,
         controlSeeds: this.controls,
--- a/src/sim/ingress/world-parts.ts
+++ b/src/sim/ingress/world-parts.ts
@@ -3,6 +3,7 @@
  */
 import type { RandomSource } from '../../common/step.js';
 import type { DecisionFields } from '../../daemon/decision-log.js';
+import { defaultPolicy, type IngressPolicy } from '../../ingress/policy.js';
 import type { Timing } from '../../group/timing.js';
 import type { VirtualClock } from '../virtual-clock.js';
 import type { IngressOracle } from './ingress-oracle.js';
@@ -27,6 +28,7 @@
   /** A machine with an empty disk counts again this long after its start. */
   readonly catchUpMs: number;
   readonly flowLifetimeMs: number;
+  readonly policy: IngressPolicy;
 }
 
 /** The options of a small deployment of today. */
@@ -42,6 +44,7 @@
   contactMs: 4_000,
   catchUpMs: 4_000,
   flowLifetimeMs: 60_000,
+  policy: defaultPolicy,
 };
 
 /** What is shared. */
--- a/test/ingress/placement.test.ts
+++ b/test/ingress/placement.test.ts
@@ -5,7 +5,8 @@
 import { createIngressState, type IngressState } from '../../src/ingress/ingress-state.js';
 import { decidePacket } from '../../src/ingress/packet-step.js';
 import type { PacketView } from '../../src/ingress/packet-view.js';
-import { chooseBackend } from '../../src/ingress/placement.js';
+import { createPlacement } from '../../src/ingress/placement.js';
+import { defaultPolicy, parsePolicy } from '../../src/ingress/policy.js';
 
 const OPTIONS = {
   name: 'balancer-1',
@@ -14,6 +15,7 @@
   flowLifetimeMs: 60_000,
   feed: widestTiming.feed,
   maxCountedFlows: 1_000,
+  policy: defaultPolicy,
 };
 const OPEN: PacketView = {
   sourceHost: 1,
@@ -100,10 +102,13 @@
 t.test('a back end that is silent for long is used only where no other is', async (t) => {
   const table = new BackendTable(OPTIONS.heartbeatIntervalMs);
   addBackend(table, 1, 'zone-a', 4_000);
-  t.equal(chooseBackend(table, 'alpha', OPTIONS, 0, 0)?.id, 'backend-1');
+  const placement = createPlacement('zone-a', defaultPolicy);
+  const choose = (flowHash: number) =>
+    placement.choose(table.staying('alpha'), { flowHash, nowMs: 0, unseenOpens: 0 })?.id;
+  t.equal(choose(0), 'backend-1');
   addBackend(table, 2, 'zone-b');
   for (let hash = 0; hash < 4; hash += 1) {
-    t.equal(chooseBackend(table, 'alpha', OPTIONS, hash, 0)?.id, 'backend-2');
+    t.equal(choose(hash), 'backend-2');
   }
 });
 
@@ -113,3 +118,67 @@
   state.currentAtMs = 2_500;
   t.equal(chosenId(state, 2, 2_500), 'reset');
 });
+
+t.test(
+  'many unseen opens are spread over many back ends, few go to the least loaded',
+  async (t) => {
+    const table = new BackendTable(OPTIONS.heartbeatIntervalMs);
+    for (let number = 1; number <= 20; number += 1) {
+      addBackend(table, number, 'zone-a');
+    }
+    table.takeLoads([...table.all()].slice(1).flatMap(({ token }) => [token, 1, 1]));
+    const policy = parsePolicy('choice=sampled')._unsafeUnwrap();
+    const placement = createPlacement('zone-a', policy);
+    const chosen = (unseenOpens: number) => {
+      const ids = new Set<string | undefined>();
+      for (let hash = 0; hash < 1_000; hash += 1) {
+        const open = { flowHash: Math.imul(hash, 0x85ebca6b) >>> 0, nowMs: 0, unseenOpens };
+        ids.add(placement.choose(table.staying('alpha'), open)?.id);
+      }
+      return ids;
+    };
+    t.same(chosen(0), new Set(['backend-1']), 'all are looked at');
+    t.ok(chosen(50).size > 15);
+  },
+);
+
+t.test('each mechanism can be switched, and no other', async (t) => {
+  t.same(parsePolicy('')._unsafeUnwrap(), defaultPolicy);
+  const policy = parsePolicy('zones=any,warmUp=ignored')._unsafeUnwrap();
+  t.same(policy, { ...defaultPolicy, zones: 'any', warmUp: 'ignored' });
+  for (const text of ['zones', 'zones=none', 'colour=red', 'zones=any,', '=']) {
+    t.equal(parsePolicy(text).isOk(), text === 'zones=any,', text);
+  }
+});
+
+t.test('a policy that ignores zones, warm-up, loads or silence places without them', async (t) => {
+  const cases = [
+    { text: 'zones=any', spoil: (table: BackendTable) => addBackend(table, 2, 'zone-b') },
+    {
+      text: 'silence=ignored',
+      spoil: (table: BackendTable) => addBackend(table, 2, 'zone-a', 4_000),
+    },
+    {
+      text: 'toldLoads=ignored',
+      spoil: (table: BackendTable) => {
+        addBackend(table, 2, 'zone-a');
+        table.takeLoads([table.find('backend-2')?.token ?? 0, 9, 9]);
+      },
+    },
+  ];
+  for (const { text, spoil } of cases) {
+    const table = new BackendTable(OPTIONS.heartbeatIntervalMs);
+    addBackend(table, 1, 'zone-a');
+    spoil(table);
+    const chosenBy = (policyText: string) => {
+      const placement = createPlacement('zone-a', parsePolicy(policyText)._unsafeUnwrap());
+      const ids = [0, 1, 2, 3].map((flowHash) => {
+        const open = { flowHash, nowMs: 0, unseenOpens: 0 };
+        return placement.choose(table.staying('alpha'), open)?.id;
+      });
+      return new Set(ids).size;
+    };
+    t.equal(chosenBy(''), 1, `${text}: by default`);
+    t.equal(chosenBy(text), 2, text);
+  }
+});
