Choose the back end by the own load, and the zone by the load over all balancers

Told loads made placement worse wherever load was high: they are known with a delay, and all balancers went to the same back end.

--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -6,7 +6,6 @@
 import { FlowActivities } from './flow-activity.js';
 import { OpenMemory } from './open-memory.js';
 import { createPeerTable, type PeerTable } from './peer-table.js';
-import { createOpenRate, type OpenRate } from './open-rate.js';
 import { createPlacement, type Placement } from './placement.js';
 import type { IngressPolicy } from './policy.js';
 import { RouteTable } from './route-table.js';
@@ -60,8 +59,6 @@
   isStopping: boolean;
   readonly peers: PeerTable;
   readonly placement: Placement;
-  /** Opens that are placed here. */
-  readonly openRate: OpenRate;
 }
 
 /**
@@ -83,7 +80,6 @@
     isStopping: false,
     peers: createPeerTable(options.name),
     placement: createPlacement(options.zone, options.policy),
-    openRate: createOpenRate(),
   };
 }
 
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -33,9 +33,6 @@
   /** A copy whose first went through another balancer: ask the others, then call `placeOpen`. */
   | { readonly type: 'ask-peers'; readonly key: FlowKey };
 
-/** How old the load of other balancers is on the mean: the periods and ticks on the way of a report. */
-const LOADS_AGE_MS = 250;
-const MS_PER_SECOND = 1_000;
 /** A service whose back ends may not all be known yet is not refused for so many heartbeat intervals. */
 const LEARNING_INTERVALS = 2;
 
@@ -97,28 +94,20 @@
   if (service === undefined) {
     return { type: 'reset', reason: 'no-route' };
   }
-  const { backends, placement, openRate } = state;
-  const unseenOpens = unseenOpensAt(state, nowMs);
-  const open = { flowHash: hashOf(packet), nowMs, unseenOpens };
-  const backend = placement.choose(backends.staying(service), open);
+  const { backends, placement } = state;
+  const backend = placement.choose(backends.staying(service), hashOf(packet), nowMs);
   if (backend === undefined) {
     return state.options.policy.learning === 'dropped' && isLearning(state, nowMs)
       ? { type: 'drop', reason: 'no-backend' }
       : { type: 'reset', reason: 'no-backend' };
   }
   const load = placement.loadOf(backend, nowMs);
-  openRate.note(nowMs);
   const key = flowKeyOf(packet);
   state.opens.remember(key, backend.token, nowMs);
   state.activities.open(key, backend, nowMs);
   return { type: 'forward', backend, foundBy: { type: 'chosen', service, load } };
 }
 
-/** Other balancers place as many opens as this one, by estimate: routers spread flows evenly. */
-function unseenOpensAt({ openRate, peers }: IngressState, nowMs: number): number {
-  return (openRate.perSecond(nowMs) * peers.size * LOADS_AGE_MS) / MS_PER_SECOND;
-}
-
 /**
  * Another balancer has placed the first copy of an open.
  */
--- a/src/ingress/policy.ts
+++ b/src/ingress/policy.ts
@@ -7,14 +7,12 @@
 
 /** What each mechanism may be; the first is the default. */
 export const policyChoices = {
-  /** Among which back ends the least loaded is taken: all, a few drawn by the flow, or one. */
-  choice: ['least-loaded', 'sampled', 'random'],
   /** Whether back ends of the own zone come first. */
   zones: ['own-first', 'any'],
   /** Whether back ends that have just started come later. */
   warmUp: ['later', 'ignored'],
-  /** Whether the load that other balancers tell counts. */
-  toldLoads: ['counted', 'ignored'],
+  /** What the load that passes other balancers decides: which zone, also which back end, or nothing. */
+  toldLoads: ['zone', 'backend', 'ignored'],
   /** Whether open flows at rest count beside requests in progress. */
   flows: ['counted', 'ignored'],
   /** Whether back ends that are silent are passed over. */
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -14,11 +14,14 @@
   for (let position = 0; position < text.length; position += 1) {
     hash = Math.imul(hash ^ text.charCodeAt(position), FNV_PRIME);
   }
-  return mix(hash);
+  return mixHash(hash);
 }
 
-/** The final mix of MurmurHash3: each bit of the input changes each bit of the output. */
-function mix(value: number): number {
+/**
+ * @returns a 32-bit hash of a number: the final mix of MurmurHash3, in which each bit of the input changes
+ *   each bit of the output
+ */
+export function mixHash(value: number): number {
   let mixed = value;
   mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
   mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
@@ -31,7 +34,7 @@
  * @returns the node's score for the key; the nodes with the highest scores are chosen
  */
 export function rendezvousScore(keyHash: number, nodeHash: number): number {
-  return mix(keyHash ^ Math.imul(nodeHash, 0x9e3779b1));
+  return mixHash(keyHash ^ Math.imul(nodeHash, 0x9e3779b1));
 }
 
 /**
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -50,10 +50,9 @@
 };
 
 const policySection = z.strictObject({
-  choice: policyOption('choice', 'Among which back ends the least loaded is taken.'),
   zones: policyOption('zones', 'Whether back ends of the own zone come first.'),
   warmUp: policyOption('warmUp', 'Whether back ends that have just started come later.'),
-  toldLoads: policyOption('toldLoads', 'Whether the load that other balancers tell counts.'),
+  toldLoads: policyOption('toldLoads', 'What the load that passes other balancers decides.'),
   flows: policyOption('flows', 'Whether open flows at rest count beside requests in progress.'),
   silence: policyOption('silence', 'Whether back ends that are silent are passed over.'),
   opens: policyOption('opens', 'Whether balancers tell each other of opens; `own` breaks flows.'),
