--- a/src/ingress/backend-table.ts
+++ b/src/ingress/backend-table.ts
@@ -14,11 +14,10 @@
   type DepartureKind,
 } from '../registry/backend-record.js';
 
-/** Load of one back end, in requests and flows. */
+/** Load of one back end. */
 export interface BackendLoad {
   /** Requests that seem to be in progress, with opens that have not brought their request yet. */
   busy: number;
-  flows: number;
 }
 
 /** One start of a back end, as a balancer knows it. */
@@ -133,13 +132,11 @@
   takeLoads(loads: PackedLoads): void {
     for (const { others } of this.byId.values()) {
       others.busy = 0;
-      others.flows = 0;
     }
-    eachLoad(loads, (token, busy, flows) => {
+    eachLoad(loads, (token, busy) => {
       const others = this.byToken.get(token)?.others;
       if (others !== undefined) {
         others.busy = busy;
-        others.flows = flows;
       }
     });
   }
@@ -185,8 +182,8 @@
       liveness: 'heard',
       notedLiveness: 'heard',
       warmUntilMs: heardAtMs + record.warmUpLeftMs,
-      own: { busy: 0, flows: 0 },
-      others: { busy: 0, flows: 0 },
+      own: { busy: 0 },
+      others: { busy: 0 },
     };
     if (this.byToken.has(backend.token)) {
       // Its flows could not be told from those of the other back end: it takes none.
--- a/src/ingress/feed-step.ts
+++ b/src/ingress/feed-step.ts
@@ -65,8 +65,8 @@
 export function ownReport(state: IngressState): PackedLoads {
   const loads: BackendLoadEntry[] = [];
   for (const { token, own } of state.backends.all()) {
-    if (own.busy > 0 || own.flows > 0) {
-      loads.push({ token, busy: own.busy, flows: own.flows });
+    if (own.busy > 0) {
+      loads.push({ token, busy: own.busy });
     }
   }
   return packLoads(loads);
--- a/src/ingress/flow-activity.ts
+++ b/src/ingress/flow-activity.ts
@@ -112,7 +112,6 @@
       lastPacketAtMs: nowMs,
     };
     this.flows.set(key, flow);
-    backend.own.flows += 1;
     this.setBusy(flow, isBusy);
     return flow;
   }
@@ -121,7 +120,6 @@
     const flow = this.flows.get(key);
     if (flow !== undefined) {
       this.setBusy(flow, false);
-      flow.backend.own.flows -= 1;
       this.flows.delete(key);
     }
   }
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -22,12 +22,10 @@
     flowHash: number,
     nowMs: number,
   ): KnownBackend | undefined;
-  /** @returns requests in progress for each slot, with a little for each open flow */
+  /** @returns requests in progress for each slot, with some more at a cold back end */
   loadOf(backend: KnownBackend, nowMs: number): number;
 }
 
-/** How much an open flow counts against a request in progress. */
-const FLOW_WEIGHT = 0.04;
 /** A cold back end counts as if it had so many more requests in progress for each slot. */
 const COLD_PENALTY = 0.4;
 /** Another zone takes the flow only where its load a slot is lower by at least this. */
@@ -38,7 +36,6 @@
  */
 export function createPlacement(ownZone: string, policy: IngressPolicy): Placement {
   const countsTold = policy.toldLoads === 'backend';
-  const flowWeight = policy.flows === 'counted' ? FLOW_WEIGHT : 0;
 
   return { choose, loadOf };
 
@@ -90,8 +87,7 @@
 
   function loadOf({ own, others, record, warmUntilMs }: KnownBackend, nowMs: number): number {
     const busy = own.busy + (countsTold ? others.busy : 0);
-    const flows = own.flows + (countsTold ? others.flows : 0);
-    const perSlot = (busy + flowWeight * flows) / Math.max(1, record.capacity);
+    const perSlot = busy / Math.max(1, record.capacity);
     const isCold = policy.warmUp === 'later' && nowMs < warmUntilMs;
     return isCold ? perSlot + COLD_PENALTY : perSlot;
   }
--- a/src/ingress/policy.ts
+++ b/src/ingress/policy.ts
@@ -13,8 +13,6 @@
   warmUp: ['later', 'ignored'],
   /** What the load that passes other balancers decides: which zone, also which back end, or nothing. */
   toldLoads: ['zone', 'backend', 'ignored'],
-  /** Whether open flows at rest count beside requests in progress. */
-  flows: ['counted', 'ignored'],
   /** Whether back ends that are silent are passed over. */
   silence: ['passed-over', 'ignored'],
   /** Whether other balancers are told of opens and asked for copies. */
--- a/src/load-exchange/backend-load.ts
+++ b/src/load-exchange/backend-load.ts
@@ -9,32 +9,27 @@
   readonly token: number;
   /** Requests that seem to be in progress, with opens that have not brought their request yet. */
   readonly busy: number;
-  /** Open flows. */
-  readonly flows: number;
 }
 
-/** Entries one after the other, three numbers each: token, requests, flows. */
+/** Entries one after the other, two numbers each: token, requests. */
 export type PackedLoads = readonly number[];
 
 /** How many numbers stand for one entry. */
-export const NUMBERS_PER_LOAD = 3;
+export const NUMBERS_PER_LOAD = 2;
 
 /** @returns the entries as a flat list */
 export function packLoads(entries: Iterable<BackendLoadEntry>): PackedLoads {
   const packed: number[] = [];
-  for (const { token, busy, flows } of entries) {
-    packed.push(token, busy, flows);
+  for (const { token, busy } of entries) {
+    packed.push(token, busy);
   }
   return packed;
 }
 
 /** Calls back with each entry of a flat list; one that is cut short is passed over. */
-export function eachLoad(
-  packed: PackedLoads,
-  take: (token: number, busy: number, flows: number) => void,
-): void {
+export function eachLoad(packed: PackedLoads, take: (token: number, busy: number) => void): void {
   for (let at = 0; at + NUMBERS_PER_LOAD <= packed.length; at += NUMBERS_PER_LOAD) {
-    take(packed[at] ?? 0, packed[at + 1] ?? 0, packed[at + 2] ?? 0);
+    take(packed[at] ?? 0, packed[at + 1] ?? 0);
   }
 }
 
--- a/src/load-exchange/load-totals.ts
+++ b/src/load-exchange/load-totals.ts
@@ -32,11 +32,6 @@
   readonly heardAtMs: number;
 }
 
-interface Sum {
-  busy: number;
-  flows: number;
-}
-
 /**
  * @param sumsLifetimeMs how long the sums of another control machine count
  * @returns totals without any report
@@ -95,29 +90,26 @@
   }
 }
 
-function sumOf(lists: Iterable<PackedLoads>): Map<number, Sum> {
-  const sums = new Map<number, Sum>();
+function sumOf(lists: Iterable<PackedLoads>): Map<number, number> {
+  const sums = new Map<number, number>();
   for (const loads of lists) {
     addTo(sums, loads, 1);
   }
   return sums;
 }
 
-function addTo(sums: Map<number, Sum>, loads: PackedLoads, sign: 1 | -1): void {
-  eachLoad(loads, (token, busy, flows) => {
-    const sum = sums.get(token) ?? { busy: 0, flows: 0 };
-    sum.busy += sign * busy;
-    sum.flows += sign * flows;
-    sums.set(token, sum);
+function addTo(sums: Map<number, number>, loads: PackedLoads, sign: 1 | -1): void {
+  eachLoad(loads, (token, busy) => {
+    sums.set(token, (sums.get(token) ?? 0) + sign * busy);
   });
 }
 
 /** Back ends without any load are left out. */
-function packSums(sums: Map<number, Sum>): PackedLoads {
+function packSums(sums: Map<number, number>): PackedLoads {
   const entries: BackendLoadEntry[] = [];
-  for (const [token, { busy, flows }] of sums) {
-    if (busy > 0 || flows > 0) {
-      entries.push({ token, busy: Math.max(0, busy), flows: Math.max(0, flows) });
+  for (const [token, busy] of sums) {
+    if (busy > 0) {
+      entries.push({ token, busy });
     }
   }
   return packLoads(entries);
--- a/src/membership/rendezvous.ts
+++ b/src/membership/rendezvous.ts
@@ -14,14 +14,11 @@
   for (let position = 0; position < text.length; position += 1) {
     hash = Math.imul(hash ^ text.charCodeAt(position), FNV_PRIME);
   }
-  return mixHash(hash);
+  return mix(hash);
 }
 
-/**
- * @returns a 32-bit hash of a number: the final mix of MurmurHash3, in which each bit of the input changes
- *   each bit of the output
- */
-export function mixHash(value: number): number {
+/** The final mix of MurmurHash3: each bit of the input changes each bit of the output. */
+function mix(value: number): number {
   let mixed = value;
   mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
   mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
@@ -34,7 +31,7 @@
  * @returns the node's score for the key; the nodes with the highest scores are chosen
  */
 export function rendezvousScore(keyHash: number, nodeHash: number): number {
-  return mixHash(keyHash ^ Math.imul(nodeHash, 0x9e3779b1));
+  return mix(keyHash ^ Math.imul(nodeHash, 0x9e3779b1));
 }
 
 /**
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -53,7 +53,6 @@
   zones: policyOption('zones', 'Whether back ends of the own zone come first.'),
   warmUp: policyOption('warmUp', 'Whether back ends that have just started come later.'),
   toldLoads: policyOption('toldLoads', 'What the load that passes other balancers decides.'),
-  flows: policyOption('flows', 'Whether open flows at rest count beside requests in progress.'),
   silence: policyOption('silence', 'Whether back ends that are silent are passed over.'),
   opens: policyOption('opens', 'Whether balancers tell each other of opens; `own` breaks flows.'),
   learning: policyOption('learning', 'What becomes of opens while not all back ends are known.'),
