--- a/src/cli/explain.ts
+++ b/src/cli/explain.ts
@@ -1,14 +1,11 @@
 /**
  * @file `amberlift explain`: tells the story of one request, flow, back end or configuration from logs.
  */
-import { readFileSync } from 'node:fs';
-import { basename } from 'node:path';
 import type { CAC } from 'cac';
 import { exitCodes } from '../flow/error-kinds.js';
 import { explain, type Story } from '../toolbox/explain.js';
-import { parseLogLine, type LogLine } from '../toolbox/log-line.js';
+import { readLogs } from './log-files.js';
 
-const STANDARD_INPUT = 0;
 const MS_PER_SECOND = 1_000;
 
 interface ExplainFlags {
@@ -30,22 +27,13 @@
 }
 
 function run(id: string | number, files: readonly string[], flags: ExplainFlags): void {
-  const lines =
-    files.length === 0
-      ? readLines(STANDARD_INPUT, 'standard input')
-      : files.flatMap((file) => readLines(file, basename(file).replace(/\.log$/, '')));
+  const lines = readLogs(files);
   const story = explain(lines, String(id));
   const text = flags.json === true ? jsonOf(story) : describe(story, String(id), lines.length);
   process.stdout.write(`${text}\n`);
   process.exitCode = story.subject === undefined ? exitCodes.refused : exitCodes.success;
 }
 
-function readLines(file: string | number, name: string): LogLine[] {
-  return readFileSync(file, 'utf8')
-    .split('\n')
-    .flatMap((text, index) => parseLogLine(text, name, index + 1) ?? []);
-}
-
 function jsonOf({ subject, lines, findings, gaps, skews }: Story): string {
   const told = lines.map(({ line: { source, name, fields }, atMs }) => ({
     at: new Date(atMs).toISOString(),
--- /dev/null
+++ b/src/cli/timeline.ts
@@ -0,0 +1,70 @@
+/**
+ * @file `amberlift timeline`: tells from logs how processes came back, and what they waited for.
+ */
+import type { CAC } from 'cac';
+import { exitCodes } from '../flow/error-kinds.js';
+import { timelineOf, type ProcessStart, type Return } from '../toolbox/timeline.js';
+import { readLogs } from './log-files.js';
+
+interface TimelineFlags {
+  readonly json?: boolean;
+  readonly least?: number;
+}
+
+/** Single restarts are planned work; what is looked for is the return of several. */
+const LEAST_STARTS = 3;
+
+/**
+ * Registers the subcommand.
+ */
+export function registerTimeline(cli: CAC): void {
+  cli
+    .command('timeline [...logs]', 'Tell how processes came back and what they waited for')
+    .option('--json', 'Print one line of JSON')
+    .option('--least <count>', 'Show returns of at least so many processes', {
+      default: LEAST_STARTS,
+    })
+    .example('amberlift timeline balancer-*.log control-*.log')
+    .action(run);
+}
+
+function run(files: readonly string[], flags: TimelineFlags): void {
+  const { returns, skews } = timelineOf(readLogs(files));
+  const shown = returns.filter(({ starts }) => starts.length >= (flags.least ?? LEAST_STARTS));
+  const text =
+    flags.json === true
+      ? JSON.stringify({ returns: shown, skews })
+      : [
+          ...shown.map(describeReturn),
+          ...skews.map(({ source, aheadMs }) => `The clock of ${source} is off by ${aheadMs} ms.`),
+        ].join('\n\n');
+  process.stdout.write(`${text === '' ? 'No such return.' : text}\n`);
+  process.exitCode = shown.length > 0 ? exitCodes.success : exitCodes.refused;
+}
+
+function describeReturn({ starts, groupPhases, longestWait }: Return): string {
+  const startMs = groupPhases[0]?.atMs ?? 0;
+  const width = Math.max(...starts.map(({ source }) => source.length));
+  return [
+    `${starts.length} processes came back, from ${new Date(startMs).toISOString()}:`,
+    ...groupPhases.map(({ text, atMs }) => `${sinceMs(startMs, atMs)}  ${text}`),
+    ...(longestWait === undefined
+      ? []
+      : [
+          `The longest wait, ${Math.round(longestWait.tookMs)} ms: until ${longestWait.until.text}.`,
+        ]),
+    'Each process:',
+    ...starts.map((start) => describeStart(start, startMs, width)),
+  ].join('\n');
+}
+
+function describeStart(start: ProcessStart, startMs: number, width: number): string {
+  const phases = start.phases.map(({ name, atMs }) => `${name} ${sinceMs(startMs, atMs).trim()}`);
+  const { failedTries } = start;
+  const tries = failedTries === 0 ? [] : [`${failedTries} tries reached no control machine`];
+  return `  ${start.source.padEnd(width)}  ${[...phases, ...tries].join(', ')}`;
+}
+
+function sinceMs(startMs: number, atMs: number): string {
+  return `+${Math.round(atMs - startMs)} ms`.padStart(10);
+}
