--- /dev/null
+++ b/test/ingress/feed-step.test.ts
@@ -0,0 +1,148 @@
+/** @file What a balancer believes after messages of control machines: late, whole, from another machine, none. */
+import t from 'tap';
+import type { FeedMessage } from '../../src/group/group-messages.js';
+import { widestTiming } from '../../src/group/timing.js';
+import { ingressSweep, ownReport, takeFeed } from '../../src/ingress/feed-step.js';
+import { createIngressState, type IngressState } from '../../src/ingress/ingress-state.js';
+import { defaultPolicy } from '../../src/ingress/policy.js';
+
+const LIFETIME_MS = 60_000;
+
+function freshState(): IngressState {
+  return createIngressState({
+    name: 'balancer-1',
+    zone: 'zone-a',
+    heartbeatIntervalMs: 1_000,
+    flowLifetimeMs: LIFETIME_MS,
+    feed: widestTiming.feed,
+    maxCountedFlows: 1_000,
+    policy: defaultPolicy,
+  });
+}
+
+function recordOf(number: number, ageMs = 0, sequence = 1) {
+  return {
+    record: {
+      id: `backend-${number}`,
+      instanceNumber: number.toString(16).padStart(16, '0'),
+      service: 'alpha',
+      address: { host: `10.0.2.${number}`, port: 9_000 },
+      zone: 'zone-a',
+      capacity: 2,
+      warmUpLeftMs: 0,
+      sequence,
+    },
+    ageMs,
+  };
+}
+
+function balancerOf(number: number) {
+  const peerAddress = { host: `10.0.3.${number}`, port: 7_700 };
+  return { name: `balancer-${number}`, zone: 'zone-a', peerAddress };
+}
+
+function feed(state: IngressState, parts: Partial<FeedMessage>, nowMs: number): void {
+  takeFeed(state, { type: 'feed', isCurrent: true, ...parts }, nowMs);
+}
+
+function livenessOf(state: IngressState, number: number) {
+  return state.backends.find(`backend-${number}`)?.liveness;
+}
+
+t.test('judgements change what is believed, also back again', async (t) => {
+  const state = freshState();
+  feed(state, { isWhole: true, records: [recordOf(1), recordOf(2, 3_000), recordOf(3, 9_000)] }, 0);
+  t.same(
+    [1, 2, 3].map((number) => livenessOf(state, number)),
+    ['heard', 'silent', 'dead'],
+  );
+  const judgement = { backendId: 'backend-1', liveness: 'silent', silentMs: 2_600 } as const;
+  feed(state, { judgements: [judgement, { ...judgement, backendId: 'unknown' }] }, 5_000);
+  t.equal(livenessOf(state, 1), 'silent');
+  t.same(
+    ingressSweep(state, 5_000).map(({ backend, from, to }) => [backend.id, from, to]),
+    [
+      ['backend-1', 'heard', 'silent'],
+      ['backend-2', 'heard', 'silent'],
+      ['backend-3', 'heard', 'dead'],
+    ],
+  );
+  t.same(ingressSweep(state, 5_000), [], 'each change is noted once');
+  feed(state, { judgements: [{ ...judgement, liveness: 'heard', silentMs: 0 }] }, 6_000);
+  t.equal(livenessOf(state, 1), 'heard');
+});
+
+t.test('what a whole and current feed does not hold is doubted', async (t) => {
+  const state = freshState();
+  feed(state, { isWhole: true, records: [recordOf(1), recordOf(2)] }, 0);
+  feed(state, { isWhole: true, isCurrent: false, records: [recordOf(1)] }, 1_000);
+  t.equal(livenessOf(state, 2), 'heard', 'not by a machine that does not know what is current');
+  feed(state, { records: [recordOf(1, 0, 2)] }, 1_000);
+  t.equal(livenessOf(state, 2), 'heard', 'not by changes');
+  feed(state, { isWhole: true, records: [recordOf(1)] }, 2_000);
+  t.equal(livenessOf(state, 2), 'silent');
+  t.equal(livenessOf(state, 1), 'heard');
+  ingressSweep(state, 2_000 + LIFETIME_MS);
+  t.ok(state.backends.find('backend-2'), 'its flows may still live');
+  ingressSweep(state, 2_001 + LIFETIME_MS);
+  t.equal(state.backends.find('backend-2'), undefined);
+  t.ok(state.backends.find('backend-1'), 'one that is heard stays, however old its last record');
+});
+
+t.test('a control machine that lags does not undo what a back end told later', async (t) => {
+  const state = freshState();
+  const later = recordOf(1, 0, 5);
+  feed(state, { records: [{ ...later, record: { ...later.record, capacity: 4 } }] }, 0);
+  feed(state, { isWhole: true, records: [recordOf(1, 0, 3)] }, 100);
+  t.equal(state.backends.find('backend-1')?.record.capacity, 4);
+});
+
+t.test('a departure stays, whatever is told of the back end afterwards', async (t) => {
+  const state = freshState();
+  feed(state, { departures: [{ backendId: 'backend-1', kind: 'draining' }] }, 0);
+  feed(state, { isWhole: true, records: [recordOf(1)] }, 100);
+  t.same(state.backends.staying('alpha'), []);
+  const heard = { backendId: 'backend-1', liveness: 'heard', silentMs: 0 } as const;
+  feed(state, { judgements: [heard] }, 200);
+  t.same(state.backends.staying('alpha'), []);
+});
+
+t.test('balancers of a whole feed replace those known, others are changes', async (t) => {
+  const state = freshState();
+  feed(state, { isWhole: true, balancers: [1, 2, 3].map(balancerOf) }, 0);
+  t.equal(state.peers.size, 2);
+  feed(state, { balancers: [balancerOf(4)], lostBalancers: ['balancer-2'] }, 0);
+  t.equal(state.peers.size, 2);
+  feed(state, { isWhole: true, balancers: [balancerOf(1)] }, 0);
+  t.equal(state.peers.size, 0);
+});
+
+t.test('told loads hold while the feed is current, and are dropped soon after', async (t) => {
+  const state = freshState();
+  feed(state, { isWhole: true, records: [recordOf(1)] }, 0);
+  const backend = state.backends.find('backend-1');
+  const token = backend?.token ?? 0;
+  feed(state, { loads: [token, 3, 12_345, 9] }, 0);
+  t.equal(backend?.others.busy, 3);
+  feed(state, {}, 5_000);
+  ingressSweep(state, 6_000);
+  t.equal(backend?.others.busy, 3, 'not told again, since it has not changed');
+  feed(state, { isCurrent: false }, 7_500);
+  ingressSweep(state, 7_500);
+  t.equal(backend?.others.busy, 0, 'nobody has said for long that it holds');
+  feed(state, { loads: [token, 2] }, 8_000);
+  feed(state, { loads: [] }, 8_500);
+  t.equal(backend?.others.busy, 0);
+});
+
+t.test('a balancer reports what passes it, without back ends that are idle', async (t) => {
+  const state = freshState();
+  feed(state, { isWhole: true, records: [recordOf(1), recordOf(2)] }, 0);
+  const backend = state.backends.find('backend-2');
+  if (backend === undefined) {
+    throw new Error('No back end.');
+  }
+  t.same(ownReport(state), []);
+  state.activities.open('flow', backend, 0);
+  t.same(ownReport(state), [backend.token, 1]);
+});
