Don't place opens that waited while a balancer stood still

Cause: a machine that is paused and goes on reads the opens that waited in its socket. A second back end that takes a flow may get its packets and reset it. Ruled out: the memory of opens (it lives 2 to 4 s, a pause may last longer), and the holders (first opens are placed without asking).

Mend: a process notices that it stood still (300 ms between two turns); opens are asked for like copies for 150 ms then, or dropped where the pause outlasted the memory of others.

--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -130,6 +130,7 @@
     }
     const nowMs = this.surroundings.nowMs();
     this.lastPacketAtMs = nowMs;
+    this.state.stallGuard.noteTurn(nowMs);
     this.carryOut(decidePacket(this.state, packet, nowMs), datagram, packet);
   }
 
@@ -296,6 +297,7 @@
   /** Does what is due. */
   tick(): void {
     const nowMs = this.surroundings.nowMs();
+    this.state.stallGuard.noteTurn(nowMs);
     this.followFeed(nowMs);
     this.reportLoads(nowMs);
     if (nowMs >= this.nextSweepAtMs) {
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -9,6 +9,7 @@
 import { createPlacement, type Placement } from './placement.js';
 import type { IngressPolicy } from './policy.js';
 import { RouteTable } from './route-table.js';
+import { createStallGuard, type StallGuard } from './stall-guard.js';
 
 /** Options of a balancer; all times in milliseconds. */
 export interface IngressOptions {
@@ -59,6 +60,7 @@
   isStopping: boolean;
   readonly peers: PeerTable;
   readonly placement: Placement;
+  readonly stallGuard: StallGuard;
 }
 
 /**
@@ -80,6 +82,7 @@
     isStopping: false,
     peers: createPeerTable(options.name),
     placement: createPlacement(options.zone, options.policy),
+    stallGuard: createStallGuard({ rememberedMs: OPEN_LIFETIME_MS }),
   };
 }
 
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -2,13 +2,21 @@
  * @file The decision for each packet of a client: a packet with a token goes to the back end that the
  * token names; an open goes where its first copy went, or to a back end of the route's service.
  */
+import { match } from 'ts-pattern';
 import type { KnownBackend } from './backend-table.js';
 import { isReady, knowsCurrent, type IngressState } from './ingress-state.js';
 import { flowKeyOf, type FlowKey, type PacketView } from './packet-view.js';
 
 /** Why a packet was dropped or its open refused. */
 export type DropReason =
-  'unknown-token' | 'no-token' | 'not-ready' | 'not-current' | 'no-route' | 'no-backend';
+  | 'unknown-token'
+  | 'no-token'
+  | 'not-ready'
+  | 'not-current'
+  | 'no-route'
+  | 'no-backend'
+  /** An open that waited while this process stood still. */
+  | 'stale-open';
 
 /** How the back end of an open was found. */
 export type FoundBy =
@@ -72,11 +80,26 @@
       ? { type: 'reset', reason: 'no-route' }
       : { type: 'drop', reason: 'not-current' };
   }
-  const { opens } = state.options.policy;
-  if (packet.copyNumber > 0 && opens === 'shared' && state.peers.size > 0) {
-    return { type: 'ask-peers', key };
-  }
-  return placeOpen(state, packet, nowMs);
+  return match(state.stallGuard.trustAt(nowMs))
+    .with('stale', (): PacketDecision => ({ type: 'drop', reason: 'stale-open' }))
+    .with('doubtful', () => askOrPlace(state, packet, key, nowMs))
+    .with('fresh', () =>
+      packet.copyNumber > 0
+        ? askOrPlace(state, packet, key, nowMs)
+        : placeOpen(state, packet, nowMs),
+    )
+    .exhaustive();
+}
+
+/** Another balancer may have placed it: ask, where there is one. */
+function askOrPlace(
+  state: IngressState,
+  packet: PacketView,
+  key: FlowKey,
+  nowMs: number,
+): PacketDecision {
+  const canAsk = state.options.policy.opens === 'shared' && state.peers.size > 0;
+  return canAsk ? { type: 'ask-peers', key } : placeOpen(state, packet, nowMs);
 }
 
 function forwardCopy(state: IngressState, token: number, foundBy: FoundBy): PacketDecision {
--- a/src/sim/ingress/ingress-faults.ts
+++ b/src/sim/ingress/ingress-faults.ts
@@ -17,6 +17,7 @@
   'all-controls-killed',
   'balancer-killed',
   'balancer-cut',
+  'balancer-frozen',
   'backend-crashed',
   'backend-replaced',
   'backend-replaced-at-its-address',
@@ -71,6 +72,9 @@
       case 'balancer-cut':
         this.cutBalancer();
         return;
+      case 'balancer-frozen':
+        this.freezeBalancer();
+        return;
       case 'config-changed':
         world.operator.declareNext();
         return;
@@ -202,6 +206,14 @@
     clock.after(forMs, () => cut(false));
   }
 
+  /** The process stands still and goes on, as a machine does that is paused. */
+  private freezeBalancer(): void {
+    const { balancers, random } = this.world;
+    const forMs = this.durationMs;
+    balancers[random.nextInt(balancers.length)]?.freeze(forMs);
+    this.disturb(forMs);
+  }
+
   private loseDatagrams(): void {
     const { wires, clock } = this.world;
     const forMs = this.durationMs;
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -18,6 +18,8 @@
 export class SimulatedIngressBalancer {
   process: IngressProcess | undefined;
   private generation = 0;
+  /** What came while the process stands still, in order; undefined while it runs. */
+  private backlog: (() => void)[] | undefined;
 
   constructor(
     readonly host: string,
@@ -27,7 +29,7 @@
   ) {}
 
   get isReady(): boolean {
-    return this.process?.isReady === true;
+    return this.backlog === undefined && this.process?.isReady === true;
   }
 
   /** Where routers send packets. */
@@ -37,6 +39,7 @@
 
   start(): void {
     this.generation += 1;
+    this.backlog = undefined;
     const { generation, host } = this;
     const { clock, wires, options } = this.parts;
     const peerAddress: Address = { host, port: PEER_PORT };
@@ -60,23 +63,28 @@
         nowMs: () => clock.nowMs,
         sendPacket: (datagram, to) => wires.sendDatagram(host, to, datagram),
         sendToBalancer: (to, message) => wires.sendDatagram(host, to, packr.pack(message)),
-        connectControl: (to, handlers) => wires.connect(host, to, handlers),
-        after: (delayMs, run) =>
-          clock.after(delayMs, () => {
-            if (generation === this.generation) {
-              run();
-            }
+        connectControl: (to, handlers) =>
+          wires.connect(host, to, {
+            onMessage: (message, link) => {
+              this.whenRunning(generation, () => handlers.onMessage(message, link));
+              return true;
+            },
+            onClose: (link, reason) =>
+              this.whenRunning(generation, () => handlers.onClose(link, reason)),
           }),
+        after: (delayMs, run) => clock.after(delayMs, () => this.whenRunning(generation, run)),
         note: (name, fields) => this.parts.note(host, name, fields),
         packetLog: { note: () => undefined, flush: () => undefined },
       },
     );
     this.process = process;
-    wires.onDatagram(this.packetAddress, (bytes) => process.takePacket(bytes));
+    wires.onDatagram(this.packetAddress, (bytes) =>
+      this.whenRunning(generation, () => process.takePacket(bytes)),
+    );
     wires.onDatagram(peerAddress, (bytes) => {
       const message = parseBalancerMessage(packr.unpack(bytes));
       if (message !== undefined) {
-        process.takeBalancerMessage(message);
+        this.whenRunning(generation, () => process.takeBalancerMessage(message));
       }
     });
     this.tick(process, generation);
@@ -85,13 +93,42 @@
   kill(): void {
     this.generation += 1;
     this.process = undefined;
+    this.backlog = undefined;
     this.parts.wires.hostDied(this.host);
   }
 
+  /** The process stands still; what comes meanwhile waits until it goes on. */
+  freeze(forMs: number): void {
+    if (this.process === undefined || this.backlog !== undefined) {
+      return;
+    }
+    const { generation } = this;
+    this.backlog = [];
+    this.parts.clock.after(forMs, () => {
+      const waiting = this.backlog ?? [];
+      this.backlog = undefined;
+      if (generation === this.generation) {
+        waiting.forEach((run) => run());
+      }
+    });
+  }
+
+  /** Runs something now, or once the process goes on; never in another life of it. */
+  private whenRunning(generation: number, run: () => void): void {
+    if (generation !== this.generation) {
+      return;
+    }
+    if (this.backlog === undefined) {
+      run();
+    } else {
+      this.backlog.push(run);
+    }
+  }
+
   private tick(process: IngressProcess, generation: number): void {
-    if (generation === this.generation) {
+    this.whenRunning(generation, () => {
       process.tick();
       this.parts.clock.after(TICK_MS, () => this.tick(process, generation));
-    }
+    });
   }
 }
