Move the sharing of opens out of the balancer's process

The key of a flow is made once for an open that is placed, and the trust in an open is taken apart by a bare switch, as DEVELOPERS.md asks where a packet passes.

--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -23,12 +23,11 @@
   type FoundBy,
 } from '../ingress/packet-step.js';
 import type { PacketCodec } from '../ingress/packet-codec.js';
-import { flowKeyOf, type FlowKey, type PacketView } from '../ingress/packet-view.js';
+import type { PacketView } from '../ingress/packet-view.js';
 import type { KnownBackend } from '../ingress/backend-table.js';
-import { ASKED_HOLDERS, TOLD_HOLDERS } from '../ingress/peer-table.js';
-import { isSameLoads, type PackedLoads } from '../load-exchange/backend-load.js';
-import { exchangePeriodMs } from '../load-exchange/exchange-period.js';
+import { createLoadOutlet, type LoadOutlet } from '../load-exchange/load-outlet.js';
 import type { DecisionFields } from './decision-log.js';
+import { createOpenSharing, type OpenSharing } from './open-sharing.js';
 import type { RequestLog } from './request-log.js';
 
 /** A link to the control machine that feeds this balancer. */
@@ -67,19 +66,11 @@
 }
 
 const SWEEP_INTERVAL_MS = 1_000;
-/** How long other balancers may take to say that they placed an open. */
-const ASK_PEERS_MS = 30;
-const MAX_HELD = 10_000;
 /** Loads are logged with two digits behind the point. */
 const LOAD_DIGITS = 100;
 
 type ForwardDecision = Extract<PacketDecision, { readonly type: 'forward' }>;
 
-interface HeldOpen {
-  readonly datagram: Uint8Array;
-  readonly packet: PacketView;
-}
-
 /** A balancer. */
 export class IngressProcess {
   /** Packets by what became of them. */
@@ -89,11 +80,10 @@
   /** When the last packet of a client came, in milliseconds. */
   lastPacketAtMs = 0;
   private readonly source: FeedSource;
-  private readonly held = new Map<FlowKey, HeldOpen>();
+  private readonly opens: OpenSharing;
   private controlLink: ControlLink | undefined;
-  private nextReportAtMs = 0;
-  /** What the control machine was told last; undefined for nothing yet. */
-  private reported: PackedLoads | undefined;
+  /** When the control machine is told of loads; a new one for each link. */
+  private loadsOutlet: LoadOutlet = createLoadOutlet();
   private nextSweepAtMs = 0;
 
   constructor(
@@ -104,6 +94,20 @@
     this.state = createIngressState(options.ingress);
     const { name, feed } = options.ingress;
     this.source = new FeedSource(options.controlSeeds, spreadOf(name), feed);
+    this.opens = createOpenSharing({
+      state: this.state,
+      replyTo: options.peerAddress,
+      nowMs: () => surroundings.nowMs(),
+      after: (delayMs, run) => surroundings.after(delayMs, run),
+      sendToBalancer: (to, message) => surroundings.sendToBalancer(to, message),
+      onUnknown: ({ datagram, packet }) => {
+        this.carryOut(placeOpen(this.state, packet, surroundings.nowMs()), datagram, packet);
+      },
+      onFound: ({ datagram, packet }, key, token) => {
+        const decision = takePlacedElsewhere(this.state, key, token, surroundings.nowMs());
+        this.carryOut(decision, datagram, packet);
+      },
+    });
   }
 
   /** True where new flows may be sent here. */
@@ -136,25 +140,7 @@
 
   /** Takes a message of another balancer. */
   takeBalancerMessage(message: BalancerMessage): void {
-    const nowMs = this.surroundings.nowMs();
-    switch (message.type) {
-      case 'open-placed':
-        this.state.opens.remember(message.key, message.token, nowMs);
-        return;
-      case 'find-open':
-        this.answerFindOpen(message.key, message.replyTo, nowMs);
-        return;
-      case 'open-found':
-        this.forwardHeld(message.key, message.token, nowMs);
-        return;
-    }
-  }
-
-  private answerFindOpen(key: FlowKey, replyTo: Address, nowMs: number): void {
-    const token = this.state.opens.recall(key, nowMs);
-    if (token !== undefined) {
-      this.surroundings.sendToBalancer(replyTo, { type: 'open-found', key, token });
-    }
+    this.opens.take(message);
   }
 
   private carryOut(decision: PacketDecision, datagram: Uint8Array, packet: PacketView): void {
@@ -170,7 +156,7 @@
         this.refuse('dropped', decision.reason, packet);
         return;
       case 'ask-peers':
-        this.askPeers(decision.key, datagram, packet);
+        this.opens.ask(decision.key, { datagram: Uint8Array.from(datagram), packet });
         return;
     }
   }
@@ -182,7 +168,7 @@
     this.count('forwarded');
     if (foundBy !== undefined) {
       this.count(`opened:${foundBy.type}`);
-      this.tellHolders(packet, foundBy, token);
+      this.tellOthers(foundBy, token);
       this.surroundings.packetLog.note('placed', this.placementFields(packet, backend, foundBy));
       return;
     }
@@ -191,12 +177,9 @@
     }
   }
 
-  /** Those that a balancer asks which gets a copy of this open. */
-  private tellHolders(packet: PacketView, foundBy: FoundBy, token: number): void {
-    const isShared = this.options.ingress.policy.opens === 'shared';
-    if (isShared && foundBy.type === 'chosen') {
-      const key = flowKeyOf(packet);
-      this.sendToHolders(key, TOLD_HOLDERS, { type: 'open-placed', key, token });
+  private tellOthers(foundBy: FoundBy, token: number): void {
+    if (foundBy.type === 'chosen' && this.options.ingress.policy.opens === 'shared') {
+      this.opens.tell(foundBy.key, token);
     }
   }
 
@@ -259,41 +242,6 @@
       : Math.round(this.surroundings.nowMs() - currentAtMs);
   }
 
-  private askPeers(key: FlowKey, datagram: Uint8Array, packet: PacketView): void {
-    if (this.held.has(key) || this.held.size >= MAX_HELD) {
-      return;
-    }
-    this.held.set(key, { datagram: Uint8Array.from(datagram), packet });
-    const replyTo = this.options.peerAddress;
-    this.sendToHolders(key, ASKED_HOLDERS, { type: 'find-open', key, replyTo });
-    this.surroundings.after(ASK_PEERS_MS, () => this.placeHeld(key));
-  }
-
-  /** No holder knows of another back end. */
-  private placeHeld(key: FlowKey): void {
-    const held = this.held.get(key);
-    if (held !== undefined) {
-      this.held.delete(key);
-      const decision = placeOpen(this.state, held.packet, this.surroundings.nowMs());
-      this.carryOut(decision, held.datagram, held.packet);
-    }
-  }
-
-  private forwardHeld(key: FlowKey, token: number, nowMs: number): void {
-    const held = this.held.get(key);
-    if (held !== undefined) {
-      this.held.delete(key);
-      const decision = takePlacedElsewhere(this.state, key, token, nowMs);
-      this.carryOut(decision, held.datagram, held.packet);
-    }
-  }
-
-  private sendToHolders(key: FlowKey, count: number, message: BalancerMessage): void {
-    this.state.peers
-      .holdersOf(key, count)
-      .forEach(({ peerAddress }) => this.surroundings.sendToBalancer(peerAddress, message));
-  }
-
   /** Does what is due. */
   tick(): void {
     const nowMs = this.surroundings.nowMs();
@@ -310,15 +258,13 @@
     this.surroundings.packetLog.flush();
   }
 
-  /** Tells the control machine what passes here, where that has changed. */
+  /** Tells the control machine what passes here. */
   private reportLoads(nowMs: number): void {
-    if (this.controlLink === undefined || nowMs < this.nextReportAtMs) {
+    if (this.controlLink === undefined || this.loadsOutlet.isWaiting(nowMs)) {
       return;
     }
     const loads = ownReport(this.state);
-    if (this.reported === undefined || !isSameLoads(loads, this.reported)) {
-      this.reported = loads;
-      this.nextReportAtMs = nowMs + exchangePeriodMs(loads);
+    if (this.loadsOutlet.offer(loads, nowMs)) {
       this.controlLink.send({ type: 'load-report', loads });
     }
   }
@@ -347,7 +293,7 @@
       },
     });
     this.controlLink = link;
-    this.reported = undefined;
+    this.loadsOutlet = createLoadOutlet();
     link.send({
       type: 'subscribe',
       balancer: { name: ingress.name, zone: ingress.zone, peerAddress },
--- /dev/null
+++ b/src/daemon/open-sharing.ts
@@ -0,0 +1,100 @@
+/**
+ * @file How balancers share the memory of opens: the one that places an open tells its holders, one that gets
+ * a copy which it does not know holds it for a moment and asks them.
+ */
+import type { Address } from '../common/address.js';
+import type { BalancerMessage } from '../group/message-schemas.js';
+import type { IngressState } from '../ingress/ingress-state.js';
+import type { FlowKey, PacketView } from '../ingress/packet-view.js';
+import { ASKED_HOLDERS, TOLD_HOLDERS } from '../ingress/peer-table.js';
+
+/** An open that waits for what the holders say. */
+export interface HeldOpen {
+  readonly datagram: Uint8Array;
+  readonly packet: PacketView;
+}
+
+/** What the owner of the packets does for the sharing. */
+export interface OpenSharingOptions {
+  readonly state: IngressState;
+  /** Where other balancers answer. */
+  readonly replyTo: Address;
+  nowMs(): number;
+  after(delayMs: number, run: () => void): void;
+  sendToBalancer(to: Address, message: BalancerMessage): void;
+  /** No holder knows of the open: it is to be placed. */
+  onUnknown(held: HeldOpen): void;
+  /** A holder knows to which back end the open went. */
+  onFound(held: HeldOpen, key: FlowKey, token: number): void;
+}
+
+/** Shares the memory of opens with other balancers. */
+export interface OpenSharing {
+  /** Tells the holders where an open was placed. */
+  tell(key: FlowKey, token: number): void;
+  /** Holds an open and asks the holders; passes over one that is held already. */
+  ask(key: FlowKey, held: HeldOpen): void;
+  /** Takes a message of another balancer. */
+  take(message: BalancerMessage): void;
+}
+
+/** How long other balancers may take to say that they know of an open, in milliseconds. */
+const ASK_MS = 30;
+const MAX_HELD = 10_000;
+
+/** @returns the sharing of a balancer that holds nothing yet */
+export function createOpenSharing(options: OpenSharingOptions): OpenSharing {
+  const { state, replyTo } = options;
+  const held = new Map<FlowKey, HeldOpen>();
+
+  return { tell, ask, take };
+
+  function tell(key: FlowKey, token: number): void {
+    sendToHolders(key, TOLD_HOLDERS, { type: 'open-placed', key, token });
+  }
+
+  function ask(key: FlowKey, open: HeldOpen): void {
+    if (held.has(key) || held.size >= MAX_HELD) {
+      return;
+    }
+    held.set(key, open);
+    sendToHolders(key, ASKED_HOLDERS, { type: 'find-open', key, replyTo });
+    options.after(ASK_MS, () => release(key, (waiting) => options.onUnknown(waiting)));
+  }
+
+  function take(message: BalancerMessage): void {
+    switch (message.type) {
+      case 'open-placed':
+        state.opens.remember(message.key, message.token, options.nowMs());
+        return;
+      case 'find-open':
+        answer(message.key, message.replyTo);
+        return;
+      case 'open-found':
+        release(message.key, (waiting) => options.onFound(waiting, message.key, message.token));
+        return;
+    }
+  }
+
+  function answer(key: FlowKey, to: Address): void {
+    const token = state.opens.recall(key, options.nowMs());
+    if (token !== undefined) {
+      options.sendToBalancer(to, { type: 'open-found', key, token });
+    }
+  }
+
+  /** Whatever comes first, an answer or the end of the wait, ends it. */
+  function release(key: FlowKey, run: (waiting: HeldOpen) => void): void {
+    const waiting = held.get(key);
+    if (waiting !== undefined) {
+      held.delete(key);
+      run(waiting);
+    }
+  }
+
+  function sendToHolders(key: FlowKey, count: number, message: BalancerMessage): void {
+    state.peers
+      .holdersOf(key, count)
+      .forEach(({ peerAddress }) => options.sendToBalancer(peerAddress, message));
+  }
+}
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -2,7 +2,6 @@
  * @file The decision for each packet of a client: a packet with a token goes to the back end that the
  * token names; an open goes where its first copy went, or to a back end of the route's service.
  */
-import { match } from 'ts-pattern';
 import type { KnownBackend } from './backend-table.js';
 import { isReady, knowsCurrent, type IngressState } from './ingress-state.js';
 import { flowKeyOf, type FlowKey, type PacketView } from './packet-view.js';
@@ -21,7 +20,12 @@
 /** How the back end of an open was found. */
 export type FoundBy =
   /** Chosen by load. */
-  | { readonly type: 'chosen'; readonly service: string; readonly load: number }
+  | {
+      readonly type: 'chosen';
+      readonly key: FlowKey;
+      readonly service: string;
+      readonly load: number;
+    }
   /** A copy of an open that this balancer placed. */
   | { readonly type: 'remembered' }
   /** A copy of an open that another balancer placed. */
@@ -80,15 +84,16 @@
       ? { type: 'reset', reason: 'no-route' }
       : { type: 'drop', reason: 'not-current' };
   }
-  return match(state.stallGuard.trustAt(nowMs))
-    .with('stale', (): PacketDecision => ({ type: 'drop', reason: 'stale-open' }))
-    .with('doubtful', () => askOrPlace(state, packet, key, nowMs))
-    .with('fresh', () =>
-      packet.copyNumber > 0
+  switch (state.stallGuard.trustAt(nowMs)) {
+    case 'stale':
+      return { type: 'drop', reason: 'stale-open' };
+    case 'doubtful':
+      return askOrPlace(state, packet, key, nowMs);
+    case 'fresh':
+      return packet.copyNumber > 0
         ? askOrPlace(state, packet, key, nowMs)
-        : placeOpen(state, packet, nowMs),
-    )
-    .exhaustive();
+        : placeOpen(state, packet, nowMs);
+  }
 }
 
 /** Another balancer may have placed it: ask, where there is one. */
@@ -128,7 +133,7 @@
   const key = flowKeyOf(packet);
   state.opens.remember(key, backend.token, nowMs);
   state.activities.open(key, backend, nowMs);
-  return { type: 'forward', backend, foundBy: { type: 'chosen', service, load } };
+  return { type: 'forward', backend, foundBy: { type: 'chosen', key, service, load } };
 }
 
 /**
