Bound the memory of opens

Cause: since opens are told to holders, any process that reaches the internal port can fill the memory; before, only opens that passed here did. Test ingress/open-memory fails without the bound (the 200,001st open is remembered) and passes with it. 200,000 opens a period of 2 s are 900 times what the size to come asks of one balancer (55 a second, two holders each).

--- a/src/ingress/open-memory.ts
+++ b/src/ingress/open-memory.ts
@@ -4,6 +4,9 @@
  */
 import type { FlowKey } from './packet-view.js';
 
+/** Opens beyond this number in one period are not remembered: other balancers may tell of any number. */
+const MAX_OPENS = 200_000;
+
 /** Tokens of the back ends to which the opens of the last one to two periods went. */
 export class OpenMemory {
   private young = new Map<FlowKey, number>();
@@ -14,7 +17,9 @@
 
   remember(key: FlowKey, token: number, nowMs: number): void {
     this.turn(nowMs);
-    this.young.set(key, token);
+    if (this.young.size < MAX_OPENS) {
+      this.young.set(key, token);
+    }
   }
 
   /** @returns the token of the back end that an open went to; undefined where none is known */
--- /dev/null
+++ b/test/ingress/open-memory.test.ts
@@ -0,0 +1,25 @@
+/** @file The memory of opens: for one to two periods, and bounded, since others tell of opens too. */
+import t from 'tap';
+import { OpenMemory } from '../../src/ingress/open-memory.js';
+
+const PERIOD_MS = 2_000;
+const MORE_THAN_BOUND = 250_000;
+const BOUND = 200_000;
+
+t.test('an open is remembered for a period at least, and for two at most', async (t) => {
+  const memory = new OpenMemory(PERIOD_MS);
+  memory.remember('a', 7, 0);
+  t.equal(memory.recall('a', PERIOD_MS), 7);
+  t.equal(memory.recall('a', 2 * PERIOD_MS), undefined);
+  memory.remember('b', 8, 10_000);
+  t.equal(memory.recall('b', 20_000), undefined, 'a pause ends it as well');
+});
+
+t.test('no number of opens that others tell of fills the memory', async (t) => {
+  const memory = new OpenMemory(PERIOD_MS);
+  for (let number = 0; number < MORE_THAN_BOUND; number += 1) {
+    memory.remember(`flow-${number}`, 7, 0);
+  }
+  t.equal(memory.recall(`flow-${BOUND - 1}`, 0), 7);
+  t.equal(memory.recall(`flow-${BOUND}`, 0), undefined);
+});
