--- a/src/sim/ingress/ingress-world.ts
+++ b/src/sim/ingress/ingress-world.ts
@@ -24,7 +24,6 @@
 const PROBE_INTERVAL_MS = 500;
 const MISSES_UNTIL_OUT = 2;
 const SEED_COUNT = 3;
-const CLIENT_COUNT = 12;
 const LONG_FLOW_REQUESTS = 40;
 const CALL_DELAY_MS = 1;
 const ZONES = ['zone-a', 'zone-b'] as const;
@@ -92,7 +91,7 @@
 
   /** Starts the clients. */
   startClients(): void {
-    for (let index = 0; index < CLIENT_COUNT; index += 1) {
+    for (let index = 0; index < this.options.clientCount; index += 1) {
       const requestsPerFlow = index % 2 === 0 ? 1 : LONG_FLOW_REQUESTS;
       const client = new StandInClient(`100.64.0.${index + 1}`, requestsPerFlow, this, this.parts);
       this.clients.push(client);
--- a/src/sim/ingress/world-parts.ts
+++ b/src/sim/ingress/world-parts.ts
@@ -14,6 +14,7 @@
   readonly controlCount: number;
   readonly balancerCount: number;
   readonly backendCount: number;
+  readonly clientCount: number;
   /** Disks that may be lost right after an acknowledgement. */
   readonly tolerableLosses: number;
   /** Copies that an acknowledgement waits for; one more than the losses, but in mutants. */
@@ -36,6 +37,7 @@
   controlCount: 5,
   balancerCount: 4,
   backendCount: 6,
+  clientCount: 12,
   tolerableLosses: 2,
   minimumCopies: 3,
   heartbeatIntervalMs: 1_200,
--- a/test/ingress/many-balancers.test.ts
+++ b/test/ingress/many-balancers.test.ts
@@ -58,11 +58,23 @@
   }
 }
 
-/** Bytes a second between processes that one balancer sends and gets on the mean, all clients running. */
-async function controlBytesPerS(balancerCount: number): Promise<number> {
-  const world = new IngressWorld(1, { ...smallIngressWorld, balancerCount });
+const CLIENTS_PER_BALANCER = 2;
+const MOST_GROWTH = 1.5;
+const BUDGET_BYTES_PER_S = 10_000;
+
+/**
+ * @param prepare breaks the world, for mutants
+ * @returns bytes a second between processes that one balancer sends and gets on the mean, clients in proportion
+ */
+async function controlBytesPerS(
+  balancerCount: number,
+  prepare: (world: IngressWorld) => void = () => undefined,
+): Promise<number> {
+  const clientCount = CLIENTS_PER_BALANCER * balancerCount;
+  const world = new IngressWorld(1, { ...smallIngressWorld, balancerCount, clientCount });
   world.start();
   await world.run(FORMATION_MS);
+  prepare(world);
   world.startClients();
   await world.run(MEASURED_MS);
   let bytes = 0;
@@ -78,10 +90,31 @@
   return (bytes * 1_000) / MEASURED_MS / balancerCount;
 }
 
+/** Each balancer tells all others of each open, as if there were no holders. */
+function tellAll(world: IngressWorld): void {
+  const all = world.balancers.map(({ host }) => ({
+    name: host,
+    zone: 'zone-a',
+    peerAddress: { host, port: 7_700 },
+  }));
+  for (const { host, process } of world.balancers) {
+    if (process !== undefined) {
+      process.state.peers.holdersOf = () => all.filter(({ name }) => name !== host);
+    }
+  }
+}
+
 t.test('control bytes of a balancer grow by less than a half from few to many', async (t) => {
   const few = await controlBytesPerS(FEW);
   const many = await controlBytesPerS(MANY);
   t.comment(`${Math.round(few)} bytes a second at ${FEW}, ${Math.round(many)} at ${MANY}`);
-  t.ok(many < 1.5 * few, `${few} to ${many}`);
-  t.ok(many < 10_000, 'the budget of control for one balancer');
+  t.ok(many < MOST_GROWTH * few, `${few} to ${many}`);
+  t.ok(many < BUDGET_BYTES_PER_S, 'the budget of control for one balancer');
+});
+
+t.test('mutant: each balancer tells all others of each open', async (t) => {
+  const few = await controlBytesPerS(FEW, tellAll);
+  const many = await controlBytesPerS(MANY, tellAll);
+  t.comment(`${Math.round(few)} bytes a second at ${FEW}, ${Math.round(many)} at ${MANY}`);
+  t.ok(many > MOST_GROWTH * few, 'it grows with the balancers');
 });
