Pace what a balancer sends to the rate of its link

Change: src/egress, a token bucket at 95 % of linkMbps with a burst of 5,000 bytes, short packets before bulk, flows by deficit round robin, retransmissions in the place of what still waits, bounded to 500 ms of the link and 400 ms of age.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,7 @@
   'group',
   'ingress',
   'load-exchange',
+  'egress',
 ];
 
 /** Words of the platform's interfaces, which only `platform/` may know. */
--- /dev/null
+++ b/src/egress/packet-scheduler.ts
@@ -0,0 +1,161 @@
+/**
+ * @file When a packet leaves towards a link of known rate. A network card or a router drops what comes
+ * faster than the link carries, and each loss costs the sender a retransmission timer; so what exceeds the
+ * rate waits here instead: short packets first (opens, acknowledgements, the system's own messages), then
+ * the flows in turn.
+ *
+ * A token bucket gives the rate. What other sockets of the process send is charged to the same bucket.
+ */
+import { createByteBudget } from './byte-budget.js';
+import { createFlowQueues, type WaitingPacket } from './flow-queues.js';
+
+/** Options of a scheduler. */
+export interface SchedulerOptions {
+  /** What the link carries, in bytes a millisecond. */
+  readonly rateBytesPerMs: number;
+}
+
+/** What the scheduler must know of a packet that has to wait. */
+export interface PacketLabel {
+  /** Names the flow; packets of one flow keep their order. */
+  readonly flow: string;
+  /** Names what the packet carries within its flow; undefined where no retransmission can be told. */
+  readonly content: string | undefined;
+}
+
+/** Why a packet was not sent. */
+export type SchedulerDrop =
+  /** The queue was full, and the flow of the packet had the most packets in it. */
+  | 'queue-full'
+  /** It waited for so long that its sender has sent it again, or given it up. */
+  | 'too-old';
+
+/** What becomes of a packet that is offered. */
+export type Offered =
+  | { readonly type: 'send' }
+  | { readonly type: 'queued' }
+  /** It took the place of a copy that still waited. */
+  | { readonly type: 'merged' }
+  | { readonly type: 'dropped'; readonly reason: SchedulerDrop };
+
+/** A packet that leaves the queue. */
+export type Released<Payload> =
+  | { readonly type: 'send'; readonly payload: Payload; readonly waitedMs: number }
+  | { readonly type: 'dropped'; readonly payload: Payload; readonly reason: SchedulerDrop };
+
+/** Decides when packets leave. */
+export interface PacketScheduler<Payload> {
+  /** Bytes that wait. */
+  readonly queuedBytes: number;
+  /**
+   * Takes a packet.
+   * @param label called only where the packet has to wait
+   */
+  offer(payload: Payload, bytes: number, label: () => PacketLabel, nowMs: number): Offered;
+  /** @returns the packets whose time has come, in order */
+  release(nowMs: number): Released<Payload>[];
+  /** @returns time until the next packet may leave, in milliseconds; undefined where none waits */
+  waitMs(nowMs: number): number | undefined;
+  /** Counts bytes that went over the link by another way. */
+  charge(bytes: number, nowMs: number): void;
+}
+
+/** Share of the link's rate that is used: packet heads that the kernel adds take some 3 % of a full packet. */
+const RATE_SHARE = 0.95;
+/** Packets up to this size go before bulk, in bytes: opens, acknowledgements, messages of the system. */
+const SHORT_BYTES = 300;
+/** What may wait, as the time that the link needs for it: more only adds to what is retransmitted. */
+const MAX_QUEUE_MS = 500;
+/** A packet that waited for longer is of no use: twice the first retransmission timer of 200 ms. */
+const MAX_WAIT_MS = 400;
+/** The flow of all packets that go before bulk. */
+const SHORT_FLOW = '';
+
+/** @returns a scheduler with an empty queue */
+export function createPacketScheduler<Payload>(
+  options: SchedulerOptions,
+): PacketScheduler<Payload> {
+  const rateBytesPerMs = options.rateBytesPerMs * RATE_SHARE;
+  const maxQueuedBytes = rateBytesPerMs * MAX_QUEUE_MS;
+  const shortPackets = createFlowQueues<Payload>();
+  const bulk = createFlowQueues<Payload>();
+  const budget = createByteBudget(rateBytesPerMs);
+
+  return {
+    get queuedBytes() {
+      return queuedBytes();
+    },
+    offer,
+    release,
+    waitMs,
+    charge: (bytes, nowMs) => budget.spend(bytes, nowMs),
+  };
+
+  function queuedBytes(): number {
+    return shortPackets.bytes + bulk.bytes;
+  }
+
+  function offer(
+    payload: Payload,
+    bytes: number,
+    label: () => PacketLabel,
+    nowMs: number,
+  ): Offered {
+    if (queuedBytes() === 0 && budget.isOpen(nowMs)) {
+      budget.spend(bytes, nowMs);
+      return { type: 'send' };
+    }
+    const { flow, content } = label();
+    const packet: WaitingPacket<Payload> = { payload, bytes, flow, content, sinceMs: nowMs };
+    if (content !== undefined && bulk.replace(packet)) {
+      return { type: 'merged' };
+    }
+    if (isFull(packet)) {
+      return { type: 'dropped', reason: 'queue-full' };
+    }
+    // A short packet stays behind those of its flow that wait: receivers expect them in order.
+    if (bytes <= SHORT_BYTES && !bulk.has(flow)) {
+      shortPackets.add({ ...packet, flow: SHORT_FLOW });
+    } else {
+      bulk.add(packet);
+    }
+    return { type: 'queued' };
+  }
+
+  /**
+   * The last packet of the flow with the longest queue goes, so that flows with little keep what they have.
+   * What stands further ahead is older, but the receiver can use it without the rest.
+   */
+  function isFull({ flow, bytes }: WaitingPacket<Payload>): boolean {
+    if (queuedBytes() + bytes <= maxQueuedBytes) {
+      return false;
+    }
+    const isLongest = bulk.bytesOf(flow) + bytes > bulk.mostBytes();
+    return isLongest || queuedBytes() + bytes > 2 * maxQueuedBytes;
+  }
+
+  function release(nowMs: number): Released<Payload>[] {
+    const released: Released<Payload>[] = [];
+    while (budget.isOpen(nowMs)) {
+      const packet = shortPackets.takeNext() ?? bulk.takeNext();
+      if (packet === undefined) {
+        break;
+      }
+      const { payload, bytes, sinceMs } = packet;
+      const waitedMs = nowMs - sinceMs;
+      if (waitedMs > MAX_WAIT_MS) {
+        released.push({ type: 'dropped', payload, reason: 'too-old' });
+      } else {
+        budget.spend(bytes, nowMs);
+        released.push({ type: 'send', payload, waitedMs });
+      }
+    }
+    return released;
+  }
+
+  /** Until a burst may leave, or all that waits: one timer then sends several packets. */
+  function waitMs(nowMs: number): number | undefined {
+    const bytes = queuedBytes();
+    return bytes === 0 ? undefined : budget.waitMs(bytes, nowMs);
+  }
+}
--- a/src/sim/ingress/virtual-wires.ts
+++ b/src/sim/ingress/virtual-wires.ts
@@ -15,7 +15,8 @@
 
 /** One end of a virtual link. */
 export interface VirtualLink {
-  send(message: object): void;
+  /** @returns how many bytes the message takes */
+  send(message: object): number;
   close(): void;
 }
 
@@ -35,6 +36,17 @@
   arrivesAtMs: number;
 }
 
+/** What the link of a host carries outwards; datagrams that do not fit into its queue are lost. */
+export interface LinkLimit {
+  readonly bytesPerMs: number;
+  readonly queueBytes: number;
+}
+
+interface LimitedLink extends LinkLimit {
+  /** When all that was sent has left. */
+  freeAtMs: number;
+}
+
 /** Hears of everything that is sent, for measurements; a link ends where its other end is. */
 export type SendObserver = (fromHost: string, toHost: string, sentBytes: number) => void;
 
@@ -48,6 +60,9 @@
   private readonly cuts = new Set<string>();
   private readonly dead = new Set<string>();
   private readonly ends = new Set<LinkEnd>();
+  private readonly limits = new Map<string, LimitedLink>();
+  /** Datagrams that were lost on a full link. */
+  lostOnFullLinks = 0;
 
   constructor(
     private readonly clock: VirtualClock,
@@ -105,13 +120,38 @@
     if (this.random.nextFloat() < this.lossShare) {
       return;
     }
-    this.clock.after(this.delayMs(), () => {
+    const queuedMs = this.queueOn(fromHost, bytes.length);
+    if (queuedMs === undefined) {
+      this.lostOnFullLinks += 1;
+      return;
+    }
+    this.clock.after(queuedMs + this.delayMs(), () => {
       if (this.reaches(fromHost, to.host)) {
         this.datagramHandlers.get(formatAddress(to))?.(bytes);
       }
     });
   }
 
+  /** Gives the link of a host a bandwidth, for what it sends from now on. */
+  limitLink(host: string, limit: LinkLimit): void {
+    this.limits.set(host, { ...limit, freeAtMs: this.clock.nowMs });
+  }
+
+  /** @returns how long bytes take to leave a host; undefined where its queue has no room for them */
+  private queueOn(host: string, bytes: number): number | undefined {
+    const limit = this.limits.get(host);
+    if (limit === undefined) {
+      return 0;
+    }
+    const { nowMs } = this.clock;
+    const waitMs = Math.max(0, limit.freeAtMs - nowMs);
+    if (waitMs * limit.bytesPerMs + bytes > limit.queueBytes) {
+      return undefined;
+    }
+    limit.freeAtMs = nowMs + waitMs + bytes / limit.bytesPerMs;
+    return limit.freeAtMs - nowMs;
+  }
+
   listen(address: Address, handlers: VirtualLinkHandlers): void {
     this.listeners.set(formatAddress(address), handlers);
   }
@@ -150,7 +190,8 @@
     return end;
   }
 
-  private sendOn(end: LinkEnd, message: object): void {
+  private sendOn(end: LinkEnd, message: object): number {
+    const bytes = encodeFrame(message).length;
     const arrivesAtMs = Math.max(end.arrivesAtMs, this.clock.nowMs + 2 * this.delayMs());
     end.arrivesAtMs = arrivesAtMs;
     this.clock.after(arrivesAtMs - this.clock.nowMs, () => {
@@ -159,11 +200,12 @@
         return;
       }
       peer.heardAtMs = this.clock.nowMs;
-      this.onSent?.(end.host, peer.host, encodeFrame(message).length);
+      this.onSent?.(end.host, peer.host, bytes);
       if (!peer.handlers.onMessage(structuredClone(message), peer)) {
         this.drop(peer, true, 'A message does not belong here.');
       }
     });
+    return bytes;
   }
 
   private drop(end: LinkEnd, tells: boolean, reason: string): void {
