--- a/src/cli/group.ts
+++ b/src/cli/group.ts
@@ -46,6 +46,7 @@
   const daemon = await GroupDaemon.start(
     {
       linkAddress,
+      zone: settings.zone,
       seeds: settings.seeds,
       isFirstStart: settings.isFirstStart,
       tolerableLosses,
--- a/src/cli/ingress.ts
+++ b/src/cli/ingress.ts
@@ -2,6 +2,7 @@
  * @file `amberlift ingress`: runs a balancer that forwards by 32-bit tokens.
  */
 import type { CAC } from 'cac';
+import { bytesPerMsOf } from '../common/bandwidth.js';
 import { IngressDaemon } from '../daemon/ingress-daemon.js';
 import { listenHttp } from '../daemon/http-server.js';
 import { ingressMetricsListener } from '../daemon/metrics/late-metrics.js';
@@ -52,6 +53,7 @@
       packetAddress,
       peerAddress,
       controlSeeds: settings.controlSeeds,
+      linkBytesPerMs: bytesPerMsOf(settings.linkMbps),
     },
     tokenPacketCodec,
   );
--- a/src/common/frame-codec.ts
+++ b/src/common/frame-codec.ts
@@ -40,6 +40,11 @@
 
   constructor(private readonly maxFrameBytes: number = MAX_FRAME_BYTES) {}
 
+  /** True where some of a frame has come, beyond its length. */
+  get isInsideFrame(): boolean {
+    return this.waitingBytes > LENGTH_BYTES;
+  }
+
   /** Takes the next bytes; `malformed` is final. */
   push(chunk: Buffer): DecodedFrames {
     this.waiting.push(chunk);
--- a/src/daemon/frame-links.ts
+++ b/src/daemon/frame-links.ts
@@ -32,8 +32,13 @@
 
 /** One end of a link. */
 export interface FrameLink {
-  /** Sends a message; drops it where too much waits already. */
-  send(message: object): void;
+  /**
+   * Sends a message; drops it where too much waits already.
+   * @returns how many bytes it takes; 0 where it was dropped
+   */
+  send(message: object): number;
+  /** Sends a message that is encoded already; the same in all else. */
+  sendFrame(frame: Buffer): number;
   close(): void;
 }
 
@@ -41,6 +46,8 @@
 export interface FrameLinkHandlers {
   /** @returns false where the message is not one that belongs here; the link is closed then */
   onMessage(message: unknown, link: FrameLink): boolean;
+  /** Some of a message has come, and more is to come. */
+  onProgress?(link: FrameLink): void;
   onClose(link: FrameLink, reason: string): void;
 }
 
@@ -120,7 +127,8 @@
       socket,
       heardAtMs: now,
       sentAtMs: now,
-      send: (message) => this.send(link, message),
+      send: (message) => this.sendFrame(link, encodeFrame(message)),
+      sendFrame: (frame) => this.sendFrame(link, frame),
       close: () => link.giveUp('Closed here.'),
       giveUp: (cause) => {
         reason = cause;
@@ -143,6 +151,8 @@
       const isFit = decoded.messages.every((message) => handlers.onMessage(message, link));
       if (!isFit) {
         refuse('A message does not belong here.');
+      } else if (decoder.isInsideFrame) {
+        handlers.onProgress?.(link);
       }
     });
     socket.on('error', (cause) => {
@@ -155,14 +165,18 @@
     return link;
   }
 
-  private send(link: OpenLink, message: object): void {
+  private sendFrame(link: OpenLink, frame: Buffer): number {
     const { socket } = link;
     if (socket.writableLength > this.options.maxUnsentBytes) {
       this.droppedMessages += 1;
-    } else if (socket.writable) {
-      link.sentAtMs = performance.now();
-      socket.write(encodeFrame(message));
+      return 0;
+    }
+    if (!socket.writable) {
+      return 0;
     }
+    link.sentAtMs = performance.now();
+    socket.write(frame);
+    return frame.length;
   }
 
   private keepAlive(): void {
--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -6,12 +6,15 @@
 import type { Result } from 'neverthrow';
 import { formatAddress, type Address } from '../common/address.js';
 import { createDialedLinks } from '../common/dialed-links.js';
+import { encodeFrame } from '../common/frame-codec.js';
 import { createLinkTable } from '../common/link-table.js';
 import type { PersistEffect } from '../consensus/persisted-state.js';
 import type { AmberliftError } from '../flow/error-kinds.js';
 import type { GroupReply } from '../group/group-events.js';
 import { createGroupState, firstStorageId, type GroupOptions } from '../group/group-state.js';
 import { isFirstMember } from '../group/membership-duties.js';
+import { packFeed } from '../group/feed-codec.js';
+import { isBalancerLinkMessage, type FeedMessage } from '../group/group-messages.js';
 import { parseControlInbound } from '../group/message-schemas.js';
 import { ConsensusStorage } from './consensus-storage.js';
 import { logDecision } from './decision-log.js';
@@ -47,10 +50,11 @@
   private constructor(options: GroupOptions, storage: ConsensusStorage) {
     this.links = new FrameLinks(frameLinkOptions(options.timing));
     const contexts = systemContextSource();
+    const frameOf = createFeedEncoder();
     const surroundings: GroupSurroundings = {
       context: () => contexts.now(),
       sendToPeer: (to, message) => this.peers.send(to, message),
-      sendFeed: (linkId, message) => this.feedLinks.find(linkId)?.send(message),
+      sendFeed: (linkId, message) => this.feedLinks.find(linkId)?.sendFrame(frameOf(message)),
       persist: (effect) => persist(storage, effect),
       note: (name, fields) => logDecision('control', name, fields),
     };
@@ -107,7 +111,7 @@
       logDecision('control', 'link refused', { kind: 'malformed-message' });
       return false;
     }
-    if (parsed.type === 'subscribe' || parsed.type === 'load-report') {
+    if (isBalancerLinkMessage(parsed)) {
       this.group.takeBalancerMessage(this.feedLinks.idOf(link), parsed);
     } else {
       this.group.takePeerMessage(parsed);
@@ -123,6 +127,16 @@
   }
 }
 
+/** Messages that go to several balancers are one object, whose bytes are made once. */
+function createFeedEncoder(): (message: FeedMessage) => Buffer {
+  const frames = new WeakMap<FeedMessage, Buffer>();
+  return (message) => {
+    const frame = frames.get(message) ?? encodeFrame(packFeed(message));
+    frames.set(message, frame);
+    return frame;
+  };
+}
+
 /** Never fails: the storage tries until the write lasts. */
 async function persist(storage: ConsensusStorage, effect: PersistEffect): Promise<void> {
   const startedAtMs = performance.now();
--- a/src/daemon/group-process.ts
+++ b/src/daemon/group-process.ts
@@ -72,11 +72,17 @@
 
   /** Takes a message of a balancer: it wants the feed on its link, or tells its load. */
   takeBalancerMessage(linkId: LinkId, message: BalancerLinkMessage): void {
-    this.step(
-      message.type === 'subscribe'
-        ? { type: 'subscribe', linkId, message }
-        : { type: 'load-report', linkId, message },
-    );
+    switch (message.type) {
+      case 'subscribe':
+        this.step({ type: 'subscribe', linkId, message });
+        return;
+      case 'load-report':
+        this.step({ type: 'load-report', linkId, message });
+        return;
+      case 'feed-taken':
+        this.step({ type: 'feed-taken', linkId, message });
+        return;
+    }
   }
 
   closeLink(linkId: LinkId): void {
--- a/src/daemon/ingress-daemon.ts
+++ b/src/daemon/ingress-daemon.ts
@@ -41,7 +41,7 @@
     this.process = new IngressProcess(options, codec, {
       nowMs: () => performance.now(),
       sendPacket: (datagram, to) => this.packets?.send(datagram, to),
-      sendToBalancer: (to, message) => this.peerSocket?.send(packr.pack(message), to),
+      sendToBalancer: (to, message) => this.sendToBalancer(to, message),
       connectControl: (to, handlers) => this.links.connect(to, handlers),
       after: (delayMs, run) => setTimeout(run, delayMs),
       note: (name, fields) => logDecision('balancer', name, fields),
@@ -70,6 +70,12 @@
     return daemon;
   }
 
+  private sendToBalancer(to: Address, message: BalancerMessage): number {
+    const datagram = packr.pack(message);
+    this.peerSocket?.send(datagram, to);
+    return datagram.length;
+  }
+
   /** True where new flows may be sent here. */
   get isReady(): boolean {
     return this.process.isReady;
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -5,7 +5,10 @@
  */
 import { formatAddress, unpackHost, type Address } from '../common/address.js';
 import type { BalancerLinkMessage } from '../group/group-messages.js';
-import { parseFeed, type BalancerMessage } from '../group/message-schemas.js';
+import { unpackFeed } from '../group/feed-codec.js';
+import type { FeedMessage } from '../group/group-messages.js';
+import type { BalancerMessage } from '../group/message-schemas.js';
+import { NO_VERSION } from '../declared/config-update.js';
 import { ingressSweep, ownReport, takeFeed } from '../ingress/feed-step.js';
 import { FEED_RETRY_AFTER_MS, FeedSource } from '../ingress/feed-source.js';
 import {
@@ -23,16 +26,20 @@
   type FoundBy,
 } from '../ingress/packet-step.js';
 import type { PacketCodec } from '../ingress/packet-codec.js';
-import type { PacketView } from '../ingress/packet-view.js';
+import { flowKeyOf, type PacketView } from '../ingress/packet-view.js';
 import type { KnownBackend } from '../ingress/backend-table.js';
+import type { PacketLabel } from '../egress/packet-scheduler.js';
 import { createLoadOutlet, type LoadOutlet } from '../load-exchange/load-outlet.js';
 import type { DecisionFields } from './decision-log.js';
 import { createOpenSharing, type OpenSharing } from './open-sharing.js';
+import { createPacedSender, type PacedSender } from './paced-sender.js';
+import { hashText } from '../membership/rendezvous.js';
 import type { RequestLog } from './request-log.js';
 
 /** A link to the control machine that feeds this balancer. */
 export interface ControlLink {
-  send(message: BalancerLinkMessage): void;
+  /** @returns how many bytes the link takes for it */
+  send(message: BalancerLinkMessage): number;
   close(): void;
 }
 
@@ -40,6 +47,8 @@
 export interface ControlLinkHandlers {
   /** @returns false where the message does not belong there; the link is closed then */
   onMessage(message: unknown, link: ControlLink): boolean;
+  /** Some of a message has come, and more is to come. */
+  onProgress(link: ControlLink): void;
   onClose(link: ControlLink, reason: string): void;
 }
 
@@ -47,7 +56,8 @@
 export interface IngressSurroundings {
   nowMs(): number;
   sendPacket(datagram: Uint8Array, to: Address): void;
-  sendToBalancer(to: Address, message: BalancerMessage): void;
+  /** @returns how many bytes the message takes */
+  sendToBalancer(to: Address, message: BalancerMessage): number;
   connectControl(to: Address, handlers: ControlLinkHandlers): ControlLink;
   after(delayMs: number, run: () => void): void;
   /** Takes the line of a decision that changed what this balancer believes. */
@@ -63,6 +73,8 @@
   readonly peerAddress: Address;
   /** Link addresses of control machines. */
   readonly controlSeeds: readonly Address[];
+  /** What the machine's own link carries, in bytes a millisecond; undefined where it is not known. */
+  readonly linkBytesPerMs: number | undefined;
 }
 
 const SWEEP_INTERVAL_MS = 1_000;
@@ -81,10 +93,16 @@
   lastPacketAtMs = 0;
   private readonly source: FeedSource;
   private readonly opens: OpenSharing;
+  /** Sends all packets; read by metrics. */
+  readonly sender: PacedSender;
   private controlLink: ControlLink | undefined;
   /** When the control machine is told of loads; a new one for each link. */
   private loadsOutlet: LoadOutlet = createLoadOutlet();
   private nextSweepAtMs = 0;
+  /** Messages of the control machine that were answered on this link. */
+  private countedTaken = 0;
+  /** True where an update did not fit what is held: the next link begins with the whole. */
+  private isConfigDoubted = false;
 
   constructor(
     private readonly options: IngressProcessOptions,
@@ -92,14 +110,25 @@
     private readonly surroundings: IngressSurroundings,
   ) {
     this.state = createIngressState(options.ingress);
-    const { name, feed } = options.ingress;
-    this.source = new FeedSource(options.controlSeeds, spreadOf(name), feed);
+    const { name, zone, feed } = options.ingress;
+    const seeds = options.controlSeeds;
+    this.source = new FeedSource({ seeds, zone, spread: spreadOf(name) }, feed);
+    this.sender = createPacedSender({
+      rateBytesPerMs: options.linkBytesPerMs,
+      nowMs: () => surroundings.nowMs(),
+      after: (delayMs, run) => surroundings.after(delayMs, run),
+      send: (datagram, to) => surroundings.sendPacket(datagram, to),
+      onDropped: (reason, { flow }) => {
+        this.count(`dropped:${reason}`);
+        surroundings.packetLog.note('dropped', { reason, flow });
+      },
+    });
     this.opens = createOpenSharing({
       state: this.state,
       replyTo: options.peerAddress,
       nowMs: () => surroundings.nowMs(),
       after: (delayMs, run) => surroundings.after(delayMs, run),
-      sendToBalancer: (to, message) => surroundings.sendToBalancer(to, message),
+      sendToBalancer: (to, message) => this.sender.charge(surroundings.sendToBalancer(to, message)),
       onUnknown: ({ datagram, packet }) => {
         this.carryOut(placeOpen(this.state, packet, surroundings.nowMs()), datagram, packet);
       },
@@ -149,7 +178,7 @@
         this.forward(decision, datagram, packet);
         return;
       case 'reset':
-        this.surroundings.sendPacket(this.codec.resetFor(packet), this.codec.clientAddress(packet));
+        this.send(this.codec.resetFor(packet), this.codec.clientAddress(packet), packet);
         this.refuse('reset', decision.reason, packet);
         return;
       case 'drop':
@@ -164,7 +193,7 @@
   private forward(decision: ForwardDecision, datagram: Uint8Array, packet: PacketView): void {
     const { backend, foundBy } = decision;
     const { address, instanceBytes, token } = backend;
-    this.surroundings.sendPacket(this.codec.toBackend(datagram, instanceBytes, token), address);
+    this.send(this.codec.toBackend(datagram, instanceBytes, token), address, packet);
     this.count('forwarded');
     if (foundBy !== undefined) {
       this.count(`opened:${foundBy.type}`);
@@ -177,6 +206,10 @@
     }
   }
 
+  private send(datagram: Uint8Array, to: Address, packet: PacketView): void {
+    this.sender.send(datagram, to, () => labelOf(packet));
+  }
+
   private tellOthers(foundBy: FoundBy, token: number): void {
     if (foundBy.type === 'chosen' && this.options.ingress.policy.opens === 'shared') {
       this.opens.tell(foundBy.key, token);
@@ -265,7 +298,7 @@
     }
     const loads = ownReport(this.state);
     if (this.loadsOutlet.offer(loads, nowMs)) {
-      this.controlLink.send({ type: 'load-report', loads });
+      this.sender.charge(this.controlLink.send({ type: 'load-report', loads }));
     }
   }
 
@@ -282,6 +315,11 @@
     const { ingress, peerAddress } = this.options;
     const link = this.surroundings.connectControl(to, {
       onMessage: (message, from) => this.receiveFeed(message, from),
+      onProgress: (from) => {
+        if (from === this.controlLink) {
+          this.source.progressed(this.surroundings.nowMs());
+        }
+      },
       onClose: (closed, reason) => {
         if (closed === this.controlLink) {
           this.controlLink = undefined;
@@ -294,11 +332,18 @@
     });
     this.controlLink = link;
     this.loadsOutlet = createLoadOutlet();
-    link.send({
-      type: 'subscribe',
-      balancer: { name: ingress.name, zone: ingress.zone, peerAddress },
-      configVersion: this.state.routes.config?.version ?? 0,
-    });
+    this.countedTaken = 0;
+    const { unfinished } = this.state.assembly;
+    const heldVersion = this.state.routes.config?.version ?? NO_VERSION;
+    this.sender.charge(
+      link.send({
+        type: 'subscribe',
+        balancer: { name: ingress.name, zone: ingress.zone, peerAddress },
+        configVersion: this.isConfigDoubted ? NO_VERSION : heldVersion,
+        ...(unfinished && { unfinished }),
+      }),
+    );
+    this.isConfigDoubted = false;
   }
 
   /** Control machines that can't be reached are tried many times a second: those lines have a budget. */
@@ -312,24 +357,40 @@
   }
 
   private receiveFeed(value: unknown, from: ControlLink): boolean {
-    const message = parseFeed(value);
+    const message = unpackFeed(value);
     if (message === undefined || from !== this.controlLink) {
       return false;
     }
     const nowMs = this.surroundings.nowMs();
-    const wasReady = this.isReady;
     this.source.heard(message.isCurrent, nowMs);
     if (message.controls !== undefined) {
       this.source.takeControls(message.controls);
     }
-    const isNewer = takeFeed(this.state, message, nowMs);
-    if (isNewer) {
-      this.surroundings.note('config in force', { version: message.config?.version });
+    const isFit = this.takeMessage(message, nowMs);
+    if (message.isCounted) {
+      this.countedTaken += 1;
+      this.sender.charge(from.send({ type: 'feed-taken', count: this.countedTaken }));
+    }
+    return isFit;
+  }
+
+  /** @returns false where the control machine must begin anew, on a new link */
+  private takeMessage(message: FeedMessage, nowMs: number): boolean {
+    const wasReady = this.isReady;
+    const taken = takeFeed(this.state, message, nowMs);
+    if (taken.type === 'in-force') {
+      this.surroundings.note('config in force', { version: taken.version });
     }
     if (this.isReady !== wasReady) {
       this.surroundings.note('ready', { backends: this.state.backends.size });
     }
-    return true;
+    if (taken.type === 'unfit') {
+      const { version, baseVersion } = message.config ?? {};
+      this.surroundings.note('config unfit', { version, baseVersion });
+      this.isConfigDoubted = true;
+      this.state.assembly.clear();
+    }
+    return taken.type !== 'unfit';
   }
 
   private count(name: string): void {
@@ -337,17 +398,20 @@
   }
 }
 
+/** Names a packet that has to wait; a retransmission carries the same bytes of its stream again. */
+function labelOf(packet: PacketView): PacketLabel {
+  const { sequence, dataLength } = packet;
+  const content = dataLength > 0 ? `${sequence}+${dataLength}` : undefined;
+  return { flow: flowKeyOf(packet), content };
+}
+
 /** @returns the two ends of a flow, as logs name it */
 function describeFlow(packet: PacketView): string {
   const source = `${unpackHost(packet.sourceHost)}:${packet.sourcePort}`;
   return `${source}>${unpackHost(packet.destinationHost)}:${packet.destinationPort}`;
 }
 
-/** Spreads balancers over the control machines by their names. */
+/** Spreads balancers over the control machines, and their returns over time, by their names. */
 function spreadOf(name: string): number {
-  let sum = 0;
-  for (const letter of name) {
-    sum += letter.codePointAt(0) ?? 0;
-  }
-  return sum;
+  return hashText(name);
 }
--- a/src/daemon/metrics/group-metrics.ts
+++ b/src/daemon/metrics/group-metrics.ts
@@ -79,7 +79,7 @@
   const value = (name: string, help: string, read: () => number) =>
     registerValue(registry, `amberlift_group_${name}`, help, read);
   value('config_version', 'Version of the configuration that holds here.', () => {
-    return state.config?.version ?? 0;
+    return state.configs.version;
   });
   value('registered_backends', 'Back ends whose heartbeats are known.', () => state.registry.size);
   value('departures', 'Departures that are kept.', () => state.replicated.allDepartures().length);
--- a/src/daemon/metrics/ingress-metrics.ts
+++ b/src/daemon/metrics/ingress-metrics.ts
@@ -107,7 +107,7 @@
   value('config_version', 'Version of the configuration in force here.', () => {
     return state.routes.config?.version ?? 0;
   });
-  value('routes', 'Routes in force here.', () => state.routes.config?.routes.length ?? 0);
+  value('routes', 'Routes in force here.', () => state.routes.size);
   value(
     'feed_age_seconds',
     'Time since a control machine said that what it tells is current.',
--- a/src/group/balancer-feed.ts
+++ b/src/group/balancer-feed.ts
@@ -1,27 +1,66 @@
 /**
- * @file What a control machine tells the balancers that are linked to it: the whole state once, then
- * what changes, gathered for a tick, and a pulse where nothing does.
+ * @file What a control machine tells the balancers that are linked to it: the whole state once, then what
+ * changes, gathered for a tick, and a pulse where nothing does.
+ *
+ * A link may be slow or its receiver may stand still. Each message is bounded; a balancer answers those
+ * that say something, and no more than a few are under way to it. What it can't be told yet waits as news,
+ * merged, and holds up nobody else.
  */
 import { formatAddress } from '../common/address.js';
 import type { LinkId } from '../common/link-table.js';
 import { currentMembership } from '../consensus/consensus-state.js';
+import { partOf, type ConfigPart, type ConfigUpdate } from '../declared/config-update.js';
 import { createLoadOutlet } from '../load-exchange/load-outlet.js';
-import { noteBalancersChanged, publishBalancers, type BalancerChanges } from './balancer-list.js';
+import type { BackendJudgement } from '../registry/backend-liveness.js';
+import type { Departure } from '../registry/backend-record.js';
+import { noteBalancersChanged, publishBalancers } from './balancer-list.js';
+import { addNews, createFeedNews, isNoNews, takeNews, type FeedNews } from './feed-news.js';
 import type { GroupEffect } from './group-events.js';
-import type { AgedRecord, ControlInfo, FeedMessage, SubscribeMessage } from './group-messages.js';
-import { isCurrent, noChanges, type GroupState, type Subscriber } from './group-state.js';
+import type {
+  AgedRecord,
+  BalancerInfo,
+  ControlInfo,
+  FeedMessage,
+  FeedTransfer,
+  SubscribeMessage,
+} from './group-messages.js';
+import { isCurrent, type GroupState, type Subscriber } from './group-state.js';
 
-type FeedParts = Omit<FeedMessage, 'type' | 'isCurrent'>;
+type FeedParts = Omit<FeedMessage, 'type' | 'isCurrent' | 'isComplete' | 'isCounted'>;
+
+/** What a message is to tell; what is said of each name is looked up when the message is made. */
+interface MessagePlan {
+  readonly isCurrent: boolean;
+  /** Whether anything is left to be told after it. */
+  readonly isComplete: boolean;
+  readonly isCounted: boolean;
+  readonly news: FeedNews;
+  readonly transfer?: FeedTransfer;
+  readonly config?: ConfigPart;
+}
+
+/** Messages that may be under way to a balancer: one that it takes, and the next one behind it. */
+const MAX_UNDER_WAY = 2;
+/** Back ends or balancers in one message: some 9 KB, which 2 Mbit/s carry in 36 ms. */
+const MAX_NAMES = 256;
+/** Changes of routes in one message: some 8 KB. */
+const MAX_ROUTE_CHANGES = 1_000;
 
 /**
  * Takes a balancer that wants the feed.
  */
 export function addSubscriber(state: GroupState, linkId: LinkId, message: SubscribeMessage): void {
-  const { balancer, configVersion } = message;
+  const { balancer, configVersion, unfinished } = message;
   state.subscribers.set(linkId, {
     balancer,
     configVersion,
+    unfinished,
     phase: 'new',
+    news: createFeedNews(),
+    isInTransfer: false,
+    countedSent: 0,
+    countedTaken: 0,
+    wasToldCurrent: false,
     nextPulseAtMs: Number.NEGATIVE_INFINITY,
     loadsVersion: -1,
     loadsOutlet: createLoadOutlet(),
@@ -40,102 +79,250 @@
 }
 
 /**
- * Sends a balancer that has just come the whole state; the others hear of it with the next tick.
+ * Sends a balancer that has just come, or has taken a message, what it lacks; the others hear of a newcomer
+ * with the next tick.
  */
-export function feedNewcomer(state: GroupState, linkId: LinkId, nowMs: number): GroupEffect[] {
+export function feedOne(state: GroupState, linkId: LinkId, nowMs: number): GroupEffect[] {
   const subscriber = state.subscribers.get(linkId);
-  return subscriber === undefined
-    ? []
-    : [feedEffect(state, linkId, subscriber, wholeParts(state, nowMs), nowMs)];
+  return subscriber === undefined ? [] : feedWhatIsLacking(state, linkId, subscriber, nowMs);
+}
+
+/**
+ * Takes the word of a balancer that it has taken what it was sent.
+ */
+export function noteTaken(
+  state: GroupState,
+  linkId: LinkId,
+  count: number,
+  nowMs: number,
+): GroupEffect[] {
+  const subscriber = state.subscribers.get(linkId);
+  if (subscriber === undefined) {
+    return [];
+  }
+  subscriber.countedTaken = Math.min(count, subscriber.countedSent);
+  return isBehind(state, subscriber) ? feedOne(state, linkId, nowMs) : [];
+}
+
+/**
+ * @returns true where a balancer has not yet taken what was sent to it, so that nothing more should be
+ */
+export function isBusy({ countedSent, countedTaken }: Subscriber): boolean {
+  return countedSent - countedTaken >= MAX_UNDER_WAY;
 }
 
 /**
  * Sends each balancer what it lacks.
  */
 export function feedSubscribers(state: GroupState, nowMs: number): GroupEffect[] {
-  const current = isCurrent(state, nowMs);
-  const changes = changedParts(state, publishBalancers(state));
-  const hasNews = Object.keys(changes).length > 0 || current !== state.wasCurrent;
-  const effects: GroupEffect[] = [];
-  for (const [linkId, subscriber] of state.subscribers) {
-    if (lacksWhole(subscriber, current)) {
-      effects.push(feedEffect(state, linkId, subscriber, wholeParts(state, nowMs), nowMs));
-    } else if (
-      hasNews ||
-      newerConfig(state, subscriber) !== undefined ||
-      nowMs >= subscriber.nextPulseAtMs
-    ) {
-      effects.push(feedEffect(state, linkId, subscriber, changes, nowMs));
+  publishBalancers(state).forEach((name) => state.news.balancers.add(name));
+  const { news } = state;
+  state.news = createFeedNews();
+  if (!isNoNews(news)) {
+    for (const subscriber of state.subscribers.values()) {
+      addNews(subscriber.news, news);
     }
   }
-  state.wasCurrent = current;
-  state.changes = noChanges();
-  return effects;
+  state.feedMessages.clear();
+  return [...state.subscribers].flatMap(([linkId, subscriber]) =>
+    feedWhatIsLacking(state, linkId, subscriber, nowMs),
+  );
 }
 
-function feedEffect(
+function feedWhatIsLacking(
   state: GroupState,
   linkId: LinkId,
   subscriber: Subscriber,
-  parts: FeedParts,
   nowMs: number,
-): GroupEffect {
+): GroupEffect[] {
   const current = isCurrent(state, nowMs);
-  const config = newerConfig(state, subscriber);
-  noteFed(state, subscriber, current, nowMs);
-  const message: FeedMessage = {
-    type: 'feed',
+  if (lacksWhole(subscriber, current)) {
+    beginTransfer(state, subscriber, current);
+  }
+  const plans: MessagePlan[] = [];
+  while (!isBusy(subscriber) && isBehind(state, subscriber)) {
+    plans.push(planNext(state, subscriber, current));
+    subscriber.countedSent += 1;
+  }
+  const isNewlyCurrent = current !== subscriber.wasToldCurrent && !isBusy(subscriber);
+  if (plans.length === 0 && (isNewlyCurrent || nowMs >= subscriber.nextPulseAtMs)) {
+    plans.push(planPulse(state, subscriber, current));
+  }
+  return plans.map((plan) => {
+    subscriber.wasToldCurrent = plan.isCurrent;
+    subscriber.nextPulseAtMs = nowMs + state.options.timing.feedPulseIntervalMs;
+    return { type: 'send-feed', linkId, message: messageOf(state, plan, nowMs) };
+  });
+}
+
+function planPulse(state: GroupState, subscriber: Subscriber, current: boolean): MessagePlan {
+  return {
     isCurrent: current,
-    ...(config !== undefined && { config }),
-    ...parts,
+    isComplete: !isBehind(state, subscriber),
+    isCounted: false,
+    news: createFeedNews(),
+  };
+}
+
+/** Balancers that lack the same get the same message, whose bytes are then made once. */
+function messageOf(state: GroupState, plan: MessagePlan, nowMs: number): FeedMessage {
+  const key = keyOfPlan(plan);
+  const message = state.feedMessages.get(key) ?? makeMessage(state, plan, nowMs);
+  state.feedMessages.set(key, message);
+  return message;
+}
+
+function keyOfPlan({ news, config, ...plan }: MessagePlan): string {
+  const { registered, judged, departed, balancers, areControlsChanged } = news;
+  const names = [registered, judged, departed, balancers].map((set) => [...set].join(' '));
+  const part = config && [config.baseVersion, config.version, config.firstChange];
+  return JSON.stringify([plan, names, areControlsChanged, part]);
+}
+
+function makeMessage(state: GroupState, plan: MessagePlan, nowMs: number): FeedMessage {
+  const { news, transfer, config, ...flags } = plan;
+  return {
+    type: 'feed',
+    ...flags,
+    ...partsOf(state, news, nowMs),
+    ...(transfer && { transfer }),
+    ...(config && { config }),
   };
-  return { type: 'send-feed', linkId, message };
 }
 
 function lacksWhole({ phase }: Subscriber, current: boolean): boolean {
   return phase === 'new' || (phase === 'provisional' && current);
 }
 
-function newerConfig({ config }: GroupState, subscriber: Subscriber): FeedMessage['config'] {
-  return config !== undefined && config.version > subscriber.configVersion ? config : undefined;
+/** All that there is becomes news. */
+function beginTransfer(state: GroupState, subscriber: Subscriber, current: boolean): void {
+  const { registry, replicated, publishedBalancers } = state;
+  subscriber.news = {
+    registered: new Set([...registry.all()].map(({ record }) => record.id)),
+    judged: new Set(),
+    departed: new Set(replicated.allDepartures().map(({ backendId }) => backendId)),
+    balancers: new Set(publishedBalancers.keys()),
+    areControlsChanged: true,
+  };
+  subscriber.isInTransfer = false;
+  subscriber.phase = current ? 'transfer-current' : 'transfer-provisional';
+}
+
+/**
+ * @returns true where a balancer lacks something that this machine knows
+ */
+export function isBehind(state: GroupState, { news, configVersion, phase }: Subscriber): boolean {
+  return isTransfer(phase) || !isNoNews(news) || configVersion < state.configs.version;
+}
+
+function isTransfer(phase: Subscriber['phase']): boolean {
+  return phase === 'transfer-current' || phase === 'transfer-provisional';
+}
+
+/** Back ends come before routes: placement waits for both, and routes may be many. */
+function planNext(state: GroupState, subscriber: Subscriber, current: boolean): MessagePlan {
+  const news = takeNews(subscriber.news, MAX_NAMES);
+  const hasAllNews = isNoNews(subscriber.news);
+  const transfer = isTransfer(subscriber.phase) ? nextTransfer(subscriber, hasAllNews) : undefined;
+  const config = hasAllNews ? nextConfigPart(state, subscriber) : undefined;
+  return {
+    isCurrent: current,
+    isComplete: !isBehind(state, subscriber),
+    isCounted: true,
+    news,
+    ...(transfer && { transfer }),
+    ...(config && { config }),
+  };
 }
 
-function noteFed(state: GroupState, subscriber: Subscriber, current: boolean, nowMs: number): void {
-  subscriber.configVersion = Math.max(subscriber.configVersion, state.config?.version ?? 0);
-  subscriber.nextPulseAtMs = nowMs + state.options.timing.feedPulseIntervalMs;
-  if (subscriber.phase !== 'fed') {
-    subscriber.phase = current ? 'fed' : 'provisional';
+function nextTransfer(subscriber: Subscriber, isLast: boolean): FeedTransfer {
+  const isFirst = !subscriber.isInTransfer;
+  subscriber.isInTransfer = !isLast;
+  if (isLast) {
+    subscriber.phase = subscriber.phase === 'transfer-current' ? 'fed' : 'provisional';
+    return isFirst ? 'whole' : 'ends';
   }
+  return isFirst ? 'begins' : 'goes-on';
 }
 
-function changedParts(state: GroupState, balancers: BalancerChanges): FeedParts {
-  const { records, judgements, departures, controlsChanged } = state.changes;
+/** Goes on where the balancer has some of the same update already, from whomever. */
+function nextConfigPart(state: GroupState, subscriber: Subscriber): ConfigPart | undefined {
+  const update = state.configs.updateFrom(subscriber.configVersion);
+  if (update === undefined) {
+    return undefined;
+  }
+  const part = partOf(update, changesTaken(subscriber, update), MAX_ROUTE_CHANGES);
+  const { version, baseVersion, firstChange, changes, changeCount } = part;
+  const changesSent = firstChange + changes.length;
+  if (changesSent < changeCount) {
+    subscriber.unfinished = { version, baseVersion, changesTaken: changesSent };
+  } else {
+    subscriber.unfinished = undefined;
+    subscriber.configVersion = version;
+  }
+  return part;
+}
+
+function changesTaken({ unfinished }: Subscriber, update: ConfigUpdate): number {
+  const isSame =
+    unfinished?.version === update.version &&
+    unfinished.baseVersion === update.baseVersion &&
+    unfinished.changesTaken <= update.changes.length;
+  return isSame ? unfinished.changesTaken : 0;
+}
+
+function partsOf(state: GroupState, news: FeedNews, nowMs: number): FeedParts {
+  const { registered, judged, departed, balancers, areControlsChanged } = news;
+  const records = [...registered].flatMap((id) => agedRecordOf(state, id, nowMs));
+  const judgements = [...judged].flatMap((id) =>
+    registered.has(id) ? [] : judgementOf(state, id, nowMs),
+  );
+  const departures = [...departed].flatMap((id) => departureOf(state, id));
+  const { publishedBalancers } = state;
+  const came: BalancerInfo[] = [];
+  const lostBalancers: string[] = [];
+  for (const name of balancers) {
+    const info = publishedBalancers.get(name);
+    if (info === undefined) {
+      lostBalancers.push(name);
+    } else {
+      came.push(info);
+    }
+  }
   return {
     ...(records.length > 0 && { records }),
     ...(judgements.length > 0 && { judgements }),
     ...(departures.length > 0 && { departures }),
-    ...(balancers.added.length > 0 && { balancers: balancers.added }),
-    ...(balancers.lost.length > 0 && { lostBalancers: balancers.lost }),
-    ...(controlsChanged && { controls: allControls(state) }),
+    ...(came.length > 0 && { balancers: came }),
+    ...(lostBalancers.length > 0 && { lostBalancers }),
+    ...(areControlsChanged && { controls: allControls(state) }),
   };
 }
 
-function wholeParts(state: GroupState, nowMs: number): FeedParts {
-  return {
-    isWhole: true,
-    records: allRecords(state, nowMs),
-    departures: state.replicated.allDepartures(),
-    balancers: [...state.publishedBalancers.values()],
-    controls: allControls(state),
-  };
+function silenceOf(state: GroupState, heardAtMs: number, nowMs: number): number {
+  const listeningSinceMs = state.listeningSinceMs ?? Number.NEGATIVE_INFINITY;
+  return Math.max(0, Math.round(nowMs - Math.max(heardAtMs, listeningSinceMs)));
 }
 
-function allRecords(state: GroupState, nowMs: number): AgedRecord[] {
-  const listeningSinceMs = state.listeningSinceMs ?? Number.NEGATIVE_INFINITY;
-  return [...state.registry.all()].map(({ record, heardAtMs }) => ({
-    record,
-    ageMs: Math.max(0, Math.round(nowMs - Math.max(heardAtMs, listeningSinceMs))),
-  }));
+function agedRecordOf(state: GroupState, id: string, nowMs: number): AgedRecord[] {
+  const known = state.registry.get(id);
+  return known === undefined
+    ? []
+    : [{ record: known.record, ageMs: silenceOf(state, known.heardAtMs, nowMs) }];
+}
+
+function judgementOf(state: GroupState, backendId: string, nowMs: number): BackendJudgement[] {
+  const known = state.registry.get(backendId);
+  if (known === undefined) {
+    return [];
+  }
+  const { liveness, heardAtMs } = known;
+  return [{ backendId, liveness, silentMs: silenceOf(state, heardAtMs, nowMs) }];
+}
+
+function departureOf({ replicated }: GroupState, backendId: string): Departure[] {
+  const kind = replicated.departureOf(backendId);
+  return kind === undefined ? [] : [{ backendId, kind }];
 }
 
 function allControls(state: GroupState): ControlInfo[] {
@@ -143,5 +330,12 @@
     ({ linkAddress }) => linkAddress,
   );
   const byText = new Map(addresses.map((address) => [formatAddress(address), address]));
-  return [...byText.values()].map((linkAddress) => ({ linkAddress }));
+  return [...byText].map(([text, linkAddress]) => {
+    const zone = zoneOfControl(state, text);
+    return { linkAddress, ...(zone !== undefined && { zone }) };
+  });
+}
+
+function zoneOfControl({ options, controlZones }: GroupState, address: string): string | undefined {
+  return address === formatAddress(options.linkAddress) ? options.zone : controlZones.get(address);
 }
--- a/src/group/balancer-list.ts
+++ b/src/group/balancer-list.ts
@@ -2,23 +2,18 @@
  * @file Which balancers there are: each control machine tells the others which ones it feeds, and tells
  * those that it feeds which ones came and went.
  */
+import { formatAddress } from '../common/address.js';
 import type { GroupEffect } from './group-events.js';
-import type { BalancerInfo } from './group-messages.js';
+import type { BalancerInfo, PeerMessage } from './group-messages.js';
 import { otherMembers, type GroupState } from './group-state.js';
 
+type BalancersMessage = Extract<PeerMessage, { readonly type: 'balancers' }>;
+
 /** Time between two lists of balancers to the other control machines. */
 const SHARE_BALANCERS_INTERVAL_MS = 1_000;
 /** A list of balancers of another control machine counts for so long. */
 const BALANCERS_LIFETIME_MS = 4_000;
 
-/** How the balancers differ from those that were told. */
-export interface BalancerChanges {
-  readonly added: readonly BalancerInfo[];
-  readonly lost: readonly string[];
-}
-
-const NO_CHANGES: BalancerChanges = { added: [], lost: [] };
-
 /**
  * Notes that a balancer came or went here: all others hear of it with the next tick.
  */
@@ -36,23 +31,27 @@
   }
   state.nextBalancersShareAtMs = nowMs + SHARE_BALANCERS_INTERVAL_MS;
   const balancers = [...state.subscribers.values()].map(({ balancer }) => balancer);
-  const sender = state.options.linkAddress;
+  const { linkAddress: sender, zone } = state.options;
   return otherMembers(state).map(({ linkAddress: to }) => ({
     type: 'send-peer',
     to,
-    message: { type: 'balancers', sender, balancers },
+    message: { type: 'balancers', sender, zone, balancers },
   }));
 }
 
 /**
- * Takes the balancers that another control machine feeds.
+ * Takes the balancers that another control machine feeds, and where that machine runs.
  */
 export function takeBalancers(
   state: GroupState,
-  sender: string,
-  balancers: readonly BalancerInfo[],
+  { sender: address, zone, balancers }: BalancersMessage,
   nowMs: number,
 ): void {
+  const sender = formatAddress(address);
+  if (state.controlZones.get(sender) !== zone) {
+    state.controlZones.set(sender, zone);
+    state.news.areControlsChanged = true;
+  }
   state.peerBalancers.set(sender, { balancers, heardAtMs: nowMs });
   state.areBalancersChanged = true;
 }
@@ -65,26 +64,30 @@
     if (nowMs - heardAtMs > BALANCERS_LIFETIME_MS) {
       state.peerBalancers.delete(sender);
       state.areBalancersChanged = true;
+      // Balancers are not sent to a machine that may be gone.
+      state.controlZones.delete(sender);
+      state.news.areControlsChanged = true;
     }
   }
 }
 
 /**
  * Publishes the balancers that are known now.
- * @returns how they differ from those published before
+ * @returns the names of those that came, went, or moved since they were published last
  */
-export function publishBalancers(state: GroupState): BalancerChanges {
+export function publishBalancers(state: GroupState): string[] {
   if (!state.areBalancersChanged) {
-    return NO_CHANGES;
+    return [];
   }
   state.areBalancersChanged = false;
   const before = state.publishedBalancers;
   const balancers = allBalancers(state);
   state.publishedBalancers = balancers;
-  return {
-    added: [...balancers.values()].filter((info) => !isSameBalancer(info, before.get(info.name))),
-    lost: [...before.keys()].filter((name) => !balancers.has(name)),
-  };
+  const came = [...balancers.values()].filter(
+    (info) => !isSameBalancer(info, before.get(info.name)),
+  );
+  const lost = [...before.keys()].filter((name) => !balancers.has(name));
+  return [...came.map(({ name }) => name), ...lost];
 }
 
 function allBalancers(state: GroupState): ReadonlyMap<string, BalancerInfo> {
--- /dev/null
+++ b/src/group/feed-news.ts
@@ -0,0 +1,66 @@
+/**
+ * @file What balancers have not been told yet, by name only: what is said of each is looked up when it is
+ * told. News of one thing thus merge for a receiver that is behind, and what waits for it is bounded by
+ * what there is.
+ */
+
+/** What has changed. */
+export interface FeedNews {
+  /** IDs of back ends that came, or tell something else of themselves. */
+  readonly registered: Set<string>;
+  /** IDs of back ends that are judged otherwise. */
+  readonly judged: Set<string>;
+  /** IDs of back ends that leave. */
+  readonly departed: Set<string>;
+  /** Names of balancers that came or went. */
+  readonly balancers: Set<string>;
+  areControlsChanged: boolean;
+}
+
+/** @returns no news */
+export function createFeedNews(): FeedNews {
+  return {
+    registered: new Set(),
+    judged: new Set(),
+    departed: new Set(),
+    balancers: new Set(),
+    areControlsChanged: false,
+  };
+}
+
+/** @returns true where there is nothing to tell */
+export function isNoNews(news: FeedNews): boolean {
+  return !news.areControlsChanged && namedIn(news).every(({ size }) => size === 0);
+}
+
+/** Adds news to others. */
+export function addNews(news: FeedNews, more: FeedNews): void {
+  const sets = namedIn(news);
+  namedIn(more).forEach((names, at) => names.forEach((name) => sets[at]?.add(name)));
+  news.areControlsChanged ||= more.areControlsChanged;
+}
+
+/**
+ * Takes some news out of others.
+ * @param count at most so many names of each kind
+ */
+export function takeNews(news: FeedNews, count: number): FeedNews {
+  const taken = createFeedNews();
+  const sets = namedIn(taken);
+  namedIn(news).forEach((names, at) => {
+    for (const name of names) {
+      if ((sets[at]?.size ?? count) >= count) {
+        break;
+      }
+      sets[at]?.add(name);
+      names.delete(name);
+    }
+  });
+  taken.areControlsChanged = news.areControlsChanged;
+  news.areControlsChanged = false;
+  return taken;
+}
+
+function namedIn({ registered, judged, departed, balancers }: FeedNews): Set<string>[] {
+  return [registered, judged, departed, balancers];
+}
--- a/src/group/group-consensus.ts
+++ b/src/group/group-consensus.ts
@@ -83,7 +83,7 @@
 function applyEntry(state: GroupState, entry: LogEntry): GroupEffect[] {
   const { content, index, term } = entry;
   if (content.type === 'membership') {
-    state.changes.controlsChanged = true;
+    state.news.areControlsChanged = true;
     return [membershipDecision(state, index)];
   }
   if (content.type === 'no-op') {
@@ -102,12 +102,13 @@
 function noteChange(state: GroupState, applied: AppliedChange): GroupEffect[] {
   return match(applied)
     .with({ type: 'config-changed' }, ({ document }): GroupEffect[] => {
-      state.config = state.options.readDocument(document);
-      const fields = { version: document.version, routes: state.config.routes.length };
+      const config = state.options.readDocument(document);
+      state.configs.take(config);
+      const fields = { version: document.version, routes: config.routes.length };
       return [{ type: 'decision', name: 'config in force', fields }];
     })
     .with({ type: 'departure-noted' }, ({ departure }): GroupEffect[] => {
-      state.changes.departures.push(departure);
+      state.news.departed.add(departure.backendId);
       return [{ type: 'decision', name: 'departure', fields: { ...departure } }];
     })
     .with({ type: 'nothing-changed' }, () => [])
@@ -117,8 +118,12 @@
 function restore(state: GroupState, data: Uint8Array): GroupEffect[] {
   state.replicated.restore(data);
   const { config } = state.replicated;
-  state.config = config === undefined ? undefined : state.options.readDocument(config);
-  state.changes.departures = state.replicated.allDepartures();
+  if (config !== undefined) {
+    state.configs.take(state.options.readDocument(config));
+  }
+  for (const { backendId } of state.replicated.allDepartures()) {
+    state.news.departed.add(backendId);
+  }
   state.isRegistrySeeded = false;
   return [{ type: 'decision', name: 'snapshot taken over', fields: { version: config?.version } }];
 }
--- a/src/group/group-events.ts
+++ b/src/group/group-events.ts
@@ -7,6 +7,7 @@
 import type { BackendRecord } from '../registry/backend-record.js';
 import type {
   FeedMessage,
+  FeedTakenMessage,
   LoadReportMessage,
   PeerMessage,
   SubscribeMessage,
@@ -35,6 +36,7 @@
   | { readonly type: 'peer-message'; readonly message: PeerMessage }
   | { readonly type: 'subscribe'; readonly linkId: LinkId; readonly message: SubscribeMessage }
   | { readonly type: 'load-report'; readonly linkId: LinkId; readonly message: LoadReportMessage }
+  | { readonly type: 'feed-taken'; readonly linkId: LinkId; readonly message: FeedTakenMessage }
   | { readonly type: 'link-closed'; readonly linkId: LinkId }
   | PersistEvent
   | { readonly type: 'tick' }
--- a/src/group/group-messages.ts
+++ b/src/group/group-messages.ts
@@ -4,7 +4,7 @@
  */
 import type { Address } from '../common/address.js';
 import type { ConsensusMessage, Sender } from '../consensus/messages.js';
-import type { DeclaredConfig } from '../declared/declared-config.js';
+import type { ConfigPart } from '../declared/config-update.js';
 import type { PackedLoads } from '../load-exchange/backend-load.js';
 import type { BackendJudgement } from '../registry/backend-liveness.js';
 import type { BackendRecord, Departure } from '../registry/backend-record.js';
@@ -28,6 +28,8 @@
 /** A control machine as the group knows it. */
 export interface ControlInfo {
   readonly linkAddress: Address;
+  /** Where it runs; absent while it is not known. */
+  readonly zone?: string;
 }
 
 /** What a request of a client asks of the leader. */
@@ -59,6 +61,8 @@
   | {
       readonly type: 'balancers';
       readonly sender: Address;
+      /** Where the sender runs. */
+      readonly zone: string;
       readonly balancers: readonly BalancerInfo[];
     }
   /** What passes the balancers that the sender feeds, in place of what it told before. */
@@ -77,6 +81,17 @@
   readonly balancer: BalancerInfo;
   /** Version of the configuration that it holds; 0 for none. */
   readonly configVersion: number;
+  /** What it has of a newer one, from a link that ended before all had come. */
+  readonly unfinished?: UnfinishedConfig;
+}
+
+/** The first changes of an update, which a balancer got before the link ended. */
+export interface UnfinishedConfig {
+  readonly version: number;
+  /** The version that the changes are made to. */
+  readonly baseVersion: number;
+  /** How many changes have come. */
+  readonly changesTaken: number;
 }
 
 /** From a balancer to the control machine that feeds it: what passes it, in place of what it told before. */
@@ -85,20 +100,41 @@
   readonly loads: PackedLoads;
 }
 
+/** From a balancer to the control machine that feeds it: it has taken what it was sent. */
+export interface FeedTakenMessage {
+  readonly type: 'feed-taken';
+  /** How many messages that are counted it has taken on this link. */
+  readonly count: number;
+}
+
+/** Where a message stands in the transfer of a whole state. */
+export type FeedTransfer =
+  /** The first of several messages; what was known before is doubted unless they name it. */
+  | 'begins'
+  | 'goes-on'
+  /** The last one: what none of them named is gone. */
+  | 'ends'
+  /** The only one. */
+  | 'whole';
+
 /** From a control machine to a balancer. Absent parts have not changed. */
 export interface FeedMessage {
   readonly type: 'feed';
   /** True where the sender follows a leader that a quorum follows, and so knows what is committed. */
   readonly isCurrent: boolean;
-  /** True where `records` and `balancers` hold all that the sender knows. */
-  readonly isWhole?: boolean;
-  readonly config?: DeclaredConfig;
+  /** True where the receiver, with this message, has been told all that the sender knows. */
+  readonly isComplete: boolean;
+  /** True where the receiver answers that it has taken the message; the sender waits for that at times. */
+  readonly isCounted: boolean;
+  /** Set while all that the sender knows of back ends and balancers is told. */
+  readonly transfer?: FeedTransfer;
+  readonly config?: ConfigPart;
   /** Back ends that were not heard of before, or that tell something else of themselves. */
   readonly records?: readonly AgedRecord[];
   /** Back ends that are judged otherwise than before. */
   readonly judgements?: readonly BackendJudgement[];
   readonly departures?: readonly Departure[];
-  /** Balancers that came, or all of them where the message is whole. */
+  /** Balancers that came. */
   readonly balancers?: readonly BalancerInfo[];
   /** Names of balancers that went. */
   readonly lostBalancers?: readonly string[];
@@ -108,7 +144,18 @@
 }
 
 /** What a balancer sends on its link. */
-export type BalancerLinkMessage = SubscribeMessage | LoadReportMessage;
+export type BalancerLinkMessage = SubscribeMessage | LoadReportMessage | FeedTakenMessage;
 
 /** Every message that comes in at the link address of a control machine. */
 export type ControlInboundMessage = PeerMessage | BalancerLinkMessage;
+
+/**
+ * @returns true where a message comes from a balancer that is fed here, and not from a control machine
+ */
+export function isBalancerLinkMessage(
+  message: ControlInboundMessage,
+): message is BalancerLinkMessage {
+  return (
+    message.type === 'subscribe' || message.type === 'load-report' || message.type === 'feed-taken'
+  );
+}
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -14,11 +14,18 @@
 import type { DeclaredConfig } from '../declared/declared-config.js';
 import { createLoadOutlet, type LoadOutlet } from '../load-exchange/load-outlet.js';
 import { createLoadTotals, type LoadTotals } from '../load-exchange/load-totals.js';
-import type { BackendJudgement } from '../registry/backend-liveness.js';
 import { HeartbeatRegistry } from '../registry/heartbeat-registry.js';
+import { createConfigHistory, type ConfigHistory } from './config-history.js';
 import type { RequestId } from './group-events.js';
 import type { Timing } from './timing.js';
-import type { AgedRecord, BalancerInfo, LeaderRequest } from './group-messages.js';
+import { createFeedNews, type FeedNews } from './feed-news.js';
+import type {
+  AgedRecord,
+  BalancerInfo,
+  FeedMessage,
+  LeaderRequest,
+  UnfinishedConfig,
+} from './group-messages.js';
 import { decodeGroupCommand, ReplicatedState, type ConfigDocument } from './replicated-state.js';
 
 /**
@@ -32,6 +39,8 @@
 /** Options of a control machine; all times in milliseconds. */
 export interface GroupOptions {
   readonly linkAddress: Address;
+  /** Where this machine runs; balancers of the zone get their feed here first. */
+  readonly zone: string;
   /** Link addresses of the machines with which the group begins, and by which it is found later. */
   readonly seeds: readonly Address[];
   /** True at the first start of the whole system, with empty disks. */
@@ -81,9 +90,21 @@
 /** A balancer that gets its feed from here. */
 export interface Subscriber {
   readonly balancer: BalancerInfo;
-  /** Version of the configuration that was sent last. */
+  /** Version of the configuration that it holds with all that was sent. */
   configVersion: number;
+  /** How much of an update it has got, where that is not all. */
+  unfinished: UnfinishedConfig | undefined;
   phase: SubscriberPhase;
+  /** What it has not been told yet. */
+  news: FeedNews;
+  /** True while a whole state is under way, of which it has got some. */
+  isInTransfer: boolean;
+  /** Messages that were sent and that it answers. */
+  countedSent: number;
+  /** How many of them it has taken. */
+  countedTaken: number;
+  /** True where the last message said that this machine was current. */
+  wasToldCurrent: boolean;
   /** When it gets a message though nothing has changed, in milliseconds. */
   nextPulseAtMs: number;
   /** The version of the totals that it was told of last. */
@@ -96,19 +117,15 @@
 export type SubscriberPhase =
   /** Nothing. */
   | 'new'
+  /** Some of the whole state, while this machine could not say that it was current. */
+  | 'transfer-provisional'
+  /** Some of the whole state as it was current. */
+  | 'transfer-current'
   /** The whole state, while this machine could not say that it was current. */
   | 'provisional'
   /** The whole state as it was current, and all changes since. */
   | 'fed';
 
-/** What has changed since the last feed. */
-export interface FeedChanges {
-  records: AgedRecord[];
-  judgements: BackendJudgement[];
-  departures: { backendId: string; kind: 'draining' | 'gone' }[];
-  controlsChanged: boolean;
-}
-
 /** The balancers that another control machine feeds. */
 export interface BalancersOfPeer {
   readonly balancers: readonly BalancerInfo[];
@@ -147,16 +164,20 @@
   areBalancersChanged: boolean;
   /** The balancers that subscribers have been told of, by their names. */
   publishedBalancers: ReadonlyMap<string, BalancerInfo>;
-  changes: FeedChanges;
+  /** What has changed since the last feed. */
+  news: FeedNews;
+  /** Messages that were made since the last tick, by what they tell. */
+  readonly feedMessages: Map<string, FeedMessage>;
+  /** Zones of the other control machines, by their link addresses. */
+  readonly controlZones: Map<string, string>;
   nextBalancersShareAtMs: number;
   readonly loads: LoadTotals;
   /** When the other control machines are told the sums of the balancers that are fed here. */
   readonly sumsOutlet: LoadOutlet;
-  wasCurrent: boolean;
   /** Since when silence of a back end counts, in milliseconds; undefined while not current. */
   listeningSinceMs: number | undefined;
-  /** The translated form of the configuration that holds. */
-  config: DeclaredConfig | undefined;
+  /** The translated form of the configuration that holds, with what changed lately. */
+  readonly configs: ConfigHistory;
   isStopping: boolean;
 }
 
@@ -220,13 +241,16 @@
     peerBalancers: new Map(),
     areBalancersChanged: false,
     publishedBalancers: new Map(),
-    changes: noChanges(),
+    news: createFeedNews(),
+    feedMessages: new Map(),
+    controlZones: new Map(),
     nextBalancersShareAtMs: Number.NEGATIVE_INFINITY,
     loads: createLoadTotals(LOAD_SUMS_LIFETIME_MS),
     sumsOutlet: createLoadOutlet(LOAD_SUMS_REFRESH_MS),
-    wasCurrent: false,
     listeningSinceMs: undefined,
-    config: document === undefined ? undefined : options.readDocument(document),
+    configs: createConfigHistory(
+      document === undefined ? undefined : options.readDocument(document),
+    ),
     isStopping: false,
   };
 }
@@ -250,13 +274,6 @@
   return seeds.map(formatAddress).sort().join(',');
 }
 
-/**
- * @returns changes of nothing
- */
-export function noChanges(): FeedChanges {
-  return { records: [], judgements: [], departures: [], controlsChanged: false };
-}
-
 /**
  * @returns the members other than this machine
  */
--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -9,7 +9,13 @@
 import { currentMembership } from '../consensus/consensus-state.js';
 import { findMember } from '../consensus/membership.js';
 import { isLaterDeparture, type BackendRecord } from '../registry/backend-record.js';
-import { addSubscriber, feedNewcomer, feedSubscribers, removeSubscriber } from './balancer-feed.js';
+import {
+  addSubscriber,
+  feedOne,
+  feedSubscribers,
+  noteTaken,
+  removeSubscriber,
+} from './balancer-feed.js';
 import { forgetOldBalancers, shareBalancers, takeBalancers } from './balancer-list.js';
 import { OWN_PROPOSAL, runConsensus } from './group-consensus.js';
 import type { GroupEffect, GroupEvent, RequestId } from './group-events.js';
@@ -63,7 +69,7 @@
     .with({ type: 'peer-message' }, ({ message }) => takePeerMessage(state, message, context))
     .with({ type: 'subscribe' }, ({ linkId, message }) => {
       addSubscriber(state, linkId, message);
-      return feedNewcomer(state, linkId, nowMs);
+      return feedOne(state, linkId, nowMs);
     })
     .with({ type: 'load-report' }, ({ linkId, message }) => {
       if (state.subscribers.has(linkId)) {
@@ -71,6 +77,9 @@
       }
       return [];
     })
+    .with({ type: 'feed-taken' }, ({ linkId, message }) =>
+      noteTaken(state, linkId, message.count, nowMs),
+    )
     .with({ type: 'link-closed' }, ({ linkId }) => {
       removeSubscriber(state, linkId);
       return [];
@@ -163,8 +172,8 @@
       records.forEach((aged) => takeRecord(state, aged, nowMs));
       return [];
     })
-    .with({ type: 'balancers' }, ({ sender, balancers }) => {
-      takeBalancers(state, formatAddress(sender), balancers, nowMs);
+    .with({ type: 'balancers' }, (message) => {
+      takeBalancers(state, message, nowMs);
       return [];
     })
     .with({ type: 'load-sums' }, ({ sender, loads }) => {
--- a/src/group/load-duties.ts
+++ b/src/group/load-duties.ts
@@ -2,6 +2,7 @@
  * @file How loads travel through a control machine: the sums of its balancers to the other control
  * machines, and to each balancer what all others carry.
  */
+import { isBehind, isBusy } from './balancer-feed.js';
 import type { GroupEffect } from './group-events.js';
 import { isCurrent, otherMembers, type GroupState } from './group-state.js';
 
@@ -36,17 +37,18 @@
   for (const [linkId, subscriber] of state.subscribers) {
     const { phase, loadsOutlet } = subscriber;
     const isTold = phase === 'new' || subscriber.loadsVersion === version;
-    if (isTold || loadsOutlet.isWaiting(nowMs)) {
+    if (isTold || isBusy(subscriber) || loadsOutlet.isWaiting(nowMs)) {
       continue;
     }
     subscriber.loadsVersion = version;
+    const isComplete = !isBehind(state, subscriber);
     const loads = state.loads.othersOf(linkId);
     if (loadsOutlet.offer(loads, nowMs)) {
       subscriber.nextPulseAtMs = nowMs + state.options.timing.feedPulseIntervalMs;
       effects.push({
         type: 'send-feed',
         linkId,
-        message: { type: 'feed', isCurrent: current, loads },
+        message: { type: 'feed', isCurrent: current, isComplete, isCounted: false, loads },
       });
     }
   }
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -13,7 +13,7 @@
   textShape as text,
 } from '../consensus/message-shapes.js';
 import { NUMBERS_PER_LOAD } from '../load-exchange/backend-load.js';
-import type { ControlInboundMessage, FeedMessage } from './group-messages.js';
+import type { ControlInboundMessage } from './group-messages.js';
 
 const DOCUMENT_BYTES = 4 * 1024 * 1024;
 
@@ -30,11 +30,6 @@
 const agedRecord = z.object({ record, ageMs: z.number() });
 const departure = z.object({ backendId: text, kind: z.enum(['draining', 'gone']) });
 const balancer = z.object({ name: text, zone: text, peerAddress: address });
-const judgement = z.object({
-  backendId: text,
-  liveness: z.enum(['heard', 'silent', 'dead']),
-  silentMs: count,
-});
 /** Room for the load of 20,000 back ends. */
 const MAX_LOAD_NUMBERS = 20_000 * NUMBERS_PER_LOAD;
 const loads = z.array(index).check(
@@ -73,7 +68,12 @@
   z.object({ type: z.literal('announce'), from: sender, linkAddress: address }),
   z.object({ type: z.literal('leave'), from: sender }),
   z.object({ type: z.literal('heartbeats'), records: list(agedRecord) }),
-  z.object({ type: z.literal('balancers'), sender: address, balancers: list(balancer) }),
+  z.object({
+    type: z.literal('balancers'),
+    sender: address,
+    zone: text,
+    balancers: list(balancer),
+  }),
   z.object({
     type: z.literal('forward'),
     forwardId: index,
@@ -82,39 +82,16 @@
   }),
   z.object({ type: z.literal('forward-reply'), forwardId: index, answer: leaderAnswer }),
   z.object({ type: z.literal('load-sums'), sender: address, loads }),
-  z.object({ type: z.literal('subscribe'), balancer, configVersion: index }),
+  z.object({
+    type: z.literal('subscribe'),
+    balancer,
+    configVersion: index,
+    unfinished: z.optional(z.object({ version: index, baseVersion: index, changesTaken: index })),
+  }),
+  z.object({ type: z.literal('feed-taken'), count: index }),
   z.object({ type: z.literal('load-report'), loads }),
 ]);
 
-const target = z.object({ service: text, weight: count });
-const route = z.object({
-  name: text,
-  host: text,
-  port: index,
-  targets: list(target),
-  kind: z.enum(['repeatable', 'at-most-once']),
-  timeoutMs: count,
-});
-const config = z.object({
-  version: index,
-  routes: list(route),
-  services: list(z.object({ name: text })),
-  idleTimeoutMs: count,
-});
-const feed = z.object({
-  type: z.literal('feed'),
-  isCurrent: z.boolean(),
-  isWhole: z.optional(z.boolean()),
-  config: z.optional(config),
-  records: z.optional(list(agedRecord)),
-  judgements: z.optional(list(judgement)),
-  departures: z.optional(list(departure)),
-  balancers: z.optional(list(balancer)),
-  lostBalancers: z.optional(list(text)),
-  controls: z.optional(list(z.object({ linkAddress: address }))),
-  loads: z.optional(loads),
-});
-
 const balancerMessage = z.discriminatedUnion('type', [
   z.object({ type: z.literal('open-placed'), key: text, token: index }),
   z.object({ type: z.literal('find-open'), key: text, replyTo: address }),
@@ -132,14 +109,6 @@
   return parsed.success ? (value as ControlInboundMessage) : undefined;
 }
 
-/**
- * @returns the message of a control machine, or undefined where it is none
- */
-export function parseFeed(value: unknown): FeedMessage | undefined {
-  const parsed = feed.safeParse(value);
-  return parsed.success ? (value as FeedMessage) : undefined;
-}
-
 /**
  * @returns the message of another balancer, or undefined where it is none
  */
--- a/src/group/registry-duties.ts
+++ b/src/group/registry-duties.ts
@@ -17,7 +17,7 @@
 export function takeRecord(state: GroupState, aged: AgedRecord, nowMs: number): boolean {
   const news = state.registry.take(aged.record, nowMs - aged.ageMs);
   if (news === 'changed') {
-    state.changes.records.push(aged);
+    state.news.registered.add(aged.record.id);
   }
   return news !== 'late';
 }
@@ -58,7 +58,7 @@
   }
   const { listeningSinceMs } = state;
   const judgements = registry.judge(nowMs, listeningSinceMs, options.heartbeatIntervalMs);
-  state.changes.judgements.push(...judgements);
+  judgements.forEach(({ backendId }) => state.news.judged.add(backendId));
 }
 
 /**
--- /dev/null
+++ b/src/ingress/config-assembly.ts
@@ -0,0 +1,83 @@
+/**
+ * @file Puts the parts of an update of the configuration together: nothing of it is in force before all of
+ * it has come. What has come is kept when the link ends, for the next one to go on from.
+ */
+import {
+  NO_VERSION,
+  type ConfigPart,
+  type ConfigUpdate,
+  type RouteChange,
+} from '../declared/config-update.js';
+import type { UnfinishedConfig } from '../group/group-messages.js';
+
+/** What a part brought. */
+export type PartTaken =
+  /** More is to come. */
+  | { readonly type: 'unfinished' }
+  | { readonly type: 'complete'; readonly update: ConfigUpdate }
+  /** It does not follow what has come so far: the sender must begin anew. */
+  | { readonly type: 'unfit' };
+
+/** The parts of one update, as far as they have come. */
+export interface ConfigAssembly {
+  /** What has come of an update that is not whole; undefined for nothing. */
+  readonly unfinished: UnfinishedConfig | undefined;
+  take(part: ConfigPart): PartTaken;
+  /** Forgets what has come. */
+  clear(): void;
+}
+
+interface Assembled extends UnfinishedConfig {
+  readonly changes: RouteChange[];
+}
+
+const NOTHING: Assembled = {
+  version: NO_VERSION,
+  baseVersion: NO_VERSION,
+  changesTaken: 0,
+  changes: [],
+};
+
+/** @returns an assembly without any part */
+export function createConfigAssembly(): ConfigAssembly {
+  let assembled: Assembled | undefined;
+
+  return {
+    get unfinished() {
+      if (assembled === undefined) {
+        return undefined;
+      }
+      const { version, baseVersion, changesTaken } = assembled;
+      return { version, baseVersion, changesTaken };
+    },
+    take,
+    clear: () => {
+      assembled = undefined;
+    },
+  };
+
+  function take(part: ConfigPart): PartTaken {
+    const { version, baseVersion, idleTimeoutMs, firstChange, changeCount } = part;
+    const before = firstChange === 0 ? [] : changesBefore(part);
+    if (before === undefined) {
+      assembled = undefined;
+      return { type: 'unfit' };
+    }
+    const changes = [...before, ...part.changes];
+    if (changes.length < changeCount) {
+      assembled = { version, baseVersion, changes, changesTaken: changes.length };
+      return { type: 'unfinished' };
+    }
+    assembled = undefined;
+    return { type: 'complete', update: { version, baseVersion, idleTimeoutMs, changes } };
+  }
+
+  function changesBefore(part: ConfigPart): readonly RouteChange[] | undefined {
+    const { version, baseVersion, changesTaken, changes } = assembled ?? NOTHING;
+    const isNext =
+      version === part.version &&
+      baseVersion === part.baseVersion &&
+      changesTaken === part.firstChange;
+    return isNext ? changes : undefined;
+  }
+}
--- a/src/ingress/feed-source.ts
+++ b/src/ingress/feed-source.ts
@@ -1,6 +1,7 @@
 /**
  * @file Which control machine a balancer gets its feed from: one that says that it is current, another
- * one as soon as it is silent or ceases to be.
+ * one as soon as it is silent or ceases to be. One of the own zone comes first, since bytes between zones
+ * are paid for; a balancer that had to go elsewhere returns in its own time, so that not all do at once.
  */
 import { formatAddress, type Address } from '../common/address.js';
 import type { ControlInfo } from '../group/group-messages.js';
@@ -15,44 +16,75 @@
   | { readonly type: 'close' }
   | { readonly type: 'wait' };
 
+/** Who looks for a control machine. */
+export interface FeedSeeker {
+  /** Where to look first. */
+  readonly seeds: readonly Address[];
+  readonly zone: string;
+  /** Spreads balancers over the control machines, and their returns over time; whole. */
+  readonly spread: number;
+}
+
 interface LinkedControl {
+  readonly address: Address;
   readonly sinceMs: number;
+  /** When some of a message came last that is not whole yet. */
+  progressAtMs: number;
   heardAtMs: number | undefined;
   /** Since when it says that it is not current. */
   staleSinceMs: number | undefined;
+  /** True once this balancer has decided to close the link. */
+  isLeft: boolean;
+}
+
+/** A balancer stays for so long at least with a control machine of another zone, in milliseconds ... */
+const RETURN_AFTER_MS = 1_500;
+/** ... and up to so much longer, by its spread: a hundred balancers then return some ten in a second. */
+const RETURN_SPREAD_MS = 4_000;
+/** A control machine that could not be reached, or was not current, is not returned to for so long. */
+const AVOID_MS = 4_000;
+/** It doubles with each failure that follows, up to this. */
+const MAX_AVOID_MS = 30_000;
+
+interface AvoidedControl {
+  readonly untilMs: number;
+  readonly avoidMs: number;
 }
 
 /** Chooses the control machine. */
 export class FeedSource {
-  private candidates: Address[];
+  private seeds: readonly Address[];
+  private candidates: readonly ControlInfo[];
   private next: number;
   private linked: LinkedControl | undefined;
   private retryAtMs = Number.NEGATIVE_INFINITY;
+  /** Control machines that failed, by their addresses. */
+  private readonly avoided = new Map<string, AvoidedControl>();
 
-  /**
-   * @param seeds where to look first
-   * @param offset spreads balancers over the control machines
-   */
   constructor(
-    private seeds: readonly Address[],
-    offset: number,
+    private readonly seeker: FeedSeeker,
     private readonly timing: FeedTiming,
   ) {
-    this.candidates = [...seeds];
-    this.next = offset;
+    this.seeds = seeker.seeds;
+    this.candidates = seeker.seeds.map((linkAddress) => ({ linkAddress }));
+    this.next = seeker.spread;
   }
 
   /** Takes the list of control machines; seeds stay in it, since the list may be old. */
   takeControls(controls: readonly ControlInfo[]): void {
-    const addresses = [...controls.map(({ linkAddress }) => linkAddress), ...this.seeds];
-    const byText = new Map(addresses.map((address) => [formatAddress(address), address]));
+    const seeds = this.seeds.map((linkAddress): ControlInfo => ({ linkAddress }));
+    const byText = new Map<string, ControlInfo>();
+    for (const control of [...controls, ...seeds]) {
+      const name = formatAddress(control.linkAddress);
+      byText.set(name, byText.get(name) ?? control);
+    }
     this.candidates = [...byText.values()];
   }
 
   /** Takes other seeds, beside the control machines known already. */
   takeSeeds(seeds: readonly Address[]): void {
     this.seeds = seeds;
-    this.takeControls(this.candidates.map((linkAddress) => ({ linkAddress })));
+    this.takeControls(this.candidates);
   }
 
   /** Notes a message of the control machine. */
@@ -60,6 +92,16 @@
     if (this.linked !== undefined) {
       this.linked.heardAtMs = nowMs;
       this.linked.staleSinceMs = isCurrent ? undefined : (this.linked.staleSinceMs ?? nowMs);
+      if (isCurrent) {
+        this.avoided.delete(formatAddress(this.linked.address));
+      }
+    }
+  }
+
+  /** Notes that some of a message has come: a slow link that goes on is alive. */
+  progressed(nowMs: number): void {
+    if (this.linked !== undefined) {
+      this.linked.progressAtMs = nowMs;
     }
   }
 
@@ -69,6 +111,9 @@
    */
   closed(nowMs: number): boolean {
     const hadFeed = this.linked?.heardAtMs !== undefined;
+    if (this.linked?.isLeft === false) {
+      this.avoid(this.linked.address, nowMs);
+    }
     this.linked = undefined;
     this.retryAtMs = nowMs + FEED_RETRY_AFTER_MS;
     return hadFeed;
@@ -77,27 +122,80 @@
   /** Decides what to do with the link. */
   act(nowMs: number): FeedAction {
     if (this.linked !== undefined) {
-      return this.isUseless(this.linked, nowMs) ? { type: 'close' } : { type: 'wait' };
+      return this.actLinked(this.linked, nowMs);
     }
     if (nowMs < this.retryAtMs || this.candidates.length === 0) {
       return { type: 'wait' };
     }
-    const address = this.candidates[this.next % this.candidates.length];
-    this.next += 1;
+    const address = this.nearest(nowMs) ?? this.nextInTurn();
     if (address === undefined) {
       return { type: 'wait' };
     }
-    this.linked = { sinceMs: nowMs, heardAtMs: undefined, staleSinceMs: undefined };
+    this.linked = {
+      address,
+      sinceMs: nowMs,
+      progressAtMs: nowMs,
+      heardAtMs: undefined,
+      staleSinceMs: undefined,
+      isLeft: false,
+    };
     return { type: 'connect', address };
   }
 
+  private actLinked(link: LinkedControl, nowMs: number): FeedAction {
+    const isUseless = this.isUseless(link, nowMs);
+    if (isUseless) {
+      this.avoid(link.address, nowMs);
+    }
+    if (!isUseless && !this.mayReturn(link, nowMs)) {
+      return { type: 'wait' };
+    }
+    link.isLeft = true;
+    return { type: 'close' };
+  }
+
+  /** A link to another zone is left once the balancer has been there for its time. */
+  private mayReturn({ address, sinceMs }: LinkedControl, nowMs: number): boolean {
+    const stayMs = RETURN_AFTER_MS + (this.seeker.spread % RETURN_SPREAD_MS);
+    const isNear = this.candidates.some(
+      ({ linkAddress, zone }) =>
+        zone === this.seeker.zone && formatAddress(linkAddress) === formatAddress(address),
+    );
+    return !isNear && nowMs - sinceMs >= stayMs && this.nearest(nowMs) !== undefined;
+  }
+
+  /** @returns a control machine of the own zone that did not fail lately */
+  private nearest(nowMs: number): Address | undefined {
+    return this.candidates.find(
+      ({ linkAddress, zone }) => zone === this.seeker.zone && !this.isAvoided(linkAddress, nowMs),
+    )?.linkAddress;
+  }
+
+  private nextInTurn(): Address | undefined {
+    const control = this.candidates[this.next % this.candidates.length];
+    this.next += 1;
+    return control?.linkAddress;
+  }
+
+  private isAvoided(address: Address, nowMs: number): boolean {
+    const avoided = this.avoided.get(formatAddress(address));
+    return avoided !== undefined && nowMs < avoided.untilMs;
+  }
+
+  private avoid(address: Address, nowMs: number): void {
+    const name = formatAddress(address);
+    const before = this.avoided.get(name)?.avoidMs ?? AVOID_MS / 2;
+    const avoidMs = Math.min(MAX_AVOID_MS, 2 * before);
+    this.avoided.set(name, { untilMs: nowMs + avoidMs, avoidMs });
+  }
+
   private isUseless(link: LinkedControl, nowMs: number): boolean {
-    const { sinceMs, heardAtMs, staleSinceMs } = link;
+    const { sinceMs, heardAtMs, staleSinceMs, progressAtMs } = link;
     const { silentAfterMs, staleAfterMs, firstMessageAfterMs } = this.timing;
     if (heardAtMs === undefined) {
-      return nowMs - sinceMs > firstMessageAfterMs;
+      return nowMs - Math.max(sinceMs, progressAtMs) > firstMessageAfterMs;
     }
     const isStale = staleSinceMs !== undefined && nowMs - staleSinceMs >= staleAfterMs;
-    return isStale || nowMs - heardAtMs > silentAfterMs;
+    return isStale || nowMs - Math.max(heardAtMs, progressAtMs) > silentAfterMs;
   }
 }
--- a/src/ingress/feed-step.ts
+++ b/src/ingress/feed-step.ts
@@ -1,6 +1,7 @@
 /**
  * @file What a balancer takes from its control machine, and what it tells it.
  */
+import { NO_VERSION } from '../declared/config-update.js';
 import type { FeedMessage } from '../group/group-messages.js';
 import {
   packLoads,
@@ -21,41 +22,71 @@
 /** Loads that were told count until the feed has not been current for so long. */
 const LOADS_LIFETIME_MS = 2_000;
 
+/** What a message of the control machine did to the configuration. */
+export type ConfigTaken =
+  | { readonly type: 'unchanged' }
+  | { readonly type: 'in-force'; readonly version: number }
+  /** It does not follow what is held here: the control machine must begin anew. */
+  | { readonly type: 'unfit' };
+
 /**
  * Takes a message of the control machine.
- * @returns true where it put another configuration in force
  */
-export function takeFeed(state: IngressState, message: FeedMessage, nowMs: number): boolean {
-  takeBackends(state, message, nowMs);
-  takePeers(state, message);
-  const isNewer = message.config !== undefined && state.routes.take(message.config);
+export function takeFeed(state: IngressState, message: FeedMessage, nowMs: number): ConfigTaken {
+  noteTransfer(state, message);
+  const { records, judgements, departures, balancers = [], lostBalancers = [] } = message;
+  const { backends, peers } = state;
+  records?.forEach((aged) => backends.take(aged, nowMs));
+  judgements?.forEach((judgement) => backends.judge(judgement, nowMs));
+  departures?.forEach((departure) => backends.depart(departure, nowMs));
+  peers.takeChanges(balancers, lostBalancers);
+  endTransfer(state, message, nowMs);
   if (message.loads !== undefined) {
-    state.backends.takeLoads(message.loads);
+    backends.takeLoads(message.loads);
   }
-  if (message.isCurrent) {
+  const taken = takeConfig(state, message);
+  if (message.isCurrent && message.isComplete && taken.type !== 'unfit') {
     state.currentAtMs = nowMs;
     state.firstCurrentAtMs ??= nowMs;
   }
-  return isNewer;
+  return taken;
 }
 
-function takeBackends(state: IngressState, message: FeedMessage, nowMs: number): void {
-  const { records, judgements, departures, isWhole, isCurrent } = message;
-  const { backends } = state;
-  records?.forEach((aged) => backends.take(aged, nowMs));
-  judgements?.forEach((judgement) => backends.judge(judgement, nowMs));
-  departures?.forEach((departure) => backends.depart(departure, nowMs));
-  if (isWhole === true && isCurrent) {
-    backends.doubtAllBut(new Set(records?.map(({ record }) => record.id)), nowMs);
+function takeConfig({ routes, assembly }: IngressState, { config }: FeedMessage): ConfigTaken {
+  if (config === undefined || config.version <= (routes.config?.version ?? NO_VERSION)) {
+    return { type: 'unchanged' };
+  }
+  const part = assembly.take(config);
+  if (part.type !== 'complete') {
+    return part.type === 'unfit' ? part : { type: 'unchanged' };
+  }
+  const taken = routes.take(part.update);
+  return taken === 'taken'
+    ? { type: 'in-force', version: part.update.version }
+    : { type: taken === 'unfit' ? 'unfit' : 'unchanged' };
+}
+
+/** From the first message of a whole state on, what is named counts. */
+function noteTransfer(state: IngressState, message: FeedMessage): void {
+  const { transfer, records = [], balancers = [] } = message;
+  if (transfer === 'begins' || transfer === 'whole') {
+    state.transfer = { backendIds: new Set(), balancerNames: new Set() };
   }
+  records.forEach(({ record }) => state.transfer?.backendIds.add(record.id));
+  balancers.forEach(({ name }) => state.transfer?.balancerNames.add(name));
 }
 
-function takePeers(state: IngressState, message: FeedMessage): void {
-  const { balancers = [], lostBalancers = [], isWhole } = message;
-  if (isWhole === true) {
-    state.peers.takeAll(balancers);
-  } else {
-    state.peers.takeChanges(balancers, lostBalancers);
+/** After the last one, what was not named is doubted. */
+function endTransfer(state: IngressState, message: FeedMessage, nowMs: number): void {
+  const { transfer, isCurrent } = message;
+  if (state.transfer === undefined || (transfer !== 'ends' && transfer !== 'whole')) {
+    return;
+  }
+  const { backendIds, balancerNames } = state.transfer;
+  state.transfer = undefined;
+  state.peers.retain(balancerNames);
+  if (isCurrent) {
+    state.backends.doubtAllBut(backendIds, nowMs);
   }
 }
 
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -2,6 +2,7 @@
  * @file The state of a balancer that forwards by 32-bit tokens, and its options.
  */
 import type { FeedTiming } from '../group/timing.js';
+import { createConfigAssembly, type ConfigAssembly } from './config-assembly.js';
 import { BackendTable } from './backend-table.js';
 import { FlowActivities } from './flow-activity.js';
 import { OpenMemory } from './open-memory.js';
@@ -46,10 +47,20 @@
   return Math.min(MAX_COUNTED_FLOWS, Math.floor(budgetBytes / BYTES_PER_COUNTED_FLOW));
 }
 
+/** What a whole state has named so far. */
+export interface StateTransfer {
+  readonly backendIds: Set<string>;
+  readonly balancerNames: Set<string>;
+}
+
 /** The state of one balancer. */
 export interface IngressState {
   readonly options: IngressOptions;
   readonly routes: RouteTable;
+  /** The parts of a newer configuration that have come. */
+  readonly assembly: ConfigAssembly;
+  /** What a whole state that is under way has named; undefined where none is. */
+  transfer: StateTransfer | undefined;
   readonly backends: BackendTable;
   readonly opens: OpenMemory;
   readonly activities: FlowActivities;
@@ -71,6 +82,8 @@
   return {
     options,
     routes,
+    assembly: createConfigAssembly(),
+    transfer: undefined,
     backends: new BackendTable(options.heartbeatIntervalMs),
     opens: new OpenMemory(OPEN_LIFETIME_MS),
     activities: new FlowActivities(
--- a/src/ingress/peer-table.ts
+++ b/src/ingress/peer-table.ts
@@ -15,8 +15,8 @@
 export interface PeerTable {
   /** How many others there are. */
   readonly size: number;
-  /** Takes all balancers there are, this one among them or not. */
-  takeAll(balancers: readonly BalancerInfo[]): void;
+  /** Forgets all balancers but those that are named. */
+  retain(names: ReadonlySet<string>): void;
   /** Takes balancers that came and the names of those that went. */
   takeChanges(came: readonly BalancerInfo[], went: readonly string[]): void;
   /**
@@ -47,14 +47,17 @@
     get size() {
       return balancers.size - Number(balancers.has(ownName));
     },
-    takeAll,
+    retain,
     takeChanges,
     holdersOf,
   };
 
-  function takeAll(all: readonly BalancerInfo[]): void {
-    balancers.clear();
-    takeChanges(all, []);
+  function retain(names: ReadonlySet<string>): void {
+    for (const name of balancers.keys()) {
+      if (!names.has(name)) {
+        balancers.delete(name);
+      }
+    }
   }
 
   function takeChanges(came: readonly BalancerInfo[], went: readonly string[]): void {
--- a/src/ingress/route-table.ts
+++ b/src/ingress/route-table.ts
@@ -3,7 +3,8 @@
  * flows keep the weights of the route.
  */
 import { packHost } from '../common/address.js';
-import type { DeclaredConfig, DeclaredRoute } from '../declared/declared-config.js';
+import { NO_VERSION, type ConfigUpdate } from '../declared/config-update.js';
+import type { WeightedTarget } from '../declared/declared-config.js';
 
 const PORT_VALUES = 65_536;
 
@@ -15,37 +16,61 @@
 }
 
 interface RouteEntry {
-  readonly route: DeclaredRoute;
   readonly shares: WeightedShare[];
   readonly totalWeight: number;
 }
 
+/** The configuration in force. */
+export interface ConfigInForce {
+  readonly version: number;
+  /** A flow that has rested for this long may be forgotten, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
+
+/** What became of an update. */
+export type UpdateTaken =
+  | 'taken'
+  /** What is held is as new. */
+  | 'known'
+  /** It is made to another version than the one that is held. */
+  | 'unfit';
+
 /** Routes by address and port. */
 export class RouteTable {
   private routes = new Map<number, RouteEntry>();
-  private held: DeclaredConfig | undefined;
+  private held: ConfigInForce | undefined;
 
   /** The configuration in force here. */
-  get config(): DeclaredConfig | undefined {
+  get config(): ConfigInForce | undefined {
     return this.held;
   }
 
-  /**
-   * Puts a configuration in force; an older one never follows a newer one.
-   * @returns true where it was taken
-   */
-  take(config: DeclaredConfig): boolean {
-    if (this.held !== undefined && config.version <= this.held.version) {
-      return false;
+  /** How many routes there are. */
+  get size(): number {
+    return this.routes.size;
+  }
+
+  /** Puts an update of the configuration in force; an older one never follows a newer one. */
+  take({ version, baseVersion, idleTimeoutMs, changes }: ConfigUpdate): UpdateTaken {
+    const heldVersion = this.held?.version ?? NO_VERSION;
+    if (version <= heldVersion) {
+      return 'known';
+    }
+    if (baseVersion !== NO_VERSION && baseVersion !== heldVersion) {
+      return 'unfit';
     }
     const before = this.routes;
-    this.routes = new Map();
-    for (const route of config.routes) {
-      const key = keyOf(Number(packHost(route.host)), route.port);
-      this.routes.set(key, keptOrNew(before.get(key), route));
+    this.routes = baseVersion === NO_VERSION ? new Map<number, RouteEntry>() : before;
+    for (const { host, port, targets } of changes) {
+      const key = keyOf(Number(packHost(host)), port);
+      if (targets === undefined) {
+        this.routes.delete(key);
+      } else {
+        this.routes.set(key, keptOrNew(before.get(key), targets));
+      }
     }
-    this.held = config;
-    return true;
+    this.held = { version, idleTimeoutMs };
+    return 'taken';
   }
 
   has(host: number, port: number): boolean {
@@ -75,8 +100,11 @@
 }
 
 /** A route whose targets did not change goes on where it was. */
-function keptOrNew(before: RouteEntry | undefined, route: DeclaredRoute): RouteEntry {
-  const targets = route.targets.filter(({ weight }) => weight > 0);
+function keptOrNew(
+  before: RouteEntry | undefined,
+  allTargets: readonly WeightedTarget[],
+): RouteEntry {
+  const targets = allTargets.filter(({ weight }) => weight > 0);
   const isSame =
     before?.shares.length === targets.length &&
     targets.every(({ service, weight }, index) => {
@@ -84,10 +112,9 @@
       return share?.service === service && share.weight === weight;
     });
   if (isSame) {
-    return { ...before, route };
+    return before;
   }
   return {
-    route,
     shares: targets.map(({ service, weight }) => ({ service, weight, credit: 0 })),
     totalWeight: targets.reduce((sum, { weight }) => sum + weight, 0),
   };
--- a/src/registry/heartbeat-registry.ts
+++ b/src/registry/heartbeat-registry.ts
@@ -22,8 +22,8 @@
   /** A back end not heard of before, or one that tells something else of itself. */
   | 'changed';
 
-interface KnownRecord extends HeardRecord {
-  /** As it was judged last. */
+/** A record as it was judged last. */
+export interface JudgedRecord extends HeardRecord {
   readonly liveness: Liveness;
 }
 
@@ -32,14 +32,14 @@
 
 /** The last heartbeat of each back end. */
 export class HeartbeatRegistry {
-  private readonly records = new Map<string, KnownRecord>();
+  private readonly records = new Map<string, JudgedRecord>();
 
   /** How many back ends are known. */
   get size(): number {
     return this.records.size;
   }
 
-  get(id: string): HeardRecord | undefined {
+  get(id: string): JudgedRecord | undefined {
     return this.records.get(id);
   }
 
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -75,6 +75,11 @@
     .min(1)
     .describe('Link addresses of control machines; the others are learned from them.'),
   memoryMb: positive.optional().describe('What the process may take, in megabytes.'),
+  linkMbps: positive
+    .optional()
+    .describe(
+      'What the link of the machine carries, in megabits a second; packets are paced to it.',
+    ),
   policy: policySection.prefault({}).describe('How new flows are placed; for measurements.'),
   stopWithinMs: positive
     .default(4_000)
@@ -84,6 +89,7 @@
 /** Schema of the settings of `amberlift group`. */
 export const groupSettingsSchema = z.strictObject({
   ...sharedOptions,
+  zone: z.string().min(1).default('zone-a').describe('Zone that this process runs in.'),
   dataFolder: z.string().min(1).describe('Folder for all files of this process.'),
   linkAddress: addressText.describe('TCP address for control machines and balancers.'),
   callAddress: addressText.describe('HTTP address for back ends and operators.'),
--- a/src/sim/ingress/ingress-world.ts
+++ b/src/sim/ingress/ingress-world.ts
@@ -106,8 +106,9 @@
   /** Adds a control machine with an empty disk; it is not started. */
   addControl(seeds: readonly Address[]): SimulatedControlMachine {
     const address = controlAddress(this.nextControlNumber);
+    const zone = ZONES[this.nextControlNumber % ZONES.length] ?? 'zone-a';
     this.nextControlNumber += 1;
-    const control = new SimulatedControlMachine(address, seeds, this.parts);
+    const control = new SimulatedControlMachine(address, zone, seeds, this.parts);
     this.controls.push(control);
     return control;
   }
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -9,6 +9,8 @@
 import { createGroupState, firstStorageId } from '../../group/group-state.js';
 import type { ConsensusState } from '../../consensus/consensus-state.js';
 import { isFirstMember } from '../../group/membership-duties.js';
+import { packFeed } from '../../group/feed-codec.js';
+import { isBalancerLinkMessage } from '../../group/group-messages.js';
 import { parseControlInbound } from '../../group/message-schemas.js';
 import { ConsensusStorage } from '../../daemon/consensus-storage.js';
 import { GroupProcess, type GroupCall } from '../../daemon/group-process.js';
@@ -39,6 +41,7 @@
 
   constructor(
     readonly address: Address,
+    private readonly zone: string,
     private readonly seeds: readonly Address[],
     private readonly parts: IngressWorldParts,
   ) {
@@ -104,6 +107,7 @@
     const state = createGroupState(
       {
         linkAddress: this.address,
+        zone: this.zone,
         seeds: this.seeds,
         isFirstStart,
         tolerableLosses: options.tolerableLosses,
@@ -128,7 +132,7 @@
     const process = new GroupProcess(state, {
       context: () => ({ nowMs: clock.nowMs, random }),
       sendToPeer: (to, message) => peerLinks.send(to, message),
-      sendFeed: (linkId, message) => this.feedLinks.find(linkId)?.send(message),
+      sendFeed: (linkId, message) => this.feedLinks.find(linkId)?.send(packFeed(message)),
       persist: (effect) => storage.persist(effect).finally(() => clock.notePromise()),
       note: (name, fields) => {
         this.parts.note(this.address.host, name, fields);
@@ -155,7 +159,7 @@
     if (parsed === undefined) {
       return false;
     }
-    if (parsed.type === 'subscribe' || parsed.type === 'load-report') {
+    if (isBalancerLinkMessage(parsed)) {
       this.process?.takeBalancerMessage(this.feedLinks.idOf(link), parsed);
     } else {
       this.process?.takePeerMessage(parsed);
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -57,12 +57,17 @@
         },
         peerAddress,
         controlSeeds: this.controls,
+        linkBytesPerMs: options.linkBytesPerMs,
       },
       tokenPacketCodec,
       {
         nowMs: () => clock.nowMs,
         sendPacket: (datagram, to) => wires.sendDatagram(host, to, datagram),
-        sendToBalancer: (to, message) => wires.sendDatagram(host, to, packr.pack(message)),
+        sendToBalancer: (to, message) => {
+          const datagram = packr.pack(message);
+          wires.sendDatagram(host, to, datagram);
+          return datagram.length;
+        },
         connectControl: (to, handlers) =>
           wires.connect(host, to, {
             onMessage: (message, link) => {
--- a/src/sim/ingress/world-parts.ts
+++ b/src/sim/ingress/world-parts.ts
@@ -29,6 +29,8 @@
   /** A machine with an empty disk counts again this long after its start. */
   readonly catchUpMs: number;
   readonly flowLifetimeMs: number;
+  /** What a balancer takes its link to carry, in bytes a millisecond; undefined for no pacing. */
+  readonly linkBytesPerMs: number | undefined;
   readonly policy: IngressPolicy;
 }
 
@@ -46,6 +48,7 @@
   contactMs: 4_000,
   catchUpMs: 4_000,
   flowLifetimeMs: 60_000,
+  linkBytesPerMs: undefined,
   policy: defaultPolicy,
 };
 
--- a/test/group/balancer-feed.test.ts
+++ b/test/group/balancer-feed.test.ts
@@ -1,14 +1,17 @@
 /** @file What a control machine tells balancers: the whole once, then only what changes. */
 import t from 'tap';
 import type { LinkId } from '../../src/common/link-table.js';
+import type { DeclaredConfig } from '../../src/declared/declared-config.js';
 import {
   addSubscriber,
-  feedNewcomer,
+  feedOne,
   feedSubscribers,
+  noteTaken,
   removeSubscriber,
 } from '../../src/group/balancer-feed.js';
+import { forgetOldBalancers } from '../../src/group/balancer-list.js';
 import type { GroupEffect } from '../../src/group/group-events.js';
-import type { FeedMessage } from '../../src/group/group-messages.js';
+import type { FeedMessage, SubscribeMessage } from '../../src/group/group-messages.js';
 import { isCurrent, type GroupState } from '../../src/group/group-state.js';
 import { feedLoads, shareLoadSums } from '../../src/group/load-duties.js';
 import { judgeBackends, takeRecord } from '../../src/group/registry-duties.js';
@@ -38,11 +41,15 @@
   return { state, nowMs: world.clock.nowMs };
 }
 
-function subscribe({ state, nowMs }: FormedGroup, linkId: LinkId, name: string): GroupEffect[] {
+function subscription(name: string): SubscribeMessage {
   const peerAddress = { host: '10.9.0.1', port: 7_700 };
   const balancer = { name, zone: 'zone-a', peerAddress };
-  addSubscriber(state, linkId, { type: 'subscribe', balancer, configVersion: 0 });
-  return feedNewcomer(state, linkId, nowMs);
+  return { type: 'subscribe', balancer, configVersion: 0 };
+}
+
+function subscribe({ state, nowMs }: FormedGroup, linkId: LinkId, name: string): GroupEffect[] {
+  addSubscriber(state, linkId, subscription(name));
+  return feedOne(state, linkId, nowMs);
 }
 
 function messagesTo(linkId: LinkId, effects: readonly GroupEffect[]): FeedMessage[] {
@@ -51,40 +58,49 @@
   );
 }
 
+/** Feeds balancers that have taken all that they were sent. */
+function feedWilling(state: GroupState, nowMs: number): GroupEffect[] {
+  for (const subscriber of state.subscribers.values()) {
+    subscriber.countedTaken = subscriber.countedSent;
+  }
+  return feedSubscribers(state, nowMs);
+}
+
 t.test('a newcomer gets the whole state at once', async (t) => {
   const group = await formedGroup();
   const [message] = messagesTo(FIRST, subscribe(group, FIRST, 'first'));
-  t.equal(message?.isWhole, true);
+  t.equal(message?.transfer, 'whole');
   t.equal(message?.isCurrent, true);
   t.equal(message?.records?.length, smallIngressWorld.backendCount);
   t.equal(message?.controls?.length, smallIngressWorld.controlCount);
   t.ok(message?.config !== undefined);
+  t.equal(message?.isComplete, true);
 });
 
 t.test('a heartbeat that says nothing new is not passed on, a silence is told once', async (t) => {
   const group = await formedGroup();
   const { state, nowMs } = group;
   subscribe(group, FIRST, 'first');
-  feedSubscribers(state, nowMs);
+  feedWilling(state, nowMs);
   const [known] = [...state.registry.all()];
   if (known === undefined) {
     throw new Error('No back end.');
   }
   const record = { ...known.record, sequence: known.record.sequence + 1 };
   t.ok(takeRecord(state, { record, ageMs: 0 }, nowMs));
-  t.same(messagesTo(FIRST, feedSubscribers(state, nowMs)), []);
+  t.same(messagesTo(FIRST, feedWilling(state, nowMs)), []);
 
   // The other back ends fall silent; the machine goes on hearing its leader.
   const laterMs = nowMs + LONG_MS;
   state.consensus.heardFromLeaderAtMs = laterMs;
   takeRecord(state, { record: { ...record, sequence: record.sequence + 1 }, ageMs: 0 }, laterMs);
   judgeBackends(state, laterMs);
-  const [told] = messagesTo(FIRST, feedSubscribers(state, laterMs));
+  const [told] = messagesTo(FIRST, feedWilling(state, laterMs));
   t.equal(told?.records, undefined);
   t.equal(told?.judgements?.length, smallIngressWorld.backendCount - 1);
   t.same(new Set(told?.judgements?.map(({ liveness }) => liveness)), new Set(['silent']));
   judgeBackends(state, laterMs);
-  t.same(messagesTo(FIRST, feedSubscribers(state, laterMs)), []);
+  t.same(messagesTo(FIRST, feedWilling(state, laterMs)), []);
 });
 
 t.test('whoever was fed while the machine was not current gets the whole again', async (t) => {
@@ -95,11 +111,11 @@
   const [first] = messagesTo(FIRST, subscribe({ state, nowMs: cutOffMs }, FIRST, 'first'));
   t.equal(first?.isCurrent, false);
   state.consensus.heardFromLeaderAtMs = cutOffMs;
-  const [second] = messagesTo(FIRST, feedSubscribers(state, cutOffMs));
-  t.equal(second?.isWhole, true);
+  const [second] = messagesTo(FIRST, feedWilling(state, cutOffMs));
+  t.equal(second?.transfer, 'whole');
   t.equal(second?.isCurrent, true);
-  const [third] = messagesTo(FIRST, feedSubscribers(state, cutOffMs + 1_000));
-  t.equal(third?.isWhole, undefined, 'only once');
+  const [third] = messagesTo(FIRST, feedWilling(state, cutOffMs + 1_000));
+  t.equal(third?.transfer, undefined, 'only once');
 });
 
 t.test('silence while the machine was cut off is not held against back ends', async (t) => {
@@ -108,27 +124,27 @@
   judgeBackends(state, cutOffMs);
   state.consensus.heardFromLeaderAtMs = cutOffMs;
   judgeBackends(state, cutOffMs);
-  t.same(state.changes.judgements, []);
+  t.same([...state.news.judged], []);
   const { heartbeatIntervalMs } = state.options;
   const laterMs = cutOffMs + 2 * heartbeatIntervalMs;
   state.consensus.heardFromLeaderAtMs = laterMs;
   judgeBackends(state, laterMs);
-  t.equal(state.changes.judgements.length, smallIngressWorld.backendCount, 'but later silence is');
+  t.equal(state.news.judged.size, smallIngressWorld.backendCount, 'but later silence is');
 });
 
 t.test('balancers hear of those that come and go, not of all', async (t) => {
   const group = await formedGroup();
   const { state, nowMs } = group;
   subscribe(group, FIRST, 'first');
-  feedSubscribers(state, nowMs);
+  feedWilling(state, nowMs);
   subscribe(group, SECOND, 'second');
-  const [came] = messagesTo(FIRST, feedSubscribers(state, nowMs));
+  const [came] = messagesTo(FIRST, feedWilling(state, nowMs));
   t.same(
     came?.balancers?.map(({ name }) => name),
     ['second'],
   );
   removeSubscriber(state, SECOND);
-  const [went] = messagesTo(FIRST, feedSubscribers(state, nowMs));
+  const [went] = messagesTo(FIRST, feedWilling(state, nowMs));
   t.same(went?.lostBalancers, ['second']);
   t.equal(went?.balancers, undefined);
 });
@@ -166,3 +182,155 @@
   t.equal(shareLoadSums(state, startMs + 500).length, 0);
   t.equal(shareLoadSums(state, startMs + 1_000).length, others);
 });
+
+function configWith(version: number, routeCount: number): DeclaredConfig {
+  return {
+    version,
+    routes: Array.from({ length: routeCount }, (_, at) => ({
+      name: `route-${at}`,
+      host: '198.18.0.1',
+      port: 1_000 + at,
+      targets: [{ service: 'alpha', weight: 1 }],
+      kind: 'repeatable',
+      timeoutMs: 1_000,
+    })),
+    services: [{ name: 'alpha' }],
+    idleTimeoutMs: 15_000,
+  };
+}
+
+t.test('a balancer that takes nothing is sent two messages and no more', async (t) => {
+  const group = await formedGroup();
+  const { state, nowMs } = group;
+  state.configs.take(configWith(100, 5_000));
+  const sent = messagesTo(FIRST, subscribe(group, FIRST, 'first'));
+  t.equal(sent.length, 2);
+  t.ok(sent.every(({ isComplete }) => !isComplete));
+  t.same(messagesTo(FIRST, feedSubscribers(state, nowMs + LONG_MS)).length, 1, 'but a pulse');
+  const [third] = messagesTo(FIRST, noteTaken(state, FIRST, 1, nowMs));
+  t.equal(third?.config?.firstChange, 2_000);
+});
+
+t.test('a large configuration comes in bounded parts, each change once', async (t) => {
+  const group = await formedGroup();
+  const { state, nowMs } = group;
+  state.configs.take(configWith(100, 4_500));
+  const sent = messagesTo(FIRST, subscribe(group, FIRST, 'first'));
+  for (let taken = 1; taken <= 10; taken += 1) {
+    sent.push(...messagesTo(FIRST, noteTaken(state, FIRST, taken, nowMs)));
+  }
+  const ports = sent.flatMap(({ config }) => config?.changes.map(({ port }) => port) ?? []);
+  t.equal(ports.length, 4_500);
+  t.equal(new Set(ports).size, 4_500);
+  t.ok(sent.every(({ config }) => (config?.changes.length ?? 0) <= 1_000));
+  t.same(
+    sent.map(({ isComplete }) => isComplete),
+    [false, false, false, false, true],
+    'complete with the last part',
+  );
+});
+
+t.test('whoever got some of a configuration goes on from there with another machine', async (t) => {
+  const { state, nowMs } = await formedGroup();
+  state.configs.take(configWith(100, 1_500));
+  const unfinished = { version: 100, baseVersion: 0, changesTaken: 1_000 };
+  addSubscriber(state, FIRST, { ...subscription('first'), unfinished });
+  const [first] = messagesTo(FIRST, feedOne(state, FIRST, nowMs));
+  t.equal(first?.config?.firstChange, 1_000);
+  t.equal(first?.config?.changes.length, 500);
+  addSubscriber(state, SECOND, {
+    ...subscription('second'),
+    unfinished: { ...unfinished, version: 99 },
+  });
+  const [other] = messagesTo(SECOND, feedOne(state, SECOND, nowMs));
+  t.equal(other?.config?.firstChange, 0, 'of another version it is worth nothing');
+});
+
+t.test('a balancer that is behind gets the newest configuration, not those between', async (t) => {
+  const group = await formedGroup();
+  const { state, nowMs } = group;
+  state.configs.take(configWith(100, 10));
+  subscribe(group, FIRST, 'first');
+  const held = state.subscribers.get(FIRST);
+  if (held === undefined) {
+    throw new Error('No subscriber.');
+  }
+  held.countedSent += 1;
+  for (let version = 101; version <= 120; version += 1) {
+    state.configs.take(configWith(version, version - 90));
+    t.same(
+      messagesTo(FIRST, feedSubscribers(state, nowMs)).filter(({ config }) => config !== undefined),
+      [],
+      'nothing while it takes nothing',
+    );
+  }
+  const [message] = messagesTo(FIRST, noteTaken(state, FIRST, 2, nowMs));
+  t.equal(message?.config?.version, 120);
+  t.equal(message?.config?.baseVersion, 100);
+  t.equal(message?.config?.changes.length, 20, 'only what changed');
+  t.equal(message?.isComplete, true);
+});
+
+t.test('news for a balancer that is behind merge, and hold up nobody else', async (t) => {
+  const group = await formedGroup();
+  const { state, nowMs } = group;
+  subscribe(group, FIRST, 'first');
+  subscribe(group, SECOND, 'second');
+  feedWilling(state, nowMs);
+  const slow = state.subscribers.get(FIRST);
+  const quick = state.subscribers.get(SECOND);
+  const [known] = [...state.registry.all()];
+  if (slow === undefined || quick === undefined || known === undefined) {
+    throw new Error('No subscriber or back end.');
+  }
+  for (let change = 1; change <= 5; change += 1) {
+    const { sequence, capacity } = known.record;
+    const record = {
+      ...known.record,
+      sequence: sequence + change,
+      capacity: capacity + change,
+    };
+    takeRecord(state, { record, ageMs: 0 }, nowMs);
+    quick.countedTaken = quick.countedSent;
+    slow.countedSent = slow.countedTaken + 2;
+    const effects = feedSubscribers(state, nowMs);
+    t.equal(messagesTo(SECOND, effects)[0]?.records?.[0]?.record.sequence, sequence + change);
+    t.same(messagesTo(FIRST, effects), []);
+  }
+  const [told] = messagesTo(FIRST, noteTaken(state, FIRST, slow.countedSent, nowMs));
+  t.equal(told?.records?.length, 1);
+  t.equal(told?.records?.[0]?.record.sequence, known.record.sequence + 5);
+});
+
+t.test('balancers that lack the same get one message', async (t) => {
+  const group = await formedGroup();
+  const { state, nowMs } = group;
+  subscribe(group, FIRST, 'first');
+  subscribe(group, SECOND, 'second');
+  feedWilling(state, nowMs);
+  const [known] = [...state.registry.all()];
+  if (known === undefined) {
+    throw new Error('No back end.');
+  }
+  const record = { ...known.record, sequence: known.record.sequence + 1, capacity: 7 };
+  takeRecord(state, { record, ageMs: 0 }, nowMs);
+  const effects = feedWilling(state, nowMs);
+  t.equal(messagesTo(FIRST, effects)[0], messagesTo(SECOND, effects)[0], 'the same object');
+});
+
+t.test(
+  'control machines are named with their zones, without it once they are silent',
+  async (t) => {
+    const group = await formedGroup();
+    const { state, nowMs } = group;
+    const zones = (message: FeedMessage | undefined) =>
+      message?.controls?.flatMap(({ zone }) => zone ?? []) ?? [];
+    const [first] = messagesTo(FIRST, subscribe(group, FIRST, 'first'));
+    t.equal(zones(first).length, smallIngressWorld.controlCount);
+    const laterMs = nowMs + 5_000;
+    forgetOldBalancers(state, laterMs);
+    noteTaken(state, FIRST, 9, laterMs);
+    const [second] = messagesTo(FIRST, feedSubscribers(state, laterMs));
+    t.same(zones(second), [state.options.zone], 'only its own');
+  },
+);
--- a/test/group/message-schemas.test.ts
+++ b/test/group/message-schemas.test.ts
@@ -1,24 +1,21 @@
 /** @file Whatever comes in on an internal port is one of our messages or is refused; nothing throws. */
 import fc from 'fast-check';
 import t from 'tap';
-import {
-  parseBalancerMessage,
-  parseControlInbound,
-  parseFeed,
-} from '../../src/group/message-schemas.js';
+import { unpackFeed } from '../../src/group/feed-codec.js';
+import { parseBalancerMessage, parseControlInbound } from '../../src/group/message-schemas.js';
 
 const SUBSCRIBE = {
   type: 'subscribe',
   balancer: { name: 'b', zone: 'z', peerAddress: { host: '127.0.0.1', port: 1 } },
   configVersion: 0,
 };
-const FEED = { type: 'feed', isCurrent: true };
+const FEED = { type: 'feed', isCurrent: true, isComplete: true, isCounted: false };
 const REPORT = { type: 'load-report', loads: [1, 0] };
 const PLACED = { type: 'open-placed', key: 'a>b', token: 1 };
 
 t.test('good messages are taken', async (t) => {
   t.same(parseControlInbound(SUBSCRIBE), SUBSCRIBE);
-  t.same(parseFeed(FEED), FEED);
+  t.same(unpackFeed(FEED), FEED);
   t.same(parseControlInbound(REPORT), REPORT);
   t.same(parseBalancerMessage(PLACED), PLACED);
 });
@@ -27,10 +24,11 @@
   const cases = [
     parseControlInbound({ ...SUBSCRIBE, configVersion: -1 }),
     parseControlInbound({ ...SUBSCRIBE, balancer: undefined }),
-    parseFeed({ ...FEED, isCurrent: 'yes' }),
-    parseFeed({ ...FEED, records: [{}] }),
-    parseFeed({ ...FEED, loads: [1] }),
-    parseFeed({ ...FEED, judgements: [{ backendId: 'b', liveness: 'well', silentMs: 0 }] }),
+    unpackFeed({ ...FEED, isCurrent: 'yes' }),
+    unpackFeed({ ...FEED, records: [{}] }),
+    unpackFeed({ ...FEED, loads: [1] }),
+    unpackFeed({ ...FEED, judgements: { ids: ['b'], kinds: [7], silentMs: [0] } }),
+    unpackFeed({ ...FEED, judgements: { ids: ['b', 'c'], kinds: [0], silentMs: [0] } }),
     parseControlInbound({ ...REPORT, loads: [1.5, 0] }),
     parseControlInbound({ ...REPORT, loads: [1] }),
     parseControlInbound({ ...REPORT, loads: [1, -1] }),
@@ -57,7 +55,7 @@
   );
   fc.assert(
     fc.property(values, (value) =>
-      [parseControlInbound(value), parseFeed(value), parseBalancerMessage(value)].every(
+      [parseControlInbound(value), unpackFeed(value), parseBalancerMessage(value)].every(
         (parsed) => parsed === undefined,
       ),
     ),
--- a/test/ingress/feed-source.test.ts
+++ b/test/ingress/feed-source.test.ts
@@ -37,7 +37,7 @@
 }
 
 t.test('two machines that are not current are passed within a second', async (t) => {
-  const source = new FeedSource(CONTROLS, 0, widestTiming.feed);
+  const source = new FeedSource({ seeds: CONTROLS, zone: 'zone-a', spread: 0 }, widestTiming.feed);
   const { currentAtMs } = runSource(
     source,
     ({ host }) => (host === '10.0.1.3' ? 'current' : 'stale'),
@@ -47,7 +47,7 @@
 });
 
 t.test('two machines that are silent are passed within two seconds', async (t) => {
-  const source = new FeedSource(CONTROLS, 0, widestTiming.feed);
+  const source = new FeedSource({ seeds: CONTROLS, zone: 'zone-a', spread: 0 }, widestTiming.feed);
   const { currentAtMs } = runSource(
     source,
     ({ host }) => (host === '10.0.1.3' ? 'current' : 'silent'),
@@ -55,3 +55,74 @@
   );
   t.ok((currentAtMs ?? Infinity) <= 2_000, `current after ${currentAtMs} ms`);
 });
+
+const STAY_MS = 10_000;
+const zoned = CONTROLS.map((linkAddress, at) => ({ linkAddress, zone: `zone-${'abc'[at]}` }));
+
+/** Steps a source for a while; all control machines are current but those that are named. */
+function follow(source: FeedSource, fromMs: number, untilMs: number, failing: string[] = []) {
+  const connects: { readonly host: string; readonly atMs: number }[] = [];
+  for (let nowMs = fromMs; nowMs < untilMs; nowMs += STEP_MS) {
+    const action = source.act(nowMs);
+    if (action.type === 'close') {
+      source.closed(nowMs);
+    } else if (action.type === 'connect') {
+      connects.push({ host: action.address.host, atMs: nowMs });
+      if (failing.includes(action.address.host)) {
+        source.closed(nowMs);
+      } else {
+        source.heard(true, nowMs);
+        source.takeControls(zoned);
+      }
+    } else {
+      source.heard(true, nowMs);
+    }
+  }
+  return connects;
+}
+
+t.test(
+  'a balancer moves to the control machine of its zone, once it has been elsewhere a while',
+  async (t) => {
+    const source = new FeedSource(
+      { seeds: CONTROLS, zone: 'zone-b', spread: 900 },
+      widestTiming.feed,
+    );
+    const connects = follow(source, 0, STAY_MS);
+    t.same(
+      connects.map(({ host }) => host),
+      ['10.0.1.1', '10.0.1.2'],
+    );
+    t.ok((connects[1]?.atMs ?? 0) >= 2_400, 'not at once');
+  },
+);
+
+t.test('balancers return at different times', async (t) => {
+  const times = [0, 1_000, 2_000, 3_000].map((spread) => {
+    const source = new FeedSource(
+      { seeds: CONTROLS.slice(0, 1), zone: 'zone-b', spread },
+      widestTiming.feed,
+    );
+    return follow(source, 0, STAY_MS)[1]?.atMs ?? 0;
+  });
+  t.equal(new Set(times).size, times.length, times.join(' '));
+});
+
+t.test('one of the own zone that fails is left alone for longer each time', async (t) => {
+  const source = new FeedSource({ seeds: CONTROLS, zone: 'zone-b', spread: 0 }, widestTiming.feed);
+  const connects = follow(source, 0, 60_000, ['10.0.1.2']);
+  const tries = connects.filter(({ host }) => host === '10.0.1.2').map(({ atMs }) => atMs);
+  t.ok(tries.length >= 2 && tries.length <= 6, `tried ${tries.length} times`);
+  const gaps = tries.slice(1).map((atMs, at) => atMs - (tries[at] ?? 0));
+  t.ok((gaps.at(-1) ?? 0) > (gaps[0] ?? 0), gaps.join(' '));
+});
+
+t.test('a link that brings some of a message now and then is not silent', async (t) => {
+  const source = new FeedSource({ seeds: CONTROLS, zone: 'zone-a', spread: 0 }, widestTiming.feed);
+  source.act(0);
+  for (let nowMs = 0; nowMs < 5_000; nowMs += 500) {
+    source.progressed(nowMs);
+    t.equal(source.act(nowMs + 400).type, 'wait');
+  }
+  t.equal(source.act(6_000).type, 'close', 'and is once that ends');
+});
--- a/test/ingress/feed-step.test.ts
+++ b/test/ingress/feed-step.test.ts
@@ -42,7 +42,11 @@
 }
 
 function feed(state: IngressState, parts: Partial<FeedMessage>, nowMs: number): void {
-  takeFeed(state, { type: 'feed', isCurrent: true, ...parts }, nowMs);
+  takeFeed(
+    state,
+    { type: 'feed', isCurrent: true, isComplete: true, isCounted: false, ...parts },
+    nowMs,
+  );
 }
 
 function livenessOf(state: IngressState, number: number) {
@@ -51,7 +55,11 @@
 
 t.test('judgements change what is believed, also back again', async (t) => {
   const state = freshState();
-  feed(state, { isWhole: true, records: [recordOf(1), recordOf(2, 3_000), recordOf(3, 9_000)] }, 0);
+  feed(
+    state,
+    { transfer: 'whole', records: [recordOf(1), recordOf(2, 3_000), recordOf(3, 9_000)] },
+    0,
+  );
   t.same(
     [1, 2, 3].map((number) => livenessOf(state, number)),
     ['heard', 'silent', 'dead'],
@@ -74,12 +82,12 @@
 
 t.test('what a whole and current feed does not hold is doubted', async (t) => {
   const state = freshState();
-  feed(state, { isWhole: true, records: [recordOf(1), recordOf(2)] }, 0);
-  feed(state, { isWhole: true, isCurrent: false, records: [recordOf(1)] }, 1_000);
+  feed(state, { transfer: 'whole', records: [recordOf(1), recordOf(2)] }, 0);
+  feed(state, { transfer: 'whole', isCurrent: false, records: [recordOf(1)] }, 1_000);
   t.equal(livenessOf(state, 2), 'heard', 'not by a machine that does not know what is current');
   feed(state, { records: [recordOf(1, 0, 2)] }, 1_000);
   t.equal(livenessOf(state, 2), 'heard', 'not by changes');
-  feed(state, { isWhole: true, records: [recordOf(1)] }, 2_000);
+  feed(state, { transfer: 'whole', records: [recordOf(1)] }, 2_000);
   t.equal(livenessOf(state, 2), 'silent');
   t.equal(livenessOf(state, 1), 'heard');
   ingressSweep(state, 2_000 + LIFETIME_MS);
@@ -93,14 +101,14 @@
   const state = freshState();
   const later = recordOf(1, 0, 5);
   feed(state, { records: [{ ...later, record: { ...later.record, capacity: 4 } }] }, 0);
-  feed(state, { isWhole: true, records: [recordOf(1, 0, 3)] }, 100);
+  feed(state, { transfer: 'whole', records: [recordOf(1, 0, 3)] }, 100);
   t.equal(state.backends.find('backend-1')?.record.capacity, 4);
 });
 
 t.test('a departure stays, whatever is told of the back end afterwards', async (t) => {
   const state = freshState();
   feed(state, { departures: [{ backendId: 'backend-1', kind: 'draining' }] }, 0);
-  feed(state, { isWhole: true, records: [recordOf(1)] }, 100);
+  feed(state, { transfer: 'whole', records: [recordOf(1)] }, 100);
   t.same(state.backends.staying('alpha'), []);
   const heard = { backendId: 'backend-1', liveness: 'heard', silentMs: 0 } as const;
   feed(state, { judgements: [heard] }, 200);
@@ -109,17 +117,17 @@
 
 t.test('balancers of a whole feed replace those known, others are changes', async (t) => {
   const state = freshState();
-  feed(state, { isWhole: true, balancers: [1, 2, 3].map(balancerOf) }, 0);
+  feed(state, { transfer: 'whole', balancers: [1, 2, 3].map(balancerOf) }, 0);
   t.equal(state.peers.size, 2);
   feed(state, { balancers: [balancerOf(4)], lostBalancers: ['balancer-2'] }, 0);
   t.equal(state.peers.size, 2);
-  feed(state, { isWhole: true, balancers: [balancerOf(1)] }, 0);
+  feed(state, { transfer: 'whole', balancers: [balancerOf(1)] }, 0);
   t.equal(state.peers.size, 0);
 });
 
 t.test('told loads hold while the feed is current, and are dropped soon after', async (t) => {
   const state = freshState();
-  feed(state, { isWhole: true, records: [recordOf(1)] }, 0);
+  feed(state, { transfer: 'whole', records: [recordOf(1)] }, 0);
   const backend = state.backends.find('backend-1');
   const token = backend?.token ?? 0;
   feed(state, { loads: [token, 3, 12_345, 9] }, 0);
@@ -137,7 +145,7 @@
 
 t.test('a balancer reports what passes it, without back ends that are idle', async (t) => {
   const state = freshState();
-  feed(state, { isWhole: true, records: [recordOf(1), recordOf(2)] }, 0);
+  feed(state, { transfer: 'whole', records: [recordOf(1), recordOf(2)] }, 0);
   const backend = state.backends.find('backend-2');
   if (backend === undefined) {
     throw new Error('No back end.');
@@ -146,3 +154,72 @@
   state.activities.open('flow', backend, 0);
   t.same(ownReport(state), [backend.token, 1]);
 });
+
+t.test('a state that comes in several messages doubts nothing before the last', async (t) => {
+  const state = freshState();
+  feed(state, { transfer: 'whole', records: [1, 2, 3].map((n) => recordOf(n)) }, 0);
+  feed(state, { transfer: 'begins', isComplete: false, records: [recordOf(1)] }, 1_000);
+  t.equal(livenessOf(state, 3), 'heard');
+  feed(state, { transfer: 'goes-on', isComplete: false }, 1_050);
+  t.equal(livenessOf(state, 3), 'heard');
+  feed(state, { transfer: 'ends', records: [recordOf(2)] }, 1_100);
+  t.same(
+    [1, 2, 3].map((number) => livenessOf(state, number)),
+    ['heard', 'heard', 'silent'],
+  );
+});
+
+t.test('a transfer that breaks off is forgotten when the next one begins', async (t) => {
+  const state = freshState();
+  feed(state, { transfer: 'whole', records: [1, 2].map((n) => recordOf(n)) }, 0);
+  feed(state, { transfer: 'begins', isComplete: false, records: [recordOf(2)] }, 1_000);
+  feed(state, { transfer: 'whole', records: [recordOf(1)] }, 2_000);
+  t.equal(livenessOf(state, 2), 'silent', 'the new one has not named it');
+});
+
+const CONFIG = { baseVersion: 0, idleTimeoutMs: 15_000 };
+const routeTo = (service: string, port: number) => ({
+  host: '198.18.0.1',
+  port,
+  targets: [{ service, weight: 1 }],
+});
+
+t.test(
+  'an update is in force once all of it has come, and only then is this balancer current',
+  async (t) => {
+    const state = freshState();
+    const part = { ...CONFIG, version: 3, changeCount: 2 };
+    const first = { ...part, firstChange: 0, changes: [routeTo('alpha', 443)] };
+    const second = { ...part, firstChange: 1, changes: [routeTo('alpha', 8_080)] };
+    feed(state, { transfer: 'whole', isComplete: false, config: first }, 0);
+    t.equal(state.routes.config, undefined);
+    t.equal(state.currentAtMs, undefined, 'something is still to come');
+    t.same(state.assembly.unfinished, { version: 3, baseVersion: 0, changesTaken: 1 });
+    feed(state, { config: second }, 50);
+    t.equal(state.routes.config?.version, 3);
+    t.equal(state.routes.size, 2);
+    t.equal(state.currentAtMs, 50);
+    t.equal(state.assembly.unfinished, undefined);
+  },
+);
+
+t.test(
+  'changes that are made to another version are refused, and nothing of them holds',
+  async (t) => {
+    const state = freshState();
+    const whole = { ...CONFIG, version: 3, firstChange: 0, changeCount: 1 };
+    feed(state, { transfer: 'whole', config: { ...whole, changes: [routeTo('alpha', 443)] } }, 0);
+    const drop = [{ host: '198.18.0.1', port: 443, targets: undefined }];
+    const change = { ...whole, version: 5, baseVersion: 4, changes: drop };
+    const message = { type: 'feed', isCurrent: true, isComplete: true, isCounted: true } as const;
+    t.same(takeFeed(state, { ...message, config: change }, 100), { type: 'unfit' });
+    t.equal(state.routes.config?.version, 3);
+    t.equal(state.routes.size, 1);
+    t.equal(state.currentAtMs, 0, 'it may not say that a route is gone');
+    const fitting = { ...change, baseVersion: 3 };
+    t.same(takeFeed(state, { ...message, config: fitting }, 200), { type: 'in-force', version: 5 });
+    t.equal(state.routes.size, 0);
+    const older = { ...message, config: { ...change, version: 4, baseVersion: 0 } };
+    t.same(takeFeed(state, older, 300), { type: 'unchanged' }, 'an older one never follows');
+  },
+);
--- a/test/ingress/many-balancers.test.ts
+++ b/test/ingress/many-balancers.test.ts
@@ -7,6 +7,8 @@
 
 const MANY = 50;
 const FEW = 8;
+/** Two back ends take one flow in one of some thousand opens only. */
+const MANY_CLIENTS = 60;
 const FORMATION_MS = 6_000;
 const MEASURED_MS = 10_000;
 const BALANCER_HOSTS = '10.0.3.';
@@ -39,8 +41,8 @@
 t.test(`mutant: ${MANY} balancers of which none remembers an open of another`, async (t) => {
   let isCaught = false;
   for (let seed = 1; seed <= 6 && !isCaught; seed += 1) {
-    const run = { seed, faultCount: 10, kinds: copyKinds, endsWithLoss: false };
-    const options = { balancerCount: MANY };
+    const run = { seed, faultCount: 20, kinds: copyKinds, endsWithLoss: false };
+    const options = { balancerCount: MANY, clientCount: MANY_CLIENTS };
     const whole = await runIngressWorld({ ...run, options });
     t.same(whole.violations, [], `seed ${seed} unbroken`);
     const broken = await runIngressWorld({ ...run, options, prepare: forgetOpens });
--- a/test/ingress/placement.test.ts
+++ b/test/ingress/placement.test.ts
@@ -1,5 +1,6 @@
 /** @file Which back end a new flow goes to. */
 import t from 'tap';
+import { wholeUpdate } from '../../src/declared/config-update.js';
 import { widestTiming } from '../../src/group/timing.js';
 import { BackendTable } from '../../src/ingress/backend-table.js';
 import { createIngressState, type IngressState } from '../../src/ingress/ingress-state.js';
@@ -48,7 +49,7 @@
 
 function stateWith(count: number): IngressState {
   const state = createIngressState(OPTIONS);
-  state.routes.take({
+  const config = {
     version: 1,
     routes: [
       {
@@ -56,13 +57,14 @@
         host: '198.18.0.1',
         port: 443,
         targets: [{ service: 'alpha', weight: 1 }],
-        kind: 'repeatable',
+        kind: 'repeatable' as const,
         timeoutMs: 1_000,
       },
     ],
     services: [{ name: 'alpha' }],
     idleTimeoutMs: 15_000,
-  });
+  };
+  state.routes.take(wholeUpdate(config));
   state.currentAtMs = 0;
   state.firstCurrentAtMs = 0;
   for (let number = 1; number <= count; number += 1) {
--- a/test/ingress/route-table.test.ts
+++ b/test/ingress/route-table.test.ts
@@ -1,14 +1,14 @@
 /** @file The routes in force: shares by weight, and never an older configuration after a newer one. */
 import t from 'tap';
-import type { DeclaredConfig } from '../../src/declared/declared-config.js';
+import { wholeUpdate, type ConfigUpdate } from '../../src/declared/config-update.js';
 import { RouteTable } from '../../src/ingress/route-table.js';
 
 const HOST = 0xc6120001;
 const PORT = 443;
 
-function config(version: number, weights: readonly number[]): DeclaredConfig {
+function config(version: number, weights: readonly number[]): ConfigUpdate {
   const services = weights.map((_, index) => ({ name: `service-${index}` }));
-  return {
+  return wholeUpdate({
     version,
     routes: [
       {
@@ -22,7 +22,7 @@
     ],
     services,
     idleTimeoutMs: 15_000,
-  };
+  });
 }
 
 t.test('after any number of flows each target is within one flow of its share', async (t) => {
@@ -54,9 +54,9 @@
 
 t.test('an older configuration, or the same again, changes nothing', async (t) => {
   const table = new RouteTable();
-  t.ok(table.take(config(5, [1])));
-  t.notOk(table.take(config(4, [0, 1])));
-  t.notOk(table.take(config(5, [0, 1])));
+  t.equal(table.take(config(5, [1])), 'taken');
+  t.equal(table.take(config(4, [0, 1])), 'known');
+  t.equal(table.take(config(5, [0, 1])), 'known');
   t.equal(table.nextService(HOST, PORT), 'service-0');
   t.equal(table.nextService(HOST, PORT + 1), undefined);
 });
