Compress long frames, and tell what waits for the link as metrics

Change: frames from 4 KB on are deflated at the fastest level, with a bound on what they inflate to. Metrics of the scheduler: bytes that wait, packets by their waiting time, merged copies; drops stand among the others by reason.

--- a/src/common/frame-codec.ts
+++ b/src/common/frame-codec.ts
@@ -1,7 +1,9 @@
 /**
- * @file Frames on a stream: four bytes of length, then that many bytes of MessagePack. A frame without
- * content is a pulse. Length and nothing else is believed before a frame is whole, and it is bounded.
+ * @file Frames on a stream: four bytes of length, then that many bytes of MessagePack, which are compressed
+ * where the first bit says so. A frame without content is a pulse. Length and nothing else is believed
+ * before a frame is whole, and it is bounded, as is what it is inflated to.
  */
+import { constants, deflateRawSync, inflateRawSync } from 'node:zlib';
 import { Packr } from 'msgpackr';
 
 const LENGTH_BYTES = 4;
@@ -9,6 +11,11 @@
 /** The longest frame that is taken, in bytes. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
+/** Set in the length of a frame whose content is compressed. */
+const COMPRESSED_FLAG = 0x8000_0000;
+/** Shorter content is sent as it is: most messages are short, and compressing them costs more than it saves. */
+const COMPRESS_FROM_BYTES = 4_096;
+
 const packr = new Packr({ useRecords: false });
 
 /** A frame without content. */
@@ -19,8 +26,18 @@
  */
 export function encodeFrame(message: object): Buffer {
   const content = packr.pack(message);
+  if (content.length < COMPRESS_FROM_BYTES) {
+    return frameOf(content, 0);
+  }
+  const compressed = deflateRawSync(content, { level: constants.Z_BEST_SPEED });
+  return compressed.length < content.length
+    ? frameOf(compressed, COMPRESSED_FLAG)
+    : frameOf(content, 0);
+}
+
+function frameOf(content: Uint8Array, flag: number): Buffer {
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + content.length);
-  frame.writeUInt32BE(content.length, 0);
+  frame.writeUInt32BE((content.length | flag) >>> 0, 0);
   frame.set(content, LENGTH_BYTES);
   return frame;
 }
@@ -52,7 +69,9 @@
     const messages: unknown[] = [];
     while (this.waitingBytes >= this.neededBytes) {
       const bytes = this.joined();
-      const length = bytes.readUInt32BE(0);
+      const head = bytes.readUInt32BE(0);
+      const isCompressed = head >= COMPRESSED_FLAG;
+      const length = isCompressed ? head - COMPRESSED_FLAG : head;
       if (length > this.maxFrameBytes) {
         return { type: 'malformed', reason: `A frame of ${length} bytes is too long.` };
       }
@@ -64,7 +83,8 @@
       this.keep(bytes.subarray(end));
       if (length > 0) {
         try {
-          messages.push(packr.unpack(bytes.subarray(LENGTH_BYTES, end)));
+          const content = bytes.subarray(LENGTH_BYTES, end);
+          messages.push(packr.unpack(isCompressed ? this.inflate(content) : content));
         } catch {
           return { type: 'malformed', reason: 'A frame is no MessagePack.' };
         }
@@ -73,6 +93,11 @@
     return { type: 'messages', messages };
   }
 
+  /** Throws where the content is not compressed, or is too long. */
+  private inflate(content: Uint8Array): Buffer {
+    return inflateRawSync(content, { maxOutputLength: this.maxFrameBytes });
+  }
+
   private joined(): Buffer {
     const [first] = this.waiting;
     if (this.waiting.length === 1 && first !== undefined) {
--- a/src/daemon/metrics/ingress-metrics.ts
+++ b/src/daemon/metrics/ingress-metrics.ts
@@ -19,6 +19,7 @@
   registerPackets(registry, process);
   registerBackends(registry, process);
   registerConfiguration(registry, process, nowMs);
+  registerSending(registry, process);
   return {
     registry,
     health: () => ({ ready: process.isReady, state: healthOf(process) }),
@@ -121,6 +122,29 @@
   value('known_balancers', 'Other balancers that are known here.', () => state.peers.size);
 }
 
+/** Drops of packets that waited for the link are among the dropped packets, by their reasons. */
+function registerSending(registry: Registry, { sender }: IngressProcess): void {
+  registerValue(
+    registry,
+    'amberlift_ingress_queued_bytes',
+    'Bytes of packets that wait for the link of the machine.',
+    () => sender.queuedBytes,
+  );
+  registerValue(
+    registry,
+    'amberlift_ingress_merged_packets_total',
+    'Retransmissions that took the place of a packet that still waited.',
+    () => sender.counts.merged,
+  );
+  registerLabelledValues(
+    registry,
+    'amberlift_ingress_waited_packets_total',
+    'Packets that waited for the link, by the upper bound of their time in milliseconds.',
+    'upToMs',
+    () => [...sender.counts.waitedMs].map(([label, value]) => ({ label: String(label), value })),
+  );
+}
+
 function healthOf({ state, isReady }: IngressProcess): string {
   if (state.isStopping) {
     return 'stopping';
