Add a soak of real processes under faults drawn from a seed

amberlift soak starts five control machines and four balancers as processes on loopback, with a proxy in front of the links of each control machine (silent in one direction or both, slow, reset), kills, stops, freezes and wakes them by their process IDs, wipes disks, and lets stand-ins for clients, back ends and an operator work beside them. Stand-ins and oracle are those of the simulator, over sockets and real time; leaders of one term are read from the logs. A run keeps seed, schedule, logs and verdict in a folder, which explain and timeline read. A control machine may listen elsewhere than at the address that others are told (setting listenAddress), for the proxy. Not built: stand-ins as processes of their own, clocks that are off, storage that is slow or fails, cuts between two given machines.

--- a/src/cli/group.ts
+++ b/src/cli/group.ts
@@ -60,6 +60,7 @@
       minimumCopies: tolerableLosses + 1,
     },
     settings.dataFolder,
+    settings.listenAddress ?? linkAddress,
   );
   if (daemon.isErr()) {
     reportError(daemon.error);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -32,6 +32,7 @@
   { name: 'callers', load: async () => (await import('./callers.js')).registerCallers },
   { name: 'simulate', load: async () => (await import('./simulate.js')).registerSimulate },
   { name: 'explain', load: async () => (await import('./explain.js')).registerExplain },
+  { name: 'soak', load: async () => (await import('./soak.js')).registerSoak },
   { name: 'timeline', load: async () => (await import('./timeline.js')).registerTimeline },
   { name: 'replay', load: async () => (await import('./replay.js')).registerReplay },
 ];
--- /dev/null
+++ b/src/cli/soak.ts
@@ -0,0 +1,67 @@
+/**
+ * @file `amberlift soak`: real processes on this machine under faults from outside them, judged by what
+ * clients, back ends and the operator see.
+ */
+import { join } from 'node:path';
+import type { CAC } from 'cac';
+import { exitCodes } from '../flow/error-kinds.js';
+import { runSoak, type SoakVerdict } from '../soak/run-soak.js';
+
+interface SoakFlags {
+  readonly seed: number;
+  readonly runs: number;
+  readonly seconds: number;
+  readonly into: string;
+  readonly json?: boolean;
+}
+
+const MS_PER_SECOND = 1_000;
+
+/**
+ * Registers the subcommand.
+ */
+export function registerSoak(cli: CAC): void {
+  cli
+    .command('soak', 'Run real processes under faults drawn from a seed and check what must hold')
+    .option('--seed <n>', 'Seed of the first run; each run takes the next one', { default: 1 })
+    .option('--runs <count>', 'Runs, one after the other', { default: 1 })
+    .option('--seconds <count>', 'How long faults come in each run', { default: 60 })
+    .option('--into <folder>', 'Where logs, schedules and verdicts go', { default: 'soak-runs' })
+    .option('--json', 'Print the verdicts as one line of JSON, last')
+    .example('amberlift soak --seed 7 --seconds 120')
+    .action(run);
+}
+
+async function run(flags: SoakFlags): Promise<void> {
+  const verdicts: SoakVerdict[] = [];
+  for (let at = 0; at < flags.runs; at += 1) {
+    const seed = flags.seed + at;
+    const folder = join(flags.into, `seed-${seed}`);
+    const verdict = await runSoak({ seed, durationMs: flags.seconds * MS_PER_SECOND, folder });
+    verdicts.push(verdict);
+    process.stdout.write(`${describe(verdict, folder)}\n`);
+  }
+  if (flags.json === true) {
+    process.stdout.write(`${JSON.stringify(verdicts)}\n`);
+  }
+  process.exitCode = verdicts.every(isClean) ? exitCodes.success : exitCodes.failure;
+}
+
+function isClean({ violations, unaskedEnds, servedRequests }: SoakVerdict): boolean {
+  return violations.length === 0 && Object.keys(unaskedEnds).length === 0 && servedRequests > 0;
+}
+
+function describe(verdict: SoakVerdict, folder: string): string {
+  const { seed, violations, servedRequests, failedRequests, faults, unaskedEnds } = verdict;
+  const struck = Object.entries(faults).map(([kind, count]) => `${kind} ${count}`);
+  return [
+    `Seed ${seed}: ${servedRequests} requests served, ${failedRequests} failed, ${violations.length} violations; see ${folder}.`,
+    `  Faults: ${struck.join(', ') || 'none'}.`,
+    ...violations.map(
+      ({ check, atMs, detail }) => `  ${check} at ${Math.round(atMs)} ms: ${detail}`,
+    ),
+    ...Object.entries(unaskedEnds).map(
+      ([name, count]) => `  ${name} ended by itself ${count} times.`,
+    ),
+  ].join('\n');
+}
--- a/src/daemon/group-daemon.ts
+++ b/src/daemon/group-daemon.ts
@@ -63,16 +63,18 @@
 
   /**
    * Opens the disk, waiting where it is full or does not answer, and starts.
+   * @param listenAddress where to listen for links, where that is not the address that others are told
    * @returns the daemon, or `storage-failed` where the disk is damaged
    */
   static async start(
     options: GroupOptions,
     dataFolder: string,
+    listenAddress: Address = options.linkAddress,
   ): Promise<Result<GroupDaemon, AmberliftError>> {
     const opened = await openDisk(options, dataFolder);
     const created = opened.map((storage) => new GroupDaemon(options, storage));
     if (created.isOk()) {
-      await created.value.run(options.linkAddress);
+      await created.value.run(listenAddress);
     }
     return created;
   }
@@ -96,8 +98,8 @@
     this.links.close();
   }
 
-  private async run(linkAddress: Address): Promise<void> {
-    await this.links.listen(linkAddress, {
+  private async run(listenAddress: Address): Promise<void> {
+    await this.links.listen(listenAddress, {
       onMessage: (message, link) => this.receive(message, link),
       onClose: (link) => this.forgetLink(link),
     });
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -92,6 +92,9 @@
   zone: z.string().min(1).default('zone-a').describe('Zone that this process runs in.'),
   dataFolder: z.string().min(1).describe('Folder for all files of this process.'),
   linkAddress: addressText.describe('TCP address for control machines and balancers.'),
+  listenAddress: addressText
+    .optional()
+    .describe('TCP address to listen at, where a proxy stands at `linkAddress`.'),
   callAddress: addressText.describe('HTTP address for back ends and operators.'),
   seeds: z
     .array(addressText)
--- a/src/sim/ingress/stand-in-backend.ts
+++ b/src/sim/ingress/stand-in-backend.ts
@@ -13,7 +13,7 @@
   type PacketKind,
   type TokenPacket,
 } from '../../ingress/token-packet.js';
-import type { IngressWorldParts } from './world-parts.js';
+import type { StandInParts } from './world-parts.js';
 
 const CALL_TIMEOUT_MS = 1_000;
 const WORK_MS = 20;
@@ -58,7 +58,7 @@
 
   constructor(
     readonly identity: BackendIdentity,
-    private readonly parts: IngressWorldParts,
+    private readonly parts: StandInParts,
     private readonly callControl: CallControl,
     /** @returns the newest version that gives the route to the service */
     private readonly newestVersion: (route: string, service: string) => number,
--- a/src/sim/ingress/stand-in-client.ts
+++ b/src/sim/ingress/stand-in-client.ts
@@ -12,7 +12,7 @@
   type PacketKind,
   type TokenPacket,
 } from '../../ingress/token-packet.js';
-import type { IngressWorldParts } from './world-parts.js';
+import type { StandInParts } from './world-parts.js';
 
 const COPY_DELAYS_MS = [0, 200, 600];
 const PART_DELAYS_MS = [0, 4, 8];
@@ -57,7 +57,7 @@
     readonly host: string,
     private readonly requestsPerFlow: number,
     private readonly world: ClientWorld,
-    private readonly parts: IngressWorldParts,
+    private readonly parts: StandInParts,
   ) {}
 
   start(): void {
--- a/src/sim/ingress/stand-in-operator.ts
+++ b/src/sim/ingress/stand-in-operator.ts
@@ -5,7 +5,7 @@
 import { formatAddress, type Address } from '../../common/address.js';
 import type { DeclaredConfig, DeclaredRoute } from '../../declared/declared-config.js';
 import type { CallControl } from './stand-in-backend.js';
-import type { IngressWorldParts } from './world-parts.js';
+import type { StandInParts } from './world-parts.js';
 
 const OPERATOR_HOST = '100.127.0.1';
 const CALL_TIMEOUT_MS = 1_000;
@@ -31,7 +31,7 @@
 
   constructor(
     private readonly callControl: CallControl,
-    private readonly parts: IngressWorldParts,
+    private readonly parts: StandInParts,
   ) {
     this.readAgain();
   }
--- a/src/sim/ingress/world-parts.ts
+++ b/src/sim/ingress/world-parts.ts
@@ -1,6 +1,7 @@
 /**
  * @file What the machines of the simulated deployment share.
  */
+import type { Address } from '../../common/address.js';
 import type { RandomSource } from '../../common/step.js';
 import type { DecisionFields } from '../../daemon/decision-log.js';
 import { defaultPolicy, type IngressPolicy } from '../../ingress/policy.js';
@@ -52,13 +53,34 @@
   policy: defaultPolicy,
 };
 
-/** What is shared. */
-export interface IngressWorldParts {
-  readonly clock: VirtualClock;
+/** Time as stand-ins need it: virtual in the simulator, real beside real processes. */
+export interface StandInClock {
+  readonly nowMs: number;
+  after(delayMs: number, run: () => void): void;
+}
+
+/** Datagrams as stand-ins need them. */
+export interface StandInWires {
+  onDatagram(address: Address, handler: (bytes: Uint8Array) => void): void;
+  sendDatagram(fromHost: string, to: Address, bytes: Uint8Array): void;
+  hostStarted(host: string): void;
+  /** Nothing reaches the addresses of a host any more. */
+  hostDied(host: string): void;
+}
+
+/** What stand-ins for clients, back ends and operators share. */
+export interface StandInParts {
+  readonly clock: StandInClock;
   readonly random: RandomSource;
-  readonly wires: VirtualWires;
+  readonly wires: StandInWires;
   readonly oracle: IngressOracle;
   readonly options: IngressWorldOptions;
+}
+
+/** What is shared in the simulator. */
+export interface IngressWorldParts extends StandInParts {
+  readonly clock: VirtualClock;
+  readonly wires: VirtualWires;
   readonly timing: Timing;
   /** Takes the line of a decision of a machine. */
   note(host: string, name: string, fields: DecisionFields): void;
--- /dev/null
+++ b/src/soak/link-proxy.ts
@@ -0,0 +1,146 @@
+/**
+ * @file A proxy on loopback in front of the links of one control machine, which delays, slows down, silences
+ * or resets them. It reads nothing of what it carries.
+ */
+import { connect, createServer, type Server, type Socket } from 'node:net';
+import { once } from 'node:events';
+import type { Address } from '../common/address.js';
+
+/** How the proxy treats what passes it. */
+export type ProxyMode =
+  | { readonly type: 'open' }
+  /** Nothing passes in one direction or in both, and nobody is told; new links are taken and lead nowhere. */
+  | { readonly type: 'silent'; readonly towards: 'machine' | 'others' | 'both' }
+  /** At most so many bytes a second pass in each direction of each link, after a delay. */
+  | { readonly type: 'slow'; readonly bytesPerS: number; readonly delayMs: number };
+
+/** A proxy in front of one machine. */
+export interface LinkProxy {
+  setMode(mode: ProxyMode): void;
+  /** Ends all links with a reset. */
+  resetAll(): void;
+  close(): Promise<void>;
+}
+
+const OPEN: ProxyMode = { type: 'open' };
+const MS_PER_SECOND = 1_000;
+/** What was held up is passed on in pieces, so often. */
+const STEP_MS = 20;
+/** A direction holds no more than this; the sender is held up then, as by a network. */
+const MAX_WAITING_BYTES = 256 * 1_024;
+
+type Towards = 'machine' | 'others';
+
+interface WaitingChunk {
+  readonly bytes: Buffer;
+  readonly atMs: number;
+}
+
+/** One direction of one link. */
+interface Pipe {
+  readonly from: Socket;
+  readonly to: Socket;
+  readonly towards: Towards;
+  waiting: WaitingChunk[];
+  waitingBytes: number;
+}
+
+/**
+ * Listens in front of a machine.
+ * @param at the address that others are told
+ * @param machine where the machine listens
+ * @returns the proxy; rejects where the address can't be bound
+ */
+export async function startLinkProxy(at: Address, machine: Address): Promise<LinkProxy> {
+  const pipes = new Set<Pipe>();
+  let mode: ProxyMode = OPEN;
+  const server = createServer((near) => join(near));
+  server.listen(at.port, at.host);
+  await once(server, 'listening');
+  const timer = setInterval(() => pipes.forEach(pass), STEP_MS);
+
+  return { setMode, resetAll, close };
+
+  function setMode(next: ProxyMode): void {
+    mode = next;
+    pipes.forEach(pass);
+  }
+
+  function resetAll(): void {
+    pipes.forEach(({ from }) => from.resetAndDestroy());
+  }
+
+  async function close(): Promise<void> {
+    clearInterval(timer);
+    resetAll();
+    await closeServer(server);
+  }
+
+  function join(near: Socket): void {
+    const far = connect(machine.port, machine.host);
+    const both: Pipe[] = [pipeOf(near, far, 'machine'), pipeOf(far, near, 'others')];
+    both.forEach((pipe) => pipes.add(pipe));
+    for (const socket of [near, far]) {
+      socket.setNoDelay(true);
+      socket.on('error', () => undefined);
+      socket.on('close', () => {
+        near.destroy();
+        far.destroy();
+        both.forEach((pipe) => pipes.delete(pipe));
+      });
+    }
+  }
+
+  function pipeOf(from: Socket, to: Socket, towards: Towards): Pipe {
+    const pipe: Pipe = { from, to, towards, waiting: [], waitingBytes: 0 };
+    from.on('data', (bytes: Buffer) => {
+      pipe.waiting.push({ bytes, atMs: performance.now() });
+      pipe.waitingBytes += bytes.length;
+      if (pipe.waitingBytes > MAX_WAITING_BYTES) {
+        from.pause();
+      }
+      if (mode.type === 'open') {
+        pass(pipe);
+      }
+    });
+    return pipe;
+  }
+
+  function pass(pipe: Pipe): void {
+    let budgetBytes = budgetOf(pipe);
+    const dueMs = performance.now() - (mode.type === 'slow' ? mode.delayMs : 0);
+    for (;;) {
+      const [chunk] = pipe.waiting;
+      if (chunk === undefined || budgetBytes <= 0 || chunk.atMs > dueMs) {
+        break;
+      }
+      const part = chunk.bytes.subarray(0, budgetBytes);
+      pipe.to.write(part);
+      budgetBytes -= part.length;
+      pipe.waitingBytes -= part.length;
+      pipe.waiting.shift();
+      if (part.length < chunk.bytes.length) {
+        pipe.waiting.unshift({ ...chunk, bytes: chunk.bytes.subarray(part.length) });
+      }
+    }
+    if (pipe.waitingBytes <= MAX_WAITING_BYTES && pipe.from.isPaused()) {
+      pipe.from.resume();
+    }
+  }
+
+  /** @returns how many bytes may pass in this step */
+  function budgetOf({ towards }: Pipe): number {
+    switch (mode.type) {
+      case 'open':
+        return Number.POSITIVE_INFINITY;
+      case 'silent':
+        return mode.towards === 'both' || mode.towards === towards ? 0 : Number.POSITIVE_INFINITY;
+      case 'slow':
+        return Math.ceil((mode.bytesPerS * STEP_MS) / MS_PER_SECOND);
+    }
+  }
+}
+
+async function closeServer(server: Server): Promise<void> {
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+}
--- /dev/null
+++ b/src/soak/run-soak.ts
@@ -0,0 +1,146 @@
+/**
+ * @file One soak: starts the deployment, brings the faults of a seed about while clients are served, lets it
+ * recover, and judges. Everything that is needed to look into it stays in one folder.
+ */
+import { mkdir, readFile, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { IngressOracle, IngressViolation } from '../sim/ingress/ingress-oracle.js';
+import { strike } from './soak-faults.js';
+import { drawSchedule, type SoakFault } from './soak-schedule.js';
+import { soakSizes, startSoakWorld, type SoakWorld } from './soak-world.js';
+
+/** What a soak does. */
+export interface SoakOptions {
+  readonly seed: number;
+  /** How long faults come, in milliseconds. */
+  readonly durationMs: number;
+  /** A folder that does not exist yet. */
+  readonly folder: string;
+}
+
+/** What came out of a soak. */
+export interface SoakVerdict {
+  readonly seed: number;
+  readonly violations: readonly IngressViolation[];
+  readonly servedRequests: number;
+  readonly failedRequests: number;
+  /** Faults by kind. */
+  readonly faults: Readonly<Record<string, number>>;
+  /** Processes that ended though nobody had asked for it, with the times that they did. */
+  readonly unaskedEnds: Readonly<Record<string, number>>;
+}
+
+/** The deployment must be at work within this time after its start, in milliseconds. */
+const START_LIMIT_MS = 30_000;
+const POLL_MS = 100;
+/** Service before the first fault, against which the recovery is measured, in milliseconds. */
+const MEASURED_MS = 5_000;
+/** After the last fault: the longest fault, and the time after which all bounds hold again. */
+const SETTLE_MS = 12_000;
+const LEAST_SERVED_SHARE = 0.25;
+
+/**
+ * Runs a soak.
+ * @returns the verdict; rejects where the deployment does not come to work at all
+ */
+export async function runSoak({ seed, durationMs, folder }: SoakOptions): Promise<SoakVerdict> {
+  await mkdir(folder, { recursive: true });
+  const world = await startSoakWorld(seed, folder);
+  try {
+    const { tolerableLosses, catchUpMs } = world.options;
+    const schedule = drawSchedule({
+      seed,
+      durationMs,
+      controlCount: soakSizes.controls,
+      balancerCount: soakSizes.balancers,
+      tolerableLosses,
+      catchUpMs,
+    });
+    await writeJson(folder, 'schedule.json', { seed, durationMs, schedule });
+    await untilReady(world);
+    const servedBefore = await serveFor(world, MEASURED_MS);
+    await strikeAll(world, schedule, durationMs);
+    await sleep(SETTLE_MS);
+    const servedAfter = await serveFor(world, MEASURED_MS);
+    const share = servedAfter / Math.max(1, servedBefore);
+    world.oracle.noteRecovery(share, LEAST_SERVED_SHARE, world.clock.nowMs);
+    await world.readBack();
+    await noteLeaders(world, folder);
+    const verdict = verdictOf(seed, world, schedule);
+    await writeJson(folder, 'verdict.json', verdict);
+    return verdict;
+  } finally {
+    await world.close();
+  }
+}
+
+async function untilReady(world: SoakWorld): Promise<void> {
+  world.operator.declareNext();
+  for (let waitedMs = 0; !world.isReady(); waitedMs += POLL_MS) {
+    if (waitedMs >= START_LIMIT_MS) {
+      throw new Error(`The deployment was not at work within ${START_LIMIT_MS} ms.`);
+    }
+    await sleep(POLL_MS);
+  }
+  world.startClients();
+}
+
+/** @returns how many requests were served in that time */
+async function serveFor(world: SoakWorld, forMs: number): Promise<number> {
+  const before = world.oracle.servedRequests;
+  await sleep(forMs);
+  return world.oracle.servedRequests - before;
+}
+
+async function strikeAll(
+  world: SoakWorld,
+  schedule: readonly SoakFault[],
+  durationMs: number,
+): Promise<void> {
+  for (const fault of schedule) {
+    world.clock.after(fault.atMs, () => strike(world, fault));
+  }
+  await sleep(durationMs);
+}
+
+/** Two leaders of one term are seen in the logs of control machines. */
+async function noteLeaders({ controls, oracle, clock }: SoakWorld, folder: string): Promise<void> {
+  for (const { process } of controls) {
+    const log = await readFile(join(folder, `${process.name}.log`), 'utf8');
+    noteLeadersOf(log, process.name, oracle, clock.nowMs);
+  }
+}
+
+/** Tells the oracle of each term that a log says its machine led in. */
+export function noteLeadersOf(
+  log: string,
+  name: string,
+  oracle: Pick<IngressOracle, 'noteLeader'>,
+  nowMs: number,
+): void {
+  for (const [, term] of log.matchAll(/ role role=leader term=(\d+)/g)) {
+    oracle.noteLeader(Number(term), name, nowMs);
+  }
+}
+
+function verdictOf(seed: number, world: SoakWorld, schedule: readonly SoakFault[]): SoakVerdict {
+  const faults: Record<string, number> = {};
+  for (const { kind } of schedule) {
+    faults[kind] = (faults[kind] ?? 0) + 1;
+  }
+  const processes = [...world.controls.map(({ process }) => process), ...world.balancers];
+  const ended = processes.filter(({ unaskedEnds }) => unaskedEnds > 0);
+  return {
+    seed,
+    violations: world.oracle.violations,
+    servedRequests: world.oracle.servedRequests,
+    failedRequests: world.clients.reduce((sum, client) => sum + client.failedRequests, 0),
+    faults,
+    unaskedEnds: Object.fromEntries(ended.map(({ name, unaskedEnds }) => [name, unaskedEnds])),
+  };
+}
+
+async function writeJson(folder: string, name: string, content: object): Promise<void> {
+  await writeFile(join(folder, name), `${JSON.stringify(content, undefined, 2)}\n`);
+}
--- /dev/null
+++ b/src/soak/soak-calls.ts
@@ -0,0 +1,92 @@
+/**
+ * @file The calls of stand-in back ends and operators, brought to real control machines over HTTP.
+ */
+import type { Address } from '../common/address.js';
+import { formatAddress } from '../common/address.js';
+import type { RandomSource } from '../common/step.js';
+import { sendJson, type JsonRequest, type JsonResponse } from '../daemon/http-json.js';
+import type { GroupCall } from '../daemon/group-process.js';
+import type { GroupReply } from '../group/group-events.js';
+import type { CallControl } from '../sim/ingress/stand-in-backend.js';
+
+const CALL_TIMEOUT_MS = 1_000;
+const HTTP_OK = 200;
+const HTTP_NOT_FOUND = 404;
+
+/** How calls find control machines. */
+export interface SoakCallsOptions {
+  readonly controlAddresses: readonly Address[];
+  readonly operatorToken: string;
+  readonly random: RandomSource;
+}
+
+/**
+ * @returns a function that brings each call to a control machine drawn by lot, never twice in a row to the
+ *   same for one caller, as the callers of the platform do; unanswered where that one does not answer
+ */
+export function createSoakCalls(options: SoakCallsOptions): CallControl {
+  const { controlAddresses, operatorToken, random } = options;
+  const lastOf = new Map<string, Address>();
+
+  return (fromHost, call, answer) => {
+    const to = pick(fromHost);
+    if (to === undefined) {
+      return;
+    }
+    void sendJson(requestFor(call, to, operatorToken)).map((response) => {
+      answer(replyOf(call, response));
+    });
+  };
+
+  function pick(fromHost: string): Address | undefined {
+    const last = lastOf.get(fromHost);
+    const others = controlAddresses.filter((address) => address !== last);
+    const to = others[random.nextInt(others.length)];
+    if (to !== undefined) {
+      lastOf.set(fromHost, to);
+    }
+    return to;
+  }
+}
+
+/** @returns the HTTP request of a call */
+export function requestFor(call: GroupCall, to: Address, operatorToken: string): JsonRequest {
+  const common = { to, timeoutMs: CALL_TIMEOUT_MS };
+  switch (call.type) {
+    case 'heartbeat': {
+      const { id, instanceNumber, address, ...record } = call.record;
+      const { isDraining } = call;
+      const body = { ...record, instance: instanceNumber, address: formatAddress(address) };
+      const path = `/v1/backends/${encodeURIComponent(id)}`;
+      return { ...common, method: 'PUT', path, body: { ...body, isDraining } };
+    }
+    case 'deregister':
+      return {
+        ...common,
+        method: 'DELETE',
+        path: `/v1/backends/${encodeURIComponent(call.backendId)}`,
+      };
+    case 'declare-config': {
+      const body: unknown = JSON.parse(call.document.text);
+      return { ...common, method: 'PUT', path: '/v1/config', body, bearerToken: operatorToken };
+    }
+    case 'read-config':
+      return { ...common, method: 'GET', path: '/v1/config', bearerToken: operatorToken };
+  }
+}
+
+/** @returns what the answer says of a call */
+export function replyOf(call: GroupCall, { status, body }: JsonResponse): GroupReply {
+  if (call.type === 'read-config' && (status === HTTP_OK || status === HTTP_NOT_FOUND)) {
+    return { type: 'config', document: status === HTTP_OK ? documentOf(body) : undefined };
+  }
+  return status === HTTP_OK
+    ? { type: 'accepted' }
+    : { type: 'unavailable', reason: `status ${status}` };
+}
+
+function documentOf(body: unknown): { readonly version: number; readonly text: string } {
+  const hasVersion = typeof body === 'object' && body !== null && 'version' in body;
+  const version = hasVersion && typeof body.version === 'number' ? body.version : 0;
+  return { version, text: JSON.stringify(body) };
+}
--- /dev/null
+++ b/src/soak/soak-clock.ts
@@ -0,0 +1,42 @@
+/**
+ * @file Real time for stand-ins, from 0 at the start of a soak, with timers that all end with it.
+ */
+import type { StandInClock } from '../sim/ingress/world-parts.js';
+
+/** A clock whose timers can be ended together. */
+export interface SoakClock extends StandInClock {
+  /** No timer runs any more. */
+  stop(): void;
+}
+
+/** @returns a clock that starts now */
+export function createSoakClock(): SoakClock {
+  const startedAtMs = performance.now();
+  const timers = new Set<NodeJS.Timeout>();
+  let isStopped = false;
+
+  return {
+    get nowMs() {
+      return performance.now() - startedAtMs;
+    },
+    after,
+    stop,
+  };
+
+  function after(delayMs: number, run: () => void): void {
+    if (isStopped) {
+      return;
+    }
+    const timer = setTimeout(() => {
+      timers.delete(timer);
+      run();
+    }, delayMs);
+    timers.add(timer);
+  }
+
+  function stop(): void {
+    isStopped = true;
+    timers.forEach((timer) => clearTimeout(timer));
+    timers.clear();
+  }
+}
--- /dev/null
+++ b/src/soak/soak-faults.ts
@@ -0,0 +1,150 @@
+/**
+ * @file Brings the faults of a schedule about, on processes, proxies and stand-ins, and ends them in time.
+ */
+import { rm } from 'node:fs/promises';
+import { match, P } from 'ts-pattern';
+import { SIMULATED_SERVICES } from '../sim/ingress/stand-in-operator.js';
+import type { ProxyMode } from './link-proxy.js';
+import type { SoakFault } from './soak-schedule.js';
+import type { SoakControl, SoakWorld } from './soak-world.js';
+
+/** A process that was killed is started again after this time at the least, in milliseconds. */
+const RESTART_MS = 300;
+/** How long after a start a process counts as disturbed: loading the program takes some of a second. */
+const START_MS = 1_500;
+const LOSS_SHARE = 0.03;
+const ACK_LOSS_SHARE = 0.6;
+const SLOW_LINK: ProxyMode = { type: 'slow', bytesPerS: 20_000, delayMs: 150 };
+const DIRECTIONS = ['machine', 'others', 'both'] as const;
+
+/** Brings a fault about; it ends by itself. */
+export function strike(world: SoakWorld, fault: SoakFault): void {
+  const { target, forMs } = fault;
+  const control = world.controls[target % world.controls.length];
+  const balancer = world.balancers[target % world.balancers.length];
+  if (control === undefined || balancer === undefined) {
+    return;
+  }
+  match(fault.kind)
+    .with('control-killed', () => loseControl(world, control, forMs, () => control.process.kill()))
+    .with('control-stopped', () =>
+      loseControl(world, control, forMs, () => control.process.terminate()),
+    )
+    .with('control-wiped', () => wipeControl(world, control, forMs))
+    .with('control-frozen', () => {
+      control.process.freeze();
+      endLater(world, forMs, () => control.process.wake());
+    })
+    .with('control-links-silent', () => {
+      const towards = DIRECTIONS[forMs % DIRECTIONS.length] ?? 'both';
+      changeLinks(world, control, { type: 'silent', towards }, forMs);
+    })
+    .with('control-links-slow', () => changeLinks(world, control, SLOW_LINK, forMs))
+    .with('control-links-reset', () => {
+      control.proxy.resetAll();
+      disturb(world, 0);
+    })
+    .with('all-controls-killed', () => {
+      world.controls.forEach((each) => {
+        loseControl(world, each, RESTART_MS, () => each.process.kill());
+      });
+    })
+    .with('balancer-killed', () => {
+      balancer.kill();
+      startLater(world, forMs, () => balancer.start());
+    })
+    .with('balancer-stopped', () => {
+      balancer.terminate();
+      startLater(world, forMs, () => balancer.start());
+    })
+    .with('balancer-frozen', () => {
+      balancer.freeze();
+      endLater(world, forMs, () => balancer.wake());
+    })
+    .with('config-changed', () => world.operator.declareNext())
+    .with('datagrams-lost', () => {
+      world.wires.lossShare = LOSS_SHARE;
+      endLater(world, forMs, () => (world.wires.lossShare = 0));
+    })
+    .with('acknowledgements-lost', () => {
+      world.operator.lostShare = ACK_LOSS_SHARE;
+      world.clock.after(forMs, () => (world.operator.lostShare = 0));
+    })
+    .with(P.union('backend-crashed', 'backend-leaves', 'backend-leaves-at-once'), (kind) =>
+      endBackend(world, kind),
+    )
+    .exhaustive();
+}
+
+function disturb(world: SoakWorld, forMs: number): void {
+  world.oracle.noteDisturbed(world.clock.nowMs + forMs);
+}
+
+function endLater(world: SoakWorld, forMs: number, end: () => void): void {
+  disturb(world, forMs);
+  world.clock.after(forMs, end);
+}
+
+/** A process that stops may take its time: it is started once it has ended. */
+function startLater(world: SoakWorld, forMs: number, start: () => void): void {
+  disturb(world, forMs + START_MS);
+  world.clock.after(forMs, start);
+}
+
+function loseControl(
+  world: SoakWorld,
+  { process }: SoakControl,
+  forMs: number,
+  lose: () => void,
+): void {
+  lose();
+  startLater(world, forMs, () => startOnceEnded(world, process));
+}
+
+function startOnceEnded(world: SoakWorld, process: SoakControl['process']): void {
+  if (process.isRunning) {
+    disturb(world, START_MS);
+    world.clock.after(RESTART_MS, () => startOnceEnded(world, process));
+  } else {
+    process.start();
+  }
+}
+
+function wipeControl(world: SoakWorld, control: SoakControl, forMs: number): void {
+  control.process.kill();
+  disturb(world, forMs + START_MS);
+  world.clock.after(forMs, () => {
+    void rm(control.dataFolder, { recursive: true, force: true }).then(() =>
+      startOnceEnded(world, control.process),
+    );
+  });
+}
+
+function changeLinks(
+  world: SoakWorld,
+  { proxy }: SoakControl,
+  mode: ProxyMode,
+  forMs: number,
+): void {
+  proxy.setMode(mode);
+  endLater(world, forMs, () => proxy.setMode({ type: 'open' }));
+}
+
+/** Another back end of the same service takes its place. */
+function endBackend(
+  world: SoakWorld,
+  kind: 'backend-crashed' | 'backend-leaves' | 'backend-leaves-at-once',
+): void {
+  const alive = world.backends.filter(({ isAlive }) => isAlive);
+  const backend = alive[0];
+  if (backend === undefined || alive.length <= SIMULATED_SERVICES.length) {
+    return;
+  }
+  world.addBackend(backend.identity.service);
+  if (kind === 'backend-crashed') {
+    backend.crash();
+    disturb(world, 0);
+  } else {
+    backend.leave(kind === 'backend-leaves', () => undefined);
+  }
+}
--- /dev/null
+++ b/src/soak/soak-schedule.ts
@@ -0,0 +1,138 @@
+/**
+ * @file What happens in a soak, and when: drawn from a seed alone, so that a run can be repeated. Control
+ * machines that are disturbed at the same time stay within what the deployment must bear.
+ */
+import { seededRandom } from '../common/random.js';
+import type { RandomSource } from '../common/step.js';
+
+/** What can happen to the processes and to what lies between them. */
+export const soakFaultKinds = [
+  'control-killed',
+  'control-stopped',
+  'control-frozen',
+  'control-wiped',
+  'control-links-silent',
+  'control-links-slow',
+  'control-links-reset',
+  'all-controls-killed',
+  'balancer-killed',
+  'balancer-stopped',
+  'balancer-frozen',
+  'backend-crashed',
+  'backend-leaves',
+  'backend-leaves-at-once',
+  'config-changed',
+  'datagrams-lost',
+  'acknowledgements-lost',
+] as const;
+
+/** One kind of fault. */
+export type SoakFaultKind = (typeof soakFaultKinds)[number];
+
+/** One fault. */
+export interface SoakFault {
+  /** Since the start of the clients, in milliseconds. */
+  readonly atMs: number;
+  readonly kind: SoakFaultKind;
+  /** Which process of its kind, from 0; of no meaning for faults of no single process. */
+  readonly target: number;
+  /** How long it lasts, in milliseconds; of no meaning for faults of a moment. */
+  readonly forMs: number;
+}
+
+/** What a schedule is drawn for. */
+export interface ScheduleOptions {
+  readonly seed: number;
+  /** Faults begin within this time, in milliseconds. */
+  readonly durationMs: number;
+  readonly controlCount: number;
+  readonly balancerCount: number;
+  /** Control machines that may be disturbed at once. */
+  readonly tolerableLosses: number;
+  /** A control machine counts as disturbed for so long after its fault, in milliseconds. */
+  readonly catchUpMs: number;
+}
+
+/** Mean time between two faults: several overlap at times, and quiet times of some seconds come about. */
+const MEAN_GAP_MS = 2_500;
+const SHORTEST_MS = 800;
+const SPREAD_MS = 3_500;
+/** Nothing strikes before: the first flows are open then. */
+const FIRST_FAULT_MS = 3_000;
+
+/** Faults of one control machine. */
+const OF_ONE_CONTROL: ReadonlySet<SoakFaultKind> = new Set<SoakFaultKind>([
+  'control-killed',
+  'control-stopped',
+  'control-frozen',
+  'control-wiped',
+  'control-links-silent',
+  'control-links-slow',
+  'control-links-reset',
+]);
+
+interface Disturbed {
+  readonly target: number;
+  readonly untilMs: number;
+}
+
+/**
+ * @returns the faults in the order in which they begin; the same for the same options
+ */
+export function drawSchedule(options: ScheduleOptions): SoakFault[] {
+  const random = seededRandom(options.seed);
+  const faults: SoakFault[] = [];
+  let disturbed: Disturbed[] = [];
+  let atMs = FIRST_FAULT_MS;
+  while (atMs < options.durationMs) {
+    const now = atMs;
+    disturbed = disturbed.filter(({ untilMs }) => untilMs > now);
+    const fault = drawFault(options, random, Math.round(atMs));
+    if (fits(fault, disturbed, options)) {
+      faults.push(fault);
+      disturbed.push(...disturbedBy(fault, options));
+    }
+    atMs += random.nextFloat() * 2 * MEAN_GAP_MS;
+  }
+  return faults;
+}
+
+/** @returns true where a fault is of one control machine */
+export function isOfOneControl(kind: SoakFaultKind): boolean {
+  return OF_ONE_CONTROL.has(kind);
+}
+
+function drawFault(
+  { controlCount, balancerCount }: ScheduleOptions,
+  random: RandomSource,
+  atMs: number,
+): SoakFault {
+  const kind = soakFaultKinds[random.nextInt(soakFaultKinds.length)] ?? 'config-changed';
+  const target = random.nextInt(kind.startsWith('balancer') ? balancerCount : controlCount);
+  const forMs = Math.round(SHORTEST_MS + random.nextFloat() * SPREAD_MS);
+  return { atMs, kind, target, forMs };
+}
+
+/** A fault that would disturb more than may be lost is left out. */
+function fits(
+  { kind, target }: SoakFault,
+  disturbed: readonly Disturbed[],
+  { tolerableLosses }: ScheduleOptions,
+): boolean {
+  if (kind === 'all-controls-killed') {
+    return disturbed.length === 0;
+  }
+  const isFree = disturbed.every((other) => other.target !== target);
+  return !isOfOneControl(kind) || (isFree && disturbed.length < tolerableLosses);
+}
+
+function disturbedBy(
+  { kind, target, atMs, forMs }: SoakFault,
+  { controlCount, catchUpMs }: ScheduleOptions,
+): Disturbed[] {
+  const untilMs = atMs + forMs + catchUpMs;
+  if (kind === 'all-controls-killed') {
+    return Array.from({ length: controlCount }, (_, index) => ({ target: index, untilMs }));
+  }
+  return isOfOneControl(kind) ? [{ target, untilMs }] : [];
+}
--- /dev/null
+++ b/test/soak/link-proxy.test.ts
@@ -0,0 +1,99 @@
+/** @file The proxy passes bytes on, holds them up in one direction, slows them down, and resets links. */
+import { once } from 'node:events';
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net';
+import t, { type Test } from 'tap';
+import { startLinkProxy, type LinkProxy } from '../../src/soak/link-proxy.js';
+
+const HOST = '127.0.0.1';
+
+interface Joined {
+  readonly proxy: LinkProxy;
+  readonly near: Socket;
+  readonly far: Socket;
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer().listen(0, HOST);
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+/** A link through a proxy to a server. */
+async function join(test: Test): Promise<Joined> {
+  const server = createServer().listen(0, HOST);
+  await once(server, 'listening');
+  const accepted = once(server, 'connection');
+  const at = { host: HOST, port: await freePort() };
+  const { port } = server.address() as AddressInfo;
+  const proxy = await startLinkProxy(at, { host: HOST, port });
+  const near = connect(at.port, at.host);
+  near.on('error', () => undefined);
+  const [far] = (await accepted) as [Socket];
+  far.on('error', () => undefined);
+  test.teardown(async () => {
+    near.destroy();
+    await proxy.close();
+    await new Promise((resolve) => server.close(resolve));
+  });
+  return { proxy, near, far };
+}
+
+/** @returns the next bytes of a socket as text */
+async function next(socket: Socket): Promise<string> {
+  const [bytes] = (await once(socket, 'data')) as [Buffer];
+  return bytes.toString();
+}
+
+t.test('bytes pass in both directions', async (t) => {
+  const { near, far } = await join(t);
+  near.write('there');
+  t.equal(await next(far), 'there');
+  far.write('back');
+  t.equal(await next(near), 'back');
+});
+
+t.test(
+  'what is held up in one direction does not hold up the other, and passes later',
+  async (t) => {
+    const { proxy, near, far } = await join(t);
+    const atFar: string[] = [];
+    far.on('data', (bytes: Buffer) => atFar.push(bytes.toString()));
+    proxy.setMode({ type: 'silent', towards: 'machine' });
+    near.write('held');
+    for (const word of ['one', 'two', 'three']) {
+      far.write(word);
+      t.equal(await next(near), word);
+    }
+    t.same(atFar, [], 'nothing has come while three answers went the other way');
+    proxy.setMode({ type: 'open' });
+    while (atFar.length === 0) {
+      await once(far, 'data');
+    }
+    t.equal(atFar.join(''), 'held');
+  },
+);
+
+t.test('a slow link loses nothing and keeps the order', async (t) => {
+  const { proxy, near, far } = await join(t);
+  proxy.setMode({ type: 'slow', bytesPerS: 40_000, delayMs: 5 });
+  const sent = Array.from({ length: 400 }, (_, at) => `${at} `).join('');
+  near.write(sent);
+  let received = '';
+  while (received.length < sent.length) {
+    received += await next(far);
+  }
+  t.equal(received, sent);
+});
+
+t.test('a reset ends the link at both ends', async (t) => {
+  const { proxy, near, far } = await join(t);
+  near.write('there');
+  await next(far);
+  const ends = [near, far].map(
+    (socket) => new Promise<void>((resolve) => socket.once('close', () => resolve())),
+  );
+  proxy.resetAll();
+  t.equal((await Promise.all(ends)).length, 2);
+});
