Spread balancers over the control machines of their zone, and say why a feed is left

Deployments with one control machine a zone are not touched by the change. Test first: 30 balancers in one zone with three control machines, ten for each.

--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -305,6 +305,7 @@
   private followFeed(nowMs: number): void {
     const action = this.source.act(nowMs);
     if (action.type === 'close') {
+      this.surroundings.packetLog.note('feed left', { why: action.why });
       this.controlLink?.close();
     } else if (action.type === 'connect') {
       this.subscribe(action.address);
--- a/src/ingress/feed-source.ts
+++ b/src/ingress/feed-source.ts
@@ -10,10 +10,21 @@
 /** Time before the next try, in milliseconds. */
 export const FEED_RETRY_AFTER_MS = 40;
 
+/** Why a link is closed from here. */
+export type LeavingReason =
+  /** It brought no first message in time. */
+  | 'no-feed'
+  /** It brings nothing any more. */
+  | 'silent'
+  /** The control machine says that it is not current. */
+  | 'not-current'
+  /** A control machine of the own zone may be had again. */
+  | 'returns-to-own-zone';
+
 /** What the owner of the link should do now. */
 export type FeedAction =
   | { readonly type: 'connect'; readonly address: Address }
-  | { readonly type: 'close' }
+  | { readonly type: 'close'; readonly why: LeavingReason }
   | { readonly type: 'wait' };
 
 /** Who looks for a control machine. */
@@ -143,15 +154,16 @@
   }
 
   private actLinked(link: LinkedControl, nowMs: number): FeedAction {
-    const isUseless = this.isUseless(link, nowMs);
-    if (isUseless) {
+    const fault = this.faultOf(link, nowMs);
+    if (fault !== undefined) {
       this.avoid(link.address, nowMs);
     }
-    if (!isUseless && !this.mayReturn(link, nowMs)) {
+    const why = fault ?? (this.mayReturn(link, nowMs) ? 'returns-to-own-zone' : undefined);
+    if (why === undefined) {
       return { type: 'wait' };
     }
     link.isLeft = true;
-    return { type: 'close' };
+    return { type: 'close', why };
   }
 
   /** A link to another zone is left once the balancer has been there for its time. */
@@ -164,11 +176,13 @@
     return !isNear && nowMs - sinceMs >= stayMs && this.nearest(nowMs) !== undefined;
   }
 
-  /** @returns a control machine of the own zone that did not fail lately */
+  /** @returns a control machine of the own zone that did not fail lately; balancers spread over them */
   private nearest(nowMs: number): Address | undefined {
-    return this.candidates.find(
-      ({ linkAddress, zone }) => zone === this.seeker.zone && !this.isAvoided(linkAddress, nowMs),
-    )?.linkAddress;
+    const { zone: ownZone, spread } = this.seeker;
+    const near = this.candidates.filter(
+      ({ linkAddress, zone }) => zone === ownZone && !this.isAvoided(linkAddress, nowMs),
+    );
+    return near[spread % near.length]?.linkAddress;
   }
 
   private nextInTurn(): Address | undefined {
@@ -189,13 +203,16 @@
     this.avoided.set(name, { untilMs: nowMs + avoidMs, avoidMs });
   }
 
-  private isUseless(link: LinkedControl, nowMs: number): boolean {
+  private faultOf(link: LinkedControl, nowMs: number): LeavingReason | undefined {
     const { sinceMs, heardAtMs, staleSinceMs, progressAtMs } = link;
     const { silentAfterMs, staleAfterMs, firstMessageAfterMs } = this.timing;
     if (heardAtMs === undefined) {
-      return nowMs - Math.max(sinceMs, progressAtMs) > firstMessageAfterMs;
+      const waitedMs = nowMs - Math.max(sinceMs, progressAtMs);
+      return waitedMs > firstMessageAfterMs ? 'no-feed' : undefined;
+    }
+    if (staleSinceMs !== undefined && nowMs - staleSinceMs >= staleAfterMs) {
+      return 'not-current';
     }
-    const isStale = staleSinceMs !== undefined && nowMs - staleSinceMs >= staleAfterMs;
-    return isStale || nowMs - Math.max(heardAtMs, progressAtMs) > silentAfterMs;
+    return nowMs - Math.max(heardAtMs, progressAtMs) > silentAfterMs ? 'silent' : undefined;
   }
 }
--- a/test/ingress/feed-source.test.ts
+++ b/test/ingress/feed-source.test.ts
@@ -126,3 +126,43 @@
   }
   t.equal(source.act(6_000).type, 'close', 'and is once that ends');
 });
+
+t.test('balancers of a zone with several control machines spread over them', async (t) => {
+  const inOneZone = CONTROLS.map((linkAddress) => ({ linkAddress, zone: 'zone-b' }));
+  const chosen = Array.from({ length: 30 }, (_, spread) => {
+    const source = new FeedSource({ seeds: [], zone: 'zone-b', spread }, widestTiming.feed);
+    source.takeControls(inOneZone);
+    const action = source.act(0);
+    return action.type === 'connect' ? action.address.host : undefined;
+  });
+  for (const { host } of CONTROLS) {
+    t.equal(chosen.filter((other) => other === host).length, 10, host);
+  }
+});
+
+t.test('a link that is closed from here says why', async (t) => {
+  const seeker = { seeds: CONTROLS, zone: 'zone-b', spread: 0 };
+  const closeAfter = (prepare: (source: FeedSource) => void, nowMs: number) => {
+    const source = new FeedSource(seeker, widestTiming.feed);
+    source.act(0);
+    prepare(source);
+    return source.act(nowMs);
+  };
+  t.same(
+    closeAfter(() => undefined, 2_000),
+    { type: 'close', why: 'no-feed' },
+  );
+  t.same(
+    closeAfter((source) => source.heard(true, 0), 2_000),
+    { type: 'close', why: 'silent' },
+  );
+  t.same(
+    closeAfter((source) => source.heard(false, 0), 500),
+    { type: 'close', why: 'not-current' },
+  );
+  const current = (source: FeedSource) => {
+    source.takeControls(zoned);
+    source.heard(true, 2_900);
+  };
+  t.same(closeAfter(current, 3_000), { type: 'close', why: 'returns-to-own-zone' });
+});
