--- a/src/sim/scenarios/index.ts
+++ b/src/sim/scenarios/index.ts
@@ -5,6 +5,7 @@
 import { badBackends } from './backend-scenarios.js';
 import { chaos, controlFaults } from './fault-scenarios.js';
 import { cutOffHour } from './long-scenarios.js';
+import { lostZone } from './loss-scenarios.js';
 import { operatorsRace } from './operator-scenarios.js';
 import { drain, quiet, rollingRestart } from './planned-scenarios.js';
 import type { Scenario } from './scenario.js';
@@ -21,8 +22,8 @@
   chaos,
 ];
 
-/** Scenarios that take too long to be run by turns. */
-export const longScenarios: readonly Scenario[] = [cutOffHour];
+/** Scenarios that take too long to be run by turns, or that show an open finding (docs/FINDINGS.md). */
+export const longScenarios: readonly Scenario[] = [cutOffHour, lostZone];
 
 /**
  * @returns the scenario of that name, or undefined
--- a/src/sim/scenarios/operator-changes.ts
+++ b/src/sim/scenarios/operator-changes.ts
@@ -30,7 +30,10 @@
   }
 }
 
-function changePolicy({ world, random }: ScenarioScope): void {
+/**
+ * An operator changes how the flows of one of their services are placed.
+ */
+export function changePolicy({ world, random }: ScenarioScope): void {
   const service = pick(random, world.plan.services);
   const policy = pick(random, POLICIES);
   if (service !== undefined && policy !== undefined) {
