Split the columns of a feed from their translation, and name the link's rate in the product's own words

The setting of amberlift ingress is linkRateMbps; the platform's name of the same stays in platform/. No change of what is done.

--- a/src/cli/ingress.ts
+++ b/src/cli/ingress.ts
@@ -53,7 +53,7 @@
       packetAddress,
       peerAddress,
       controlSeeds: settings.controlSeeds,
-      linkBytesPerMs: bytesPerMsOf(settings.linkMbps),
+      linkBytesPerMs: bytesPerMsOf(settings.linkRateMbps),
     },
     tokenPacketCodec,
   );
--- a/src/common/bandwidth.ts
+++ b/src/common/bandwidth.ts
@@ -6,9 +6,9 @@
 const BYTES_PER_MS_OF_MBPS = 125;
 
 /**
- * @param linkMbps megabits a second; undefined where it is not known
+ * @param linkRateMbps megabits a second; undefined where it is not known
  * @returns the same in bytes a millisecond
  */
-export function bytesPerMsOf(linkMbps: number | undefined): number | undefined {
-  return linkMbps === undefined ? undefined : linkMbps * BYTES_PER_MS_OF_MBPS;
+export function bytesPerMsOf(linkRateMbps: number | undefined): number | undefined {
+  return linkRateMbps === undefined ? undefined : linkRateMbps * BYTES_PER_MS_OF_MBPS;
 }
--- a/src/group/feed-codec.ts
+++ b/src/group/feed-codec.ts
@@ -3,93 +3,26 @@
  * sorted numbers as differences. A whole state takes a sixth of what the messages take field by field, which
  * is what decides how long a link of a few megabits needs for it.
  */
-import * as z from 'zod/mini';
 import { packHost, unpackHost, type Address } from '../common/address.js';
-import { indexShape as index, textShape as text } from '../consensus/message-shapes.js';
 import type { ConfigPart, RouteChange } from '../declared/config-update.js';
 import type { WeightedTarget } from '../declared/declared-config.js';
-import { NUMBERS_PER_LOAD } from '../load-exchange/backend-load.js';
-import type { Liveness } from '../registry/backend-liveness.js';
-import type { DepartureKind } from '../registry/backend-record.js';
-import type {
-  AgedRecord,
-  BalancerInfo,
-  ControlInfo,
-  FeedMessage,
-  FeedTransfer,
-} from './group-messages.js';
+import type { AgedRecord, BalancerInfo, ControlInfo, FeedMessage } from './group-messages.js';
+import {
+  DEPARTURES,
+  DROPPED,
+  INSTANCE_BYTES,
+  LIVENESS,
+  parsePackedFeed,
+  TRANSFERS,
+  type PackedAddresses,
+  type PackedBalancers,
+  type PackedConfig,
+  type PackedControls,
+  type PackedFeed,
+  type PackedRecords,
+} from './packed-feed.js';
 
-/** Room for the largest fleet in one message, against senders that went astray. */
-const MAX_ITEMS = 50_000;
 const PORT_VALUES = 65_536;
-const INSTANCE_BYTES = 8;
-/** Stands for a route that is dropped, in the column of target lists. */
-const DROPPED = 0;
-const LIVENESS: readonly Liveness[] = ['heard', 'silent', 'dead'];
-const DEPARTURES: readonly DepartureKind[] = ['draining', 'gone'];
-const TRANSFERS: readonly FeedTransfer[] = ['begins', 'goes-on', 'ends', 'whole'];
-
-const numbers = z.array(z.int()).check(z.maxLength(MAX_ITEMS));
-const indexes = z.array(index).check(z.maxLength(MAX_ITEMS));
-const texts = z.array(text).check(z.maxLength(MAX_ITEMS));
-const addresses = z.object({ hosts: texts, hostOf: indexes, ports: indexes });
-
-const packedRecords = z.object({
-  ids: texts,
-  instances: z.instanceof(Uint8Array),
-  names: texts,
-  services: indexes,
-  zones: indexes,
-  addresses,
-  capacities: z.array(z.number().check(z.nonnegative())),
-  warmUps: z.array(z.number().check(z.nonnegative())),
-  sequences: z.array(z.number().check(z.nonnegative())),
-  ages: numbers,
-});
-const packedBalancers = z.object({ ids: texts, names: texts, zones: indexes, addresses });
-const packedControls = z.object({ names: texts, zones: indexes, addresses });
-const packedConfig = z.object({
-  version: index,
-  base: index,
-  idleMs: z.number().check(z.nonnegative()),
-  first: index,
-  count: index,
-  /** Host and port as one number each, but for the first as the difference from the one before. */
-  keys: numbers,
-  names: texts,
-  /** Lists of targets: a service and a weight by turns. */
-  lists: z.array(z.array(z.number().check(z.nonnegative()))),
-  /** Which list a route has, from 1; `DROPPED` for none. */
-  listOf: indexes,
-});
-const loads = z.array(index).check(
-  z.maxLength(MAX_ITEMS),
-  z.refine((packed) => packed.length % NUMBERS_PER_LOAD === 0, 'An entry is cut short.'),
-);
-const judgements = z.object({ ids: texts, kinds: indexes, silentMs: indexes });
-const departures = z.object({ ids: texts, kinds: indexes });
-
-const packedFeed = z.object({
-  type: z.literal('feed'),
-  isCurrent: z.boolean(),
-  isComplete: z.boolean(),
-  isCounted: z.boolean(),
-  transfer: z.optional(index),
-  records: z.optional(packedRecords),
-  judgements: z.optional(judgements),
-  departures: z.optional(departures),
-  balancers: z.optional(packedBalancers),
-  lost: z.optional(texts),
-  controls: z.optional(packedControls),
-  config: z.optional(packedConfig),
-  loads: z.optional(loads),
-});
-
-/** A feed message as it travels. */
-export type PackedFeed = z.infer<typeof packedFeed>;
-type PackedRecords = z.infer<typeof packedRecords>;
-type PackedAddresses = z.infer<typeof addresses>;
-type PackedConfig = z.infer<typeof packedConfig>;
 
 /** @returns the form in which a message travels */
 export function packFeed(message: FeedMessage): PackedFeed {
@@ -126,13 +59,13 @@
  * @returns the message that travelled, or undefined where the value is none; never throws
  */
 export function unpackFeed(value: unknown): FeedMessage | undefined {
-  const parsed = packedFeed.safeParse(value);
-  if (!parsed.success || !hasEqualColumns(parsed.data)) {
+  const packed = parsePackedFeed(value);
+  if (packed === undefined) {
     return undefined;
   }
-  const { isCurrent, isComplete, isCounted, loads: packedLoads, lost } = parsed.data;
-  const { records, judgements: judged, departures: left, balancers, controls } = parsed.data;
-  const { transfer, config } = parsed.data;
+  const { isCurrent, isComplete, isCounted, loads: packedLoads, lost } = packed;
+  const { records, judgements: judged, departures: left, balancers, controls } = packed;
+  const { transfer, config } = packed;
   const message: FeedMessage = {
     type: 'feed',
     isCurrent,
@@ -235,7 +168,7 @@
   names,
   zones,
   addresses: packed,
-}: z.infer<typeof packedBalancers>): BalancerInfo[] {
+}: PackedBalancers): BalancerInfo[] {
   return ids.map((name, at) => ({
     name,
     zone: names[zones[at] ?? 0] ?? '',
@@ -250,7 +183,7 @@
   return { names: names.names(), zones, addresses: packAddresses(linkAddresses) };
 }
 
-function unpackControls({ names, zones, addresses: packed }: z.infer<typeof packedControls>) {
+function unpackControls({ names, zones, addresses: packed }: PackedControls) {
   return zones.map((number, at): ControlInfo => {
     const zone = names[number] ?? '';
     return { linkAddress: addressAt(packed, at), ...(zone !== '' && { zone }) };
@@ -315,47 +248,3 @@
     changeCount: count,
   };
 }
-
-/** Each column of a table must say as much as the others, and name only what is there. */
-function hasEqualColumns(feed: PackedFeed): boolean {
-  const { records, balancers, controls, config } = feed;
-  return [
-    records === undefined || isWholeRecords(records),
-    balancers === undefined ||
-      (isWholeAddresses(balancers.addresses, balancers.ids.length) &&
-        isColumn(balancers.zones, balancers.ids.length, balancers.names.length)),
-    controls === undefined ||
-      (isWholeAddresses(controls.addresses, controls.zones.length) &&
-        isColumn(controls.zones, controls.zones.length, controls.names.length)),
-    config === undefined || isColumn(config.listOf, config.keys.length, config.lists.length + 1),
-    feed.judgements === undefined ||
-      (isColumn(feed.judgements.kinds, feed.judgements.ids.length, LIVENESS.length) &&
-        feed.judgements.silentMs.length === feed.judgements.ids.length),
-    feed.departures === undefined ||
-      isColumn(feed.departures.kinds, feed.departures.ids.length, DEPARTURES.length),
-    feed.transfer === undefined || feed.transfer < TRANSFERS.length,
-  ].every(Boolean);
-}
-
-function isWholeRecords(packed: PackedRecords): boolean {
-  const { ids, names, instances, services, zones } = packed;
-  const { length } = ids;
-  return (
-    instances.length === length * INSTANCE_BYTES &&
-    isColumn(services, length, names.length) &&
-    isColumn(zones, length, names.length) &&
-    isWholeAddresses(packed.addresses, length) &&
-    [packed.capacities, packed.warmUps, packed.sequences, packed.ages].every(
-      (column) => column.length === length,
-    )
-  );
-}
-
-function isWholeAddresses({ hosts, hostOf, ports }: PackedAddresses, length: number): boolean {
-  return ports.length === length && isColumn(hostOf, length, hosts.length);
-}
-
-/** @returns true where a column has an entry for each row, and each entry names one of `count` things */
-function isColumn(column: readonly number[], length: number, count: number): boolean {
-  return column.length === length && column.every((entry) => entry < count);
-}
--- /dev/null
+++ b/src/group/packed-feed.ts
@@ -0,0 +1,144 @@
+/**
+ * @file The columns in which a feed travels, and whether they fit each other: nothing of a message is
+ * believed before.
+ */
+import * as z from 'zod/mini';
+import { indexShape as index, textShape as text } from '../consensus/message-shapes.js';
+import { NUMBERS_PER_LOAD } from '../load-exchange/backend-load.js';
+import type { Liveness } from '../registry/backend-liveness.js';
+import type { DepartureKind } from '../registry/backend-record.js';
+import type { FeedTransfer } from './group-messages.js';
+
+/** Room for the largest fleet in one message, against senders that went astray. */
+const MAX_ITEMS = 50_000;
+/** Bytes of the number by which datagrams name a start of a back end. */
+export const INSTANCE_BYTES = 8;
+/** Stands for a route that is dropped, in the column of target lists. */
+export const DROPPED = 0;
+/** Kinds by their numbers. */
+export const LIVENESS: readonly Liveness[] = ['heard', 'silent', 'dead'];
+/** Kinds by their numbers. */
+export const DEPARTURES: readonly DepartureKind[] = ['draining', 'gone'];
+/** Kinds by their numbers. */
+export const TRANSFERS: readonly FeedTransfer[] = ['begins', 'goes-on', 'ends', 'whole'];
+
+const numbers = z.array(z.int()).check(z.maxLength(MAX_ITEMS));
+const indexes = z.array(index).check(z.maxLength(MAX_ITEMS));
+const texts = z.array(text).check(z.maxLength(MAX_ITEMS));
+const addresses = z.object({ hosts: texts, hostOf: indexes, ports: indexes });
+
+const packedRecords = z.object({
+  ids: texts,
+  instances: z.instanceof(Uint8Array),
+  names: texts,
+  services: indexes,
+  zones: indexes,
+  addresses,
+  capacities: z.array(z.number().check(z.nonnegative())),
+  warmUps: z.array(z.number().check(z.nonnegative())),
+  sequences: z.array(z.number().check(z.nonnegative())),
+  ages: numbers,
+});
+const packedBalancers = z.object({ ids: texts, names: texts, zones: indexes, addresses });
+const packedControls = z.object({ names: texts, zones: indexes, addresses });
+const packedConfig = z.object({
+  version: index,
+  base: index,
+  idleMs: z.number().check(z.nonnegative()),
+  first: index,
+  count: index,
+  /** Host and port as one number each, but for the first as the difference from the one before. */
+  keys: numbers,
+  names: texts,
+  /** Lists of targets: a service and a weight by turns. */
+  lists: z.array(z.array(z.number().check(z.nonnegative()))),
+  /** Which list a route has, from 1; `DROPPED` for none. */
+  listOf: indexes,
+});
+const loads = z.array(index).check(
+  z.maxLength(MAX_ITEMS),
+  z.refine((packed) => packed.length % NUMBERS_PER_LOAD === 0, 'An entry is cut short.'),
+);
+const judgements = z.object({ ids: texts, kinds: indexes, silentMs: indexes });
+const departures = z.object({ ids: texts, kinds: indexes });
+
+const packedFeed = z.object({
+  type: z.literal('feed'),
+  isCurrent: z.boolean(),
+  isComplete: z.boolean(),
+  isCounted: z.boolean(),
+  transfer: z.optional(index),
+  records: z.optional(packedRecords),
+  judgements: z.optional(judgements),
+  departures: z.optional(departures),
+  balancers: z.optional(packedBalancers),
+  lost: z.optional(texts),
+  controls: z.optional(packedControls),
+  config: z.optional(packedConfig),
+  loads: z.optional(loads),
+});
+
+/** A feed message as it travels. */
+export type PackedFeed = z.infer<typeof packedFeed>;
+/** Back ends in columns. */
+export type PackedRecords = z.infer<typeof packedRecords>;
+/** Addresses in columns. */
+export type PackedAddresses = z.infer<typeof addresses>;
+/** Balancers in columns. */
+export type PackedBalancers = z.infer<typeof packedBalancers>;
+/** Control machines in columns. */
+export type PackedControls = z.infer<typeof packedControls>;
+/** Changes of routes in columns. */
+export type PackedConfig = z.infer<typeof packedConfig>;
+
+/**
+ * @returns the packed message that a value is, or undefined where it is none; never throws
+ */
+export function parsePackedFeed(value: unknown): PackedFeed | undefined {
+  const parsed = packedFeed.safeParse(value);
+  return parsed.success && hasEqualColumns(parsed.data) ? parsed.data : undefined;
+}
+
+/** Each column of a table must say as much as the others, and name only what is there. */
+function hasEqualColumns(feed: PackedFeed): boolean {
+  const { records, balancers, controls, config } = feed;
+  return [
+    records === undefined || isWholeRecords(records),
+    balancers === undefined ||
+      (isWholeAddresses(balancers.addresses, balancers.ids.length) &&
+        isColumn(balancers.zones, balancers.ids.length, balancers.names.length)),
+    controls === undefined ||
+      (isWholeAddresses(controls.addresses, controls.zones.length) &&
+        isColumn(controls.zones, controls.zones.length, controls.names.length)),
+    config === undefined || isColumn(config.listOf, config.keys.length, config.lists.length + 1),
+    feed.judgements === undefined ||
+      (isColumn(feed.judgements.kinds, feed.judgements.ids.length, LIVENESS.length) &&
+        feed.judgements.silentMs.length === feed.judgements.ids.length),
+    feed.departures === undefined ||
+      isColumn(feed.departures.kinds, feed.departures.ids.length, DEPARTURES.length),
+    feed.transfer === undefined || feed.transfer < TRANSFERS.length,
+  ].every(Boolean);
+}
+
+function isWholeRecords(packed: PackedRecords): boolean {
+  const { ids, names, instances, services, zones } = packed;
+  const { length } = ids;
+  return (
+    instances.length === length * INSTANCE_BYTES &&
+    isColumn(services, length, names.length) &&
+    isColumn(zones, length, names.length) &&
+    isWholeAddresses(packed.addresses, length) &&
+    [packed.capacities, packed.warmUps, packed.sequences, packed.ages].every(
+      (column) => column.length === length,
+    )
+  );
+}
+
+function isWholeAddresses({ hosts, hostOf, ports }: PackedAddresses, length: number): boolean {
+  return ports.length === length && isColumn(hostOf, length, hosts.length);
+}
+
+/** @returns true where a column has an entry for each row, and each entry names one of `count` things */
+function isColumn(column: readonly number[], length: number, count: number): boolean {
+  return column.length === length && column.every((entry) => entry < count);
+}
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -75,7 +75,7 @@
     .min(1)
     .describe('Link addresses of control machines; the others are learned from them.'),
   memoryMb: positive.optional().describe('What the process may take, in megabytes.'),
-  linkMbps: positive
+  linkRateMbps: positive
     .optional()
     .describe(
       'What the link of the machine carries, in megabits a second; packets are paced to it.',
