--- a/src/sim/ingress/stand-in-operator.ts
+++ b/src/sim/ingress/stand-in-operator.ts
@@ -16,6 +16,8 @@
 const ROUTE_HOST = '198.18.0.1';
 const FIRST_PORT = 443;
 const ROUTE_COUNT = 3;
+/** Idle routes lie on so many hosts, a few ports on each. */
+const IDLE_HOSTS = 200;
 
 /** The services of the simulated deployment. */
 export const SIMULATED_SERVICES = ['alpha', 'beta'] as const;
@@ -24,6 +26,8 @@
 export class StandInOperator {
   /** Share of acknowledgements that are lost on their way. */
   lostShare = 0;
+  /** Routes that no client uses, in configurations from now on. */
+  idleRouteCount = 0;
   private version = 0;
   private config: DeclaredConfig | undefined;
   /** Newest version that gives a route to a service. */
@@ -36,9 +40,10 @@
     this.readAgain();
   }
 
-  /** The routes of the newest configuration that was sent. */
+  /** The routes of the newest configuration that was sent, without those that nobody uses. */
   routes(): readonly Address[] {
-    return (this.config?.routes ?? []).map(({ host, port }) => ({ host, port }));
+    const inUse = (this.config?.routes ?? []).slice(0, ROUTE_COUNT);
+    return inUse.map(({ host, port }) => ({ host, port }));
   }
 
   newestVersion(route: string, service: string): number {
@@ -82,6 +87,7 @@
       };
     });
     const services = SIMULATED_SERVICES.map((name) => ({ name }));
+    routes.push(...Array.from({ length: this.idleRouteCount }, (_, index) => idleRoute(index)));
     return { version, routes, services, idleTimeoutMs: IDLE_TIMEOUT_MS };
   }
 
@@ -124,3 +130,14 @@
     });
   }
 }
+
+function idleRoute(index: number): DeclaredRoute {
+  return {
+    name: `idle-${index}`,
+    host: `198.19.0.${1 + (index % IDLE_HOSTS)}`,
+    port: FIRST_PORT + Math.floor(index / IDLE_HOSTS),
+    targets: [{ service: SIMULATED_SERVICES[0], weight: 1 }],
+    kind: 'repeatable',
+    timeoutMs: REQUEST_TIMEOUT_MS,
+  };
+}
--- a/src/sim/ingress/virtual-wires.ts
+++ b/src/sim/ingress/virtual-wires.ts
@@ -6,6 +6,7 @@
 import { encodeFrame } from '../../common/frame-codec.js';
 import type { RandomSource } from '../../common/step.js';
 import type { VirtualClock } from '../virtual-clock.js';
+import { createStreamQueue, type StreamQueue, type Transfer } from './stream-queue.js';
 
 const DELAY_MS = 0.5;
 const JITTER_MS = 0.5;
@@ -34,6 +35,8 @@
   heardAtMs: number;
   /** When the last message from here arrives, so that messages stay in order. */
   arrivesAtMs: number;
+  /** What was sent from here and passes limited links of hosts. */
+  transfers: Transfer[];
 }
 
 /** What the link of a host carries outwards; datagrams that do not fit into its queue are lost. */
@@ -47,6 +50,11 @@
   freeAtMs: number;
 }
 
+interface HostStreams {
+  readonly out: StreamQueue;
+  readonly in: StreamQueue;
+}
+
 /** Hears of everything that is sent, for measurements; a link ends where its other end is. */
 export type SendObserver = (fromHost: string, toHost: string, sentBytes: number) => void;
 
@@ -61,6 +69,8 @@
   private readonly dead = new Set<string>();
   private readonly ends = new Set<LinkEnd>();
   private readonly limits = new Map<string, LimitedLink>();
+  /** What links of processes carry out of a host and into it, by host. */
+  private readonly streams = new Map<string, HostStreams>();
   /** Datagrams that were lost on a full link. */
   lostOnFullLinks = 0;
 
@@ -137,6 +147,14 @@
     this.limits.set(host, { ...limit, freeAtMs: this.clock.nowMs });
   }
 
+  /** Gives the links of processes on a host a bandwidth in each direction; what does not fit waits. */
+  limitStreams(host: string, bytesPerMs: number): void {
+    this.streams.set(host, {
+      out: createStreamQueue(bytesPerMs),
+      in: createStreamQueue(bytesPerMs),
+    });
+  }
+
   /** @returns how long bytes take to leave a host; undefined where its queue has no room for them */
   private queueOn(host: string, bytes: number): number | undefined {
     const limit = this.limits.get(host);
@@ -183,6 +201,7 @@
       isOpen: true,
       heardAtMs: this.clock.nowMs,
       arrivesAtMs: 0,
+      transfers: [],
       send: (message) => this.sendOn(end, message),
       close: () => this.drop(end, true, 'Closed here.'),
     };
@@ -192,7 +211,8 @@
 
   private sendOn(end: LinkEnd, message: object): number {
     const bytes = encodeFrame(message).length;
-    const arrivesAtMs = Math.max(end.arrivesAtMs, this.clock.nowMs + 2 * this.delayMs());
+    const passedAtMs = this.passStreams(end, bytes);
+    const arrivesAtMs = Math.max(end.arrivesAtMs, passedAtMs + 2 * this.delayMs());
     end.arrivesAtMs = arrivesAtMs;
     this.clock.after(arrivesAtMs - this.clock.nowMs, () => {
       const { peer } = end;
@@ -208,11 +228,31 @@
     return bytes;
   }
 
+  /** @returns when a message has passed the limited links of both hosts */
+  private passStreams(end: LinkEnd, bytes: number): number {
+    const { nowMs } = this.clock;
+    const out = this.streams.get(end.host)?.out;
+    const into = end.peer === undefined ? undefined : this.streams.get(end.peer.host)?.in;
+    end.transfers = end.transfers.filter(({ doneAtMs }) => doneAtMs > nowMs);
+    let passedAtMs = nowMs;
+    for (const queue of [out, into]) {
+      if (queue !== undefined) {
+        const transfer = queue.take(bytes, passedAtMs);
+        end.transfers.push(transfer);
+        passedAtMs = transfer.doneAtMs;
+      }
+    }
+    return passedAtMs;
+  }
+
   private drop(end: LinkEnd, tells: boolean, reason: string): void {
     if (!end.isOpen) {
       return;
     }
     end.isOpen = false;
+    for (const { transfers } of end.peer === undefined ? [end] : [end, end.peer]) {
+      transfers.forEach((transfer) => transfer.giveUp(this.clock.nowMs));
+    }
     this.ends.delete(end);
     const { peer } = end;
     if (peer?.isOpen === true && this.reaches(end.host, peer.host)) {
