Take a back end whose address another one holds for dead, also when a late heartbeat of it comes

Cause: heartbeats were judged by the ID alone. A back end that crashed and whose address the next one took over counted as heard until 2.5 intervals had passed, and again for as long with each heartbeat that a cut had held up. New flows placed on it get no answer.

Now the newcomer holds the address. What the replicated list says gives way to what was heard.

The simulator gets two faults, a back end that starts again at its address and links that go silent for good.

--- a/src/group/balancer-feed.ts
+++ b/src/group/balancer-feed.ts
@@ -274,8 +274,8 @@
 function partsOf(state: GroupState, news: FeedNews, nowMs: number): FeedParts {
   const { registered, judged, departed, balancers, areControlsChanged } = news;
   const records = [...registered].flatMap((id) => agedRecordOf(state, id, nowMs));
-  const judgements = [...judged].flatMap((id) =>
-    registered.has(id) ? [] : judgementOf(state, id, nowMs),
+  const judgements = [...new Set([...judged, ...registered])].flatMap((id) =>
+    isTellingByAge(state, registered, id) ? [] : judgementOf(state, id, nowMs),
   );
   const departures = [...departed].flatMap((id) => departureOf(state, id));
   const { publishedBalancers } = state;
@@ -311,12 +311,18 @@
     : [{ record: known.record, ageMs: silenceOf(state, known.heardAtMs, nowMs) }];
 }
 
+/** The age of a record tells how it is judged, but for one whose address another one holds. */
+function isTellingByAge(state: GroupState, registered: ReadonlySet<string>, id: string): boolean {
+  return registered.has(id) && !state.registry.isSuperseded(id);
+}
+
 function judgementOf(state: GroupState, backendId: string, nowMs: number): BackendJudgement[] {
   const known = state.registry.get(backendId);
   if (known === undefined) {
     return [];
   }
-  const { liveness, heardAtMs } = known;
+  const { heardAtMs } = known;
+  const liveness = state.registry.isSuperseded(backendId) ? 'dead' : known.liveness;
   return [{ backendId, liveness, silentMs: silenceOf(state, heardAtMs, nowMs) }];
 }
 
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -224,7 +224,7 @@
     options,
     consensus,
     replicated,
-    registry: new HeartbeatRegistry(),
+    registry: new HeartbeatRegistry(options.heartbeatIntervalMs),
     clusterId: clusterIdOf(options.seeds),
     waiting: new Map(),
     answers: new Map(),
--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -124,6 +124,7 @@
     address: formatAddress(address),
     capacity,
     warmUpLeftMs,
+    supersedes: state.registry.holderOf(address),
   };
   return [{ type: 'decision', name: 'backend registered', fields }];
 }
--- a/src/group/registry-duties.ts
+++ b/src/group/registry-duties.ts
@@ -57,7 +57,7 @@
     seedRegistry(state, nowMs);
   }
   const { listeningSinceMs } = state;
-  const judgements = registry.judge(nowMs, listeningSinceMs, options.heartbeatIntervalMs);
+  const judgements = registry.judge(nowMs, listeningSinceMs);
   judgements.forEach(({ backendId }) => state.news.judged.add(backendId));
 }
 
@@ -101,7 +101,8 @@
   for (const registered of state.replicated.allBackends()) {
     const record = { ...registered, warmUpLeftMs: 0 };
     if (state.registry.get(record.id) === undefined) {
-      takeRecord(state, { record, ageMs }, nowMs);
+      state.registry.takeListed(record, nowMs - ageMs);
+      state.news.registered.add(record.id);
     }
   }
 }
--- /dev/null
+++ b/src/registry/address-holders.ts
@@ -0,0 +1,123 @@
+/**
+ * @file Which start of a back end an address belongs to. A back end that crashes says nothing, and the next
+ * one may start at its address before its silence is noticed; a heartbeat that a cut held up may even come
+ * after the next one's first. New flows for the one that is gone would get no answer.
+ *
+ * The newcomer holds the address at once. One that is superseded holds it again only by heartbeats that go
+ * on while the holder's do not: what was held up on the network comes once, a process goes on.
+ */
+import { formatAddress, type Address } from '../common/address.js';
+
+/** Who holds which address. */
+export interface AddressHolders {
+  /** Takes a heartbeat. */
+  noteHeartbeat(id: string, address: Address, heardAtMs: number): void;
+  /**
+   * Takes a back end of the replicated list, which is in the order in which back ends were first heard of. It
+   * gives way to any that was heard here.
+   */
+  noteListed(id: string, address: Address): void;
+  /** @returns true where another one holds its address */
+  isSuperseded(id: string): boolean;
+  /** @returns who holds an address */
+  holderOf(address: Address): string | undefined;
+  /** Forgets a back end. */
+  forget(id: string): void;
+}
+
+interface Holder {
+  readonly id: string;
+  /** Undefined for one that is only listed. */
+  heardAtMs: number | undefined;
+}
+
+interface Superseded {
+  /** Its first heartbeat since the holder's last one. */
+  heardAtMs: number | undefined;
+}
+
+/**
+ * Two heartbeats of a running process are one interval apart, give or take some; those that a cut held up
+ * come together when it heals.
+ */
+const PROOF_INTERVALS = 0.75;
+/** A holder that is heard of again within this many intervals runs. */
+const HOLDER_SILENT_INTERVALS = 1.5;
+
+/** @param heartbeatIntervalMs time between two heartbeats of a back end */
+export function createAddressHolders(heartbeatIntervalMs: number): AddressHolders {
+  const holders = new Map<string, Holder>();
+  const addresses = new Map<string, string>();
+  const superseded = new Map<string, Superseded>();
+
+  return {
+    noteHeartbeat,
+    noteListed,
+    isSuperseded: (id) => superseded.has(id),
+    holderOf: (address) => holders.get(formatAddress(address))?.id,
+    forget,
+  };
+
+  function noteHeartbeat(id: string, address: Address, heardAtMs: number): void {
+    const at = settle(id, address);
+    const holder = holders.get(at);
+    if (holder?.id === id) {
+      holder.heardAtMs = Math.max(heardAtMs, holder.heardAtMs ?? heardAtMs);
+    } else if (holder === undefined || isProven(id, holder, heardAtMs)) {
+      hold(at, { id, heardAtMs });
+    }
+  }
+
+  function noteListed(id: string, address: Address): void {
+    const at = settle(id, address);
+    const holder = holders.get(at);
+    if (holder?.heardAtMs === undefined) {
+      hold(at, { id, heardAtMs: undefined });
+    } else if (holder.id !== id) {
+      superseded.set(id, { heardAtMs: undefined });
+    }
+  }
+
+  /** A back end that tells another address than before leaves the one before. */
+  function settle(id: string, address: Address): string {
+    const at = formatAddress(address);
+    if (addresses.get(id) !== at) {
+      forget(id);
+      addresses.set(id, at);
+    }
+    return at;
+  }
+
+  function hold(at: string, holder: Holder): void {
+    const before = holders.get(at);
+    if (before !== undefined && before.id !== holder.id) {
+      superseded.set(before.id, { heardAtMs: undefined });
+    }
+    superseded.delete(holder.id);
+    holders.set(at, holder);
+  }
+
+  /** @returns true where a back end that does not hold its address runs, and the holder does not */
+  function isProven(id: string, holder: Holder, heardAtMs: number): boolean {
+    const claim = superseded.get(id);
+    if (claim === undefined || holder.heardAtMs === undefined) {
+      return true;
+    }
+    if (claim.heardAtMs === undefined || claim.heardAtMs <= holder.heardAtMs) {
+      claim.heardAtMs = heardAtMs;
+      return false;
+    }
+    const goesOn = heardAtMs - claim.heardAtMs >= PROOF_INTERVALS * heartbeatIntervalMs;
+    const holderSilentMs = heardAtMs - holder.heardAtMs;
+    return goesOn && holderSilentMs >= HOLDER_SILENT_INTERVALS * heartbeatIntervalMs;
+  }
+
+  function forget(id: string): void {
+    const at = addresses.get(id);
+    if (at !== undefined && holders.get(at)?.id === id) {
+      holders.delete(at);
+    }
+    addresses.delete(id);
+    superseded.delete(id);
+  }
+}
--- a/src/registry/heartbeat-registry.ts
+++ b/src/registry/heartbeat-registry.ts
@@ -2,7 +2,8 @@
  * @file The heartbeats of back ends as one control machine knows them: state that is rebuilt from the
  * next heartbeats wherever it is lost, and so is never written to disk.
  */
-import { formatAddress } from '../common/address.js';
+import { formatAddress, type Address } from '../common/address.js';
+import { createAddressHolders, type AddressHolders } from './address-holders.js';
 import { livenessOf, type BackendJudgement, type Liveness } from './backend-liveness.js';
 import type { BackendRecord } from './backend-record.js';
 
@@ -33,6 +34,12 @@
 /** The last heartbeat of each back end. */
 export class HeartbeatRegistry {
   private readonly records = new Map<string, JudgedRecord>();
+  private readonly holders: AddressHolders;
+
+  /** @param heartbeatIntervalMs time between two heartbeats of a back end */
+  constructor(private readonly heartbeatIntervalMs: number) {
+    this.holders = createAddressHolders(heartbeatIntervalMs);
+  }
 
   /** How many back ends are known. */
   get size(): number {
@@ -48,12 +55,37 @@
     return this.records.values();
   }
 
+  /** @returns true where another back end holds the address of this one */
+  isSuperseded(id: string): boolean {
+    return this.holders.isSuperseded(id);
+  }
+
+  /** @returns the back end that holds an address */
+  holderOf(address: Address): string | undefined {
+    return this.holders.holderOf(address);
+  }
+
   /** Takes a heartbeat. */
   take(record: BackendRecord, heardAtMs: number): HeartbeatNews {
     const known = this.records.get(record.id);
     if (known !== undefined && known.record.sequence >= record.sequence) {
       return 'late';
     }
+    this.holders.noteHeartbeat(record.id, record.address, heardAtMs);
+    return this.keep(record, heardAtMs, known);
+  }
+
+  /** Takes a back end of the replicated list that nothing was heard of here. */
+  takeListed(record: BackendRecord, heardAtMs: number): void {
+    this.holders.noteListed(record.id, record.address);
+    this.keep(record, heardAtMs, undefined);
+  }
+
+  private keep(
+    record: BackendRecord,
+    heardAtMs: number,
+    known: JudgedRecord | undefined,
+  ): HeartbeatNews {
     const liveness = known?.liveness ?? 'heard';
     this.records.set(record.id, { record, heardAtMs, liveness });
     return known !== undefined && tellsTheSame(known, record, heardAtMs) ? 'alive' : 'changed';
@@ -64,11 +96,13 @@
    * @param listeningSinceMs since when this machine hears of all heartbeats; silence before does not count
    * @returns those that are judged otherwise than before
    */
-  judge(nowMs: number, listeningSinceMs: number, heartbeatIntervalMs: number): BackendJudgement[] {
+  judge(nowMs: number, listeningSinceMs: number): BackendJudgement[] {
     const judgements: BackendJudgement[] = [];
     for (const [backendId, known] of this.records) {
       const silentMs = nowMs - Math.max(known.heardAtMs, listeningSinceMs);
-      const liveness = livenessOf(silentMs, heartbeatIntervalMs);
+      const liveness = this.isSuperseded(backendId)
+        ? 'dead'
+        : livenessOf(silentMs, this.heartbeatIntervalMs);
       if (liveness !== known.liveness) {
         this.records.set(backendId, { ...known, liveness });
         judgements.push({ backendId, liveness, silentMs: Math.max(0, Math.round(silentMs)) });
@@ -82,6 +116,7 @@
     for (const [id, { heardAtMs }] of this.records) {
       if (nowMs - heardAtMs > afterMs) {
         this.records.delete(id);
+        this.holders.forget(id);
       }
     }
   }
--- a/src/sim/ingress/ingress-faults.ts
+++ b/src/sim/ingress/ingress-faults.ts
@@ -22,6 +22,8 @@
   'backend-replaced',
   'backend-replaced-at-its-address',
   'backend-leaves-at-once',
+  'backend-reborn',
+  'links-silent',
   'config-changed',
   'datagrams-lost',
   'acknowledgements-lost',
@@ -36,6 +38,7 @@
 const LONG_CUT_MS = 6_000;
 const LOSS_SHARE = 0.03;
 const ACK_LOSS_SHARE = 0.6;
+const SILENT_LINK_SHARE = 0.3;
 
 /** Brings faults about. */
 export class IngressFaults {
@@ -84,6 +87,13 @@
       case 'acknowledgements-lost':
         this.loseAcknowledgements();
         return;
+      case 'links-silent':
+        world.wires.silenceLinks(SILENT_LINK_SHARE);
+        this.disturb(0);
+        return;
+      case 'backend-reborn':
+        this.restartBackend();
+        return;
       default:
         this.endBackend(kind);
     }
@@ -232,6 +242,21 @@
     });
   }
 
+  /** A back end crashes and starts again at its address; a heartbeat from before comes late. */
+  private restartBackend(): void {
+    const { world } = this;
+    const alive = world.backends.filter(({ isAlive }) => isAlive);
+    const backend = alive[world.random.nextInt(alive.length)];
+    if (backend === undefined) {
+      return;
+    }
+    const { service, address } = backend.identity;
+    backend.crash();
+    this.disturb(0);
+    world.addBackend(service, address);
+    world.clock.after(this.durationMs, () => backend.deliverHeldUpHeartbeat());
+  }
+
   private endBackend(kind: IngressFaultKind): void {
     const { world } = this;
     const alive = world.backends.filter(({ isAlive }) => isAlive);
--- a/src/sim/ingress/stand-in-backend.ts
+++ b/src/sim/ingress/stand-in-backend.ts
@@ -83,6 +83,11 @@
     this.parts.wires.hostDied(this.identity.address.host);
   }
 
+  /** A heartbeat from before its end that the network held up comes now. */
+  deliverHeldUpHeartbeat(): void {
+    this.callControl(this.identity.address.host, this.heartbeat(), () => undefined);
+  }
+
   /** Says that it leaves, serves on, deregisters and ends. */
   leave(saysDraining: boolean, ended: () => void): void {
     const { clock, options } = this.parts;
--- a/src/sim/ingress/virtual-wires.ts
+++ b/src/sim/ingress/virtual-wires.ts
@@ -32,6 +32,8 @@
   readonly handlers: VirtualLinkHandlers;
   peer: LinkEnd | undefined;
   isOpen: boolean;
+  /** What is sent from here arrives no more, and nobody is told. */
+  isSilent: boolean;
   heardAtMs: number;
   /** When the last message from here arrives, so that messages stay in order. */
   arrivesAtMs: number;
@@ -97,6 +99,16 @@
     this.cuts.clear();
   }
 
+  /** Open links go silent for good, in both directions and without a reset; new ones work. */
+  silenceLinks(share: number): void {
+    for (const end of this.ends) {
+      if (end.peer !== undefined && !end.isSilent && this.random.nextFloat() < share) {
+        end.isSilent = true;
+        end.peer.isSilent = true;
+      }
+    }
+  }
+
   reaches(from: string, to: string): boolean {
     return !this.cuts.has(`${from}|${to}`) && !this.dead.has(from) && !this.dead.has(to);
   }
@@ -199,6 +211,7 @@
       handlers,
       peer: undefined,
       isOpen: true,
+      isSilent: false,
       heardAtMs: this.clock.nowMs,
       arrivesAtMs: 0,
       transfers: [],
@@ -216,7 +229,7 @@
     end.arrivesAtMs = arrivesAtMs;
     this.clock.after(arrivesAtMs - this.clock.nowMs, () => {
       const { peer } = end;
-      if (!end.isOpen || peer?.isOpen !== true || !this.reaches(end.host, peer.host)) {
+      if (!end.isOpen || peer?.isOpen !== true || !this.carries(end, peer)) {
         return;
       }
       peer.heardAtMs = this.clock.nowMs;
@@ -255,7 +268,7 @@
     }
     this.ends.delete(end);
     const { peer } = end;
-    if (peer?.isOpen === true && this.reaches(end.host, peer.host)) {
+    if (peer?.isOpen === true && this.carries(end, peer)) {
       this.clock.after(this.delayMs(), () => this.drop(peer, true, 'The other end closed.'));
     }
     if (tells) {
@@ -263,12 +276,16 @@
     }
   }
 
+  private carries(from: LinkEnd, to: LinkEnd): boolean {
+    return !from.isSilent && this.reaches(from.host, to.host);
+  }
+
   /** Each end hears of the other now and then, unless they are cut off. */
   private pulse(): void {
     this.clock.after(LINK_PULSE_MS, () => {
       for (const end of [...this.ends]) {
         const { peer } = end;
-        if (peer?.isOpen === true && this.reaches(peer.host, end.host)) {
+        if (peer?.isOpen === true && this.carries(peer, end)) {
           end.heardAtMs = this.clock.nowMs;
         } else if (this.clock.nowMs - end.heardAtMs > LINK_SILENT_MS) {
           this.drop(end, true, 'Silent.');
--- a/test/registry/heartbeat-registry.test.ts
+++ b/test/registry/heartbeat-registry.test.ts
@@ -21,7 +21,7 @@
 }
 
 t.test('a heartbeat that only says that the back end lives is no news', async (t) => {
-  const registry = new HeartbeatRegistry();
+  const registry = new HeartbeatRegistry(INTERVAL_MS);
   t.equal(registry.take(recordWith({}), 0), 'changed');
   t.equal(registry.take(recordWith({ sequence: 2 }), 1_000), 'alive');
   t.equal(registry.take(recordWith({ sequence: 2 }), 1_000), 'late', 'doubled');
@@ -37,14 +37,14 @@
     { address: { host: '10.0.2.1', port: 9_001 } },
   ];
   for (const change of changes) {
-    const registry = new HeartbeatRegistry();
+    const registry = new HeartbeatRegistry(INTERVAL_MS);
     registry.take(recordWith({}), 0);
     t.equal(registry.take(recordWith({ ...change, sequence: 2 }), 1_000), 'changed');
   }
 });
 
 t.test('a warm-up that goes on as it was told is no news, another one is', async (t) => {
-  const registry = new HeartbeatRegistry();
+  const registry = new HeartbeatRegistry(INTERVAL_MS);
   registry.take(recordWith({ warmUpLeftMs: 2_000 }), 0);
   t.equal(registry.take(recordWith({ sequence: 2, warmUpLeftMs: 1_100 }), 1_000), 'alive');
   t.equal(registry.take(recordWith({ sequence: 3, warmUpLeftMs: 0 }), 2_000), 'alive');
@@ -52,12 +52,10 @@
 });
 
 t.test('each change of a judgement is told once', async (t) => {
-  const registry = new HeartbeatRegistry();
+  const registry = new HeartbeatRegistry(INTERVAL_MS);
   registry.take(recordWith({}), 0);
   const judge = (nowMs: number) =>
-    registry
-      .judge(nowMs, LISTENING_SINCE_MS, INTERVAL_MS)
-      .map(({ liveness, silentMs }) => [liveness, silentMs]);
+    registry.judge(nowMs, LISTENING_SINCE_MS).map(({ liveness, silentMs }) => [liveness, silentMs]);
   t.same(judge(2_500), []);
   t.same(judge(2_600), [['silent', 2_600]]);
   t.same(judge(3_000), []);
@@ -67,10 +65,10 @@
 });
 
 t.test('silence from before this machine heard of all heartbeats does not count', async (t) => {
-  const registry = new HeartbeatRegistry();
+  const registry = new HeartbeatRegistry(INTERVAL_MS);
   registry.take(recordWith({}), 0);
-  t.same(registry.judge(10_000, 9_000, INTERVAL_MS), []);
-  t.same(registry.judge(11_600, 9_000, INTERVAL_MS), [
+  t.same(registry.judge(10_000, 9_000), []);
+  t.same(registry.judge(11_600, 9_000), [
     { backendId: 'backend-1', liveness: 'silent', silentMs: 2_600 },
   ]);
 });
