Tell departures no later than the records they belong to, and bound those of the past

A transfer named all departures that the group keeps, oldest first, 256 a message; with 19,000 of them a back end that leaves was told by its record long before its departure, and took new flows meanwhile on a balancer that had only lost its link. A balancer that starts was not ready before the last one.

What a message says of each name has a module of its own.

--- a/src/group/balancer-feed.ts
+++ b/src/group/balancer-feed.ts
@@ -6,28 +6,16 @@
  * that say something, and no more than a few are under way to it. What it can't be told yet waits as news,
  * merged, and holds up nobody else.
  */
-import { formatAddress } from '../common/address.js';
 import type { LinkId } from '../common/link-table.js';
-import { currentMembership } from '../consensus/consensus-state.js';
 import { partOf, type ConfigPart, type ConfigUpdate } from '../declared/config-update.js';
 import { createLoadOutlet } from '../load-exchange/load-outlet.js';
-import type { BackendJudgement } from '../registry/backend-liveness.js';
-import type { Departure } from '../registry/backend-record.js';
 import { noteBalancersChanged, publishBalancers } from './balancer-list.js';
+import { feedParts } from './feed-parts.js';
 import { addNews, createFeedNews, isNoNews, takeNews, type FeedNews } from './feed-news.js';
 import type { GroupEffect } from './group-events.js';
-import type {
-  AgedRecord,
-  BalancerInfo,
-  ControlInfo,
-  FeedMessage,
-  FeedTransfer,
-  SubscribeMessage,
-} from './group-messages.js';
+import type { FeedMessage, FeedTransfer, SubscribeMessage } from './group-messages.js';
 import { isCurrent, type GroupState, type Subscriber } from './group-state.js';
 
-type FeedParts = Omit<FeedMessage, 'type' | 'isCurrent' | 'isComplete' | 'isCounted'>;
-
 /** What a message is to tell; what is said of each name is looked up when the message is made. */
 interface MessagePlan {
   readonly isCurrent: boolean;
@@ -43,6 +31,11 @@
 const MAX_UNDER_WAY = 2;
 /** Back ends or balancers in one message: some 9 KB, which 2 Mbit/s carry in 36 ms. */
 const MAX_NAMES = 256;
+/**
+ * Departures in a transfer of back ends whose records are forgotten: four messages. All that the group keeps would
+ * be eighty, more than a second of 2 Mbit/s before a balancer that has started is ready.
+ */
+const MAX_OLD_DEPARTURES = 1_000;
 /** Changes of routes in one message: some 8 KB. */
 const MAX_ROUTE_CHANGES = 1_000;
 
@@ -184,7 +177,7 @@
   return {
     type: 'feed',
     ...flags,
-    ...partsOf(state, news, nowMs),
+    ...feedParts(state, news, nowMs),
     ...(transfer && { transfer }),
     ...(config && { config }),
   };
@@ -196,11 +189,11 @@
 
 /** All that there is becomes news. */
 function beginTransfer(state: GroupState, subscriber: Subscriber, current: boolean): void {
-  const { registry, replicated, publishedBalancers } = state;
+  const { registry, publishedBalancers } = state;
   subscriber.news = {
     registered: new Set([...registry.all()].map(({ record }) => record.id)),
     judged: new Set(),
-    departed: new Set(replicated.allDepartures().map(({ backendId }) => backendId)),
+    departed: new Set(departedForTransfer(state)),
     balancers: new Set(publishedBalancers.keys()),
     areControlsChanged: true,
   };
@@ -208,6 +201,21 @@
   subscriber.phase = current ? 'transfer-current' : 'transfer-provisional';
 }
 
+/**
+ * Departures of back ends that are told come in the order of their records, so that none is told after its
+ * record and takes flows meanwhile. Of those that are not told any more, the newest come; a balancer that still
+ * knows an older one takes it for silent at the end of the transfer.
+ */
+function departedForTransfer({ registry, replicated }: GroupState): string[] {
+  const ofRecords = [...registry.all()].map(({ record }) => record.id);
+  const departed = replicated.allDepartures().map(({ backendId }) => backendId);
+  const others = departed.filter((id) => registry.get(id) === undefined);
+  return [
+    ...ofRecords.filter((id) => replicated.departureOf(id) !== undefined),
+    ...others.slice(-MAX_OLD_DEPARTURES).reverse(),
+  ];
+}
+
 /**
  * @returns true where a balancer lacks something that this machine knows
  */
@@ -270,78 +278,3 @@
     unfinished.changesTaken <= update.changes.length;
   return isSame ? unfinished.changesTaken : 0;
 }
-
-function partsOf(state: GroupState, news: FeedNews, nowMs: number): FeedParts {
-  const { registered, judged, departed, balancers, areControlsChanged } = news;
-  const records = [...registered].flatMap((id) => agedRecordOf(state, id, nowMs));
-  const judgements = [...new Set([...judged, ...registered])].flatMap((id) =>
-    isTellingByAge(state, registered, id) ? [] : judgementOf(state, id, nowMs),
-  );
-  const departures = [...departed].flatMap((id) => departureOf(state, id));
-  const { publishedBalancers } = state;
-  const came: BalancerInfo[] = [];
-  const lostBalancers: string[] = [];
-  for (const name of balancers) {
-    const info = publishedBalancers.get(name);
-    if (info === undefined) {
-      lostBalancers.push(name);
-    } else {
-      came.push(info);
-    }
-  }
-  return {
-    ...(records.length > 0 && { records }),
-    ...(judgements.length > 0 && { judgements }),
-    ...(departures.length > 0 && { departures }),
-    ...(came.length > 0 && { balancers: came }),
-    ...(lostBalancers.length > 0 && { lostBalancers }),
-    ...(areControlsChanged && { controls: allControls(state) }),
-  };
-}
-
-function silenceOf(state: GroupState, heardAtMs: number, nowMs: number): number {
-  const listeningSinceMs = state.listeningSinceMs ?? Number.NEGATIVE_INFINITY;
-  return Math.max(0, Math.round(nowMs - Math.max(heardAtMs, listeningSinceMs)));
-}
-
-function agedRecordOf(state: GroupState, id: string, nowMs: number): AgedRecord[] {
-  const known = state.registry.get(id);
-  return known === undefined
-    ? []
-    : [{ record: known.record, ageMs: silenceOf(state, known.heardAtMs, nowMs) }];
-}
-
-/** The age of a record tells how it is judged, but for one whose address another one holds. */
-function isTellingByAge(state: GroupState, registered: ReadonlySet<string>, id: string): boolean {
-  return registered.has(id) && !state.registry.isSuperseded(id);
-}
-
-function judgementOf(state: GroupState, backendId: string, nowMs: number): BackendJudgement[] {
-  const known = state.registry.get(backendId);
-  if (known === undefined) {
-    return [];
-  }
-  const { heardAtMs } = known;
-  const liveness = state.registry.isSuperseded(backendId) ? 'dead' : known.liveness;
-  return [{ backendId, liveness, silentMs: silenceOf(state, heardAtMs, nowMs) }];
-}
-
-function departureOf({ replicated }: GroupState, backendId: string): Departure[] {
-  const kind = replicated.departureOf(backendId);
-  return kind === undefined ? [] : [{ backendId, kind }];
-}
-
-function allControls(state: GroupState): ControlInfo[] {
-  const addresses = currentMembership(state.consensus).members.map(
-    ({ linkAddress }) => linkAddress,
-  );
-  const byText = new Map(addresses.map((address) => [formatAddress(address), address]));
-  return [...byText].map(([text, linkAddress]) => {
-    const zone = zoneOfControl(state, text);
-    return { linkAddress, ...(zone !== undefined && { zone }) };
-  });
-}
-
-function zoneOfControl({ options, controlZones }: GroupState, address: string): string | undefined {
-  return address === formatAddress(options.linkAddress) ? options.zone : controlZones.get(address);
-}
--- a/test/group/balancer-feed.test.ts
+++ b/test/group/balancer-feed.test.ts
@@ -20,6 +20,10 @@
 
 const FORMATION_MS = 6_000;
 const LONG_MS = 3_000;
+const DEPARTURES_OF_WEEKS = 19_000;
+const BACKENDS = 600;
+/** Three for the back ends, and no more than a few for what left before. */
+const MOST_MESSAGES = 8;
 const [FIRST, SECOND] = [9_001, 9_002].map((id) => id as LinkId) as [LinkId, LinkId];
 
 interface FormedGroup {
@@ -103,6 +107,53 @@
   t.same(messagesTo(FIRST, feedWilling(state, laterMs)), []);
 });
 
+t.test('a departure never comes after its record, however many there were before', async (t) => {
+  const group = await formedGroup();
+  const { state, nowMs } = group;
+  const depart = (backendId: string) =>
+    state.replicated.apply({
+      type: 'note-departure',
+      departure: { backendId, kind: 'draining' },
+    });
+  for (let number = 0; number < DEPARTURES_OF_WEEKS; number += 1) {
+    depart(`left-${number}`);
+  }
+  const [known] = [...state.registry.all()];
+  if (known === undefined) {
+    throw new Error('No back end.');
+  }
+  for (let number = 0; number < BACKENDS; number += 1) {
+    const id = `here-${number}`;
+    const address = { host: '10.8.0.1', port: number + 1 };
+    takeRecord(state, { record: { ...known.record, id, address }, ageMs: 0 }, nowMs);
+  }
+  const leaving = Array.from({ length: BACKENDS / 2 }, (_, index) => `here-${2 * index + 1}`);
+  leaving.forEach(depart);
+  const messages = subscribeUntilTold(group, FIRST);
+  const messageOf = (names: (message: FeedMessage) => string[] | undefined, id: string) =>
+    messages.findIndex((message) => names(message)?.includes(id) === true);
+  for (const id of leaving) {
+    const record = messageOf(({ records }) => records?.map((aged) => aged.record.id), id);
+    const departure = messageOf(
+      ({ departures }) => departures?.map(({ backendId }) => backendId),
+      id,
+    );
+    t.ok(departure >= 0 && departure <= record, `${id}: message ${departure}, record ${record}`);
+  }
+  t.ok(messages.length <= MOST_MESSAGES, `${messages.length} messages`);
+});
+
+/** @returns all messages of a transfer to a balancer that takes each at once */
+function subscribeUntilTold(group: FormedGroup, linkId: LinkId): FeedMessage[] {
+  const { state, nowMs } = group;
+  const messages = messagesTo(linkId, subscribe(group, linkId, 'first'));
+  const subscriber = state.subscribers.get(linkId);
+  while (messages.at(-1)?.isComplete === false && subscriber !== undefined) {
+    messages.push(...messagesTo(linkId, noteTaken(state, linkId, subscriber.countedSent, nowMs)));
+  }
+  return messages;
+}
+
 t.test('whoever was fed while the machine was not current gets the whole again', async (t) => {
   const group = await formedGroup();
   const { state, nowMs } = group;
