--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -78,15 +78,19 @@
 }
 
 /**
- * Stops on the first SIGTERM or SIGINT, ends at once on the second.
+ * Stops on the first SIGTERM or SIGINT, and goes on stopping where more come; a second SIGINT, from somebody at a
+ * terminal, ends the process at once.
  * @param stop the graceful stop
  */
 export function stopOnSignal(stop: () => Promise<void>): void {
   let stopping = false;
-  const onSignal = (): void => {
-    if (stopping) {
+  const onSignal = (signal: NodeJS.Signals): void => {
+    if (stopping && signal === 'SIGINT') {
       process.exit(exitCodes.failure);
     }
+    if (stopping) {
+      return;
+    }
     stopping = true;
     stop().then(
       () => process.exit(exitCodes.success),
