Soak in series that overlap, with callers that keep open connections, in several sizes side by side

Every second fault begins a series of up to six of its kind, 0.15 to 1.4 s apart, on one process each or again and again on the same. Every second caller stays with its control machine while that answers, and every second flow with its balancer until the process is gone. Faults of stand-ins stand once, for this and for the simulator.

--- a/src/cli/soak.ts
+++ b/src/cli/soak.ts
@@ -6,11 +6,15 @@
 import type { CAC } from 'cac';
 import { exitCodes } from '../flow/error-kinds.js';
 import { runSoak, type SoakVerdict } from '../soak/run-soak.js';
+import { smallSoak, type SoakPlace } from '../soak/soak-world.js';
 
 interface SoakFlags {
   readonly seed: number;
   readonly runs: number;
   readonly seconds: number;
+  readonly balancers: number;
+  readonly clients: number;
+  readonly block: number;
   readonly into: string;
   readonly json?: boolean;
 }
@@ -26,6 +30,13 @@
     .option('--seed <n>', 'Seed of the first run; each run takes the next one', { default: 1 })
     .option('--runs <count>', 'Runs, one after the other', { default: 1 })
     .option('--seconds <count>', 'How long faults come in each run', { default: 60 })
+    .option('--balancers <count>', 'Balancer processes', { default: smallSoak.sizes.balancers })
+    .option('--clients <count>', 'Clients, one flow at a time each', {
+      default: smallSoak.sizes.clients,
+    })
+    .option('--block <n>', 'Second number of its loopback addresses, for runs beside each other', {
+      default: smallSoak.block,
+    })
     .option('--into <folder>', 'Where logs, schedules and verdicts go', { default: 'soak-runs' })
     .option('--json', 'Print the verdicts as one line of JSON, last')
     .example('amberlift soak --seed 7 --seconds 120')
@@ -37,7 +48,8 @@
   for (let at = 0; at < flags.runs; at += 1) {
     const seed = flags.seed + at;
     const folder = join(flags.into, `seed-${seed}`);
-    const verdict = await runSoak({ seed, durationMs: flags.seconds * MS_PER_SECOND, folder });
+    const durationMs = flags.seconds * MS_PER_SECOND;
+    const verdict = await runSoak({ seed, durationMs, folder, place: placeOf(flags) });
     verdicts.push(verdict);
     process.stdout.write(`${describe(verdict, folder)}\n`);
   }
@@ -47,6 +59,10 @@
   process.exitCode = verdicts.every(isClean) ? exitCodes.success : exitCodes.failure;
 }
 
+function placeOf({ balancers, clients, block }: SoakFlags): SoakPlace {
+  return { sizes: { ...smallSoak.sizes, balancers, clients }, block };
+}
+
 function isClean({ violations, unaskedEnds, servedRequests }: SoakVerdict): boolean {
   return violations.length === 0 && Object.keys(unaskedEnds).length === 0 && servedRequests > 0;
 }
--- a/src/sim/ingress/stand-in-backend.ts
+++ b/src/sim/ingress/stand-in-backend.ts
@@ -50,6 +50,8 @@
 export class StandInBackend {
   readonly instanceNumber: string;
   isAlive = true;
+  /** True once it has begun to leave. */
+  isLeaving = false;
   private isDraining = false;
   private sequence = 0;
   private nextAcceptNumber: number;
@@ -90,6 +92,7 @@
 
   /** Says that it leaves, serves on, deregisters and ends. */
   leave(saysDraining: boolean, ended: () => void): void {
+    this.isLeaving = true;
     const { clock, options } = this.parts;
     const endSoon = () =>
       clock.after(options.drainBoundMs + WORK_MS, () => {
--- a/src/soak/link-proxy.ts
+++ b/src/soak/link-proxy.ts
@@ -19,6 +19,8 @@
   setMode(mode: ProxyMode): void;
   /** Ends all links with a reset. */
   resetAll(): void;
+  /** The links of now carry nothing any more and are not reset; new ones work. */
+  silenceOpen(): void;
   close(): Promise<void>;
 }
 
@@ -41,6 +43,7 @@
   readonly from: Socket;
   readonly to: Socket;
   readonly towards: Towards;
+  isSilent: boolean;
   waiting: WaitingChunk[];
   waitingBytes: number;
 }
@@ -57,19 +60,23 @@
   const server = createServer((near) => join(near));
   server.listen(at.port, at.host);
   await once(server, 'listening');
-  const timer = setInterval(() => pipes.forEach(pass), STEP_MS);
+  const timer = setInterval(() => pipes.forEach((pipe) => pass(pipe, mode)), STEP_MS);
 
-  return { setMode, resetAll, close };
+  return { setMode, resetAll, silenceOpen, close };
 
   function setMode(next: ProxyMode): void {
     mode = next;
-    pipes.forEach(pass);
+    pipes.forEach((pipe) => pass(pipe, mode));
   }
 
   function resetAll(): void {
     pipes.forEach(({ from }) => from.resetAndDestroy());
   }
 
+  function silenceOpen(): void {
+    pipes.forEach((pipe) => (pipe.isSilent = true));
+  }
+
   async function close(): Promise<void> {
     clearInterval(timer);
     resetAll();
@@ -84,15 +91,20 @@
       socket.setNoDelay(true);
       socket.on('error', () => undefined);
       socket.on('close', () => {
-        near.destroy();
-        far.destroy();
-        both.forEach((pipe) => pipes.delete(pipe));
+        // The other end of a link that went silent is not told.
+        if (!both.some(({ isSilent }) => isSilent)) {
+          near.destroy();
+          far.destroy();
+        }
+        if (near.destroyed && far.destroyed) {
+          both.forEach((pipe) => pipes.delete(pipe));
+        }
       });
     }
   }
 
   function pipeOf(from: Socket, to: Socket, towards: Towards): Pipe {
-    const pipe: Pipe = { from, to, towards, waiting: [], waitingBytes: 0 };
+    const pipe: Pipe = { from, to, towards, isSilent: false, waiting: [], waitingBytes: 0 };
     from.on('data', (bytes: Buffer) => {
       pipe.waiting.push({ bytes, atMs: performance.now() });
       pipe.waitingBytes += bytes.length;
@@ -100,44 +112,47 @@
         from.pause();
       }
       if (mode.type === 'open') {
-        pass(pipe);
+        pass(pipe, mode);
       }
     });
     return pipe;
   }
+}
 
-  function pass(pipe: Pipe): void {
-    let budgetBytes = budgetOf(pipe);
-    const dueMs = performance.now() - (mode.type === 'slow' ? mode.delayMs : 0);
-    for (;;) {
-      const [chunk] = pipe.waiting;
-      if (chunk === undefined || budgetBytes <= 0 || chunk.atMs > dueMs) {
-        break;
-      }
-      const part = chunk.bytes.subarray(0, budgetBytes);
-      pipe.to.write(part);
-      budgetBytes -= part.length;
-      pipe.waitingBytes -= part.length;
-      pipe.waiting.shift();
-      if (part.length < chunk.bytes.length) {
-        pipe.waiting.unshift({ ...chunk, bytes: chunk.bytes.subarray(part.length) });
-      }
+function pass(pipe: Pipe, mode: ProxyMode): void {
+  let budgetBytes = budgetOf(pipe, mode);
+  const dueMs = performance.now() - (mode.type === 'slow' ? mode.delayMs : 0);
+  for (;;) {
+    const [chunk] = pipe.waiting;
+    if (chunk === undefined || budgetBytes <= 0 || chunk.atMs > dueMs) {
+      break;
     }
-    if (pipe.waitingBytes <= MAX_WAITING_BYTES && pipe.from.isPaused()) {
-      pipe.from.resume();
+    const part = chunk.bytes.subarray(0, budgetBytes);
+    pipe.to.write(part);
+    budgetBytes -= part.length;
+    pipe.waitingBytes -= part.length;
+    pipe.waiting.shift();
+    if (part.length < chunk.bytes.length) {
+      pipe.waiting.unshift({ ...chunk, bytes: chunk.bytes.subarray(part.length) });
     }
   }
+  if (pipe.waitingBytes <= MAX_WAITING_BYTES && pipe.from.isPaused()) {
+    pipe.from.resume();
+  }
+}
 
-  /** @returns how many bytes may pass in this step */
-  function budgetOf({ towards }: Pipe): number {
-    switch (mode.type) {
-      case 'open':
-        return Number.POSITIVE_INFINITY;
-      case 'silent':
-        return mode.towards === 'both' || mode.towards === towards ? 0 : Number.POSITIVE_INFINITY;
-      case 'slow':
-        return Math.ceil((mode.bytesPerS * STEP_MS) / MS_PER_SECOND);
-    }
+/** @returns how many bytes may pass in this step */
+function budgetOf({ towards, isSilent }: Pipe, mode: ProxyMode): number {
+  if (isSilent) {
+    return 0;
+  }
+  switch (mode.type) {
+    case 'open':
+      return Number.POSITIVE_INFINITY;
+    case 'silent':
+      return mode.towards === 'both' || mode.towards === towards ? 0 : Number.POSITIVE_INFINITY;
+    case 'slow':
+      return Math.ceil((mode.bytesPerS * STEP_MS) / MS_PER_SECOND);
   }
 }
 
--- a/src/soak/run-soak.ts
+++ b/src/soak/run-soak.ts
@@ -8,7 +8,7 @@
 import type { IngressOracle, IngressViolation } from '../sim/ingress/ingress-oracle.js';
 import { strike } from './soak-faults.js';
 import { drawSchedule, type SoakFault } from './soak-schedule.js';
-import { soakSizes, startSoakWorld, type SoakWorld } from './soak-world.js';
+import { startSoakWorld, type SoakPlace, type SoakWorld } from './soak-world.js';
 
 /** What a soak does. */
 export interface SoakOptions {
@@ -17,6 +17,7 @@
   readonly durationMs: number;
   /** A folder that does not exist yet. */
   readonly folder: string;
+  readonly place: SoakPlace;
 }
 
 /** What came out of a soak. */
@@ -44,20 +45,25 @@
  * Runs a soak.
  * @returns the verdict; rejects where the deployment does not come to work at all
  */
-export async function runSoak({ seed, durationMs, folder }: SoakOptions): Promise<SoakVerdict> {
+export async function runSoak({
+  seed,
+  durationMs,
+  folder,
+  place,
+}: SoakOptions): Promise<SoakVerdict> {
   await mkdir(folder, { recursive: true });
-  const world = await startSoakWorld(seed, folder);
+  const world = await startSoakWorld(seed, folder, place);
   try {
     const { tolerableLosses, catchUpMs } = world.options;
     const schedule = drawSchedule({
       seed,
       durationMs,
-      controlCount: soakSizes.controls,
-      balancerCount: soakSizes.balancers,
+      controlCount: place.sizes.controls,
+      balancerCount: place.sizes.balancers,
       tolerableLosses,
       catchUpMs,
     });
-    await writeJson(folder, 'schedule.json', { seed, durationMs, schedule });
+    await writeJson(folder, 'schedule.json', { seed, durationMs, place, schedule });
     await untilReady(world);
     const servedBefore = await serveFor(world, MEASURED_MS);
     await strikeAll(world, schedule, durationMs);
--- a/src/soak/soak-calls.ts
+++ b/src/soak/soak-calls.ts
@@ -21,23 +21,43 @@
 }
 
 /**
- * @returns a function that brings each call to a control machine drawn by lot, never twice in a row to the
- *   same for one caller, as the callers of the platform do; unanswered where that one does not answer
+ * Every second caller goes on calling the same control machine, over the connection that is open, for as long as it
+ * answers, also while it stops; the others call another one each time.
+ * @returns a function that brings a call to a control machine; unanswered where that one does not answer
  */
 export function createSoakCalls(options: SoakCallsOptions): CallControl {
   const { controlAddresses, operatorToken, random } = options;
   const lastOf = new Map<string, Address>();
+  const keptBy = new Map<string, Address>();
 
   return (fromHost, call, answer) => {
-    const to = pick(fromHost);
+    const to = keptBy.get(fromHost) ?? pick(fromHost);
     if (to === undefined) {
       return;
     }
-    void sendJson(requestFor(call, to, operatorToken)).map((response) => {
-      answer(replyOf(call, response));
-    });
+    void sendJson(requestFor(call, to, operatorToken)).match(
+      (response) => {
+        const reply = replyOf(call, response);
+        noteAnswer(fromHost, to, reply.type !== 'unavailable');
+        answer(reply);
+      },
+      () => noteAnswer(fromHost, to, false),
+    );
   };
 
+  function noteAnswer(fromHost: string, to: Address, isServed: boolean): void {
+    if (isServed && isLoyal(fromHost)) {
+      keptBy.set(fromHost, to);
+    } else {
+      keptBy.delete(fromHost);
+    }
+  }
+
+  /** The same callers in each run. */
+  function isLoyal(fromHost: string): boolean {
+    return Number(fromHost.split('.').at(-1)) % 2 === 0;
+  }
+
   function pick(fromHost: string): Address | undefined {
     const last = lastOf.get(fromHost);
     const others = controlAddresses.filter((address) => address !== last);
--- a/src/soak/soak-faults.ts
+++ b/src/soak/soak-faults.ts
@@ -2,18 +2,16 @@
  * @file Brings the faults of a schedule about, on processes, proxies and stand-ins, and ends them in time.
  */
 import { rm } from 'node:fs/promises';
-import { match, P } from 'ts-pattern';
-import { SIMULATED_SERVICES } from '../sim/ingress/stand-in-operator.js';
+import { match } from 'ts-pattern';
 import type { ProxyMode } from './link-proxy.js';
 import type { SoakFault } from './soak-schedule.js';
 import type { SoakControl, SoakWorld } from './soak-world.js';
+import { disturb, strikeStandIns } from './stand-in-faults.js';
 
 /** A process that was killed is started again after this time at the least, in milliseconds. */
 const RESTART_MS = 300;
 /** How long after a start a process counts as disturbed: loading the program takes some of a second. */
 const START_MS = 1_500;
-const LOSS_SHARE = 0.03;
-const ACK_LOSS_SHARE = 0.6;
 const SLOW_LINK: ProxyMode = { type: 'slow', bytesPerS: 20_000, delayMs: 150 };
 const DIRECTIONS = ['machine', 'others', 'both'] as const;
 
@@ -44,6 +42,10 @@
       control.proxy.resetAll();
       disturb(world, 0);
     })
+    .with('control-open-links-silent', () => {
+      control.proxy.silenceOpen();
+      disturb(world, 0);
+    })
     .with('all-controls-killed', () => {
       world.controls.forEach((each) => {
         loseControl(world, each, RESTART_MS, () => each.process.kill());
@@ -61,23 +63,7 @@
       balancer.freeze();
       endLater(world, forMs, () => balancer.wake());
     })
-    .with('config-changed', () => world.operator.declareNext())
-    .with('datagrams-lost', () => {
-      world.wires.lossShare = LOSS_SHARE;
-      endLater(world, forMs, () => (world.wires.lossShare = 0));
-    })
-    .with('acknowledgements-lost', () => {
-      world.operator.lostShare = ACK_LOSS_SHARE;
-      world.clock.after(forMs, () => (world.operator.lostShare = 0));
-    })
-    .with(P.union('backend-crashed', 'backend-leaves', 'backend-leaves-at-once'), (kind) =>
-      endBackend(world, kind),
-    )
-    .exhaustive();
-}
-
-function disturb(world: SoakWorld, forMs: number): void {
-  world.oracle.noteDisturbed(world.clock.nowMs + forMs);
+    .otherwise((kind) => strikeStandIns(world, kind, forMs));
 }
 
 function endLater(world: SoakWorld, forMs: number, end: () => void): void {
@@ -129,22 +115,3 @@
   proxy.setMode(mode);
   endLater(world, forMs, () => proxy.setMode({ type: 'open' }));
 }
-
-/** Another back end of the same service takes its place. */
-function endBackend(
-  world: SoakWorld,
-  kind: 'backend-crashed' | 'backend-leaves' | 'backend-leaves-at-once',
-): void {
-  const alive = world.backends.filter(({ isAlive }) => isAlive);
-  const backend = alive[0];
-  if (backend === undefined || alive.length <= SIMULATED_SERVICES.length) {
-    return;
-  }
-  world.addBackend(backend.identity.service);
-  if (kind === 'backend-crashed') {
-    backend.crash();
-    disturb(world, 0);
-  } else {
-    backend.leave(kind === 'backend-leaves', () => undefined);
-  }
-}
--- a/src/soak/soak-schedule.ts
+++ b/src/soak/soak-schedule.ts
@@ -1,6 +1,7 @@
 /**
- * @file What happens in a soak, and when: drawn from a seed alone, so that a run can be repeated. Control
- * machines that are disturbed at the same time stay within what the deployment must bear.
+ * @file What happens in a soak, and when: drawn from a seed alone, so that a run can be repeated. Faults come one
+ * by one and in series, as a roll of restarts or a storm of changes, and series overlap. Control machines that
+ * are disturbed at the same time stay within what the deployment must bear.
  */
 import { seededRandom } from '../common/random.js';
 import type { RandomSource } from '../common/step.js';
@@ -14,6 +15,7 @@
   'control-links-silent',
   'control-links-slow',
   'control-links-reset',
+  'control-open-links-silent',
   'all-controls-killed',
   'balancer-killed',
   'balancer-stopped',
@@ -21,6 +23,7 @@
   'backend-crashed',
   'backend-leaves',
   'backend-leaves-at-once',
+  'backend-reborn',
   'config-changed',
   'datagrams-lost',
   'acknowledgements-lost',
@@ -59,6 +62,11 @@
 const SPREAD_MS = 3_500;
 /** Nothing strikes before: the first flows are open then. */
 const FIRST_FAULT_MS = 3_000;
+/** Every second fault begins a series of up to so many of its kind ... */
+const LONGEST_SERIES = 6;
+/** ... so far apart: from faster than a process starts to slower. */
+const SHORTEST_GAP_MS = 150;
+const GAP_SPREAD_MS = 1_250;
 
 /** Faults of one control machine. */
 const OF_ONE_CONTROL: ReadonlySet<SoakFaultKind> = new Set<SoakFaultKind>([
@@ -69,6 +77,7 @@
   'control-links-silent',
   'control-links-slow',
   'control-links-reset',
+  'control-open-links-silent',
 ]);
 
 interface Disturbed {
@@ -81,18 +90,25 @@
  */
 export function drawSchedule(options: ScheduleOptions): SoakFault[] {
   const random = seededRandom(options.seed);
-  const faults: SoakFault[] = [];
-  let disturbed: Disturbed[] = [];
+  const drawn: SoakFault[] = [];
   let atMs = FIRST_FAULT_MS;
   while (atMs < options.durationMs) {
-    const now = atMs;
-    disturbed = disturbed.filter(({ untilMs }) => untilMs > now);
-    const fault = drawFault(options, random, Math.round(atMs));
-    if (fits(fault, disturbed, options)) {
+    drawn.push(...drawSeries(options, random, Math.round(atMs)));
+    atMs += random.nextFloat() * 2 * MEAN_GAP_MS;
+  }
+  return borne(drawn, options);
+}
+
+/** The faults that leave no more control machines disturbed at once than may be lost. */
+function borne(drawn: readonly SoakFault[], options: ScheduleOptions): SoakFault[] {
+  const faults: SoakFault[] = [];
+  let disturbed: Disturbed[] = [];
+  for (const fault of [...drawn].sort((one, other) => one.atMs - other.atMs)) {
+    disturbed = disturbed.filter(({ untilMs }) => untilMs > fault.atMs);
+    if (fault.atMs < options.durationMs && fits(fault, disturbed, options)) {
       faults.push(fault);
       disturbed.push(...disturbedBy(fault, options));
     }
-    atMs += random.nextFloat() * 2 * MEAN_GAP_MS;
   }
   return faults;
 }
@@ -102,17 +118,33 @@
   return OF_ONE_CONTROL.has(kind);
 }
 
-function drawFault(
-  { controlCount, balancerCount }: ScheduleOptions,
-  random: RandomSource,
-  atMs: number,
-): SoakFault {
+/** One fault, or one of its kind after the other: on a process each, or again and again on the same. */
+function drawSeries(options: ScheduleOptions, random: RandomSource, atMs: number): SoakFault[] {
+  const first = drawFault(options, random, atMs);
+  const count = random.nextInt(2) === 0 ? 1 : 1 + random.nextInt(LONGEST_SERIES);
+  const gapMs = Math.round(SHORTEST_GAP_MS + random.nextFloat() * GAP_SPREAD_MS);
+  const step = random.nextInt(2);
+  return Array.from({ length: count }, (_, index) => ({
+    ...first,
+    atMs: atMs + index * gapMs,
+    target: (first.target + index * step) % targetCount(first.kind, options),
+  }));
+}
+
+function drawFault(options: ScheduleOptions, random: RandomSource, atMs: number): SoakFault {
   const kind = soakFaultKinds[random.nextInt(soakFaultKinds.length)] ?? 'config-changed';
-  const target = random.nextInt(kind.startsWith('balancer') ? balancerCount : controlCount);
+  const target = random.nextInt(targetCount(kind, options));
   const forMs = Math.round(SHORTEST_MS + random.nextFloat() * SPREAD_MS);
   return { atMs, kind, target, forMs };
 }
 
+function targetCount(
+  kind: SoakFaultKind,
+  { controlCount, balancerCount }: ScheduleOptions,
+): number {
+  return kind.startsWith('balancer') ? balancerCount : controlCount;
+}
+
 /** A fault that would disturb more than may be lost is left out. */
 function fits(
   { kind, target }: SoakFault,
--- a/src/soak/soak-world.ts
+++ b/src/soak/soak-world.ts
@@ -22,16 +22,38 @@
 import { createSoakProcess, type SoakProcess } from './soak-process.js';
 import { createSoakWires, type SoakWires } from './soak-wires.js';
 
-/** Sizes of a soak: some ten processes, well under half of a machine. */
-export const soakSizes = { controls: 5, balancers: 4, backends: 6, clients: 12 } as const;
+/** How large the deployment of a soak is. */
+export interface SoakSizes {
+  readonly controls: number;
+  readonly balancers: number;
+  readonly backends: number;
+  readonly clients: number;
+}
+
+/** What a soak takes for its deployment. */
+export interface SoakPlace {
+  readonly sizes: SoakSizes;
+  /** Second number of its addresses on loopback; soaks beside each other take different ones. */
+  readonly block: number;
+}
+
+/** Nine processes, well under half of a machine. */
+export const smallSoak: SoakPlace = {
+  sizes: { controls: 5, balancers: 4, backends: 6, clients: 12 },
+  block: 10,
+};
 
 /** Hosts on loopback, by role. */
-const hosts = {
-  control: (number: number) => `127.10.1.${number}`,
-  backend: (number: number) => `127.10.2.${number}`,
-  balancer: (number: number) => `127.10.3.${number}`,
-  client: (number: number) => `127.10.4.${number}`,
-} as const;
+type SoakHosts = Readonly<Record<keyof SoakSizes, (number: number) => string>>;
+
+function hostsOf(block: number): SoakHosts {
+  return {
+    controls: (number) => `127.${block}.1.${number}`,
+    backends: (number) => `127.${block}.2.${number}`,
+    balancers: (number) => `127.${block}.3.${number}`,
+    clients: (number) => `127.${block}.4.${number}`,
+  };
+}
 
 const LINK_PORT = 7_700;
 /** Behind the proxy, which listens at `LINK_PORT`. */
@@ -46,6 +68,7 @@
 const PROBE_INTERVAL_MS = 500;
 const PROBE_TIMEOUT_MS = 400;
 const MISSES_UNTIL_OUT = 2;
+const MAX_KEPT_FLOWS = 10_000;
 const OPERATOR_TOKEN = 'soak-operator-token';
 const ZONES = ['zone-a', 'zone-b'] as const;
 const HTTP_OK = 200;
@@ -82,27 +105,32 @@
  * Starts the processes.
  * @param folder where their logs and disks go
  */
-export async function startSoakWorld(seed: number, folder: string): Promise<SoakWorld> {
+export async function startSoakWorld(
+  seed: number,
+  folder: string,
+  { sizes, block }: SoakPlace,
+): Promise<SoakWorld> {
+  const hosts = hostsOf(block);
   const random = seededRandom(seed);
   const options: IngressWorldOptions = {
     ...smallIngressWorld,
-    controlCount: soakSizes.controls,
-    balancerCount: soakSizes.balancers,
+    controlCount: sizes.controls,
+    balancerCount: sizes.balancers,
   };
   const clock = createSoakClock();
   const wires = createSoakWires(random);
   const oracle = new IngressOracle(options);
   const parts: StandInParts = { clock, random, wires, oracle, options };
-  const controls = await startControls(folder, options);
-  const balancers = startBalancers(folder, options);
+  const controls = await startControls(folder, hosts, options);
+  const balancers = startBalancers(folder, hosts, options);
   const callControl = createSoakCalls({
-    controlAddresses: controls.map((_, index) => callAddress(index)),
+    controlAddresses: controls.map((_, index) => callAddress(hosts, index)),
     operatorToken: OPERATOR_TOKEN,
     random,
   });
-  const probes = startProbes(clock, balancers);
+  const probes = startProbes(clock, hosts, balancers);
   const operator = new StandInOperator(callControl, parts);
-  const standIns = createStandIns(parts, callControl, operator, probes);
+  const standIns = createStandIns(parts, { hosts, sizes }, callControl, operator, probes);
   return {
     clock,
     wires,
@@ -113,7 +141,7 @@
     operator,
     ...standIns,
     isReady: () => probes.areAllIn() && controls.every(({ process }) => process.isRunning),
-    readBack: () => readBack(controls, oracle, clock),
+    readBack: () => readBack(controls, hosts, oracle, clock),
     close: async () => {
       clock.stop();
       wires.close();
@@ -126,12 +154,16 @@
   };
 }
 
-async function startControls(folder: string, options: IngressWorldOptions): Promise<SoakControl[]> {
-  const seeds = Array.from({ length: SEED_COUNT }, (_, index) => linkAddress(index));
+async function startControls(
+  folder: string,
+  hosts: SoakHosts,
+  options: IngressWorldOptions,
+): Promise<SoakControl[]> {
+  const seeds = Array.from({ length: SEED_COUNT }, (_, index) => linkAddress(hosts, index));
   const controls: SoakControl[] = [];
   for (let index = 0; index < options.controlCount; index += 1) {
     const name = `control-${index + 1}`;
-    const host = hosts.control(index + 1);
+    const host = hosts.controls(index + 1);
     const behind: Address = { host, port: OWN_LINK_PORT };
     const dataFolder = join(folder, name);
     const process = createSoakProcess({
@@ -143,9 +175,9 @@
         name,
         zone: ZONES[index % ZONES.length],
         dataFolder,
-        linkAddress: formatAddress(linkAddress(index)),
+        linkAddress: formatAddress(linkAddress(hosts, index)),
         listenAddress: formatAddress(behind),
-        callAddress: formatAddress(callAddress(index)),
+        callAddress: formatAddress(callAddress(hosts, index)),
         seeds: seeds.map(formatAddress),
         tolerableLosses: options.tolerableLosses,
         catchUpMs: options.catchUpMs,
@@ -154,16 +186,24 @@
       },
     });
     process.start();
-    controls.push({ process, proxy: await startLinkProxy(linkAddress(index), behind), dataFolder });
+    controls.push({
+      process,
+      proxy: await startLinkProxy(linkAddress(hosts, index), behind),
+      dataFolder,
+    });
   }
   return controls;
 }
 
-function startBalancers(folder: string, options: IngressWorldOptions): SoakProcess[] {
-  const controlSeeds = Array.from({ length: SEED_COUNT }, (_, index) => linkAddress(index));
+function startBalancers(
+  folder: string,
+  hosts: SoakHosts,
+  options: IngressWorldOptions,
+): SoakProcess[] {
+  const controlSeeds = Array.from({ length: SEED_COUNT }, (_, index) => linkAddress(hosts, index));
   return Array.from({ length: options.balancerCount }, (_, index) => {
     const name = `balancer-${index + 1}`;
-    const host = hosts.balancer(index + 1);
+    const host = hosts.balancers(index + 1);
     const process = createSoakProcess({
       name,
       command: 'ingress',
@@ -189,8 +229,14 @@
   pick(flow: string): Address | undefined;
 }
 
-function startProbes(clock: SoakClock, balancers: readonly SoakProcess[]): Probes {
+function startProbes(
+  clock: SoakClock,
+  hosts: SoakHosts,
+  balancers: readonly SoakProcess[],
+): Probes {
   const misses = balancers.map(() => MISSES_UNTIL_OUT);
+  /** The balancers that flows stay with, by flow. */
+  const kept = new Map<string, number>();
   probeAll();
   return { areAllIn: () => misses.every((count) => count === 0), pick };
 
@@ -200,7 +246,7 @@
   }
 
   async function probe(index: number): Promise<void> {
-    const to = { host: hosts.balancer(index + 1), port: READY_PORT };
+    const to = { host: hosts.balancers(index + 1), port: READY_PORT };
     const answer = await sendJson({ to, method: 'GET', path: '/', timeoutMs: PROBE_TIMEOUT_MS });
     const isIn = answer.match(
       ({ status }) => status === HTTP_OK,
@@ -209,31 +255,60 @@
     misses[index] = isIn ? 0 : (misses[index] ?? 0) + 1;
   }
 
-  /** Routers hash by the number of balancers that are in; by all where fewer than half are. */
+  /**
+   * Routers hash by the number of balancers that are in; by all where fewer than half are. Every second flow stays
+   * with the balancer that it met first until the process is gone, as behind a router that remembers.
+   */
   function pick(flow: string): Address | undefined {
+    const hash = hashOf(flow);
+    const known = kept.get(flow);
+    const isKept = known !== undefined && balancers[known]?.isRunning === true;
+    const index = isKept ? known : pickByHash(hash);
+    if (index === undefined) {
+      return undefined;
+    }
+    if (!isKept && hash % 2 === 0) {
+      keep(flow, index);
+    }
+    return { host: hosts.balancers(index + 1), port: PACKET_PORT };
+  }
+
+  function pickByHash(hash: number): number | undefined {
     const all = misses.map((_, index) => index);
     const inUse = all.filter((index) => (misses[index] ?? 0) < MISSES_UNTIL_OUT);
     const pool = inUse.length * 2 < all.length ? all : inUse;
-    let hash = 0;
-    for (const letter of flow) {
-      hash = (Math.imul(hash, 31) + (letter.codePointAt(0) ?? 0)) >>> 0;
+    return pool[hash % pool.length];
+  }
+
+  function keep(flow: string, index: number): void {
+    kept.set(flow, index);
+    const [oldest] = kept.keys();
+    if (kept.size > MAX_KEPT_FLOWS && oldest !== undefined) {
+      kept.delete(oldest);
     }
-    const index = pool[hash % pool.length];
-    return index === undefined ? undefined : { host: hosts.balancer(index + 1), port: PACKET_PORT };
   }
 }
 
+function hashOf(flow: string): number {
+  let hash = 0;
+  for (const letter of flow) {
+    hash = (Math.imul(hash, 31) + (letter.codePointAt(0) ?? 0)) >>> 0;
+  }
+  return hash;
+}
+
 type StandIns = Pick<SoakWorld, 'backends' | 'clients' | 'addBackend' | 'startClients'>;
 
 function createStandIns(
   parts: StandInParts,
+  { hosts, sizes }: { readonly hosts: SoakHosts; readonly sizes: SoakSizes },
   callControl: CallControl,
   operator: StandInOperator,
   probes: Probes,
 ): StandIns {
   const backends: StandInBackend[] = [];
   const clients: StandInClient[] = [];
-  for (let index = 0; index < soakSizes.backends; index += 1) {
+  for (let index = 0; index < sizes.backends; index += 1) {
     addBackend(SIMULATED_SERVICES[index % SIMULATED_SERVICES.length] ?? 'alpha');
   }
   return { backends, clients, addBackend, startClients };
@@ -244,7 +319,7 @@
       id: `backend-${number}`,
       number,
       service,
-      address: address ?? { host: hosts.backend(number), port: BACKEND_PORT },
+      address: address ?? { host: hosts.backends(number), port: BACKEND_PORT },
       zone: ZONES[number % ZONES.length] ?? 'zone-a',
     };
     backends.push(
@@ -261,9 +336,9 @@
         backends.some((backend) => backend.holdsOpen(client, acceptNumber)),
       routes: () => operator.routes(),
     };
-    for (let index = 0; index < soakSizes.clients; index += 1) {
+    for (let index = 0; index < sizes.clients; index += 1) {
       const requestsPerFlow = index % 2 === 0 ? 1 : LONG_FLOW_REQUESTS;
-      const client = new StandInClient(hosts.client(index + 1), requestsPerFlow, world, parts);
+      const client = new StandInClient(hosts.clients(index + 1), requestsPerFlow, world, parts);
       clients.push(client);
       client.start();
     }
@@ -272,12 +347,13 @@
 
 async function readBack(
   controls: readonly SoakControl[],
+  hosts: SoakHosts,
   oracle: IngressOracle,
   clock: SoakClock,
 ): Promise<void> {
   const reads = controls.map((_, index) =>
     sendJson({
-      to: callAddress(index),
+      to: callAddress(hosts, index),
       method: 'GET',
       path: '/v1/config',
       bearerToken: OPERATOR_TOKEN,
@@ -295,10 +371,10 @@
   }
 }
 
-function linkAddress(index: number): Address {
-  return { host: hosts.control(index + 1), port: LINK_PORT };
+function linkAddress(hosts: SoakHosts, index: number): Address {
+  return { host: hosts.controls(index + 1), port: LINK_PORT };
 }
 
-function callAddress(index: number): Address {
-  return { host: hosts.control(index + 1), port: CALL_PORT };
+function callAddress(hosts: SoakHosts, index: number): Address {
+  return { host: hosts.controls(index + 1), port: CALL_PORT };
 }
--- /dev/null
+++ b/src/soak/stand-in-faults.ts
@@ -0,0 +1,96 @@
+/**
+ * @file Faults of back ends, of the operator and of datagrams: the same beside real processes and in the
+ * simulator, since the same stand-ins play them.
+ */
+import type { Address } from '../common/address.js';
+import type { IngressOracle } from '../sim/ingress/ingress-oracle.js';
+import type { StandInBackend } from '../sim/ingress/stand-in-backend.js';
+import { SIMULATED_SERVICES, type StandInOperator } from '../sim/ingress/stand-in-operator.js';
+import type { StandInClock, StandInWires } from '../sim/ingress/world-parts.js';
+import type { SoakFaultKind } from './soak-schedule.js';
+
+/** What these faults need of a deployment. */
+export interface StandInWorld {
+  readonly clock: StandInClock;
+  readonly wires: StandInWires & { lossShare: number };
+  readonly oracle: IngressOracle;
+  readonly operator: StandInOperator;
+  readonly backends: readonly StandInBackend[];
+  addBackend(service: string, address?: Address): void;
+}
+
+/** Faults that no process of ours takes part in. */
+export type StandInFaultKind = Extract<
+  SoakFaultKind,
+  | 'backend-crashed'
+  | 'backend-leaves'
+  | 'backend-leaves-at-once'
+  | 'backend-reborn'
+  | 'config-changed'
+  | 'datagrams-lost'
+  | 'acknowledgements-lost'
+>;
+
+const LOSS_SHARE = 0.03;
+const ACK_LOSS_SHARE = 0.6;
+
+/** Machines hold no bound that the oracle judges until some time after this one. */
+export function disturb(world: Pick<StandInWorld, 'oracle' | 'clock'>, forMs: number): void {
+  world.oracle.noteDisturbed(world.clock.nowMs + forMs);
+}
+
+/**
+ * Brings a fault about; it ends by itself.
+ * @param forMs how long it lasts, or how late the last heartbeat of a back end comes
+ */
+export function strikeStandIns(world: StandInWorld, kind: StandInFaultKind, forMs: number): void {
+  const { wires, operator, clock } = world;
+  switch (kind) {
+    case 'config-changed':
+      operator.declareNext();
+      return;
+    case 'datagrams-lost':
+      wires.lossShare = LOSS_SHARE;
+      disturb(world, forMs);
+      clock.after(forMs, () => (wires.lossShare = 0));
+      return;
+    case 'acknowledgements-lost':
+      operator.lostShare = ACK_LOSS_SHARE;
+      clock.after(forMs, () => (operator.lostShare = 0));
+      return;
+    default:
+      endBackend(world, kind, forMs);
+  }
+}
+
+/** Another back end of the same service takes its place. */
+function endBackend(
+  world: StandInWorld,
+  kind: Exclude<StandInFaultKind, 'config-changed' | 'datagrams-lost' | 'acknowledgements-lost'>,
+  forMs: number,
+): void {
+  const staying = world.backends.filter(({ isAlive, isLeaving }) => isAlive && !isLeaving);
+  const [backend] = staying;
+  if (backend === undefined || staying.length <= SIMULATED_SERVICES.length) {
+    return;
+  }
+  const { service, address } = backend.identity;
+  switch (kind) {
+    case 'backend-crashed':
+      backend.crash();
+      disturb(world, 0);
+      world.addBackend(service);
+      return;
+    case 'backend-reborn':
+      backend.crash();
+      disturb(world, 0);
+      world.addBackend(service, address);
+      world.clock.after(forMs, () => backend.deliverHeldUpHeartbeat());
+      return;
+    case 'backend-leaves':
+    case 'backend-leaves-at-once':
+      world.addBackend(service);
+      backend.leave(kind === 'backend-leaves', () => undefined);
+      return;
+  }
+}
--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -6,12 +6,17 @@
 
 const HOST = '127.0.0.1';
 
-interface Joined {
-  readonly proxy: LinkProxy;
+interface Link {
   readonly near: Socket;
   readonly far: Socket;
 }
 
+interface Joined extends Link {
+  readonly proxy: LinkProxy;
+  /** Opens another link through the same proxy. */
+  joinAgain(): Promise<Link>;
+}
+
 async function freePort(): Promise<number> {
   const server = createServer().listen(0, HOST);
   await once(server, 'listening');
@@ -24,20 +29,24 @@
 async function join(test: Test): Promise<Joined> {
   const server = createServer().listen(0, HOST);
   await once(server, 'listening');
-  const accepted = once(server, 'connection');
   const at = { host: HOST, port: await freePort() };
   const { port } = server.address() as AddressInfo;
   const proxy = await startLinkProxy(at, { host: HOST, port });
-  const near = connect(at.port, at.host);
-  near.on('error', () => undefined);
-  const [far] = (await accepted) as [Socket];
-  far.on('error', () => undefined);
+  const opened: Socket[] = [];
+  const joinAgain = async (): Promise<Link> => {
+    const accepted = once(server, 'connection');
+    const near = connect(at.port, at.host);
+    const [far] = (await accepted) as [Socket];
+    [near, far].forEach((socket) => socket.on('error', () => undefined));
+    opened.push(near, far);
+    return { near, far };
+  };
   test.teardown(async () => {
-    near.destroy();
+    opened.forEach((socket) => socket.destroy());
     await proxy.close();
     await new Promise((resolve) => server.close(resolve));
   });
-  return { proxy, near, far };
+  return { proxy, ...(await joinAgain()), joinAgain };
 }
 
 /** @returns the next bytes of a socket as text */
@@ -97,3 +106,22 @@
   proxy.resetAll();
   t.equal((await Promise.all(ends)).length, 2);
 });
+
+t.test('open links go silent for good and nobody is told, a new one works', async (t) => {
+  const { proxy, near, far, joinAgain } = await join(t);
+  const heard: string[] = [];
+  far.on('data', (bytes: Buffer) => heard.push(bytes.toString()));
+  let isFarClosed = false;
+  far.on('close', () => (isFarClosed = true));
+  proxy.silenceOpen();
+  near.write('lost');
+  const later = await joinAgain();
+  later.near.write('there');
+  t.equal(await next(later.far), 'there');
+  near.destroy();
+  await once(near, 'close');
+  later.far.write('back');
+  t.equal(await next(later.near), 'back');
+  t.same(heard, []);
+  t.equal(isFarClosed, false, 'the end that is left hears of nothing');
+});
