--- a/src/sim/ingress/run-ingress-world.ts
+++ b/src/sim/ingress/run-ingress-world.ts
@@ -6,12 +6,9 @@
 import { IngressWorld } from './ingress-world.js';
 import { smallIngressWorld, type IngressWorldOptions } from './world-parts.js';
 
-/** What a run does. */
-export interface IngressRun {
+/** What any run does. */
+export interface WorldRun {
   readonly seed: number;
-  readonly faultCount: number;
-  /** Kinds that are drawn from. */
-  readonly kinds?: readonly IngressFaultKind[];
   /** How it ends: two disks lost and all else without power right after an acknowledgement, or not. */
   readonly endsWithLoss: boolean;
   readonly options?: Partial<IngressWorldOptions>;
@@ -19,6 +16,13 @@
   readonly prepare?: (world: IngressWorld) => void;
 }
 
+/** A run whose faults are drawn one by one. */
+export interface IngressRun extends WorldRun {
+  readonly faultCount: number;
+  /** Kinds that are drawn from. */
+  readonly kinds?: readonly IngressFaultKind[];
+}
+
 /** What came out. */
 export interface IngressRunReport {
   readonly violations: readonly IngressViolation[];
@@ -37,7 +41,18 @@
 /**
  * Runs the deployment, brings faults about, lets it recover and judges.
  */
-export async function runIngressWorld(run: IngressRun): Promise<IngressRunReport> {
+export function runIngressWorld(run: IngressRun): Promise<IngressRunReport> {
+  return runWorld(run, (world, faults) => strikeAll(world, faults, run));
+}
+
+/**
+ * The same with faults of any source.
+ * @param strikeAll brings them about; resolves once the last one has begun
+ */
+export async function runWorld(
+  run: WorldRun,
+  strikeAll: (world: IngressWorld, faults: IngressFaults) => Promise<void>,
+): Promise<IngressRunReport> {
   const world = new IngressWorld(run.seed, { ...smallIngressWorld, ...run.options });
   const faults = new IngressFaults(world);
   world.start();
@@ -46,7 +61,7 @@
   world.startClients();
   await world.run(MEASURED_MS);
   const servedBefore = world.oracle.servedRequests;
-  await strikeAll(world, faults, run);
+  await strikeAll(world, faults);
   await finish(world, faults, run.endsWithLoss);
   await judgeRecovery(world, servedBefore);
   return {
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -7,6 +7,7 @@
 import { createLinkTable } from '../../common/link-table.js';
 import type { GroupReply } from '../../group/group-events.js';
 import { createGroupState, firstStorageId } from '../../group/group-state.js';
+import type { PersistEffect } from '../../consensus/persisted-state.js';
 import type { ConsensusState } from '../../consensus/consensus-state.js';
 import { isFirstMember } from '../../group/membership-duties.js';
 import { packFeed } from '../../group/feed-codec.js';
@@ -24,6 +25,8 @@
 const RETRY_WRITE_MS = 200;
 const RETRY_LINK_AFTER_MS = 50;
 const REQUEST_DEADLINE_MS = 850;
+/** As the daemon: time for what was sent at a stop to leave. */
+const STOP_MS = 250;
 
 /** Reads the documents of the simulated operator: the configuration as JSON. */
 export function readSimulatedDocument({ text }: ConfigDocument): DeclaredConfig {
@@ -38,6 +41,8 @@
   private peerLinks: DialedLinks<VirtualLink> | undefined;
   private readonly feedLinks = createLinkTable<VirtualLink>();
   private nextStorageNumber = 1;
+  /** What came while the process stands still, in order; undefined while it runs. */
+  private backlog: (() => void)[] | undefined;
 
   constructor(
     readonly address: Address,
@@ -91,11 +96,53 @@
 
   /** A call of a back end or the operator; unanswered where the process is not running. */
   call(call: GroupCall, answer: (reply: GroupReply) => void): void {
-    this.process?.call(call, answer);
+    this.whenRunning(this.generation, () => this.process?.call(call, answer));
+  }
+
+  /** Asks the process to stop; it ends after the time that the daemon takes for it. */
+  stop(): void {
+    const { generation } = this;
+    this.whenRunning(generation, () => {
+      this.process?.stop();
+      this.parts.clock.after(STOP_MS, () => {
+        if (generation === this.generation) {
+          this.kill();
+        }
+      });
+    });
+  }
+
+  /** The process stands still; what comes meanwhile waits until it goes on. */
+  freeze(forMs: number): void {
+    if (this.process === undefined || this.backlog !== undefined) {
+      return;
+    }
+    const { generation } = this;
+    this.backlog = [];
+    this.parts.clock.after(forMs, () => {
+      if (generation === this.generation) {
+        const waiting = this.backlog ?? [];
+        this.backlog = undefined;
+        waiting.forEach((run) => run());
+      }
+    });
+  }
+
+  /** Runs something now, or once the process goes on; never in another life of it. */
+  private whenRunning(generation: number, run: () => void): void {
+    if (generation !== this.generation) {
+      return;
+    }
+    if (this.backlog === undefined) {
+      run();
+    } else {
+      this.backlog.push(run);
+    }
   }
 
   private end(): void {
     this.generation += 1;
+    this.backlog = undefined;
     this.process = undefined;
     this.peerLinks?.close(() => undefined);
     this.feedLinks.clear();
@@ -133,7 +180,7 @@
       context: () => ({ nowMs: clock.nowMs, random }),
       sendToPeer: (to, message) => peerLinks.send(to, message),
       sendFeed: (linkId, message) => this.feedLinks.find(linkId)?.send(packFeed(message)),
-      persist: (effect) => storage.persist(effect).finally(() => clock.notePromise()),
+      persist: (effect) => this.persist(storage, effect, generation),
       note: (name, fields) => {
         this.parts.note(this.address.host, name, fields);
         this.noteLeader(state.consensus);
@@ -141,17 +188,44 @@
     });
     this.process = process;
     wires.listen(this.address, {
-      onMessage: (message, link) => this.receive(message, link),
-      onClose: (link) => this.forgetLink(link),
+      onMessage: (message, link) => this.receiveRunning(message, link, generation),
+      onClose: (link) => this.whenRunning(generation, () => this.forgetLink(link)),
     });
     this.tick(process, generation);
   }
 
   private tick(process: GroupProcess, generation: number): void {
-    if (generation === this.generation) {
+    this.whenRunning(generation, () => {
       process.tick();
       this.parts.clock.after(TICK_MS, () => this.tick(process, generation));
+    });
+  }
+
+  /** The disk goes on while the process stands still; the process hears of it later. */
+  private persist(
+    storage: ConsensusStorage,
+    effect: PersistEffect,
+    generation: number,
+  ): Promise<void> {
+    const { clock } = this.parts;
+    const written = storage.persist(effect).finally(() => clock.notePromise());
+    return written.then(
+      () =>
+        new Promise((resolve) =>
+          this.whenRunning(generation, () => {
+            clock.notePromise();
+            resolve();
+          }),
+        ),
+    );
+  }
+
+  private receiveRunning(message: unknown, link: VirtualLink, generation: number): boolean {
+    if (this.backlog === undefined) {
+      return this.receive(message, link);
     }
+    this.whenRunning(generation, () => this.receive(message, link));
+    return true;
   }
 
   private receive(message: unknown, link: VirtualLink): boolean {
--- a/src/sim/ingress/virtual-wires.ts
+++ b/src/sim/ingress/virtual-wires.ts
@@ -85,12 +85,16 @@
 
   /** Cuts two hosts from each other, or joins them again. */
   cut(a: string, b: string, isCut: boolean): void {
-    for (const pair of [`${a}|${b}`, `${b}|${a}`]) {
-      if (isCut) {
-        this.cuts.add(pair);
-      } else {
-        this.cuts.delete(pair);
-      }
+    this.cutOneWay(a, b, isCut);
+    this.cutOneWay(b, a, isCut);
+  }
+
+  /** Nothing passes from one host to another, or passes again; the other way it does. */
+  cutOneWay(from: string, to: string, isCut: boolean): void {
+    if (isCut) {
+      this.cuts.add(`${from}|${to}`);
+    } else {
+      this.cuts.delete(`${from}|${to}`);
     }
   }
 
@@ -102,13 +106,26 @@
   /** Open links go silent for good, in both directions and without a reset; new ones work. */
   silenceLinks(share: number): void {
     for (const end of this.ends) {
-      if (end.peer !== undefined && !end.isSilent && this.random.nextFloat() < share) {
-        end.isSilent = true;
-        end.peer.isSilent = true;
+      if (this.random.nextFloat() < share) {
+        silence(end);
       }
     }
   }
 
+  /** The same for all open links of one host. */
+  silenceLinksOf(host: string): void {
+    this.endsAt(host).forEach(silence);
+  }
+
+  /** Ends all links of a host; both ends are told. */
+  resetLinksOf(host: string): void {
+    this.endsAt(host).forEach((end) => this.drop(end, true, 'Reset.'));
+  }
+
+  private endsAt(host: string): LinkEnd[] {
+    return [...this.ends].filter((end) => end.host === host || end.peer?.host === host);
+  }
+
   reaches(from: string, to: string): boolean {
     return !this.cuts.has(`${from}|${to}`) && !this.dead.has(from) && !this.dead.has(to);
   }
@@ -159,8 +176,15 @@
     this.limits.set(host, { ...limit, freeAtMs: this.clock.nowMs });
   }
 
-  /** Gives the links of processes on a host a bandwidth in each direction; what does not fit waits. */
-  limitStreams(host: string, bytesPerMs: number): void {
+  /**
+   * Gives the links of processes on a host a bandwidth in each direction; what does not fit waits.
+   * @param bytesPerMs undefined for no limit any more
+   */
+  limitStreams(host: string, bytesPerMs: number | undefined): void {
+    if (bytesPerMs === undefined) {
+      this.streams.delete(host);
+      return;
+    }
     this.streams.set(host, {
       out: createStreamQueue(bytesPerMs),
       in: createStreamQueue(bytesPerMs),
@@ -299,3 +323,10 @@
     return DELAY_MS + this.random.nextFloat() * JITTER_MS;
   }
 }
+
+function silence(end: LinkEnd): void {
+  if (end.peer !== undefined) {
+    end.isSilent = true;
+    end.peer.isSilent = true;
+  }
+}
