--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -78,18 +78,14 @@
 }
 
 /**
- * Stops on the first SIGTERM or SIGINT, and goes on stopping where more come; a second SIGINT, from somebody at a
- * terminal, ends the process at once.
+ * Stops on the first SIGTERM or SIGINT, ends at once on the second.
  * @param stop the graceful stop
  */
 export function stopOnSignal(stop: () => Promise<void>): void {
   let stopping = false;
-  const onSignal = (signal: NodeJS.Signals): void => {
-    if (stopping && signal === 'SIGINT') {
-      process.exit(exitCodes.failure);
-    }
+  const onSignal = (): void => {
     if (stopping) {
-      return;
+      process.exit(exitCodes.failure);
     }
     stopping = true;
     stop().then(
