Let one balancer place an open of which two read copies at the same moment

Causes: (1) a placement told to a balancer that is asking itself was remembered and not looked at; (2) what passes a balancer told it nothing about opens; (3) two that ask at the same moment both hear nothing. Ruled out: the guard against stalls (the open was asked for as doubtful) and the memory of holders (1 to 2 periods).

Now a placement that is heard of ends the wait, a packet read just after a stall says where its flow is, the memory is asked once more before placing, and holders let the first asker go on and tell another one for 0.1 s. An open may be dropped where two asked at once; its client sends another copy or tries again.

--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -14,7 +14,7 @@
 } from '../ingress/ingress-state.js';
 import {
   decidePacket,
-  placeOpen,
+  placeUnlessPlaced,
   takePlacedElsewhere,
   type DropReason,
   type PacketDecision,
@@ -114,8 +114,10 @@
       after: (delayMs, run) => surroundings.after(delayMs, run),
       sendToBalancer: (to, message) => this.sender.charge(surroundings.sendToBalancer(to, message)),
       onUnknown: ({ datagram, packet }) => {
-        this.carryOut(placeOpen(this.state, packet, surroundings.nowMs()), datagram, packet);
+        const decision = placeUnlessPlaced(this.state, packet, surroundings.nowMs());
+        this.carryOut(decision, datagram, packet);
       },
+      onClaimed: ({ packet }) => this.refuse('dropped', 'claimed-elsewhere', packet),
       onFound: ({ datagram, packet }, key, token) => {
         const decision = takePlacedElsewhere(this.state, key, token, surroundings.nowMs());
         this.carryOut(decision, datagram, packet);
--- a/src/daemon/open-sharing.ts
+++ b/src/daemon/open-sharing.ts
@@ -2,9 +2,10 @@
  * @file How balancers share the memory of opens: the one that places an open tells its holders, one that gets
  * a copy which it does not know holds it for a moment and asks them.
  */
-import type { Address } from '../common/address.js';
+import { formatAddress, type Address } from '../common/address.js';
 import type { BalancerMessage } from '../group/message-schemas.js';
 import type { IngressState } from '../ingress/ingress-state.js';
+import { createOpenClaims } from '../ingress/open-claims.js';
 import type { FlowKey, PacketView } from '../ingress/packet-view.js';
 import { ASKED_HOLDERS, TOLD_HOLDERS } from '../ingress/peer-table.js';
 
@@ -24,6 +25,8 @@
   sendToBalancer(to: Address, message: BalancerMessage): void;
   /** No holder knows of the open: it is to be placed. */
   onUnknown(held: HeldOpen): void;
+  /** Another balancer asked first and is about to place it: it is not placed here. */
+  onClaimed(held: HeldOpen): void;
   /** A holder knows to which back end the open went. */
   onFound(held: HeldOpen, key: FlowKey, token: number): void;
 }
@@ -46,6 +49,7 @@
 export function createOpenSharing(options: OpenSharingOptions): OpenSharing {
   const { state, replyTo } = options;
   const held = new Map<FlowKey, HeldOpen>();
+  const claims = createOpenClaims();
 
   return { tell, ask, take };
 
@@ -57,6 +61,10 @@
     if (held.has(key) || held.size >= MAX_HELD) {
       return;
     }
+    if (!claims.claim(key, formatAddress(replyTo), options.nowMs())) {
+      options.onClaimed(open);
+      return;
+    }
     held.set(key, open);
     sendToHolders(key, ASKED_HOLDERS, { type: 'find-open', key, replyTo });
     options.after(ASK_MS, () => release(key, (waiting) => options.onUnknown(waiting)));
@@ -66,10 +74,14 @@
     switch (message.type) {
       case 'open-placed':
         state.opens.remember(message.key, message.token, options.nowMs());
+        release(message.key, (waiting) => options.onFound(waiting, message.key, message.token));
         return;
       case 'find-open':
         answer(message.key, message.replyTo);
         return;
+      case 'open-claimed':
+        release(message.key, (waiting) => options.onClaimed(waiting));
+        return;
       case 'open-found':
         release(message.key, (waiting) => options.onFound(waiting, message.key, message.token));
         return;
@@ -77,9 +89,12 @@
   }
 
   function answer(key: FlowKey, to: Address): void {
-    const token = state.opens.recall(key, options.nowMs());
+    const nowMs = options.nowMs();
+    const token = state.opens.recall(key, nowMs);
     if (token !== undefined) {
       options.sendToBalancer(to, { type: 'open-found', key, token });
+    } else if (!claims.claim(key, formatAddress(to), nowMs)) {
+      options.sendToBalancer(to, { type: 'open-claimed', key });
     }
   }
 
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -96,6 +96,7 @@
   z.object({ type: z.literal('open-placed'), key: text, token: index }),
   z.object({ type: z.literal('find-open'), key: text, replyTo: address }),
   z.object({ type: z.literal('open-found'), key: text, token: index }),
+  z.object({ type: z.literal('open-claimed'), key: text }),
 ]);
 
 /** From one balancer to another, in a datagram. */
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -15,7 +15,9 @@
   | 'no-route'
   | 'no-backend'
   /** An open that waited while this process stood still. */
-  | 'stale-open';
+  | 'stale-open'
+  /** An open whose other copy another balancer is placing at this moment. */
+  | 'claimed-elsewhere';
 
 /** How the back end of an open was found. */
 export type FoundBy =
@@ -66,7 +68,12 @@
   if (backend === undefined) {
     return { type: 'drop', reason: 'unknown-token' };
   }
-  state.activities.note(flowKeyOf(packet), backend, packet, nowMs);
+  const key = flowKeyOf(packet);
+  state.activities.note(key, backend, packet, nowMs);
+  if (state.stallGuard.trustAt(nowMs) !== 'fresh') {
+    // An old copy of this flow's open may be read beside it: what passes says where the flow is.
+    state.opens.remember(key, packet.token, nowMs);
+  }
   return { type: 'forward', backend };
 }
 
@@ -117,7 +124,7 @@
 /**
  * Places an open for which no earlier copy is known.
  */
-export function placeOpen(state: IngressState, packet: PacketView, nowMs: number): PacketDecision {
+function placeOpen(state: IngressState, packet: PacketView, nowMs: number): PacketDecision {
   const service = state.routes.nextService(packet.destinationHost, packet.destinationPort);
   if (service === undefined) {
     return { type: 'reset', reason: 'no-route' };
@@ -136,6 +143,21 @@
   return { type: 'forward', backend, foundBy: { type: 'chosen', key, service, load } };
 }
 
+/**
+ * Places an open that no holder knew of a moment ago, unless this balancer has heard or seen meanwhile where the
+ * flow is.
+ */
+export function placeUnlessPlaced(
+  state: IngressState,
+  packet: PacketView,
+  nowMs: number,
+): PacketDecision {
+  const placed = state.opens.recall(flowKeyOf(packet), nowMs);
+  return placed === undefined
+    ? placeOpen(state, packet, nowMs)
+    : forwardCopy(state, placed, { type: 'remembered' });
+}
+
 /**
  * Another balancer has placed the first copy of an open.
  */
--- /dev/null
+++ b/test/ingress/open-claims.test.ts
@@ -0,0 +1,126 @@
+/**
+ * @file Two balancers read copies of one open at the same moment, one of them after it stood still: at most one
+ * of them places it.
+ *
+ * Seen in a soak of real processes: balancers stood still one after the other, 1.3 s each; one of them woke with
+ * an open in its socket, asked its holders, and placed it 30 ms later, though another had placed a newer copy 5 ms
+ * before and told the holders, and though a packet of that flow had passed the first one meanwhile. The second
+ * back end reset the flow.
+ */
+import t from 'tap';
+import type { Address } from '../../src/common/address.js';
+import { createOpenSharing } from '../../src/daemon/open-sharing.js';
+import type { BalancerMessage } from '../../src/group/message-schemas.js';
+import { createIngressState } from '../../src/ingress/ingress-state.js';
+import { createOpenClaims } from '../../src/ingress/open-claims.js';
+import { defaultPolicy } from '../../src/ingress/policy.js';
+import { flowKeyOf, type FlowKey, type PacketView } from '../../src/ingress/packet-view.js';
+import { timingFor } from '../../src/group/timing.js';
+import { VirtualClock } from '../../src/sim/virtual-clock.js';
+
+const TOKEN = 77;
+const WAIT_MS = 100;
+const names = ['one', 'two', 'three', 'four'] as const;
+type Name = (typeof names)[number];
+
+const packet: PacketView = {
+  sourceHost: 1,
+  sourcePort: 2,
+  destinationHost: 3,
+  destinationPort: 4,
+  token: 0,
+  sequence: 1,
+  acknowledged: 0,
+  dataLength: 0,
+  copyNumber: 0,
+  isOpen: true,
+  isFinish: false,
+  isReset: false,
+};
+const KEY: FlowKey = flowKeyOf(packet);
+const held = { datagram: new Uint8Array(), packet };
+
+function addressOf(name: Name): Address {
+  return { host: `10.0.3.${names.indexOf(name) + 1}`, port: 7_700 };
+}
+
+/** Balancers that know each other, joined by datagrams of half a millisecond. */
+function createBalancers(clock: VirtualClock) {
+  const outcomes: string[] = [];
+  const list = names.map((name) => ({ name, zone: 'zone-a', peerAddress: addressOf(name) }));
+  const sharings = new Map<string, ReturnType<typeof createOpenSharing>>();
+  for (const name of names) {
+    const state = createIngressState({
+      name,
+      zone: 'zone-a',
+      heartbeatIntervalMs: 1_200,
+      flowLifetimeMs: 60_000,
+      feed: timingFor({ contactMs: 4_000, applyMs: 3_000, drainMs: 3_000 }).feed,
+      maxCountedFlows: 100,
+      policy: defaultPolicy,
+    });
+    state.peers.takeChanges(list, []);
+    const send = (to: Address, message: BalancerMessage) =>
+      clock.after(0.5, () => sharings.get(to.host)?.take(message));
+    const sharing = createOpenSharing({
+      state,
+      replyTo: addressOf(name),
+      nowMs: () => clock.nowMs,
+      after: (delayMs, run) => clock.after(delayMs, run),
+      sendToBalancer: send,
+      onUnknown: () => {
+        outcomes.push(`${name} places`);
+        state.opens.remember(KEY, TOKEN, clock.nowMs);
+        sharing.tell(KEY, TOKEN);
+      },
+      onClaimed: () => outcomes.push(`${name} leaves it`),
+      onFound: () => outcomes.push(`${name} follows`),
+    });
+    sharings.set(addressOf(name).host, sharing);
+  }
+  return {
+    outcomes,
+    sharingOf: (name: Name) => {
+      const sharing = sharings.get(addressOf(name).host);
+      if (sharing === undefined) {
+        throw new Error(name);
+      }
+      return sharing;
+    },
+  };
+}
+
+for (const apartMs of [0, 0.2, 1, 5, 20, 29, 31]) {
+  for (const first of names) {
+    for (const second of names.filter((name) => name !== first)) {
+      t.test(`${first} asks, ${second} asks ${apartMs} ms later`, async (t) => {
+        const clock = new VirtualClock();
+        const { outcomes, sharingOf } = createBalancers(clock);
+        sharingOf(first).ask(KEY, held);
+        clock.after(apartMs, () => sharingOf(second).ask(KEY, held));
+        await clock.runUntil(WAIT_MS);
+        const placed = outcomes.filter((outcome) => outcome.endsWith('places'));
+        t.ok(placed.length <= 1, outcomes.join(', '));
+        t.equal(outcomes.length, 2, 'each comes to an end');
+      });
+    }
+  }
+}
+
+t.test('a placement that is heard of while holders are asked is followed at once', async (t) => {
+  const clock = new VirtualClock();
+  const { outcomes, sharingOf } = createBalancers(clock);
+  sharingOf('one').ask(KEY, held);
+  sharingOf('one').take({ type: 'open-placed', key: KEY, token: TOKEN });
+  t.same(outcomes, ['one follows']);
+  await clock.runUntil(WAIT_MS);
+  t.same(outcomes, ['one follows']);
+});
+
+t.test('a claim holds for its balancer, and up no later copy', async (t) => {
+  const claims = createOpenClaims();
+  t.equal(claims.claim(KEY, 'one', 1_000), true);
+  t.equal(claims.claim(KEY, 'one', 1_010), true, 'the same balancer again');
+  t.equal(claims.claim(KEY, 'two', 1_050), false);
+  t.equal(claims.claim(KEY, 'two', 1_200), true, 'the next copy');
+});
