--- a/src/sim/ingress/ingress-world.ts
+++ b/src/sim/ingress/ingress-world.ts
@@ -10,6 +10,7 @@
 import type { GroupReply } from '../../group/group-events.js';
 import { timingFor } from '../../group/timing.js';
 import { VirtualClock } from '../virtual-clock.js';
+import { hashOfFlow } from './flow-hash.js';
 import { IngressOracle } from './ingress-oracle.js';
 import { SimulatedControlMachine } from './simulated-control-machine.js';
 import { SimulatedIngressBalancer } from './simulated-ingress-balancer.js';
@@ -137,11 +138,7 @@
       ({ host }) => (this.misses.get(host) ?? 0) < MISSES_UNTIL_OUT,
     );
     const pool = inUse.length * 2 < this.balancers.length ? this.balancers : inUse;
-    let hash = 0;
-    for (const letter of flow) {
-      hash = (Math.imul(hash, 31) + (letter.codePointAt(0) ?? 0)) >>> 0;
-    }
-    return pool[hash % pool.length]?.packetAddress;
+    return pool[hashOfFlow(flow) % pool.length]?.packetAddress;
   }
 
   isHeldOpen(client: string, acceptNumber: number): boolean {
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -18,6 +18,7 @@
 import type { DeclaredConfig } from '../../declared/declared-config.js';
 import type { ConfigDocument } from '../../group/replicated-state.js';
 import { VirtualDisk } from '../virtual-disk.js';
+import { createProcessGate, type ProcessGate } from './process-gate.js';
 import type { VirtualLink } from './virtual-wires.js';
 import type { IngressWorldParts } from './world-parts.js';
 
@@ -37,12 +38,10 @@
 export class SimulatedControlMachine {
   readonly disk: VirtualDisk;
   process: GroupProcess | undefined;
-  private generation = 0;
+  private readonly gate: ProcessGate;
   private peerLinks: DialedLinks<VirtualLink> | undefined;
   private readonly feedLinks = createLinkTable<VirtualLink>();
   private nextStorageNumber = 1;
-  /** What came while the process stands still, in order; undefined while it runs. */
-  private backlog: (() => void)[] | undefined;
 
   constructor(
     readonly address: Address,
@@ -51,6 +50,7 @@
     private readonly parts: IngressWorldParts,
   ) {
     this.disk = new VirtualDisk(parts.clock, parts.random);
+    this.gate = createProcessGate(parts.clock);
   }
 
   get isRunning(): boolean {
@@ -59,8 +59,7 @@
 
   /** Starts the process; it runs once its disk is read. */
   start(isFirstStart: boolean): void {
-    this.generation += 1;
-    const { generation } = this;
+    const generation = this.gate.renew();
     const { clock, wires } = this.parts;
     wires.hostStarted(this.address.host);
     const makeStorageId = isFirstMember(this.address, this.seeds, isFirstStart)
@@ -69,7 +68,7 @@
     const pause = () => this.pause();
     const name = formatAddress(this.address);
     void ConsensusStorage.open(this.disk.open(), name, makeStorageId, pause).then((opened) => {
-      if (generation === this.generation) {
+      if (generation === this.gate.generation) {
         this.run(opened._unsafeUnwrap(), isFirstStart, generation);
       }
     });
@@ -96,16 +95,16 @@
 
   /** A call of a back end or the operator; unanswered where the process is not running. */
   call(call: GroupCall, answer: (reply: GroupReply) => void): void {
-    this.whenRunning(this.generation, () => this.process?.call(call, answer));
+    this.gate.whenRunning(this.gate.generation, () => this.process?.call(call, answer));
   }
 
   /** Asks the process to stop; it ends after the time that the daemon takes for it. */
   stop(): void {
-    const { generation } = this;
-    this.whenRunning(generation, () => {
+    const { generation } = this.gate;
+    this.gate.whenRunning(generation, () => {
       this.process?.stop();
       this.parts.clock.after(STOP_MS, () => {
-        if (generation === this.generation) {
+        if (generation === this.gate.generation) {
           this.kill();
         }
       });
@@ -114,35 +113,13 @@
 
   /** The process stands still; what comes meanwhile waits until it goes on. */
   freeze(forMs: number): void {
-    if (this.process === undefined || this.backlog !== undefined) {
-      return;
-    }
-    const { generation } = this;
-    this.backlog = [];
-    this.parts.clock.after(forMs, () => {
-      if (generation === this.generation) {
-        const waiting = this.backlog ?? [];
-        this.backlog = undefined;
-        waiting.forEach((run) => run());
-      }
-    });
-  }
-
-  /** Runs something now, or once the process goes on; never in another life of it. */
-  private whenRunning(generation: number, run: () => void): void {
-    if (generation !== this.generation) {
-      return;
-    }
-    if (this.backlog === undefined) {
-      run();
-    } else {
-      this.backlog.push(run);
+    if (this.process !== undefined) {
+      this.gate.freeze(forMs);
     }
   }
 
   private end(): void {
-    this.generation += 1;
-    this.backlog = undefined;
+    this.gate.renew();
     this.process = undefined;
     this.peerLinks?.close(() => undefined);
     this.feedLinks.clear();
@@ -189,13 +166,13 @@
     this.process = process;
     wires.listen(this.address, {
       onMessage: (message, link) => this.receiveRunning(message, link, generation),
-      onClose: (link) => this.whenRunning(generation, () => this.forgetLink(link)),
+      onClose: (link) => this.gate.whenRunning(generation, () => this.forgetLink(link)),
     });
     this.tick(process, generation);
   }
 
   private tick(process: GroupProcess, generation: number): void {
-    this.whenRunning(generation, () => {
+    this.gate.whenRunning(generation, () => {
       process.tick();
       this.parts.clock.after(TICK_MS, () => this.tick(process, generation));
     });
@@ -212,7 +189,7 @@
     return written.then(
       () =>
         new Promise((resolve) =>
-          this.whenRunning(generation, () => {
+          this.gate.whenRunning(generation, () => {
             clock.notePromise();
             resolve();
           }),
@@ -221,10 +198,10 @@
   }
 
   private receiveRunning(message: unknown, link: VirtualLink, generation: number): boolean {
-    if (this.backlog === undefined) {
+    if (!this.gate.isFrozen) {
       return this.receive(message, link);
     }
-    this.whenRunning(generation, () => this.receive(message, link));
+    this.gate.whenRunning(generation, () => this.receive(message, link));
     return true;
   }
 
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -6,6 +6,7 @@
 import { IngressProcess } from '../../daemon/ingress-process.js';
 import { parseBalancerMessage } from '../../group/message-schemas.js';
 import { tokenPacketCodec } from '../../ingress/token-packet.js';
+import { createProcessGate, type ProcessGate } from './process-gate.js';
 import type { IngressWorldParts } from './world-parts.js';
 
 const TICK_MS = 100;
@@ -17,19 +18,19 @@
 /** One balancer. */
 export class SimulatedIngressBalancer {
   process: IngressProcess | undefined;
-  private generation = 0;
-  /** What came while the process stands still, in order; undefined while it runs. */
-  private backlog: (() => void)[] | undefined;
+  private readonly gate: ProcessGate;
 
   constructor(
     readonly host: string,
     private readonly zone: string,
     private readonly controls: readonly Address[],
     private readonly parts: IngressWorldParts,
-  ) {}
+  ) {
+    this.gate = createProcessGate(parts.clock);
+  }
 
   get isReady(): boolean {
-    return this.backlog === undefined && this.process?.isReady === true;
+    return !this.gate.isFrozen && this.process?.isReady === true;
   }
 
   /** Where routers send packets. */
@@ -38,9 +39,8 @@
   }
 
   start(): void {
-    this.generation += 1;
-    this.backlog = undefined;
-    const { generation, host } = this;
+    const generation = this.gate.renew();
+    const { host } = this;
     const { clock, wires, options } = this.parts;
     const peerAddress: Address = { host, port: PEER_PORT };
     wires.hostStarted(host);
@@ -71,67 +71,45 @@
         connectControl: (to, handlers) =>
           wires.connect(host, to, {
             onMessage: (message, link) => {
-              this.whenRunning(generation, () => handlers.onMessage(message, link));
+              this.gate.whenRunning(generation, () => handlers.onMessage(message, link));
               return true;
             },
             onClose: (link, reason) =>
-              this.whenRunning(generation, () => handlers.onClose(link, reason)),
+              this.gate.whenRunning(generation, () => handlers.onClose(link, reason)),
           }),
-        after: (delayMs, run) => clock.after(delayMs, () => this.whenRunning(generation, run)),
+        after: (delayMs, run) => clock.after(delayMs, () => this.gate.whenRunning(generation, run)),
         note: (name, fields) => this.parts.note(host, name, fields),
         packetLog: { note: () => undefined, flush: () => undefined },
       },
     );
     this.process = process;
     wires.onDatagram(this.packetAddress, (bytes) =>
-      this.whenRunning(generation, () => process.takePacket(bytes)),
+      this.gate.whenRunning(generation, () => process.takePacket(bytes)),
     );
     wires.onDatagram(peerAddress, (bytes) => {
       const message = parseBalancerMessage(packr.unpack(bytes));
       if (message !== undefined) {
-        this.whenRunning(generation, () => process.takeBalancerMessage(message));
+        this.gate.whenRunning(generation, () => process.takeBalancerMessage(message));
       }
     });
     this.tick(process, generation);
   }
 
   kill(): void {
-    this.generation += 1;
+    this.gate.renew();
     this.process = undefined;
-    this.backlog = undefined;
     this.parts.wires.hostDied(this.host);
   }
 
   /** The process stands still; what comes meanwhile waits until it goes on. */
   freeze(forMs: number): void {
-    if (this.process === undefined || this.backlog !== undefined) {
-      return;
-    }
-    const { generation } = this;
-    this.backlog = [];
-    this.parts.clock.after(forMs, () => {
-      const waiting = this.backlog ?? [];
-      this.backlog = undefined;
-      if (generation === this.generation) {
-        waiting.forEach((run) => run());
-      }
-    });
-  }
-
-  /** Runs something now, or once the process goes on; never in another life of it. */
-  private whenRunning(generation: number, run: () => void): void {
-    if (generation !== this.generation) {
-      return;
-    }
-    if (this.backlog === undefined) {
-      run();
-    } else {
-      this.backlog.push(run);
+    if (this.process !== undefined) {
+      this.gate.freeze(forMs);
     }
   }
 
   private tick(process: IngressProcess, generation: number): void {
-    this.whenRunning(generation, () => {
+    this.gate.whenRunning(generation, () => {
       process.tick();
       this.parts.clock.after(TICK_MS, () => this.tick(process, generation));
     });
--- a/src/soak/soak-world.ts
+++ b/src/soak/soak-world.ts
@@ -7,6 +7,7 @@
 import { formatAddress, type Address } from '../common/address.js';
 import { seededRandom } from '../common/random.js';
 import { sendJson } from '../daemon/http-json.js';
+import { hashOfFlow } from '../sim/ingress/flow-hash.js';
 import { IngressOracle } from '../sim/ingress/ingress-oracle.js';
 import { StandInBackend, type CallControl } from '../sim/ingress/stand-in-backend.js';
 import { StandInClient } from '../sim/ingress/stand-in-client.js';
@@ -260,7 +261,7 @@
    * with the balancer that it met first until the process is gone, as behind a router that remembers.
    */
   function pick(flow: string): Address | undefined {
-    const hash = hashOf(flow);
+    const hash = hashOfFlow(flow);
     const known = kept.get(flow);
     const isKept = known !== undefined && balancers[known]?.isRunning === true;
     const index = isKept ? known : pickByHash(hash);
@@ -289,14 +290,6 @@
   }
 }
 
-function hashOf(flow: string): number {
-  let hash = 0;
-  for (const letter of flow) {
-    hash = (Math.imul(hash, 31) + (letter.codePointAt(0) ?? 0)) >>> 0;
-  }
-  return hash;
-}
-
 type StandIns = Pick<SoakWorld, 'backends' | 'clients' | 'addBackend' | 'startClients'>;
 
 function createStandIns(
