Keep the map that forgets, the stop signals and the addresses of back ends once

The memory of opens and the claims each turned two maps; the command line and the platform each kept whether a stop is under way; holders of addresses kept the address that the registry has. No behaviour changes but one: a claim is also forgotten after a long pause. SIGHUP and the stop signals have a module each, since a command line tool must not get a listener for SIGHUP by importing the other.

--- a/src/cli/daemon-command.ts
+++ b/src/cli/daemon-command.ts
@@ -6,6 +6,7 @@
 import type { z } from 'zod';
 import { setLogLevel, setLogSink, type LogLevel } from '../common/logger.js';
 import { LineWriter, STANDARD_ERROR, writeTo } from '../daemon/line-writer.js';
+import { onStopSignal } from '../daemon/stop-signal.js';
 import { answerFor, exitCodes, type AmberliftError } from '../flow/error-kinds.js';
 import { loadSettingsAs } from '../settings/load-settings.js';
 import { settingsSchema, type Settings } from '../settings/settings-schema.js';
@@ -82,17 +83,14 @@
  * @param stop the graceful stop
  */
 export function stopOnSignal(stop: () => Promise<void>): void {
-  let stopping = false;
-  const onSignal = (): void => {
-    if (stopping) {
-      process.exit(exitCodes.failure);
-    }
-    stopping = true;
-    stop().then(
-      () => process.exit(exitCodes.success),
-      () => process.exit(exitCodes.failure),
-    );
-  };
-  process.on('SIGTERM', onSignal);
-  process.on('SIGINT', onSignal);
+  onStopSignal({
+    signals: ['SIGTERM', 'SIGINT'],
+    stop: () => {
+      stop().then(
+        () => process.exit(exitCodes.success),
+        () => process.exit(exitCodes.failure),
+      );
+    },
+    again: () => process.exit(exitCodes.failure),
+  });
 }
--- a/src/ingress/open-claims.ts
+++ b/src/ingress/open-claims.ts
@@ -7,6 +7,7 @@
  * still, while a newer one has just reached another.
  */
 import type { FlowKey } from './packet-view.js';
+import { createPeriodMap } from './period-map.js';
 
 /** Who has asked about which open lately. */
 export interface OpenClaims {
@@ -29,30 +30,16 @@
 
 /** @returns claims without any open */
 export function createOpenClaims(): OpenClaims {
-  let young = new Map<FlowKey, Claim>();
-  let old = new Map<FlowKey, Claim>();
-  let turnedAtMs = 0;
+  const claims = createPeriodMap<FlowKey, Claim>({ periodMs: CLAIM_MS, maxEntries: MAX_CLAIMS });
 
   return { claim };
 
   function claim(key: FlowKey, asker: string, nowMs: number): boolean {
-    turn(nowMs);
-    const known = young.get(key) ?? old.get(key);
+    const known = claims.get(key, nowMs);
     if (known !== undefined && nowMs - known.atMs < CLAIM_MS) {
       return known.asker === asker;
     }
-    if (young.size < MAX_CLAIMS) {
-      young.set(key, { asker, atMs: nowMs });
-    }
+    claims.set(key, { asker, atMs: nowMs }, nowMs);
     return true;
   }
-
-  /** A claim is forgotten after one to two periods. */
-  function turn(nowMs: number): void {
-    if (nowMs - turnedAtMs >= CLAIM_MS) {
-      old = young;
-      young = new Map();
-      turnedAtMs = nowMs;
-    }
-  }
 }
--- a/src/ingress/open-memory.ts
+++ b/src/ingress/open-memory.ts
@@ -3,38 +3,25 @@
  * back ends took one flow, the client's packets could reach the one that it did not choose.
  */
 import type { FlowKey } from './packet-view.js';
+import { createPeriodMap, type PeriodMap } from './period-map.js';
 
 /** Opens beyond this number in one period are not remembered: other balancers may tell of any number. */
 const MAX_OPENS = 200_000;
 
 /** Tokens of the back ends to which the opens of the last one to two periods went. */
 export class OpenMemory {
-  private young = new Map<FlowKey, number>();
-  private old = new Map<FlowKey, number>();
-  private turnedAtMs = 0;
+  private readonly tokens: PeriodMap<FlowKey, number>;
 
-  constructor(private readonly periodMs: number) {}
+  constructor(periodMs: number) {
+    this.tokens = createPeriodMap({ periodMs, maxEntries: MAX_OPENS });
+  }
 
   remember(key: FlowKey, token: number, nowMs: number): void {
-    this.turn(nowMs);
-    if (this.young.size < MAX_OPENS) {
-      this.young.set(key, token);
-    }
+    this.tokens.set(key, token, nowMs);
   }
 
   /** @returns the token of the back end that an open went to; undefined where none is known */
   recall(key: FlowKey, nowMs: number): number | undefined {
-    this.turn(nowMs);
-    return this.young.get(key) ?? this.old.get(key);
-  }
-
-  private turn(nowMs: number): void {
-    if (nowMs - this.turnedAtMs < this.periodMs) {
-      return;
-    }
-    const isFresh = nowMs - this.turnedAtMs < 2 * this.periodMs;
-    this.old = isFresh ? this.young : new Map<FlowKey, number>();
-    this.young = new Map();
-    this.turnedAtMs = nowMs;
+    return this.tokens.get(key, nowMs);
   }
 }
--- a/src/registry/address-holders.ts
+++ b/src/registry/address-holders.ts
@@ -10,7 +10,7 @@
 
 /** Who holds which address. */
 export interface AddressHolders {
-  /** Takes a heartbeat. */
+  /** Takes a heartbeat of a back end that tells this address for the first time, or again. */
   noteHeartbeat(id: string, address: Address, heardAtMs: number): void;
   /**
    * Takes a back end of the replicated list, which is in the order in which back ends were first heard of. It
@@ -21,8 +21,8 @@
   isSuperseded(id: string): boolean;
   /** @returns who holds an address */
   holderOf(address: Address): string | undefined;
-  /** Forgets a back end. */
-  forget(id: string): void;
+  /** A back end is forgotten, or tells another address from now on. */
+  leave(id: string, address: Address): void;
 }
 
 interface Holder {
@@ -47,7 +47,6 @@
 /** @param heartbeatIntervalMs time between two heartbeats of a back end */
 export function createAddressHolders(heartbeatIntervalMs: number): AddressHolders {
   const holders = new Map<string, Holder>();
-  const addresses = new Map<string, string>();
   const superseded = new Map<string, Superseded>();
 
   return {
@@ -55,11 +54,11 @@
     noteListed,
     isSuperseded: (id) => superseded.has(id),
     holderOf: (address) => holders.get(formatAddress(address))?.id,
-    forget,
+    leave,
   };
 
   function noteHeartbeat(id: string, address: Address, heardAtMs: number): void {
-    const at = settle(id, address);
+    const at = formatAddress(address);
     const holder = holders.get(at);
     if (holder?.id === id) {
       holder.heardAtMs = Math.max(heardAtMs, holder.heardAtMs ?? heardAtMs);
@@ -69,7 +68,7 @@
   }
 
   function noteListed(id: string, address: Address): void {
-    const at = settle(id, address);
+    const at = formatAddress(address);
     const holder = holders.get(at);
     if (holder?.heardAtMs === undefined) {
       hold(at, { id, heardAtMs: undefined });
@@ -78,16 +77,6 @@
     }
   }
 
-  /** A back end that tells another address than before leaves the one before. */
-  function settle(id: string, address: Address): string {
-    const at = formatAddress(address);
-    if (addresses.get(id) !== at) {
-      forget(id);
-      addresses.set(id, at);
-    }
-    return at;
-  }
-
   function hold(at: string, holder: Holder): void {
     const before = holders.get(at);
     if (before !== undefined && before.id !== holder.id) {
@@ -112,12 +101,11 @@
     return goesOn && holderSilentMs >= HOLDER_SILENT_INTERVALS * heartbeatIntervalMs;
   }
 
-  function forget(id: string): void {
-    const at = addresses.get(id);
-    if (at !== undefined && holders.get(at)?.id === id) {
+  function leave(id: string, address: Address): void {
+    const at = formatAddress(address);
+    if (holders.get(at)?.id === id) {
       holders.delete(at);
     }
-    addresses.delete(id);
     superseded.delete(id);
   }
 }
--- a/src/registry/heartbeat-registry.ts
+++ b/src/registry/heartbeat-registry.ts
@@ -71,6 +71,9 @@
     if (known !== undefined && known.record.sequence >= record.sequence) {
       return 'late';
     }
+    if (known !== undefined && !isSameAddress(known.record, record)) {
+      this.holders.leave(record.id, known.record.address);
+    }
     this.holders.noteHeartbeat(record.id, record.address, heardAtMs);
     return this.keep(record, heardAtMs, known);
   }
@@ -113,10 +116,10 @@
 
   /** Forgets back ends that have been silent for longer than `afterMs`. */
   forgetSilent(nowMs: number, afterMs: number): void {
-    for (const [id, { heardAtMs }] of this.records) {
+    for (const [id, { record, heardAtMs }] of this.records) {
       if (nowMs - heardAtMs > afterMs) {
         this.records.delete(id);
-        this.holders.forget(id);
+        this.holders.leave(id, record.address);
       }
     }
   }
@@ -129,7 +132,11 @@
     before.service === record.service &&
     before.zone === record.zone &&
     before.capacity === record.capacity &&
-    formatAddress(before.address) === formatAddress(record.address) &&
+    isSameAddress(before, record) &&
     Math.abs(expectedWarmUpMs - record.warmUpLeftMs) <= WARM_UP_TOLERANCE_MS
   );
 }
+
+function isSameAddress(one: BackendRecord, other: BackendRecord): boolean {
+  return formatAddress(one.address) === formatAddress(other.address);
+}
--- a/test/daemon/process-signals.test.ts
+++ b/test/daemon/signals.test.ts
@@ -4,14 +4,16 @@
 import { createInterface } from 'node:readline';
 import t from 'tap';
 
-const MODULE = new URL('../../src/daemon/process-signals.js', import.meta.url).href;
+const RELOAD = new URL('../../src/daemon/reload-signal.js', import.meta.url).href;
+const STOP = new URL('../../src/daemon/stop-signal.js', import.meta.url).href;
 const PROGRAM = `
-import { onReloadSignal, onStopSignal } from '${MODULE}';
+import { onReloadSignal } from '${RELOAD}';
+import { onStopSignal } from '${STOP}';
 const say = (line) => process.stdout.write(line + '\\n');
 say('loaded');
 process.stdin.once('data', () => {
   onReloadSignal(() => say('reload'));
-  onStopSignal(() => say('stop'), () => { say('again'); process.exit(0); });
+  onStopSignal({ signals: ['SIGTERM'], stop: () => say('stop'), again: () => { say('again'); process.exit(0); } });
   say('started');
 });
 `;
--- a/test/registry/address-holders.test.ts
+++ b/test/registry/address-holders.test.ts
@@ -60,10 +60,11 @@
 t.test('one that moves or is forgotten leaves its address', async (t) => {
   const holders = createAddressHolders(INTERVAL_MS);
   holders.noteHeartbeat('moving', HERE, 0);
+  holders.leave('moving', HERE);
   holders.noteHeartbeat('moving', ELSEWHERE, 1_000);
   t.equal(holders.holderOf(HERE), undefined);
   holders.noteHeartbeat('next', HERE, 1_500);
   t.equal(holders.isSuperseded('moving'), false);
-  holders.forget('next');
+  holders.leave('next', HERE);
   t.equal(holders.holderOf(HERE), undefined);
 });
--- a/test/registry/heartbeat-registry.test.ts
+++ b/test/registry/heartbeat-registry.test.ts
@@ -72,3 +72,21 @@
     { backendId: 'backend-1', liveness: 'silent', silentMs: 2_600 },
   ]);
 });
+
+t.test(
+  'a back end is dead while another one holds its address, and not once it has moved',
+  async (t) => {
+    const registry = new HeartbeatRegistry(INTERVAL_MS);
+    registry.take(recordWith({}), 0);
+    registry.take(recordWith({ id: 'backend-2' }), 100);
+    t.same(registry.judge(200, LISTENING_SINCE_MS), [
+      { backendId: 'backend-1', liveness: 'dead', silentMs: 200 },
+    ]);
+    t.equal(registry.holderOf({ host: '10.0.2.1', port: 9_000 }), 'backend-2');
+    const moved = { sequence: 2, address: { host: '10.0.2.9', port: 9_000 } };
+    t.equal(registry.take(recordWith(moved), 300), 'changed');
+    t.same(registry.judge(400, LISTENING_SINCE_MS), [
+      { backendId: 'backend-1', liveness: 'heard', silentMs: 100 },
+    ]);
+  },
+);
