--- a/src/cli/group.ts
+++ b/src/cli/group.ts
@@ -47,6 +47,7 @@
     {
       linkAddress,
       zone: settings.zone,
+      zones: settings.zones,
       seeds: settings.seeds,
       isFirstStart: settings.isFirstStart,
       tolerableLosses,
--- a/src/cli/ingress.ts
+++ b/src/cli/ingress.ts
@@ -48,6 +48,7 @@
         feed: timing.feed,
         maxCountedFlows: countedFlowsFor(settings.memoryMb),
         policy: settings.policy,
+        coldBounds: settings.coldBounds,
       },
       timing,
       packetAddress,
--- a/src/ingress/stall-guard.ts
+++ b/src/common/stall-guard.ts
@@ -1,34 +1,34 @@
 /**
- * @file Notices that this process stood still for a while: its machine was paused, or had no processor. The
- * opens that waited meanwhile may have been placed by other balancers, to which routers turned and clients
- * sent copies; placing them again would let a second back end take the flow.
+ * @file Notices that this process stood still for a while: its machine was paused, or had no processor. What
+ * waited meanwhile may be old without showing it: opens that other balancers have placed since, orders that
+ * their sender has taken back at another machine.
  */
 
-/** How an open that is read now is to be taken. */
-export type OpenTrust =
+/** How what is read now is to be taken. */
+export type InputTrust =
   /** It has just come. */
   | 'fresh'
-  /** It may have waited while a copy went elsewhere: ask before placing it. */
+  /** It may have waited, but not for longer than others remember what happened meanwhile. */
   | 'doubtful'
-  /** It may have waited for longer than other balancers remember opens, and than clients wait. */
+  /** It may have waited for longer than others remember, and than its sender waits. */
   | 'stale';
 
 /** Watches the turns of a process. */
 export interface StallGuard {
-  /** Notes that the process runs; called with each packet and each tick, before anything is decided. */
+  /** Notes that the process runs; called with each input and each tick, before anything is decided. */
   noteTurn(nowMs: number): void;
-  trustAt(nowMs: number): OpenTrust;
+  trustAt(nowMs: number): InputTrust;
 }
 
 /** Options of the guard; all times in milliseconds. */
 export interface StallGuardOptions {
-  /** Other balancers remember opens for so long at least. */
+  /** Others remember for so long at least what happened meanwhile. */
   readonly rememberedMs: number;
 }
 
-/** Turns are at most a tick of 100 ms apart; clients send a first copy after some 200 ms. */
+/** Turns are at most a tick of 100 ms apart; clients send a first copy of an open after some 200 ms. */
 const STALL_MS = 300;
-/** What waited is read within this time after a stall; opens that come meanwhile are sent again anyway. */
+/** What waited is read within this time after a stall; what comes meanwhile is sent again anyway. */
 const BACKLOG_MS = 300;
 
 /** @returns a guard of a process that has just started */
@@ -48,7 +48,7 @@
     }
   }
 
-  function trustAt(nowMs: number): OpenTrust {
+  function trustAt(nowMs: number): InputTrust {
     if (nowMs >= trustedFromMs) {
       return 'fresh';
     }
--- a/src/daemon/call-listener.ts
+++ b/src/daemon/call-listener.ts
@@ -126,6 +126,10 @@
       return reply.document === undefined
         ? errorAnswer('not-found', 'There is no configuration yet.')
         : { status: 200, body: reply.document.text };
+    case 'zones':
+      return { status: 200, body: JSON.stringify({ zones: reply.zones }) };
+    case 'unknown-zone':
+      return errorAnswer('not-found', `The deployment has no zone ${reply.zone}.`);
     case 'unavailable':
       return errorAnswer('no-quorum', reply.reason);
   }
--- a/src/daemon/declared-api.ts
+++ b/src/daemon/declared-api.ts
@@ -4,6 +4,8 @@
  * - `PUT /v1/backends/ID` is a heartbeat, `DELETE /v1/backends/ID` the last word of a back end.
  * - `PUT /v1/config` declares a whole configuration, `GET /v1/config` reads the one that holds. Both need
  *   `Authorization: Bearer TOKEN` where the settings give a token.
+ * - `PUT /v1/zones/ZONE/evacuation` evacuates a zone, `DELETE` readmits it, `GET /v1/zones` tells how zones stand and
+ *   what works there; with the same token.
  */
 import * as z from 'zod/mini';
 import { parseAddress } from '../common/address.js';
@@ -20,6 +22,8 @@
 
 const BACKENDS_PATH = '/v1/backends/';
 const CONFIG_PATH = '/v1/config';
+const ZONES_PATH = '/v1/zones';
+const EVACUATION_PATTERN = /^\/v1\/zones\/([^/]+)\/evacuation$/;
 const MAX_ID_LENGTH = 100;
 const INSTANCE_PATTERN = /^[0-9a-f]{16}$/;
 
@@ -50,13 +54,31 @@
         ? refusedCall('invalid-command', 'The ID is not valid.')
         : backendCall(method, id, body);
     }
-    if (path !== CONFIG_PATH) {
+    if (path !== CONFIG_PATH && !path.startsWith(ZONES_PATH)) {
       return refusedCall('not-found', 'There is no such call.');
     }
     if (operatorToken !== undefined && request.bearerToken !== operatorToken) {
       return refusedCall('unauthorized', 'The bearer token is not the operator token.');
     }
-    return configCall(method, body);
+    return path === CONFIG_PATH ? configCall(method, body) : zoneCall(method, path);
+  }
+}
+
+function zoneCall(method: string, path: string): TranslatedCall {
+  if (method === 'GET' && path === ZONES_PATH) {
+    return { type: 'call', call: { type: 'read-zones' } };
+  }
+  const zone = decodePathPart(EVACUATION_PATTERN.exec(path)?.[1] ?? '', MAX_ID_LENGTH);
+  if (zone === undefined) {
+    return refusedCall('not-found', 'There is no such call.');
+  }
+  switch (method) {
+    case 'PUT':
+      return { type: 'call', call: { type: 'order-zone', zone, kind: 'evacuate' } };
+    case 'DELETE':
+      return { type: 'call', call: { type: 'order-zone', zone, kind: 'readmit' } };
+    default:
+      return refusedCall('not-found', 'Allowed are PUT and DELETE.');
   }
 }
 
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -207,7 +207,7 @@
     backend: KnownBackend,
     foundBy: FoundBy,
   ): DecisionFields {
-    const { routes } = this.state;
+    const { routes, zones } = this.state;
     return {
       flow: describeFlow(packet),
       seq: packet.sequence,
@@ -220,6 +220,7 @@
       backend: backend.id,
       liveness: backend.liveness,
       config: routes.config?.version,
+      evacuated: zones.describeEvacuated(this.surroundings.nowMs()),
       feedAgeMs: this.feed.feedAgeMs(),
     };
   }
@@ -248,6 +249,7 @@
         copy: packet.isOpen ? packet.copyNumber : undefined,
         token: packet.token,
         config: this.state.routes.config?.version,
+        evacuated: this.state.zones.describeEvacuated(this.surroundings.nowMs()),
         feedAgeMs: this.feed.feedAgeMs(),
       });
     }
--- a/src/declared/config-update.ts
+++ b/src/declared/config-update.ts
@@ -3,7 +3,12 @@
  * one version to another, or from nothing. Changes are in one order that all processes agree on, so that a
  * transfer that breaks can go on where it ended, also from another sender.
  */
-import type { DeclaredConfig, DeclaredRoute, WeightedTarget } from './declared-config.js';
+import type {
+  DeclaredConfig,
+  DeclaredRoute,
+  ServiceWarmUp,
+  WeightedTarget,
+} from './declared-config.js';
 
 /** One route that is new, goes elsewhere, or is dropped. */
 export interface RouteChange {
@@ -24,6 +29,8 @@
   readonly baseVersion: number;
   /** A flow that has rested for this long may be forgotten, in milliseconds. */
   readonly idleTimeoutMs: number;
+  /** All services whose back ends are cold after their start. */
+  readonly warmUps: readonly ServiceWarmUp[];
   /** By host and port. */
   readonly changes: readonly RouteChange[];
 }
@@ -39,11 +46,13 @@
 /**
  * @returns the update that says all of a configuration
  */
-export function wholeUpdate({ version, idleTimeoutMs, routes }: DeclaredConfig): ConfigUpdate {
+export function wholeUpdate(config: DeclaredConfig): ConfigUpdate {
+  const { version, idleTimeoutMs, routes } = config;
   return {
     version,
     baseVersion: NO_VERSION,
     idleTimeoutMs,
+    warmUps: warmUpsOf(config),
     changes: routes.map(changeTo).sort(byHostAndPort),
   };
 }
@@ -66,7 +75,8 @@
   }
   const { version, idleTimeoutMs } = next;
   const sorted = changes.sort(byHostAndPort);
-  return { version, baseVersion: base.version, idleTimeoutMs, changes: sorted };
+  const warmUps = warmUpsOf(next);
+  return { version, baseVersion: base.version, idleTimeoutMs, warmUps, changes: sorted };
 }
 
 /**
@@ -100,6 +110,12 @@
   };
 }
 
+function warmUpsOf({ services }: DeclaredConfig): ServiceWarmUp[] {
+  return services.flatMap(({ name, warmUpMs = 0, coldRequestsPerS = 0 }) =>
+    warmUpMs > 0 ? [{ service: name, warmUpMs, coldRequestsPerS }] : [],
+  );
+}
+
 function changeTo({ host, port, targets }: DeclaredRoute): RouteChange {
   return { host, port, targets };
 }
--- a/src/declared/declared-config.ts
+++ b/src/declared/declared-config.ts
@@ -28,6 +28,17 @@
 /** A service: back ends register under its name. */
 export interface DeclaredService {
   readonly name: string;
+  /** A back end is cold for so long after its start, in milliseconds; absent for not at all. */
+  readonly warmUpMs?: number | undefined;
+  /** How many requests a second a cold back end handles; absent for none. */
+  readonly coldRequestsPerS?: number | undefined;
+}
+
+/** How the back ends of a service warm up, as balancers are told. */
+export interface ServiceWarmUp {
+  readonly service: string;
+  readonly warmUpMs: number;
+  readonly coldRequestsPerS: number;
 }
 
 /** One whole configuration. */
--- a/src/declared/parse-config.ts
+++ b/src/declared/parse-config.ts
@@ -18,7 +18,13 @@
 
 const configSchema = z.strictObject({
   version: z.int().check(z.positive()),
-  services: z.array(z.strictObject({ name: z.string().check(z.minLength(1)) })),
+  services: z.array(
+    z.strictObject({
+      name: z.string().check(z.minLength(1)),
+      warmUpMs: z.optional(z.number().check(z.nonnegative())),
+      coldRequestsPerS: z.optional(z.number().check(z.nonnegative())),
+    }),
+  ),
   routes: z.array(
     z.strictObject({
       name: z.string().check(z.minLength(1)),
--- a/src/group/balancer-feed.ts
+++ b/src/group/balancer-feed.ts
@@ -166,10 +166,10 @@
 }
 
 function keyOfPlan({ news, config, ...plan }: MessagePlan): string {
-  const { registered, judged, departed, balancers, areControlsChanged } = news;
+  const { registered, judged, departed, balancers, areControlsChanged, areZonesChanged } = news;
   const names = [registered, judged, departed, balancers].map((set) => [...set].join(' '));
   const part = config && [config.baseVersion, config.version, config.firstChange];
-  return JSON.stringify([plan, names, areControlsChanged, part]);
+  return JSON.stringify([plan, names, areControlsChanged, areZonesChanged, part]);
 }
 
 function makeMessage(state: GroupState, plan: MessagePlan, nowMs: number): FeedMessage {
@@ -196,6 +196,7 @@
     departed: new Set(departedForTransfer(state)),
     balancers: new Set(publishedBalancers.keys()),
     areControlsChanged: true,
+    areZonesChanged: true,
   };
   subscriber.isInTransfer = false;
   subscriber.phase = current ? 'transfer-current' : 'transfer-provisional';
--- a/src/group/feed-codec.ts
+++ b/src/group/feed-codec.ts
@@ -6,12 +6,20 @@
 import { packHost, unpackHost, type Address } from '../common/address.js';
 import type { ConfigPart, RouteChange } from '../declared/config-update.js';
 import type { WeightedTarget } from '../declared/declared-config.js';
-import type { AgedRecord, BalancerInfo, ControlInfo, FeedMessage } from './group-messages.js';
+import type { ServiceWarmUp } from '../declared/declared-config.js';
+import type {
+  AgedRecord,
+  BalancerInfo,
+  ControlInfo,
+  FeedMessage,
+  ToldZone,
+} from './group-messages.js';
 import {
   DEPARTURES,
   DROPPED,
   INSTANCE_BYTES,
   LIVENESS,
+  NOT_SEEN,
   parsePackedFeed,
   TRANSFERS,
   type PackedAddresses,
@@ -20,13 +28,14 @@
   type PackedControls,
   type PackedFeed,
   type PackedRecords,
+  type PackedZones,
 } from './packed-feed.js';
 
 const PORT_VALUES = 65_536;
 
 /** @returns the form in which a message travels */
 export function packFeed(message: FeedMessage): PackedFeed {
-  const { records, balancers, controls, config, transfer, lostBalancers } = message;
+  const { records, balancers, controls, zones, config, transfer, lostBalancers } = message;
   return {
     type: 'feed',
     isCurrent: message.isCurrent,
@@ -50,6 +59,7 @@
     ...(balancers && { balancers: packBalancers(balancers) }),
     ...(lostBalancers && { lost: [...lostBalancers] }),
     ...(controls && { controls: packControls(controls) }),
+    ...(zones && { zones: packZones(zones) }),
     ...(config && { config: packConfig(config) }),
     ...(message.loads && { loads: [...message.loads] }),
   };
@@ -65,7 +75,7 @@
   }
   const { isCurrent, isComplete, isCounted, loads: packedLoads, lost } = packed;
   const { records, judgements: judged, departures: left, balancers, controls } = packed;
-  const { transfer, config } = packed;
+  const { transfer, config, zones } = packed;
   const message: FeedMessage = {
     type: 'feed',
     isCurrent,
@@ -89,6 +99,7 @@
     ...(balancers && { balancers: unpackBalancers(balancers) }),
     ...(lost && { lostBalancers: lost }),
     ...(controls && { controls: unpackControls(controls) }),
+    ...(zones && { zones: unpackZones(zones) }),
     ...(config && { config: unpackConfig(config) }),
     ...(packedLoads && { loads: packedLoads }),
   };
@@ -190,6 +201,27 @@
   });
 }
 
+function packZones(all: readonly ToldZone[]): PackedZones {
+  return {
+    names: all.map(({ zone }) => zone),
+    areEvacuated: all.map(({ isEvacuated }) => isEvacuated),
+    orders: all.map(({ orders }) => orders),
+    readmittedAgo: all.map(({ readmittedAgoMs }) => readmittedAgoMs ?? NOT_SEEN),
+  };
+}
+
+function unpackZones({ names, areEvacuated, orders, readmittedAgo }: PackedZones): ToldZone[] {
+  return names.map((zone, at) => {
+    const agoMs = readmittedAgo[at] ?? NOT_SEEN;
+    return {
+      zone,
+      isEvacuated: areEvacuated[at] ?? false,
+      orders: orders[at] ?? 0,
+      ...(agoMs >= 0 && { readmittedAgoMs: agoMs }),
+    };
+  });
+}
+
 function packConfig(part: ConfigPart): PackedConfig {
   const names = createNameTable();
   const lists = new Map<string, { readonly list: number[]; readonly number: number }>();
@@ -212,6 +244,7 @@
     names: names.names(),
     lists: [...lists.values()].map(({ list }) => list),
     listOf,
+    warmUps: packWarmUps(part.warmUps),
   };
 
   function listNumber(targets: readonly WeightedTarget[]): number {
@@ -223,8 +256,24 @@
   }
 }
 
+function packWarmUps(all: readonly ServiceWarmUp[]): PackedConfig['warmUps'] {
+  return {
+    names: all.map(({ service }) => service),
+    ms: all.map(({ warmUpMs }) => warmUpMs),
+    perS: all.map(({ coldRequestsPerS }) => coldRequestsPerS),
+  };
+}
+
+function unpackWarmUps({ names, ms, perS }: PackedConfig['warmUps']): ServiceWarmUp[] {
+  return names.map((service, at) => ({
+    service,
+    warmUpMs: ms[at] ?? 0,
+    coldRequestsPerS: perS[at] ?? 0,
+  }));
+}
+
 function unpackConfig(packed: PackedConfig): ConfigPart {
-  const { version, base, idleMs, first, count, keys, names, lists, listOf } = packed;
+  const { version, base, idleMs, first, count, keys, names, lists, listOf, warmUps } = packed;
   const targetLists = lists.map((list) => {
     const targets: WeightedTarget[] = [];
     for (let at = 0; at + 1 < list.length; at += 2) {
@@ -243,6 +292,7 @@
     version,
     baseVersion: base,
     idleTimeoutMs: idleMs,
+    warmUps: unpackWarmUps(warmUps),
     changes,
     firstChange: first,
     changeCount: count,
--- a/src/group/feed-news.ts
+++ b/src/group/feed-news.ts
@@ -15,6 +15,8 @@
   /** Names of balancers that came or went. */
   readonly balancers: Set<string>;
   areControlsChanged: boolean;
+  /** Orders for zones. */
+  areZonesChanged: boolean;
 }
 
 /** @returns no news */
@@ -25,12 +27,14 @@
     departed: new Set(),
     balancers: new Set(),
     areControlsChanged: false,
+    areZonesChanged: false,
   };
 }
 
 /** @returns true where there is nothing to tell */
 export function isNoNews(news: FeedNews): boolean {
-  return !news.areControlsChanged && namedIn(news).every(({ size }) => size === 0);
+  const isNothingWhole = !news.areControlsChanged && !news.areZonesChanged;
+  return isNothingWhole && namedIn(news).every(({ size }) => size === 0);
 }
 
 /** Adds news to others. */
@@ -38,6 +42,7 @@
   const sets = namedIn(news);
   namedIn(more).forEach((names, at) => names.forEach((name) => sets[at]?.add(name)));
   news.areControlsChanged ||= more.areControlsChanged;
+  news.areZonesChanged ||= more.areZonesChanged;
 }
 
 /**
@@ -58,6 +63,8 @@
   });
   taken.areControlsChanged = news.areControlsChanged;
   news.areControlsChanged = false;
+  taken.areZonesChanged = news.areZonesChanged;
+  news.areZonesChanged = false;
   return taken;
 }
 
--- a/src/group/feed-parts.ts
+++ b/src/group/feed-parts.ts
@@ -7,7 +7,13 @@
 import type { BackendJudgement } from '../registry/backend-liveness.js';
 import type { Departure } from '../registry/backend-record.js';
 import type { FeedNews } from './feed-news.js';
-import type { AgedRecord, BalancerInfo, ControlInfo, FeedMessage } from './group-messages.js';
+import type {
+  AgedRecord,
+  BalancerInfo,
+  ControlInfo,
+  FeedMessage,
+  ToldZone,
+} from './group-messages.js';
 import type { GroupState } from './group-state.js';
 
 /** What a message says, without whose word it is and how far it reaches. */
@@ -18,7 +24,7 @@
  * @returns what a message says of each
  */
 export function feedParts(state: GroupState, news: FeedNews, nowMs: number): FeedParts {
-  const { registered, judged, departed, balancers, areControlsChanged } = news;
+  const { registered, judged, departed, balancers, areControlsChanged, areZonesChanged } = news;
   const records = [...registered].flatMap((id) => agedRecordOf(state, id, nowMs));
   const judgements = [...new Set([...judged, ...registered])].flatMap((id) =>
     isTellingByAge(state, registered, id) ? [] : judgementOf(state, id, nowMs),
@@ -42,6 +48,7 @@
     ...(came.length > 0 && { balancers: came }),
     ...(lostBalancers.length > 0 && { lostBalancers }),
     ...(areControlsChanged && { controls: allControls(state) }),
+    ...(areZonesChanged && { zones: toldZones(state, nowMs) }),
   };
 }
 
@@ -88,6 +95,15 @@
   });
 }
 
+/** All of them: whoever lacks one lacks what was ordered last, and there are few. */
+function toldZones({ replicated, readmittedAtMs }: GroupState, nowMs: number): ToldZone[] {
+  return replicated.zones.all().map((status) => {
+    const atMs = status.isEvacuated ? undefined : readmittedAtMs.get(status.zone);
+    const readmittedAgoMs = atMs === undefined ? undefined : Math.round(nowMs - atMs);
+    return { ...status, ...(readmittedAgoMs !== undefined && { readmittedAgoMs }) };
+  });
+}
+
 function zoneOfControl({ options, controlZones }: GroupState, address: string): string | undefined {
   return address === formatAddress(options.linkAddress) ? options.zone : controlZones.get(address);
 }
--- a/src/group/group-consensus.ts
+++ b/src/group/group-consensus.ts
@@ -11,10 +11,11 @@
 import { findMember, votersOf } from '../consensus/membership.js';
 import type { ConsensusMessage } from '../consensus/messages.js';
 import type { GroupEffect } from './group-events.js';
-import type { PeerMessage } from './group-messages.js';
+import type { LeaderAnswer, PeerMessage } from './group-messages.js';
 import type { GroupState } from './group-state.js';
 import { finishCall, finishRead, refused } from './leader-requests.js';
 import { decodeGroupCommand, type AppliedChange } from './replicated-state.js';
+import { noteZoneChanged } from './zone-duties.js';
 
 /** Proposal ID of the leader's own changes of the membership, for which nobody waits. */
 export const OWN_PROPOSAL = 0;
@@ -32,16 +33,20 @@
   context: StepContext,
 ): GroupEffect[] {
   const effects = consensusStep(state.consensus, event, context);
-  const taken = effects.flatMap((effect) => takeConsensusEffect(state, effect));
+  const taken = effects.flatMap((effect) => takeConsensusEffect(state, effect, context.nowMs));
   return [...taken, ...takeSnapshotWhereDue(state, context)];
 }
 
-function takeConsensusEffect(state: GroupState, consensusEffect: ConsensusEffect): GroupEffect[] {
+function takeConsensusEffect(
+  state: GroupState,
+  consensusEffect: ConsensusEffect,
+  nowMs: number,
+): GroupEffect[] {
   return match(consensusEffect)
     .with({ type: 'persist' }, { type: 'persist-snapshot' }, (effect): GroupEffect[] => [effect])
     .with({ type: 'consensus-send' }, ({ to, message }) => sendConsensus(state, to, message))
     .with({ type: 'committed' }, ({ entries }) =>
-      entries.flatMap((entry) => applyEntry(state, entry)),
+      entries.flatMap((entry) => applyEntry(state, entry, nowMs)),
     )
     .with({ type: 'restore-snapshot' }, ({ snapshot }) => restore(state, snapshot.data))
     .with({ type: 'proposal-appended' }, ({ proposalId, index, term }) => {
@@ -80,7 +85,7 @@
   return [{ type: 'send-peer', to: address, message: peerMessage }];
 }
 
-function applyEntry(state: GroupState, entry: LogEntry): GroupEffect[] {
+function applyEntry(state: GroupState, entry: LogEntry, nowMs: number): GroupEffect[] {
   const { content, index, term } = entry;
   if (content.type === 'membership') {
     state.news.areControlsChanged = true;
@@ -90,16 +95,22 @@
     return [];
   }
   const change = state.replicated.apply(decodeGroupCommand(content.data));
-  const decisions = noteChange(state, change);
+  const decisions = noteChange(state, change, nowMs);
   const proposal = state.proposals.get(index);
   state.proposals.delete(index);
   if (proposal?.term !== term) {
     return decisions;
   }
-  return [...decisions, ...finishCall(state, proposal.proposalId, { type: 'committed' })];
+  return [...decisions, ...finishCall(state, proposal.proposalId, answerTo(change))];
+}
+
+function answerTo(change: AppliedChange): LeaderAnswer {
+  return change.type === 'order-outdated'
+    ? refused(`Another order for zone ${change.order.zone} came between.`)
+    : { type: 'committed' };
 }
 
-function noteChange(state: GroupState, applied: AppliedChange): GroupEffect[] {
+function noteChange(state: GroupState, applied: AppliedChange, nowMs: number): GroupEffect[] {
   return match(applied)
     .with({ type: 'config-changed' }, ({ document }): GroupEffect[] => {
       const config = state.options.readDocument(document);
@@ -111,6 +122,10 @@
       state.news.departed.add(departure.backendId);
       return [{ type: 'decision', name: 'departure', fields: { ...departure } }];
     })
+    .with({ type: 'zone-changed' }, ({ status }) => noteZoneChanged(state, status, nowMs))
+    .with({ type: 'order-outdated' }, ({ order }): GroupEffect[] => [
+      { type: 'decision', name: 'order outdated', fields: { ...order } },
+    ])
     .with({ type: 'nothing-changed' }, () => [])
     .exhaustive();
 }
@@ -124,6 +139,7 @@
   for (const { backendId } of state.replicated.allDepartures()) {
     state.news.departed.add(backendId);
   }
+  state.news.areZonesChanged = true;
   state.isRegistrySeeded = false;
   return [{ type: 'decision', name: 'snapshot taken over', fields: { version: config?.version } }];
 }
--- a/src/group/group-events.ts
+++ b/src/group/group-events.ts
@@ -11,8 +11,10 @@
   LoadReportMessage,
   PeerMessage,
   SubscribeMessage,
+  ZoneReport,
 } from './group-messages.js';
 import type { ConfigDocument } from './replicated-state.js';
+import type { ZoneOrderKind } from './zone-orders.js';
 
 /** Names a call of a back end or operator until it is answered; positive. */
 export type RequestId = number;
@@ -33,6 +35,13 @@
       readonly document: ConfigDocument;
     }
   | { readonly type: 'read-config'; readonly requestId: RequestId }
+  | {
+      readonly type: 'order-zone';
+      readonly requestId: RequestId;
+      readonly zone: string;
+      readonly kind: ZoneOrderKind;
+    }
+  | { readonly type: 'read-zones'; readonly requestId: RequestId }
   | { readonly type: 'peer-message'; readonly message: PeerMessage }
   | { readonly type: 'subscribe'; readonly linkId: LinkId; readonly message: SubscribeMessage }
   | { readonly type: 'load-report'; readonly linkId: LinkId; readonly message: LoadReportMessage }
@@ -47,6 +56,9 @@
 export type GroupReply =
   | { readonly type: 'accepted' }
   | { readonly type: 'config'; readonly document: ConfigDocument | undefined }
+  | { readonly type: 'zones'; readonly zones: readonly ZoneReport[] }
+  /** Nothing was ordered: the deployment has no such zone. */
+  | { readonly type: 'unknown-zone'; readonly zone: string }
   /** Nothing is promised: it may or may not come to hold. */
   | { readonly type: 'unavailable'; readonly reason: string };
 
--- a/src/group/group-messages.ts
+++ b/src/group/group-messages.ts
@@ -9,6 +9,7 @@
 import type { BackendJudgement } from '../registry/backend-liveness.js';
 import type { BackendRecord, Departure } from '../registry/backend-record.js';
 import type { ConfigDocument, GroupCommand } from './replicated-state.js';
+import type { ZoneStatus } from './zone-orders.js';
 
 /** A heartbeat that is passed on, with its age so that clocks need not agree. */
 export interface AgedRecord {
@@ -32,14 +33,36 @@
   readonly zone?: string;
 }
 
+/** A zone as balancers are told of it. */
+export interface ToldZone extends ZoneStatus {
+  /**
+   * Milliseconds since it was readmitted, as far as the sender has seen that happen: its back ends may have turned
+   * cold shortly before.
+   */
+  readonly readmittedAgoMs?: number;
+}
+
+/** What is known of the work of a zone. */
+export interface ZoneReport extends ZoneStatus {
+  /** Back ends there that are heard of and stay. */
+  readonly backendCount: number;
+  /** How many requests these work on at once. */
+  readonly slots: number;
+  /** Requests that seem to be in progress there. */
+  readonly busy: number;
+}
+
 /** What a request of a client asks of the leader. */
 export type LeaderRequest =
-  { readonly type: 'command'; readonly command: GroupCommand } | { readonly type: 'read-config' };
+  | { readonly type: 'command'; readonly command: GroupCommand }
+  | { readonly type: 'read-config' }
+  | { readonly type: 'read-zones' };
 
 /** How the leader answered. */
 export type LeaderAnswer =
   | { readonly type: 'committed' }
   | { readonly type: 'config'; readonly document: ConfigDocument | undefined }
+  | { readonly type: 'zones'; readonly zones: readonly ZoneReport[] }
   | { readonly type: 'refused'; readonly reason: string };
 
 /** From one control machine to another. */
@@ -139,6 +162,8 @@
   /** Names of balancers that went. */
   readonly lostBalancers?: readonly string[];
   readonly controls?: readonly ControlInfo[];
+  /** All zones for which there ever was an order. */
+  readonly zones?: readonly ToldZone[];
   /** What passes all other balancers, in place of what was told before. */
   readonly loads?: PackedLoads;
 }
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -3,6 +3,7 @@
  */
 import { formatAddress, type Address } from '../common/address.js';
 import type { LinkId } from '../common/link-table.js';
+import { createStallGuard, type StallGuard } from '../common/stall-guard.js';
 import {
   createConsensusState,
   currentMembership,
@@ -41,6 +42,8 @@
   readonly linkAddress: Address;
   /** Where this machine runs; balancers of the zone get their feed here first. */
   readonly zone: string;
+  /** All zones of the deployment, as far as the settings tell; others are known by what runs there. */
+  readonly zones: readonly string[];
   /** Link addresses of the machines with which the group begins, and by which it is found later. */
   readonly seeds: readonly Address[];
   /** True at the first start of the whole system, with empty disks. */
@@ -178,9 +181,15 @@
   listeningSinceMs: number | undefined;
   /** The translated form of the configuration that holds, with what changed lately. */
   readonly configs: ConfigHistory;
+  /** When this machine saw zones being readmitted, in milliseconds; lost when it restarts. */
+  readonly readmittedAtMs: Map<string, number>;
+  /** Tells calls that waited while this process stood still. */
+  readonly stallGuard: StallGuard;
   isStopping: boolean;
 }
 
+/** Orders that waited while this process stood still are refused, however long that was. */
+const ORDERS_REMEMBERED_MS = 0;
 /** Load sums that have not changed are told to the other control machines again after this time. */
 const LOAD_SUMS_REFRESH_MS = 1_000;
 /** ... and count there for so long: two that were lost, and a pause. */
@@ -251,6 +260,8 @@
     configs: createConfigHistory(
       document === undefined ? undefined : options.readDocument(document),
     ),
+    readmittedAtMs: new Map(),
+    stallGuard: createStallGuard({ rememberedMs: ORDERS_REMEMBERED_MS }),
     isStopping: false,
   };
 }
--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -37,6 +37,7 @@
   takeRecord,
 } from './registry-duties.js';
 import { encodeGroupCommand } from './replicated-state.js';
+import { orderZone } from './zone-duties.js';
 
 /**
  * Takes one event.
@@ -48,6 +49,7 @@
   context: StepContext,
 ): GroupEffect[] {
   const { nowMs } = context;
+  state.stallGuard.noteTurn(nowMs);
   const run = (consensusEvent: ConsensusEvent) => runConsensus(state, consensusEvent, context);
   return match(event)
     .with({ type: 'heartbeat' }, (call) => takeHeartbeat(state, call, context))
@@ -66,6 +68,10 @@
     .with({ type: 'read-config' }, ({ requestId }) =>
       startCall(state, requestId, { type: 'read-config' }, nowMs, run),
     )
+    .with({ type: 'order-zone' }, (call) => orderZone(state, call, nowMs, run))
+    .with({ type: 'read-zones' }, ({ requestId }) =>
+      startCall(state, requestId, { type: 'read-zones' }, nowMs, run),
+    )
     .with({ type: 'peer-message' }, ({ message }) => takePeerMessage(state, message, context))
     .with({ type: 'subscribe' }, ({ linkId, message }) => {
       addSubscriber(state, linkId, message);
--- a/src/group/leader-requests.ts
+++ b/src/group/leader-requests.ts
@@ -9,6 +9,8 @@
 import type { LeaderAnswer, LeaderRequest, PeerMessage } from './group-messages.js';
 import { leaderAddress, type AnswerTo, type GroupState } from './group-state.js';
 import { encodeGroupCommand } from './replicated-state.js';
+import { isFulfilled } from './zone-orders.js';
+import { zoneReports } from './zone-reports.js';
 
 /** Runs a consensus event and gives its effects. */
 export type RunConsensus = (event: ConsensusEvent) => GroupEffect[];
@@ -80,7 +82,7 @@
   const proposalId = state.nextProposalId;
   state.nextProposalId += 1;
   state.answers.set(proposalId, { answerTo, request });
-  const needsNoEntry = request.type === 'read-config' || changesNothing(state, request);
+  const needsNoEntry = request.type !== 'command' || changesNothing(state, request);
   // What is held already is only confirmed: that this machine still leads.
   return needsNoEntry
     ? run({ type: 'read', readId: proposalId })
@@ -101,6 +103,9 @@
       const known = state.replicated.departureOf(departure.backendId);
       return known === 'gone' || known === departure.kind;
     })
+    .with({ type: 'order-zone' }, ({ order }) =>
+      isFulfilled(order, state.replicated.zones.statusOf(order.zone)),
+    )
     .with({ type: 'register-backends' }, { type: 'forget-backends' }, () => false)
     .exhaustive();
 }
@@ -119,17 +124,31 @@
 }
 
 /**
- * Answers the call behind a read: whoever asked for the configuration gets it, whoever sent a change
- * that is held already hears that it holds.
+ * Answers the call behind a read: whoever asked a question gets its answer, whoever sent a change that is held
+ * already hears that it holds.
  */
 export function finishRead(state: GroupState, readId: number): GroupEffect[] {
-  const isQuestion = state.answers.get(readId)?.request.type === 'read-config';
-  const document = state.replicated.config;
-  return finishCall(
-    state,
-    readId,
-    isQuestion ? { type: 'config', document } : { type: 'committed' },
-  );
+  const request = state.answers.get(readId)?.request;
+  return request === undefined ? [] : finishCall(state, readId, answerToRead(state, request));
+}
+
+function answerToRead(state: GroupState, request: LeaderRequest): LeaderAnswer {
+  return match(request)
+    .with({ type: 'read-config' }, (): LeaderAnswer => ({
+      type: 'config',
+      document: state.replicated.config,
+    }))
+    .with({ type: 'read-zones' }, (): LeaderAnswer => ({
+      type: 'zones',
+      zones: zoneReports(state),
+    }))
+    .with({ type: 'command' }, ({ command }): LeaderAnswer =>
+      // Another order may have been committed while the read was confirmed.
+      command.type === 'order-zone' && !changesNothing(state, { type: 'command', command })
+        ? refused(`Another order for zone ${command.order.zone} came between.`)
+        : { type: 'committed' },
+    )
+    .exhaustive();
 }
 
 function answerCall(state: GroupState, answerTo: AnswerTo, answer: LeaderAnswer): GroupEffect {
@@ -157,6 +176,7 @@
   return match(answer)
     .with({ type: 'committed' }, (): GroupReply => ({ type: 'accepted' }))
     .with({ type: 'config' }, ({ document }): GroupReply => ({ type: 'config', document }))
+    .with({ type: 'zones' }, ({ zones }): GroupReply => ({ type: 'zones', zones }))
     .with({ type: 'refused' }, ({ reason }): GroupReply => ({ type: 'unavailable', reason }))
     .exhaustive();
 }
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -40,19 +40,29 @@
   version: index,
   text: z.string().check(z.maxLength(DOCUMENT_BYTES)),
 });
+const zoneStatus = { zone: text, isEvacuated: z.boolean(), orders: index };
+const zoneOrder = z.object({
+  zone: text,
+  kind: z.enum(['evacuate', 'readmit']),
+  afterOrders: index,
+});
+const zoneReport = z.object({ ...zoneStatus, backendCount: index, slots: count, busy: count });
 const command = z.discriminatedUnion('type', [
   z.object({ type: z.literal('declare-config'), document: configDocument }),
   z.object({ type: z.literal('note-departure'), departure }),
+  z.object({ type: z.literal('order-zone'), order: zoneOrder }),
   z.object({ type: z.literal('register-backends'), records: list(record) }),
   z.object({ type: z.literal('forget-backends'), backendIds: list(text) }),
 ]);
 const leaderRequest = z.discriminatedUnion('type', [
   z.object({ type: z.literal('command'), command }),
   z.object({ type: z.literal('read-config') }),
+  z.object({ type: z.literal('read-zones') }),
 ]);
 const leaderAnswer = z.discriminatedUnion('type', [
   z.object({ type: z.literal('committed') }),
   z.object({ type: z.literal('config'), document: z.optional(z.nullable(configDocument)) }),
+  z.object({ type: z.literal('zones'), zones: list(zoneReport) }),
   z.object({ type: z.literal('refused'), reason: z.string() }),
 ]);
 
--- a/src/group/packed-feed.ts
+++ b/src/group/packed-feed.ts
@@ -15,6 +15,8 @@
 export const INSTANCE_BYTES = 8;
 /** Stands for a route that is dropped, in the column of target lists. */
 export const DROPPED = 0;
+/** Stands for a time that is not known. */
+export const NOT_SEEN = -1;
 /** Kinds by their numbers. */
 export const LIVENESS: readonly Liveness[] = ['heard', 'silent', 'dead'];
 /** Kinds by their numbers. */
@@ -54,6 +56,19 @@
   lists: z.array(z.array(z.number().check(z.nonnegative()))),
   /** Which list a route has, from 1; `DROPPED` for none. */
   listOf: indexes,
+  /** Services whose back ends are cold after their start, by columns. */
+  warmUps: z.object({
+    names: texts,
+    ms: z.array(z.number().check(z.nonnegative())),
+    perS: z.array(z.number().check(z.nonnegative())),
+  }),
+});
+const packedZones = z.object({
+  names: texts,
+  areEvacuated: z.array(z.boolean()).check(z.maxLength(MAX_ITEMS)),
+  orders: indexes,
+  /** Milliseconds since each was readmitted; `NOT_SEEN` where that was not seen. */
+  readmittedAgo: numbers,
 });
 const loads = z.array(index).check(
   z.maxLength(MAX_ITEMS),
@@ -74,6 +89,7 @@
   balancers: z.optional(packedBalancers),
   lost: z.optional(texts),
   controls: z.optional(packedControls),
+  zones: z.optional(packedZones),
   config: z.optional(packedConfig),
   loads: z.optional(loads),
 });
@@ -88,6 +104,8 @@
 export type PackedBalancers = z.infer<typeof packedBalancers>;
 /** Control machines in columns. */
 export type PackedControls = z.infer<typeof packedControls>;
+/** Zones in columns. */
+export type PackedZones = z.infer<typeof packedZones>;
 /** Changes of routes in columns. */
 export type PackedConfig = z.infer<typeof packedConfig>;
 
@@ -101,7 +119,7 @@
 
 /** Each column of a table must say as much as the others, and name only what is there. */
 function hasEqualColumns(feed: PackedFeed): boolean {
-  const { records, balancers, controls, config } = feed;
+  const { records, balancers, controls, config, zones } = feed;
   return [
     records === undefined || isWholeRecords(records),
     balancers === undefined ||
@@ -110,7 +128,11 @@
     controls === undefined ||
       (isWholeAddresses(controls.addresses, controls.zones.length) &&
         isColumn(controls.zones, controls.zones.length, controls.names.length)),
-    config === undefined || isColumn(config.listOf, config.keys.length, config.lists.length + 1),
+    config === undefined || isWholeConfig(config),
+    zones === undefined ||
+      [zones.areEvacuated, zones.orders, zones.readmittedAgo].every(
+        (column) => column.length === zones.names.length,
+      ),
     feed.judgements === undefined ||
       (isColumn(feed.judgements.kinds, feed.judgements.ids.length, LIVENESS.length) &&
         feed.judgements.silentMs.length === feed.judgements.ids.length),
@@ -134,6 +156,15 @@
   );
 }
 
+function isWholeConfig({ listOf, keys, lists, warmUps }: PackedConfig): boolean {
+  const { names, ms, perS } = warmUps;
+  return (
+    isColumn(listOf, keys.length, lists.length + 1) &&
+    ms.length === names.length &&
+    perS.length === names.length
+  );
+}
+
 function isWholeAddresses({ hosts, hostOf, ports }: PackedAddresses, length: number): boolean {
   return ports.length === length && isColumn(hostOf, length, hosts.length);
 }
--- a/src/group/registry-duties.ts
+++ b/src/group/registry-duties.ts
@@ -10,18 +10,34 @@
 import { isCurrent, otherMembers, type GroupState } from './group-state.js';
 import type { GroupCommand, ReplicatedState } from './replicated-state.js';
 
+/** Every back end that runs is heard of within this many intervals, one of them late. */
+const WARMTH_AWAITED_INTERVALS = 2.5;
+
 /**
  * Takes a heartbeat; balancers are told only where it says something new.
  * @returns false where a later one was known
  */
 export function takeRecord(state: GroupState, aged: AgedRecord, nowMs: number): boolean {
   const news = state.registry.take(aged.record, nowMs - aged.ageMs);
-  if (news === 'changed') {
+  if (news === 'changed' || (news === 'alive' && isWarmthAwaited(state, aged.record, nowMs))) {
     state.news.registered.add(aged.record.id);
   }
   return news !== 'late';
 }
 
+/**
+ * Balancers take the back ends of a zone that was readmitted for cold until they hear otherwise, so they are told of
+ * their next heartbeats though these say nothing new.
+ */
+function isWarmthAwaited(
+  { readmittedAtMs, options }: GroupState,
+  { zone }: BackendRecord,
+  nowMs: number,
+): boolean {
+  const sinceMs = nowMs - (readmittedAtMs.get(zone) ?? Number.NEGATIVE_INFINITY);
+  return sinceMs <= WARMTH_AWAITED_INTERVALS * options.heartbeatIntervalMs;
+}
+
 /**
  * Tells the other control machines of the heartbeats that came in here.
  */
--- a/src/group/replicated-state.ts
+++ b/src/group/replicated-state.ts
@@ -1,6 +1,6 @@
 /**
- * @file What the control group agrees on and never loses: the declared configuration that holds, which
- * back ends exist, and which have said that they leave. Heartbeats stay out of it: it tells where a back
+ * @file What the control group agrees on and never loses: the declared configuration that holds, which zones are
+ * evacuated, which back ends exist, and which have said that they leave. Heartbeats stay out of it: it tells where a back
  * end is, not how it does, so that a group that restarts as a whole need not wait for all of them.
  */
 import { Packr } from 'msgpackr';
@@ -10,6 +10,7 @@
   type Departure,
   type DepartureKind,
 } from '../registry/backend-record.js';
+import { createZoneOrders, type ZoneOrder, type ZoneStatus } from './zone-orders.js';
 
 /** A configuration as it was sent, with the version that it carries. */
 export interface ConfigDocument {
@@ -22,6 +23,7 @@
 export type GroupCommand =
   | { readonly type: 'declare-config'; readonly document: ConfigDocument }
   | { readonly type: 'note-departure'; readonly departure: Departure }
+  | { readonly type: 'order-zone'; readonly order: ZoneOrder }
   /** Back ends that were heard of for the first time. */
   | { readonly type: 'register-backends'; readonly records: readonly BackendRecord[] }
   /** Back ends that were silent for so long that no flow of theirs can live. */
@@ -31,6 +33,9 @@
 export type AppliedChange =
   | { readonly type: 'config-changed'; readonly document: ConfigDocument }
   | { readonly type: 'departure-noted'; readonly departure: Departure }
+  | { readonly type: 'zone-changed'; readonly status: ZoneStatus }
+  /** The order does not follow the last one for its zone, and changed nothing. */
+  | { readonly type: 'order-outdated'; readonly order: ZoneOrder }
   | { readonly type: 'nothing-changed' };
 
 /** Departures beyond this number are forgotten, oldest first. */
@@ -42,10 +47,13 @@
   readonly config: ConfigDocument | undefined;
   readonly departures: [string, DepartureKind][];
   readonly backends: BackendRecord[];
+  /** Absent in states that were written before there were orders. */
+  readonly zones?: ZoneStatus[];
 }
 
 /** The state machine of the group; the same commands give the same state on every member. */
 export class ReplicatedState {
+  readonly zones = createZoneOrders();
   private document: ConfigDocument | undefined;
   private departures = new Map<string, DepartureKind>();
   private backends = new Map<string, BackendRecord>();
@@ -83,6 +91,8 @@
         return this.declareConfig(command.document);
       case 'note-departure':
         return this.noteDeparture(command.departure);
+      case 'order-zone':
+        return this.orderZone(command.order);
       case 'register-backends':
         this.registerBackends(command.records);
         return { type: 'nothing-changed' };
@@ -98,6 +108,7 @@
       config: this.document,
       departures: [...this.departures],
       backends: [...this.backends.values()],
+      zones: this.zones.all(),
     };
     return packr.pack(content);
   }
@@ -108,6 +119,7 @@
     this.document = content.config ?? undefined;
     this.departures = new Map(content.departures);
     this.backends = new Map(content.backends.map((record) => [record.id, record]));
+    this.zones.restore(content.zones ?? []);
   }
 
   private declareConfig(document: ConfigDocument): AppliedChange {
@@ -131,6 +143,17 @@
     return { type: 'departure-noted', departure };
   }
 
+  private orderZone(order: ZoneOrder): AppliedChange {
+    switch (this.zones.apply(order)) {
+      case 'changed':
+        return { type: 'zone-changed', status: this.zones.statusOf(order.zone) };
+      case 'known':
+        return { type: 'nothing-changed' };
+      case 'outdated':
+        return { type: 'order-outdated', order };
+    }
+  }
+
   private registerBackends(records: readonly BackendRecord[]): void {
     for (const record of records) {
       if (this.departures.get(record.id) !== 'gone') {
--- a/src/ingress/backend-table.ts
+++ b/src/ingress/backend-table.ts
@@ -13,6 +13,7 @@
   type Departure,
   type DepartureKind,
 } from '../registry/backend-record.js';
+import { tokenOf } from '../registry/backend-token.js';
 
 /** Load of one back end. */
 export interface BackendLoad {
@@ -40,6 +41,8 @@
   notedLiveness: Liveness;
   /** When it left, in milliseconds. */
   departedAtMs: number;
+  /** When the heartbeat came that told what is known of it, in milliseconds. */
+  toldAtMs: number;
   /** Until when it is slow from its start, in milliseconds. */
   warmUntilMs: number;
   /** What passes this balancer. */
@@ -49,17 +52,6 @@
 }
 
 const INSTANCE_BYTES = 8;
-const TOKEN_BYTES = 4;
-
-/**
- * @param instanceNumber 16 hexadecimal digits
- * @returns the 32-bit token of a back end, the same on every balancer; never 0
- */
-export function tokenOf(instanceNumber: string): number {
-  const bytes = Buffer.from(instanceNumber, 'hex');
-  const folded = (bytes.readUInt32BE(0) ^ bytes.readUInt32BE(TOKEN_BYTES)) >>> 0;
-  return folded === 0 ? 1 : folded;
-}
 
 /** All back ends that a balancer knows. */
 export class BackendTable {
@@ -105,6 +97,7 @@
     known.heardAtMs = Math.max(known.heardAtMs, heardAtMs);
     if (record.sequence > known.record.sequence) {
       known.record = record;
+      known.toldAtMs = heardAtMs;
       known.warmUntilMs = heardAtMs + record.warmUpLeftMs;
     }
   }
@@ -181,6 +174,7 @@
       departedAtMs: heardAtMs,
       liveness: 'heard',
       notedLiveness: 'heard',
+      toldAtMs: heardAtMs,
       warmUntilMs: heardAtMs + record.warmUpLeftMs,
       own: { busy: 0 },
       others: { busy: 0 },
--- a/src/ingress/config-assembly.ts
+++ b/src/ingress/config-assembly.ts
@@ -57,7 +57,7 @@
   };
 
   function take(part: ConfigPart): PartTaken {
-    const { version, baseVersion, idleTimeoutMs, firstChange, changeCount } = part;
+    const { version, baseVersion, idleTimeoutMs, warmUps, firstChange, changeCount } = part;
     const before = firstChange === 0 ? [] : changesBefore(part);
     if (before === undefined) {
       assembled = undefined;
@@ -69,7 +69,7 @@
       return { type: 'unfinished' };
     }
     assembled = undefined;
-    return { type: 'complete', update: { version, baseVersion, idleTimeoutMs, changes } };
+    return { type: 'complete', update: { version, baseVersion, idleTimeoutMs, warmUps, changes } };
   }
 
   function changesBefore(part: ConfigPart): readonly RouteChange[] | undefined {
--- a/src/ingress/feed-step.ts
+++ b/src/ingress/feed-step.ts
@@ -33,6 +33,7 @@
  * Takes a message of the control machine.
  */
 export function takeFeed(state: IngressState, message: FeedMessage, nowMs: number): ConfigTaken {
+  state.zones.take(message.zones ?? [], nowMs);
   noteTransfer(state, message);
   const { records, judgements, departures, balancers = [], lostBalancers = [] } = message;
   const { backends, peers } = state;
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -3,6 +3,8 @@
  */
 import type { FeedTiming } from '../group/timing.js';
 import { createConfigAssembly, type ConfigAssembly } from './config-assembly.js';
+import { createColdShare, type ColdBounds, type ColdShare } from './cold-share.js';
+import { createZoneTable, type ZoneTable } from './zone-table.js';
 import { BackendTable } from './backend-table.js';
 import { FlowActivities } from './flow-activity.js';
 import { OpenMemory } from './open-memory.js';
@@ -10,7 +12,7 @@
 import { createPlacement, type Placement } from './placement.js';
 import type { IngressPolicy } from './policy.js';
 import { RouteTable } from './route-table.js';
-import { createStallGuard, type StallGuard } from './stall-guard.js';
+import { createStallGuard, type StallGuard } from '../common/stall-guard.js';
 
 /** Options of a balancer; all times in milliseconds. */
 export interface IngressOptions {
@@ -25,6 +27,8 @@
   /** Flows beyond this number are not counted for placement. */
   readonly maxCountedFlows: number;
   readonly policy: IngressPolicy;
+  /** What a cold back end may be given; undefined where the deployment does not bound it. */
+  readonly coldBounds?: ColdBounds | undefined;
 }
 
 /** How long copies of an open may come after the first. */
@@ -70,6 +74,9 @@
   firstCurrentAtMs: number | undefined;
   isStopping: boolean;
   readonly peers: PeerTable;
+  /** Which zones take no new flows. */
+  readonly zones: ZoneTable;
+  readonly coldShare: ColdShare;
   readonly placement: Placement;
   readonly stallGuard: StallGuard;
 }
@@ -79,7 +86,16 @@
  */
 export function createIngressState(options: IngressOptions): IngressState {
   const routes = new RouteTable();
-  return {
+  const peers = createPeerTable(options.name);
+  const zones = createZoneTable();
+  const coldShare = createColdShare({
+    bounds: options.coldBounds,
+    zones,
+    peers,
+    warmUpOf: (service) => routes.config?.warmUps.get(service),
+    knowsOthers: (nowMs) => knowsCurrent(state, nowMs),
+  });
+  const state: IngressState = {
     options,
     routes,
     assembly: createConfigAssembly(),
@@ -93,10 +109,13 @@
     currentAtMs: undefined,
     firstCurrentAtMs: undefined,
     isStopping: false,
-    peers: createPeerTable(options.name),
-    placement: createPlacement(options.zone, options.policy),
+    peers,
+    zones,
+    coldShare,
+    placement: createPlacement(options.zone, options.policy, coldShare),
     stallGuard: createStallGuard({ rememberedMs: OPEN_LIFETIME_MS }),
   };
+  return state;
 }
 
 /**
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -14,6 +14,10 @@
   | 'not-current'
   | 'no-route'
   | 'no-backend'
+  /** All zones in which the service has back ends are evacuated. */
+  | 'zones-evacuated'
+  /** All back ends that it could go to are cold and have been given what they bear. */
+  | 'all-cold'
   /** An open that waited while this process stood still. */
   | 'stale-open'
   /** An open whose other copy another balancer is placing at this moment. */
@@ -129,13 +133,14 @@
   if (service === undefined) {
     return { type: 'reset', reason: 'no-route' };
   }
-  const { backends, placement } = state;
-  const backend = placement.choose(backends.staying(service), hashOf(packet), nowMs);
+  const { placement, coldShare } = state;
+  const staying = state.backends.staying(service);
+  const open = staying.filter(({ zone }) => !state.zones.isEvacuated(zone));
+  const backend = placement.choose(open, hashOf(packet), nowMs);
   if (backend === undefined) {
-    return state.options.policy.learning === 'dropped' && isLearning(state, nowMs)
-      ? { type: 'drop', reason: 'no-backend' }
-      : { type: 'reset', reason: 'no-backend' };
+    return refuseOpen(state, staying, open, nowMs);
   }
+  coldShare.noteTaken(backend, nowMs);
   const load = placement.loadOf(backend, nowMs);
   const key = flowKeyOf(packet);
   state.opens.remember(key, backend.token, nowMs);
@@ -143,6 +148,25 @@
   return { type: 'forward', backend, foundBy: { type: 'chosen', key, service, load } };
 }
 
+/** An open that no back end may take is given up at once, unless there may be back ends that are not known yet. */
+function refuseOpen(
+  state: IngressState,
+  staying: readonly KnownBackend[],
+  open: readonly KnownBackend[],
+  nowMs: number,
+): PacketDecision {
+  if (staying.length > 0 && open.length === 0) {
+    return { type: 'reset', reason: 'zones-evacuated' };
+  }
+  const heard = open.filter(({ liveness }) => liveness !== 'dead');
+  if (heard.length > 0 && heard.every((backend) => !state.coldShare.mayTake(backend, nowMs))) {
+    return { type: 'reset', reason: 'all-cold' };
+  }
+  return state.options.policy.learning === 'dropped' && isLearning(state, nowMs)
+    ? { type: 'drop', reason: 'no-backend' }
+    : { type: 'reset', reason: 'no-backend' };
+}
+
 /**
  * Places an open that no holder knew of a moment ago, unless this balancer has heard or seen meanwhile where the
  * flow is.
--- a/src/ingress/peer-table.ts
+++ b/src/ingress/peer-table.ts
@@ -24,6 +24,8 @@
    * @returns the balancers that keep the memory of an open
    */
   holdersOf(key: FlowKey, count: number): BalancerInfo[];
+  /** @returns true where this balancer is one of the `count` that all choose for a key, and the others know it */
+  isOwnHolder(key: string, count: number): boolean;
 }
 
 interface KnownBalancer {
@@ -49,7 +51,8 @@
     },
     retain,
     takeChanges,
-    holdersOf,
+    holdersOf: (key, count) => chosenFor(key, count).filter(({ name }) => name !== ownName),
+    isOwnHolder: (key, count) => chosenFor(key, count).some(({ name }) => name === ownName),
   };
 
   function retain(names: ReadonlySet<string>): void {
@@ -65,13 +68,13 @@
     came.forEach((info) => balancers.set(info.name, { info, nameHash: hashText(info.name) }));
   }
 
-  function holdersOf(key: FlowKey, count: number): BalancerInfo[] {
+  function chosenFor(key: string, count: number): BalancerInfo[] {
     const keyHash = hashText(key);
     const best: ScoredBalancer[] = [];
     for (const { info, nameHash } of balancers.values()) {
       insertScored(best, { info, score: rendezvousScore(keyHash, nameHash) }, count);
     }
-    return best.map(({ info }) => info).filter(({ name }) => name !== ownName);
+    return best.map(({ info }) => info);
   }
 }
 
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -1,6 +1,7 @@
 /**
  * @file Which back end of a service takes a new flow: one of the own zone with the least load, another
- * zone's only where the own zone is clearly busier. Silent and cold back ends come later.
+ * zone's only where the own zone is clearly busier. Silent and cold back ends come later; cold ones that have been
+ * given what they bear take none.
  *
  * The back end is chosen by what passes this balancer alone. What passes the others is known with a delay:
  * if it counted here, all balancers would send all opens of that time to the same back end. It decides
@@ -8,12 +9,13 @@
  */
 import type { Liveness } from '../registry/backend-liveness.js';
 import type { KnownBackend } from './backend-table.js';
+import type { ColdShare } from './cold-share.js';
 import type { IngressPolicy } from './policy.js';
 
 /** Decides which back end takes a new flow. */
 export interface Placement {
   /**
-   * @param staying the back ends of a service that have not said that they leave
+   * @param staying the back ends of a service that new flows may go to
    * @param flowHash spreads equal choices
    * @returns undefined where the service has none that could answer
    */
@@ -33,8 +35,13 @@
 
 /**
  * @param ownZone zone of the balancer that places
+ * @param coldShare what this balancer may give to cold back ends
  */
-export function createPlacement(ownZone: string, policy: IngressPolicy): Placement {
+export function createPlacement(
+  ownZone: string,
+  policy: IngressPolicy,
+  coldShare: ColdShare,
+): Placement {
   const countsTold = policy.toldLoads === 'backend';
 
   return { choose, loadOf };
@@ -44,15 +51,27 @@
     flowHash: number,
     nowMs: number,
   ): KnownBackend | undefined {
-    const candidates = policy.silence === 'ignored' ? staying : bestHeard(staying);
+    const heard = policy.silence === 'ignored' ? staying : bestHeard(staying);
+    const candidates =
+      policy.warmUp === 'limited'
+        ? heard.filter((backend) => coldShare.mayTake(backend, nowMs))
+        : heard;
     if (policy.zones === 'any') {
       return leastLoaded(candidates, flowHash, nowMs);
     }
     const local = candidates.filter(({ zone }) => zone === ownZone);
     const remote = candidates.filter(({ zone }) => zone !== ownZone);
     const isBusier = zoneLoad(local) - zoneLoad(remote) > ZONE_MARGIN;
-    const preferred = local.length === 0 || (remote.length > 0 && isBusier) ? remote : local;
-    return leastLoaded(preferred, flowHash, nowMs);
+    const goesElsewhere = local.length === 0 || (remote.length > 0 && isBusier);
+    return leastLoaded(goesElsewhere ? inIdlerZones(remote) : local, flowHash, nowMs);
+  }
+
+  /** Flows of a zone that takes none are spread over the others, but for those that are clearly busier than one. */
+  function inIdlerZones(remote: readonly KnownBackend[]): readonly KnownBackend[] {
+    const zones = [...new Set(remote.map(({ zone }) => zone))];
+    const loads = new Map(zones.map((name) => [name, zoneLoad(inZone(remote, name))]));
+    const least = Math.min(...loads.values());
+    return remote.filter(({ zone }) => (loads.get(zone) ?? least) - least <= ZONE_MARGIN);
   }
 
   /** @returns requests in progress for each slot over all of some back ends */
@@ -85,14 +104,19 @@
     return best;
   }
 
-  function loadOf({ own, others, record, warmUntilMs }: KnownBackend, nowMs: number): number {
+  function loadOf(backend: KnownBackend, nowMs: number): number {
+    const { own, others, record } = backend;
     const busy = own.busy + (countsTold ? others.busy : 0);
     const perSlot = busy / Math.max(1, record.capacity);
-    const isCold = policy.warmUp === 'later' && nowMs < warmUntilMs;
+    const isCold = policy.warmUp !== 'ignored' && coldShare.isCold(backend, nowMs);
     return isCold ? perSlot + COLD_PENALTY : perSlot;
   }
 }
 
+function inZone(backends: readonly KnownBackend[], name: string): KnownBackend[] {
+  return backends.filter(({ zone }) => zone === name);
+}
+
 /** Those that were heard of lately; where there are none, those that were silent for a while. */
 function bestHeard(staying: readonly KnownBackend[]): readonly KnownBackend[] {
   const judgedAs = (liveness: Liveness) =>
--- a/src/ingress/policy.ts
+++ b/src/ingress/policy.ts
@@ -9,8 +9,8 @@
 export const policyChoices = {
   /** Whether back ends of the own zone come first. */
   zones: ['own-first', 'any'],
-  /** Whether back ends that have just started come later. */
-  warmUp: ['later', 'ignored'],
+  /** Whether cold back ends come later and get no more than they bear, only come later, or are as others. */
+  warmUp: ['limited', 'later', 'ignored'],
   /** What the load that passes other balancers decides: which zone, also which back end, or nothing. */
   toldLoads: ['zone', 'backend', 'ignored'],
   /** Whether back ends that are silent are passed over. */
--- a/src/ingress/route-table.ts
+++ b/src/ingress/route-table.ts
@@ -4,7 +4,7 @@
  */
 import { packHost } from '../common/address.js';
 import { NO_VERSION, type ConfigUpdate } from '../declared/config-update.js';
-import type { WeightedTarget } from '../declared/declared-config.js';
+import type { ServiceWarmUp, WeightedTarget } from '../declared/declared-config.js';
 
 const PORT_VALUES = 65_536;
 
@@ -25,6 +25,8 @@
   readonly version: number;
   /** A flow that has rested for this long may be forgotten, in milliseconds. */
   readonly idleTimeoutMs: number;
+  /** How the back ends of services warm up, by service. */
+  readonly warmUps: ReadonlyMap<string, ServiceWarmUp>;
 }
 
 /** What became of an update. */
@@ -51,7 +53,7 @@
   }
 
   /** Puts an update of the configuration in force; an older one never follows a newer one. */
-  take({ version, baseVersion, idleTimeoutMs, changes }: ConfigUpdate): UpdateTaken {
+  take({ version, baseVersion, idleTimeoutMs, warmUps, changes }: ConfigUpdate): UpdateTaken {
     const heldVersion = this.held?.version ?? NO_VERSION;
     if (version <= heldVersion) {
       return 'known';
@@ -69,7 +71,8 @@
         this.routes.set(key, keptOrNew(before.get(key), targets));
       }
     }
-    this.held = { version, idleTimeoutMs };
+    const byService = new Map(warmUps.map((warmUp) => [warmUp.service, warmUp]));
+    this.held = { version, idleTimeoutMs, warmUps: byService };
     return 'taken';
   }
 
--- /dev/null
+++ b/src/ingress/zone-table.ts
@@ -0,0 +1,59 @@
+/**
+ * @file The zones as a balancer knows them: which are evacuated, so that no new flow goes there, and when others
+ * were readmitted. A control machine that lags behind tells less than is known here; only newer orders count.
+ */
+import type { ToldZone } from '../group/group-messages.js';
+
+/** What a balancer knows of zones. */
+export interface ZoneTable {
+  /** Rises with each order that is taken. */
+  readonly version: number;
+  take(told: readonly ToldZone[], nowMs: number): void;
+  isEvacuated(zone: string): boolean;
+  /** @returns when a zone was readmitted last, in milliseconds; undefined for never, or before anyone here knows */
+  readmittedAtMs(zone: string): number | undefined;
+  /** @returns the evacuated zones and for how long each has been known here as one; undefined for none */
+  describeEvacuated(nowMs: number): string | undefined;
+}
+
+interface KnownZone {
+  readonly orders: number;
+  readonly evacuatedSinceMs: number | undefined;
+  readonly readmittedAtMs: number | undefined;
+}
+
+/** @returns a table in which no zone is evacuated */
+export function createZoneTable(): ZoneTable {
+  const zones = new Map<string, KnownZone>();
+  let version = 0;
+
+  return {
+    get version() {
+      return version;
+    },
+    take,
+    isEvacuated: (zone) => zones.get(zone)?.evacuatedSinceMs !== undefined,
+    readmittedAtMs: (zone) => zones.get(zone)?.readmittedAtMs,
+    describeEvacuated,
+  };
+
+  function take(told: readonly ToldZone[], nowMs: number): void {
+    for (const { zone, isEvacuated, orders, readmittedAgoMs } of told) {
+      if (orders > (zones.get(zone)?.orders ?? 0)) {
+        version += 1;
+        zones.set(zone, {
+          orders,
+          evacuatedSinceMs: isEvacuated ? nowMs : undefined,
+          readmittedAtMs: readmittedAgoMs === undefined ? undefined : nowMs - readmittedAgoMs,
+        });
+      }
+    }
+  }
+
+  function describeEvacuated(nowMs: number): string | undefined {
+    const evacuated = [...zones].flatMap(([zone, { evacuatedSinceMs }]) =>
+      evacuatedSinceMs === undefined ? [] : [`${zone}:${Math.round(nowMs - evacuatedSinceMs)}ms`],
+    );
+    return evacuated.length > 0 ? evacuated.join(',') : undefined;
+  }
+}
--- a/src/load-exchange/load-totals.ts
+++ b/src/load-exchange/load-totals.ts
@@ -21,6 +21,8 @@
   forgetSilentSenders(nowMs: number): void;
   /** @returns the sum over the balancers that are fed here, for the other control machines */
   ownSums(): PackedLoads;
+  /** @returns the sum over all balancers */
+  all(): PackedLoads;
   /** @returns the sum over all balancers but one */
   othersOf(reporter: LinkId): PackedLoads;
   /** Rises with each change of any sum. */
@@ -55,6 +57,7 @@
     takeSums,
     forgetSilentSenders,
     ownSums: () => currentSums().own,
+    all: () => packSums(currentSums().all),
     othersOf,
     get version() {
       return version;
--- a/src/registry/heartbeat-registry.ts
+++ b/src/registry/heartbeat-registry.ts
@@ -51,7 +51,7 @@
   }
 
   /** All known back ends, in the order in which they were first heard of. */
-  all(): IterableIterator<HeardRecord> {
+  all(): IterableIterator<JudgedRecord> {
     return this.records.values();
   }
 
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -51,7 +51,7 @@
 
 const policySection = z.strictObject({
   zones: policyOption('zones', 'Whether back ends of the own zone come first.'),
-  warmUp: policyOption('warmUp', 'Whether back ends that have just started come later.'),
+  warmUp: policyOption('warmUp', 'Whether cold back ends come later, and get what they bear.'),
   toldLoads: policyOption('toldLoads', 'What the load that passes other balancers decides.'),
   silence: policyOption('silence', 'Whether back ends that are silent are passed over.'),
   opens: policyOption('opens', 'Whether balancers tell each other of opens; `own` breaks flows.'),
@@ -63,6 +63,17 @@
   return z.enum(policyChoices[name]).default(defaultPolicy[name]).describe(description);
 }
 
+const coldBoundsSection = z.strictObject({
+  excess: positive
+    .default(1)
+    .describe('So many times what its service declares that a cold back end handles ...'),
+  slackPerS: z
+    .number()
+    .min(0)
+    .default(0)
+    .describe('... and so many new flows more may reach it in any second, from all balancers.'),
+});
+
 /** Schema of the settings of `amberlift ingress`. */
 export const ingressSettingsSchema = z.strictObject({
   ...sharedOptions,
@@ -80,6 +91,9 @@
     .describe(
       'What the link of the machine carries, in megabits a second; packets are paced to it.',
     ),
+  coldBounds: coldBoundsSection
+    .optional()
+    .describe('What a cold back end may be given; without it, cold ones only come later.'),
   policy: policySection.prefault({}).describe('How new flows are placed; for measurements.'),
   stopWithinMs: positive
     .default(4_000)
@@ -90,6 +104,10 @@
 export const groupSettingsSchema = z.strictObject({
   ...sharedOptions,
   zone: z.string().min(1).default('zone-a').describe('Zone that this process runs in.'),
+  zones: z
+    .array(z.string().min(1))
+    .default([])
+    .describe('All zones of the deployment; others are known once something runs there.'),
   dataFolder: z.string().min(1).describe('Folder for all files of this process.'),
   linkAddress: addressText.describe('TCP address for control machines and balancers.'),
   listenAddress: addressText
--- a/src/sim/ingress/ingress-faults.ts
+++ b/src/sim/ingress/ingress-faults.ts
@@ -5,6 +5,7 @@
  */
 import { SIMULATED_SERVICES } from './stand-in-operator.js';
 import type { IngressWorld } from './ingress-world.js';
+import { SIMULATED_ZONES } from './simulated-zones.js';
 import type { SimulatedControlMachine } from './simulated-control-machine.js';
 
 /** What can happen. */
@@ -27,6 +28,7 @@
   'config-changed',
   'datagrams-lost',
   'acknowledgements-lost',
+  'zone-evacuated',
 ] as const;
 
 /** One kind of fault. */
@@ -36,6 +38,8 @@
 const SPREAD_MS = 3_000;
 /** Cuts may outlast the time within which a configuration is in force. */
 const LONG_CUT_MS = 6_000;
+/** Evacuations last from less than it takes for all to hear of them to more than their bound. */
+const LONG_EVACUATION_MS = 8_000;
 const LOSS_SHARE = 0.03;
 const ACK_LOSS_SHARE = 0.6;
 const SILENT_LINK_SHARE = 0.3;
@@ -81,6 +85,9 @@
       case 'config-changed':
         world.operator.declareNext();
         return;
+      case 'zone-evacuated':
+        this.evacuateZone();
+        return;
       case 'datagrams-lost':
         this.loseDatagrams();
         return;
@@ -224,6 +231,13 @@
     this.disturb(forMs);
   }
 
+  /** A zone is emptied for a while; its back ends are cold when it is readmitted. Two may overlap. */
+  private evacuateZone(): void {
+    const { random, zoneOperator } = this.world;
+    const zone = SIMULATED_ZONES[random.nextInt(SIMULATED_ZONES.length)] ?? 'zone-a';
+    zoneOperator.evacuate(zone, SHORT_MS + random.nextFloat() * LONG_EVACUATION_MS);
+  }
+
   private loseDatagrams(): void {
     const { wires, clock } = this.world;
     const forMs = this.durationMs;
--- a/src/sim/ingress/ingress-oracle.ts
+++ b/src/sim/ingress/ingress-oracle.ts
@@ -2,6 +2,7 @@
  * @file The oracle of the simulated deployment: it is told what clients, back ends and the operator see,
  * and says what must never be.
  */
+import { createZoneWitness } from './zone-witness.js';
 
 /** What is checked. */
 export type IngressCheck =
@@ -22,7 +23,13 @@
   /** Service does not come back. */
   | 'recover'
   /** Two control machines lead in one term. */
-  | 'leader';
+  | 'leader'
+  /** A back end of an evacuated zone is given a new flow after the bound. */
+  | 'evacuation'
+  /** An acknowledged order for a zone is undone by nobody's word, or a proper one is refused. */
+  | 'zone'
+  /** A cold back end is given more new flows in a second than it bears. */
+  | 'cold';
 
 /** A violation, with the time at which it was seen. */
 export interface IngressViolation {
@@ -36,8 +43,23 @@
   readonly atMs: number;
 }
 
+/** What must hold within which time, in milliseconds. */
+export interface OracleBounds {
+  readonly drainBoundMs: number;
+  readonly applyBoundMs: number;
+  readonly contactMs: number;
+  readonly evacuationBoundMs: number;
+  /** New flows that may reach a cold back end in any second; undefined for any number. */
+  readonly coldFlowsPerS: number | undefined;
+}
+
+const SECOND_MS = 1_000;
+
 /** Judges a run. */
 export class IngressOracle {
+  readonly zones = createZoneWitness();
+  /** When each back end took new flows while it was cold, of the last second. */
+  private readonly coldFlows = new Map<string, number[]>();
   readonly violations: IngressViolation[] = [];
   /** Services that any configuration ever sent gave a route. */
   private readonly allowed = new Map<string, Set<string>>();
@@ -48,13 +70,7 @@
   private disturbedUntilMs = Number.NEGATIVE_INFINITY;
   servedRequests = 0;
 
-  constructor(
-    private readonly bounds: {
-      readonly drainBoundMs: number;
-      readonly applyBoundMs: number;
-      readonly contactMs: number;
-    },
-  ) {}
+  constructor(private readonly bounds: OracleBounds) {}
 
   /** Version of the newest configuration that was acknowledged; 0 for none. */
   get acknowledgedVersion(): number {
@@ -123,6 +139,8 @@
       readonly sentAtMs: number;
       /** Newest version that gives the route to the service. */
       readonly newestVersion: number;
+      readonly zone: string;
+      readonly isCold: boolean;
     },
     nowMs: number,
   ): void {
@@ -130,9 +148,16 @@
     if (this.allowed.get(route)?.has(service) !== true) {
       this.report('route', nowMs, `${service} took a flow of ${route}`);
     }
+    if (taken.isCold) {
+      this.noteColdFlow(backendId, nowMs);
+    }
     if (!this.isCalm(nowMs)) {
       return;
     }
+    const evacuatedAtMs = this.zones.evacuatedAtMs(taken.zone);
+    if (evacuatedAtMs !== undefined && nowMs > evacuatedAtMs + this.bounds.evacuationBoundMs) {
+      this.report('evacuation', nowMs, `${backendId} took a flow in evacuated ${taken.zone}`);
+    }
     const departedAtMs = this.departures.get(backendId);
     if (departedAtMs !== undefined && nowMs > departedAtMs + this.bounds.drainBoundMs) {
       this.report('drain', nowMs, `${backendId} took a flow after it left`);
@@ -147,6 +172,31 @@
     }
   }
 
+  /** A zone is read back after everything. */
+  noteFinalZone(zone: string, isEvacuated: boolean, nowMs: number): void {
+    const expected = this.zones.settledAs(zone);
+    if (expected !== undefined && expected !== isEvacuated) {
+      const stands = isEvacuated ? 'evacuated' : 'readmitted';
+      this.report('zone', nowMs, `${zone} is ${stands} against the last order`);
+    }
+  }
+
+  /** A proper order for a zone was refused. */
+  noteOrderRefused(zone: string, nowMs: number): void {
+    this.report('zone', nowMs, `an order for ${zone} was refused`);
+  }
+
+  /** This holds in any second, whatever is disturbed. */
+  private noteColdFlow(backendId: string, nowMs: number): void {
+    const { coldFlowsPerS } = this.bounds;
+    const before = this.coldFlows.get(backendId) ?? [];
+    const times = [...before.filter((atMs) => nowMs - atMs < SECOND_MS), nowMs];
+    this.coldFlows.set(backendId, times);
+    if (coldFlowsPerS !== undefined && times.length > coldFlowsPerS) {
+      this.report('cold', nowMs, `${backendId} took ${times.length} flows in a second`);
+    }
+  }
+
   /** A back end gets a packet that was changed on its way. */
   noteUnasked(nowMs: number, detail: string): void {
     this.report('unasked', nowMs, detail);
--- a/src/sim/ingress/ingress-world.ts
+++ b/src/sim/ingress/ingress-world.ts
@@ -14,11 +14,13 @@
 import { IngressOracle } from './ingress-oracle.js';
 import { SimulatedControlMachine } from './simulated-control-machine.js';
 import { SimulatedIngressBalancer } from './simulated-ingress-balancer.js';
+import { SIMULATED_ZONES, turnCold, zoneOfBackend } from './simulated-zones.js';
 import { StandInBackend } from './stand-in-backend.js';
 import { StandInClient } from './stand-in-client.js';
 import { SIMULATED_SERVICES, StandInOperator } from './stand-in-operator.js';
 import { VirtualWires } from './virtual-wires.js';
-import type { IngressWorldOptions, IngressWorldParts } from './world-parts.js';
+import { createZoneOperator, type ZoneOperator } from './zone-operator.js';
+import { oracleBoundsOf, type IngressWorldOptions, type IngressWorldParts } from './world-parts.js';
 
 const CONTROL_PORT = 7_700;
 const BACKEND_PORT = 9_000;
@@ -27,7 +29,6 @@
 const SEED_COUNT = 3;
 const LONG_FLOW_REQUESTS = 40;
 const CALL_DELAY_MS = 1;
-const ZONES = ['zone-a', 'zone-b'] as const;
 
 /** The whole deployment. */
 export class IngressWorld {
@@ -40,6 +41,7 @@
   readonly backends: StandInBackend[] = [];
   readonly clients: StandInClient[] = [];
   readonly operator: StandInOperator;
+  readonly zoneOperator: ZoneOperator;
   /** Lines of decisions, kept for whoever looks for a cause. */
   readonly log: string[] = [];
   private readonly parts: IngressWorldParts;
@@ -55,7 +57,7 @@
   ) {
     this.random = seededRandom(seed);
     this.wires = new VirtualWires(this.clock, this.random);
-    this.oracle = new IngressOracle(options);
+    this.oracle = new IngressOracle(oracleBoundsOf(options));
     this.parts = {
       clock: this.clock,
       random: this.random,
@@ -74,6 +76,12 @@
       this.addControl(seeds);
     }
     this.operator = new StandInOperator(this.callControl, this.parts);
+    this.zoneOperator = createZoneOperator({
+      ...this.parts,
+      callControl: this.callControl,
+      ackLostShare: () => this.operator.lostShare,
+      beforeReadmission: (zone) => turnCold(this.backends, zone),
+    });
     for (let index = 0; index < options.balancerCount; index += 1) {
       this.addBalancer();
     }
@@ -107,7 +115,7 @@
   /** Adds a control machine with an empty disk; it is not started. */
   addControl(seeds: readonly Address[]): SimulatedControlMachine {
     const address = controlAddress(this.nextControlNumber);
-    const zone = ZONES[this.nextControlNumber % ZONES.length] ?? 'zone-a';
+    const zone = SIMULATED_ZONES[this.nextControlNumber % SIMULATED_ZONES.length] ?? 'zone-a';
     this.nextControlNumber += 1;
     const control = new SimulatedControlMachine(address, zone, seeds, this.parts);
     this.controls.push(control);
@@ -123,7 +131,7 @@
       number,
       service,
       address: address ?? { host: `10.0.2.${number}`, port: BACKEND_PORT },
-      zone: ZONES[number % ZONES.length] ?? 'zone-a',
+      zone: zoneOfBackend(number),
     };
     const backend = new StandInBackend(identity, this.parts, this.callControl, (route, ofService) =>
       this.operator.newestVersion(route, ofService),
@@ -157,12 +165,19 @@
           this.oracle.noteFinalRead(reply.document?.version ?? 0, this.clock.nowMs);
         }
       });
+      control.call({ type: 'read-zones' }, (reply) => {
+        if (reply.type === 'zones') {
+          reply.zones.forEach(({ zone, isEvacuated }) =>
+            this.oracle.noteFinalZone(zone, isEvacuated, this.clock.nowMs),
+          );
+        }
+      });
     }
   }
 
   private addBalancer(): void {
     const number = this.balancers.length + 1;
-    const zone = ZONES[number % ZONES.length] ?? 'zone-a';
+    const zone = SIMULATED_ZONES[number % SIMULATED_ZONES.length] ?? 'zone-a';
     const seeds = this.controls.slice(0, SEED_COUNT).map(({ address }) => address);
     const balancer = new SimulatedIngressBalancer(`10.0.3.${number}`, zone, seeds, this.parts);
     this.balancers.push(balancer);
--- a/src/sim/ingress/simulated-control-machine.ts
+++ b/src/sim/ingress/simulated-control-machine.ts
@@ -132,6 +132,7 @@
       {
         linkAddress: this.address,
         zone: this.zone,
+        zones: [],
         seeds: this.seeds,
         isFirstStart,
         tolerableLosses: options.tolerableLosses,
--- a/src/sim/ingress/simulated-ingress-balancer.ts
+++ b/src/sim/ingress/simulated-ingress-balancer.ts
@@ -54,6 +54,7 @@
           feed: this.parts.timing.feed,
           maxCountedFlows: MAX_COUNTED_FLOWS,
           policy: options.policy,
+          coldBounds: options.coldBounds,
         },
         peerAddress,
         controlSeeds: this.controls,
--- a/src/sim/ingress/stand-in-backend.ts
+++ b/src/sim/ingress/stand-in-backend.ts
@@ -19,7 +19,8 @@
 const WORK_MS = 20;
 const FIRST_RESEND_MS = 200;
 const LAST_RESEND_MS = 1_600;
-const WARM_UP_MS = 2_000;
+/** A back end is cold for so long after its start, and after its zone was empty. */
+export const WARM_UP_MS = 2_000;
 const CAPACITY = 2;
 const INSTANCE_DIGITS = 16;
 const HEXADECIMAL = 16;
@@ -56,7 +57,7 @@
   private sequence = 0;
   private nextAcceptNumber: number;
   private readonly flows = new Map<string, BackendFlow>();
-  private readonly startedAtMs: number;
+  private coldSinceMs: number;
 
   constructor(
     readonly identity: BackendIdentity,
@@ -67,7 +68,7 @@
   ) {
     this.instanceNumber = identity.number.toString(HEXADECIMAL).padStart(INSTANCE_DIGITS, '0');
     this.nextAcceptNumber = identity.number * 1_000_000 + 1;
-    this.startedAtMs = parts.clock.nowMs;
+    this.coldSinceMs = parts.clock.nowMs;
     parts.wires.hostStarted(identity.address.host);
     parts.wires.onDatagram(identity.address, (bytes) => this.receive(bytes));
     this.beat();
@@ -79,6 +80,15 @@
     return this.isAlive && flow?.isOpen === true && flow.acceptNumber === acceptNumber;
   }
 
+  /** It is cold from now on as after its start, since nothing reached it for long; its heartbeats tell. */
+  turnCold(): void {
+    this.coldSinceMs = this.parts.clock.nowMs;
+  }
+
+  private get warmUpLeftMs(): number {
+    return Math.max(0, WARM_UP_MS - (this.parts.clock.nowMs - this.coldSinceMs));
+  }
+
   /** Ends without a word. */
   crash(): void {
     this.isAlive = false;
@@ -157,7 +167,6 @@
   private heartbeat(): GroupCall {
     this.sequence += 1;
     const { id, service, address, zone } = this.identity;
-    const ageMs = this.parts.clock.nowMs - this.startedAtMs;
     return {
       type: 'heartbeat',
       isDraining: this.isDraining,
@@ -168,7 +177,7 @@
         address,
         zone,
         capacity: CAPACITY,
-        warmUpLeftMs: Math.max(0, WARM_UP_MS - ageMs),
+        warmUpLeftMs: this.warmUpLeftMs,
         sequence: this.sequence,
       },
     };
@@ -205,10 +214,11 @@
       this.nextAcceptNumber += 1;
       this.flows.set(client, flow);
       const route = formatAddress(packet.to);
-      const { service, id } = this.identity;
+      const { service, id, zone } = this.identity;
       const newestVersion = this.newestVersion(route, service);
       const sentAtMs = clock.nowMs;
-      const taken = { route, service, backendId: id, sentAtMs, newestVersion };
+      const isCold = this.warmUpLeftMs > 0;
+      const taken = { route, service, backendId: id, sentAtMs, newestVersion, zone, isCold };
       oracle.noteOpenTaken(taken, clock.nowMs);
     }
     if (!flow.isOpen) {
--- a/src/sim/ingress/stand-in-operator.ts
+++ b/src/sim/ingress/stand-in-operator.ts
@@ -4,7 +4,7 @@
  */
 import { formatAddress, type Address } from '../../common/address.js';
 import type { DeclaredConfig, DeclaredRoute } from '../../declared/declared-config.js';
-import type { CallControl } from './stand-in-backend.js';
+import { WARM_UP_MS, type CallControl } from './stand-in-backend.js';
 import type { StandInParts } from './world-parts.js';
 
 const OPERATOR_HOST = '100.127.0.1';
@@ -86,7 +86,12 @@
         timeoutMs: REQUEST_TIMEOUT_MS,
       };
     });
-    const services = SIMULATED_SERVICES.map((name) => ({ name }));
+    const { coldRequestsPerS } = this.parts.options;
+    const services = SIMULATED_SERVICES.map((name) => ({
+      name,
+      warmUpMs: WARM_UP_MS,
+      coldRequestsPerS,
+    }));
     routes.push(...Array.from({ length: this.idleRouteCount }, (_, index) => idleRoute(index)));
     return { version, routes, services, idleTimeoutMs: IDLE_TIMEOUT_MS };
   }
--- a/src/sim/ingress/world-parts.ts
+++ b/src/sim/ingress/world-parts.ts
@@ -4,10 +4,11 @@
 import type { Address } from '../../common/address.js';
 import type { RandomSource } from '../../common/step.js';
 import type { DecisionFields } from '../../daemon/decision-log.js';
+import type { ColdBounds } from '../../ingress/cold-share.js';
 import { defaultPolicy, type IngressPolicy } from '../../ingress/policy.js';
 import type { Timing } from '../../group/timing.js';
 import type { VirtualClock } from '../virtual-clock.js';
-import type { IngressOracle } from './ingress-oracle.js';
+import type { IngressOracle, OracleBounds } from './ingress-oracle.js';
 import type { VirtualWires } from './virtual-wires.js';
 
 /** Bounds of the simulated deployment; times in milliseconds. */
@@ -33,6 +34,12 @@
   /** What a balancer takes its link to carry, in bytes a millisecond; undefined for no pacing. */
   readonly linkBytesPerMs: number | undefined;
   readonly policy: IngressPolicy;
+  /** What a cold back end may be given; undefined for no bound. */
+  readonly coldBounds: ColdBounds | undefined;
+  /** How many requests a second a cold back end handles, as the operator declares it. */
+  readonly coldRequestsPerS: number;
+  /** A zone takes no new flow for so long after its evacuation was acknowledged. */
+  readonly evacuationBoundMs: number;
 }
 
 /** The options of a small deployment of today. */
@@ -51,8 +58,19 @@
   flowLifetimeMs: 60_000,
   linkBytesPerMs: undefined,
   policy: defaultPolicy,
+  coldBounds: { excess: 1.5, slackPerS: 5 },
+  coldRequestsPerS: 0,
+  evacuationBoundMs: 4_000,
 };
 
+/** @returns what the oracle holds a deployment to */
+export function oracleBoundsOf(options: IngressWorldOptions): OracleBounds {
+  const { drainBoundMs, applyBoundMs, contactMs, evacuationBoundMs } = options;
+  const { coldBounds, coldRequestsPerS } = options;
+  const coldFlowsPerS = coldBounds && coldRequestsPerS * coldBounds.excess + coldBounds.slackPerS;
+  return { drainBoundMs, applyBoundMs, contactMs, evacuationBoundMs, coldFlowsPerS };
+}
+
 /** Time as stand-ins need it: virtual in the simulator, real beside real processes. */
 export interface StandInClock {
   readonly nowMs: number;
--- a/src/soak/soak-calls.ts
+++ b/src/soak/soak-calls.ts
@@ -92,6 +92,13 @@
     }
     case 'read-config':
       return { ...common, method: 'GET', path: '/v1/config', bearerToken: operatorToken };
+    case 'order-zone': {
+      const path = `/v1/zones/${encodeURIComponent(call.zone)}/evacuation`;
+      const method = call.kind === 'evacuate' ? 'PUT' : 'DELETE';
+      return { ...common, method, path, bearerToken: operatorToken };
+    }
+    case 'read-zones':
+      return { ...common, method: 'GET', path: '/v1/zones', bearerToken: operatorToken };
   }
 }
 
--- a/src/soak/soak-schedule.ts
+++ b/src/soak/soak-schedule.ts
@@ -27,8 +27,12 @@
   'config-changed',
   'datagrams-lost',
   'acknowledgements-lost',
+  'zone-evacuated',
 ] as const;
 
+/** Kinds of the series that are drawn first; evacuations are drawn after them, as series of their own. */
+const FIRST_KINDS = soakFaultKinds.filter((kind) => kind !== 'zone-evacuated');
+
 /** One kind of fault. */
 export type SoakFaultKind = (typeof soakFaultKinds)[number];
 
@@ -62,6 +66,10 @@
 const SPREAD_MS = 3_500;
 /** Nothing strikes before: the first flows are open then. */
 const FIRST_FAULT_MS = 3_000;
+/** Mean time between two evacuations: some overlap. */
+const MEAN_EVACUATION_GAP_MS = 8_000;
+/** They last up to so long: from less than all need to hear of it to twice the bound. */
+const EVACUATION_SPREAD_MS = 8_000;
 /** Every second fault begins a series of up to so many of its kind ... */
 const LONGEST_SERIES = 6;
 /** ... so far apart: from faster than a process starts to slower. */
@@ -96,7 +104,19 @@
     drawn.push(...drawSeries(options, random, Math.round(atMs)));
     atMs += random.nextFloat() * 2 * MEAN_GAP_MS;
   }
-  return borne(drawn, options);
+  return borne([...drawn, ...drawEvacuations(options, random)], options);
+}
+
+/** Evacuations beside all else; they overlap, of one zone and of several. */
+function drawEvacuations({ durationMs }: ScheduleOptions, random: RandomSource): SoakFault[] {
+  const drawn: SoakFault[] = [];
+  let atMs = FIRST_FAULT_MS + random.nextFloat() * 2 * MEAN_EVACUATION_GAP_MS;
+  while (atMs < durationMs) {
+    const forMs = Math.round(SHORTEST_MS + random.nextFloat() * EVACUATION_SPREAD_MS);
+    drawn.push({ atMs: Math.round(atMs), kind: 'zone-evacuated', target: 0, forMs });
+    atMs += random.nextFloat() * 2 * MEAN_EVACUATION_GAP_MS;
+  }
+  return drawn;
 }
 
 /** The faults that leave no more control machines disturbed at once than may be lost. */
@@ -132,7 +152,7 @@
 }
 
 function drawFault(options: ScheduleOptions, random: RandomSource, atMs: number): SoakFault {
-  const kind = soakFaultKinds[random.nextInt(soakFaultKinds.length)] ?? 'config-changed';
+  const kind = FIRST_KINDS[random.nextInt(FIRST_KINDS.length)] ?? 'config-changed';
   const target = random.nextInt(targetCount(kind, options));
   const forMs = Math.round(SHORTEST_MS + random.nextFloat() * SPREAD_MS);
   return { atMs, kind, target, forMs };
--- a/src/soak/soak-world.ts
+++ b/src/soak/soak-world.ts
@@ -9,6 +9,9 @@
 import { sendJson } from '../daemon/http-json.js';
 import { hashOfFlow } from '../sim/ingress/flow-hash.js';
 import { IngressOracle } from '../sim/ingress/ingress-oracle.js';
+import { SIMULATED_ZONES, turnCold, zoneOfBackend } from '../sim/ingress/simulated-zones.js';
+import { createZoneOperator, type ZoneOperator } from '../sim/ingress/zone-operator.js';
+import type { ZoneReport } from '../group/group-messages.js';
 import { StandInBackend, type CallControl } from '../sim/ingress/stand-in-backend.js';
 import { StandInClient } from '../sim/ingress/stand-in-client.js';
 import { SIMULATED_SERVICES, StandInOperator } from '../sim/ingress/stand-in-operator.js';
@@ -16,6 +19,7 @@
   smallIngressWorld,
   type IngressWorldOptions,
   type StandInParts,
+  oracleBoundsOf,
 } from '../sim/ingress/world-parts.js';
 import { startLinkProxy, type LinkProxy } from './link-proxy.js';
 import { createSoakCalls } from './soak-calls.js';
@@ -71,7 +75,6 @@
 const MISSES_UNTIL_OUT = 2;
 const MAX_KEPT_FLOWS = 10_000;
 const OPERATOR_TOKEN = 'soak-operator-token';
-const ZONES = ['zone-a', 'zone-b'] as const;
 const HTTP_OK = 200;
 
 /** One control machine of a soak. */
@@ -92,6 +95,7 @@
   readonly backends: readonly StandInBackend[];
   readonly clients: readonly StandInClient[];
   readonly operator: StandInOperator;
+  readonly zoneOperator: ZoneOperator;
   /** Starts a back end, at the address of one that is gone where one is given. */
   addBackend(service: string, address?: Address): void;
   startClients(): void;
@@ -120,7 +124,7 @@
   };
   const clock = createSoakClock();
   const wires = createSoakWires(random);
-  const oracle = new IngressOracle(options);
+  const oracle = new IngressOracle(oracleBoundsOf(options));
   const parts: StandInParts = { clock, random, wires, oracle, options };
   const controls = await startControls(folder, hosts, options);
   const balancers = startBalancers(folder, hosts, options);
@@ -132,6 +136,12 @@
   const probes = startProbes(clock, hosts, balancers);
   const operator = new StandInOperator(callControl, parts);
   const standIns = createStandIns(parts, { hosts, sizes }, callControl, operator, probes);
+  const zoneOperator = createZoneOperator({
+    ...parts,
+    callControl,
+    ackLostShare: () => operator.lostShare,
+    beforeReadmission: (zone) => turnCold(standIns.backends, zone),
+  });
   return {
     clock,
     wires,
@@ -140,6 +150,7 @@
     controls,
     balancers,
     operator,
+    zoneOperator,
     ...standIns,
     isReady: () => probes.areAllIn() && controls.every(({ process }) => process.isRunning),
     readBack: () => readBack(controls, hosts, oracle, clock),
@@ -174,7 +185,7 @@
       firstSettings: { isFirstStart: true },
       settings: {
         name,
-        zone: ZONES[index % ZONES.length],
+        zone: SIMULATED_ZONES[index % SIMULATED_ZONES.length],
         dataFolder,
         linkAddress: formatAddress(linkAddress(hosts, index)),
         listenAddress: formatAddress(behind),
@@ -184,6 +195,7 @@
         catchUpMs: options.catchUpMs,
         heartbeatIntervalMs: options.heartbeatIntervalMs,
         operatorToken: OPERATOR_TOKEN,
+        zones: [...SIMULATED_ZONES],
       },
     });
     process.start();
@@ -211,12 +223,13 @@
       logFile: join(folder, `${name}.log`),
       settings: {
         name,
-        zone: ZONES[index % ZONES.length],
+        zone: SIMULATED_ZONES[index % SIMULATED_ZONES.length],
         packetAddress: formatAddress({ host, port: PACKET_PORT }),
         peerAddress: formatAddress({ host, port: PEER_PORT }),
         readyAddress: formatAddress({ host, port: READY_PORT }),
         controlSeeds: controlSeeds.map(formatAddress),
         heartbeatIntervalMs: options.heartbeatIntervalMs,
+        ...(options.coldBounds && { coldBounds: options.coldBounds }),
       },
     });
     process.start();
@@ -313,7 +326,7 @@
       number,
       service,
       address: address ?? { host: hosts.backends(number), port: BACKEND_PORT },
-      zone: ZONES[number % ZONES.length] ?? 'zone-a',
+      zone: zoneOfBackend(number),
     };
     backends.push(
       new StandInBackend(identity, parts, callControl, (route, ofService) =>
@@ -338,6 +351,28 @@
   }
 }
 
+async function readBackZones(
+  address: Address,
+  oracle: IngressOracle,
+  clock: SoakClock,
+): Promise<void> {
+  const answer = await sendJson({
+    to: address,
+    method: 'GET',
+    path: '/v1/zones',
+    bearerToken: OPERATOR_TOKEN,
+    timeoutMs: PROBE_TIMEOUT_MS,
+  });
+  answer.map(({ status, body }) => {
+    if (status === HTTP_OK) {
+      const { zones } = body as { readonly zones: readonly ZoneReport[] };
+      zones.forEach(({ zone, isEvacuated }) =>
+        oracle.noteFinalZone(zone, isEvacuated, clock.nowMs),
+      );
+    }
+  });
+}
+
 async function readBack(
   controls: readonly SoakControl[],
   hosts: SoakHosts,
@@ -362,6 +397,9 @@
       }
     });
   }
+  await Promise.all(
+    controls.map((_, index) => readBackZones(callAddress(hosts, index), oracle, clock)),
+  );
 }
 
 function linkAddress(hosts: SoakHosts, index: number): Address {
--- a/src/soak/stand-in-faults.ts
+++ b/src/soak/stand-in-faults.ts
@@ -7,6 +7,8 @@
 import type { StandInBackend } from '../sim/ingress/stand-in-backend.js';
 import { SIMULATED_SERVICES, type StandInOperator } from '../sim/ingress/stand-in-operator.js';
 import type { StandInClock, StandInWires } from '../sim/ingress/world-parts.js';
+import { SIMULATED_ZONES } from '../sim/ingress/simulated-zones.js';
+import type { ZoneOperator } from '../sim/ingress/zone-operator.js';
 import type { SoakFaultKind } from './soak-schedule.js';
 
 /** What these faults need of a deployment. */
@@ -15,6 +17,7 @@
   readonly wires: StandInWires & { lossShare: number };
   readonly oracle: IngressOracle;
   readonly operator: StandInOperator;
+  readonly zoneOperator: ZoneOperator;
   readonly backends: readonly StandInBackend[];
   addBackend(service: string, address?: Address): void;
 }
@@ -29,6 +32,7 @@
   | 'config-changed'
   | 'datagrams-lost'
   | 'acknowledgements-lost'
+  | 'zone-evacuated'
 >;
 
 const LOSS_SHARE = 0.03;
@@ -58,6 +62,12 @@
       operator.lostShare = ACK_LOSS_SHARE;
       clock.after(forMs, () => (operator.lostShare = 0));
       return;
+    case 'zone-evacuated':
+      world.zoneOperator.evacuate(
+        SIMULATED_ZONES[Math.round(forMs) % SIMULATED_ZONES.length] ?? 'zone-a',
+        forMs,
+      );
+      return;
     default:
       endBackend(world, kind, forMs);
   }
@@ -66,7 +76,10 @@
 /** Another back end of the same service takes its place. */
 function endBackend(
   world: StandInWorld,
-  kind: Exclude<StandInFaultKind, 'config-changed' | 'datagrams-lost' | 'acknowledgements-lost'>,
+  kind: Exclude<
+    StandInFaultKind,
+    'config-changed' | 'datagrams-lost' | 'acknowledgements-lost' | 'zone-evacuated'
+  >,
   forMs: number,
 ): void {
   const staying = world.backends.filter(({ isAlive, isLeaving }) => isAlive && !isLeaving);
--- a/test/group/config-history.test.ts
+++ b/test/group/config-history.test.ts
@@ -94,7 +94,7 @@
   const table = new RouteTable();
   table.take(wholeUpdate(before));
   t.equal(table.take(update), 'taken');
-  t.same(table.config, { version: 2, idleTimeoutMs: 9_000 });
+  t.same(table.config, { version: 2, idleTimeoutMs: 9_000, warmUps: new Map() });
   t.same(partOf(update, 0, 10).changeCount, 0);
 });
 
--- a/test/group/feed-codec.test.ts
+++ b/test/group/feed-codec.test.ts
@@ -54,10 +54,15 @@
     version: 12,
     baseVersion: 0,
     idleTimeoutMs: 15_000,
+    warmUps: [{ service: 'alpha', warmUpMs: 2_000, coldRequestsPerS: 7.5 }],
     changes: routeChanges,
     firstChange: 0,
     changeCount: 1_766,
   },
+  zones: [
+    { zone: 'zone-1', isEvacuated: true, orders: 3 },
+    { zone: 'zone-2', isEvacuated: false, orders: 2, readmittedAgoMs: 1_200 },
+  ],
   loads: [7, 1, 9, 2],
 };
 
--- a/test/ingress/feed-step.test.ts
+++ b/test/ingress/feed-step.test.ts
@@ -177,7 +177,7 @@
   t.equal(livenessOf(state, 2), 'silent', 'the new one has not named it');
 });
 
-const CONFIG = { baseVersion: 0, idleTimeoutMs: 15_000 };
+const CONFIG = { baseVersion: 0, idleTimeoutMs: 15_000, warmUps: [] };
 const routeTo = (service: string, port: number) => ({
   host: '198.18.0.1',
   port,
--- a/test/ingress/frozen-balancer.test.ts
+++ b/test/ingress/frozen-balancer.test.ts
@@ -2,7 +2,7 @@
 import t from 'tap';
 import type { IngressWorld } from '../../src/sim/ingress/ingress-world.js';
 import { runIngressWorld } from '../../src/sim/ingress/run-ingress-world.js';
-import { createStallGuard } from '../../src/ingress/stall-guard.js';
+import { createStallGuard } from '../../src/common/stall-guard.js';
 
 const SEEDS = 6;
 const FAULTS = 10;
--- a/test/ingress/placement.test.ts
+++ b/test/ingress/placement.test.ts
@@ -6,7 +6,10 @@
 import { createIngressState, type IngressState } from '../../src/ingress/ingress-state.js';
 import { decidePacket } from '../../src/ingress/packet-step.js';
 import type { PacketView } from '../../src/ingress/packet-view.js';
+import { createColdShare } from '../../src/ingress/cold-share.js';
+import { createPeerTable } from '../../src/ingress/peer-table.js';
 import { createPlacement } from '../../src/ingress/placement.js';
+import { createZoneTable } from '../../src/ingress/zone-table.js';
 import { defaultPolicy, parsePolicy } from '../../src/ingress/policy.js';
 
 const OPTIONS = {
@@ -33,6 +36,15 @@
   dataLength: 0,
 };
 
+/** Nothing bounds what cold back ends are given. */
+const UNBOUNDED = createColdShare({
+  bounds: undefined,
+  zones: createZoneTable(),
+  peers: createPeerTable('balancer-1'),
+  warmUpOf: () => undefined,
+  knowsOthers: () => true,
+});
+
 function addBackend(table: BackendTable, number: number, zone: string, ageMs = 0): void {
   const record = {
     id: `backend-${number}`,
@@ -104,7 +116,7 @@
 t.test('a back end that is silent for long is used only where no other is', async (t) => {
   const table = new BackendTable(OPTIONS.heartbeatIntervalMs);
   addBackend(table, 1, 'zone-a', 4_000);
-  const placement = createPlacement('zone-a', defaultPolicy);
+  const placement = createPlacement('zone-a', defaultPolicy, UNBOUNDED);
   const choose = (flowHash: number) => placement.choose(table.staying('alpha'), flowHash, 0)?.id;
   t.equal(choose(0), 'backend-1');
   addBackend(table, 2, 'zone-b');
@@ -134,7 +146,7 @@
 }
 
 function chosenFrom(table: BackendTable, policyText: string): Set<string | undefined> {
-  const placement = createPlacement('zone-a', parsePolicy(policyText)._unsafeUnwrap());
+  const placement = createPlacement('zone-a', parsePolicy(policyText)._unsafeUnwrap(), UNBOUNDED);
   const ids = Array.from({ length: 60 }, (_, flowHash) => {
     return placement.choose(table.staying('alpha'), flowHash, 0)?.id;
   });
@@ -190,7 +202,11 @@
     addBackend(table, 1, 'zone-a');
     spoil(table);
     const chosenBy = (policyText: string) => {
-      const placement = createPlacement('zone-a', parsePolicy(policyText)._unsafeUnwrap());
+      const placement = createPlacement(
+        'zone-a',
+        parsePolicy(policyText)._unsafeUnwrap(),
+        UNBOUNDED,
+      );
       const ids = [0, 1, 2, 3].map((flowHash) => {
         return placement.choose(table.staying('alpha'), flowHash, 0)?.id;
       });
--- a/test/soak/soak-verdict.test.ts
+++ b/test/soak/soak-verdict.test.ts
@@ -8,7 +8,13 @@
 
 const TOKEN = 'operator-token';
 const TO = { host: '127.0.0.1', port: 7_702 };
-const BOUNDS = { drainBoundMs: 3_000, applyBoundMs: 3_000, contactMs: 4_000 };
+const BOUNDS = {
+  drainBoundMs: 3_000,
+  applyBoundMs: 3_000,
+  contactMs: 4_000,
+  evacuationBoundMs: 4_000,
+  coldFlowsPerS: 5,
+};
 const config = {
   version: 3,
   services: [{ name: 'alpha' }],
