Tell clients whose back end is surely dead, and notice short pauses of balancers

Flows on back ends that crashed without a word waited for the deadlines of their clients. Two sources that share no path are proof now: what control says of the heartbeats, and data that a client sends again while nothing of that back end arrives anywhere here (twice after 3 s of silence, once after 7.2 s, at once where another one runs at its address). Ruled out: silence alone and a client alone (mutants break flows).

A balancer that asked holders, had no processor for longer than their claim and then placed its open unasked; and pauses below 300 ms were not noticed.

Only heartbeats that come two intervals after the readmission or later count.

--- a/src/cli/ctl.ts
+++ b/src/cli/ctl.ts
@@ -1,6 +1,7 @@
 /**
  * @file `amberlift ctl`: the operators' client. Runs one statement, a script, or an interactive prompt; `apply
- * FILE` and `show config` speak to a group that takes declared configurations.
+ * FILE`, `show config`, `evacuate ZONE`, `readmit ZONE` and `show zones` speak to a group that takes declared
+ * configurations.
  */
 import { readFile, writeFile } from 'node:fs/promises';
 import type { CAC } from 'cac';
@@ -19,6 +20,7 @@
 import type { Address } from '../common/address.js';
 import { addressFlag } from './address-flag.js';
 import { parseDeclaredCommand, runDeclaredCommand } from './declared-command.js';
+import { parseZoneCommand, runZoneCommand } from './zone-command.js';
 
 const MILLISECONDS_PER_SECOND = 1000;
 
@@ -53,6 +55,11 @@
     await runDeclaredCommand(declared, await declaredClientFromFlags(flags), flags.json ?? false);
     return;
   }
+  const ofZones = parseZoneCommand(words);
+  if (ofZones !== undefined) {
+    await runZoneCommand(ofZones, await declaredClientFromFlags(flags), flags.json ?? false);
+    return;
+  }
   const options: RunnerOptions = {
     client: await clientFromFlags(flags),
     json: flags.json ?? false,
--- a/src/cli/plan.ts
+++ b/src/cli/plan.ts
@@ -1,6 +1,6 @@
 /**
- * @file `amberlift plan`: shows what adding, draining or retiring a back end would do, or what a declared
- * configuration would change.
+ * @file `amberlift plan`: shows what adding, draining or retiring a back end would do, what a declared configuration
+ * would change, or what emptying a zone would leave.
  */
 import { readFileSync } from 'node:fs';
 import type { CAC } from 'cac';
@@ -13,6 +13,7 @@
 import { parseStateExport } from '../toolbox/state-export.js';
 import { reportError } from './daemon-command.js';
 import { planDeclaredFile } from './declared-command.js';
+import { planEvacuationOf } from './zone-command.js';
 
 const DEFAULT_CONNECTION_LIMIT = 2_000;
 const DEFAULT_MOVES_PER_SECOND = 100;
@@ -24,6 +25,7 @@
   readonly movesPerSecond: number;
   readonly declared?: string;
   readonly against?: string;
+  readonly zones?: string;
   readonly json?: boolean;
 }
 
@@ -45,6 +47,7 @@
       '--against <file>',
       'What "amberlift ctl --json show config" printed; without it, nothing holds',
     )
+    .option('--zones <file>', 'What "amberlift ctl --json show zones" printed; for "evacuate ZONE"')
     .option('--json', 'Print one line of JSON')
     .action(run);
 }
@@ -54,8 +57,12 @@
     planDeclaredFile(flags.declared, flags.against, flags.json ?? false);
     return;
   }
+  if (flags.zones !== undefined) {
+    planEvacuationOf(flags.zones, words, flags.json ?? false);
+    return;
+  }
   if (flags.state === undefined) {
-    throw new RangeError('plan needs --state or --declared.');
+    throw new RangeError('plan needs --state, --declared or --zones.');
   }
   const options = {
     connectionLimit: positive('connection-limit', flags.connectionLimit),
--- a/src/client/declared-client.ts
+++ b/src/client/declared-client.ts
@@ -1,13 +1,17 @@
 /**
- * @file The client for declared configurations: declares one, or reads the one that holds, at whichever
- * control machine answers. Sent again, the same version is acknowledged again.
+ * @file The client of a group that takes declared configurations: declares one, reads the one that holds, orders
+ * zones to be emptied or taken back, at whichever control machine answers. What is sent again is acknowledged again.
  */
-import type { Result } from 'neverthrow';
+import { err, ok, type Result } from 'neverthrow';
+import * as z from 'zod/mini';
 import type { Address } from '../common/address.js';
 import { sendJson } from '../daemon/http-json.js';
 import type { DeclaredConfig } from '../declared/declared-config.js';
 import { parseDeclaredConfig } from '../declared/parse-config.js';
-import type { AmberliftError } from '../flow/error-kinds.js';
+import { describeFaults } from '../common/schema-faults.js';
+import { amberliftError, type AmberliftError } from '../flow/error-kinds.js';
+import type { ZoneReport } from '../group/group-messages.js';
+import type { ZoneOrderKind } from '../group/zone-orders.js';
 import {
   askInTurn,
   defaultRetryOptions,
@@ -16,6 +20,20 @@
 } from './ask-in-turn.js';
 
 const CONFIG_PATH = '/v1/config';
+const ZONES_PATH = '/v1/zones';
+
+const zonesSchema = z.object({
+  zones: z.array(
+    z.object({
+      zone: z.string(),
+      isEvacuated: z.boolean(),
+      orders: z.number(),
+      backendCount: z.number(),
+      slots: z.number(),
+      busy: z.number(),
+    }),
+  ),
+});
 
 /** How to reach the group. */
 export interface DeclaredClientOptions {
@@ -34,6 +52,21 @@
   declare(config: DeclaredConfig): Promise<Result<void, AmberliftError>>;
   /** @returns the configuration that holds, confirmed by a quorum; `not-found` before the first one */
   read(): Promise<Result<DeclaredConfig, AmberliftError>>;
+  /**
+   * @returns once the zone stands as ordered, `not-found` for a zone that the deployment does not have; after
+   *   `peer-unreachable` or `no-quorum` it may or may not stand so
+   */
+  orderZone(zone: string, kind: ZoneOrderKind): Promise<Result<void, AmberliftError>>;
+  /** @returns how each zone stands and what works there, confirmed by a quorum */
+  readZones(): Promise<Result<readonly ZoneReport[], AmberliftError>>;
+}
+
+/** @returns the reports of zones that a value holds, or `invalid-command` with what is wrong */
+export function parseZoneReports(content: unknown): Result<readonly ZoneReport[], AmberliftError> {
+  const parsed = zonesSchema.safeParse(content);
+  return parsed.success
+    ? ok(parsed.data.zones)
+    : err(amberliftError('invalid-command', describeFaults(parsed.error)));
 }
 
 /**
@@ -42,27 +75,42 @@
 export function createDeclaredClient(options: DeclaredClientOptions): DeclaredClient {
   const { controlAddresses, operatorToken, retry = defaultRetryOptions } = options;
 
-  return { declare, read };
+  return { declare, read, orderZone, readZones };
 
   async function declare(config: DeclaredConfig): Promise<Result<void, AmberliftError>> {
-    const answer = await exchange('PUT', config);
+    const answer = await exchange('PUT', CONFIG_PATH, config);
     return answer.map(() => undefined);
   }
 
   async function read(): Promise<Result<DeclaredConfig, AmberliftError>> {
-    const answer = await exchange('GET');
+    const answer = await exchange('GET', CONFIG_PATH);
     return answer.andThen(parseDeclaredConfig);
   }
 
+  async function orderZone(
+    zone: string,
+    kind: ZoneOrderKind,
+  ): Promise<Result<void, AmberliftError>> {
+    const path = `${ZONES_PATH}/${encodeURIComponent(zone)}/evacuation`;
+    const answer = await exchange(kind === 'evacuate' ? 'PUT' : 'DELETE', path);
+    return answer.map(() => undefined);
+  }
+
+  async function readZones(): Promise<Result<readonly ZoneReport[], AmberliftError>> {
+    const answer = await exchange('GET', ZONES_PATH);
+    return answer.andThen(parseZoneReports);
+  }
+
   function exchange(
-    method: 'GET' | 'PUT',
+    method: 'GET' | 'PUT' | 'DELETE',
+    path: string,
     body?: DeclaredConfig,
   ): Promise<Result<unknown, AmberliftError>> {
     return askInTurn(controlAddresses, retry, async (to) => {
       const response = await sendJson({
         to,
         method,
-        path: CONFIG_PATH,
+        path,
         body,
         bearerToken: operatorToken,
         timeoutMs: retry.requestTimeoutMs,
--- a/src/common/stall-guard.ts
+++ b/src/common/stall-guard.ts
@@ -22,17 +22,17 @@
 
 /** Options of the guard; all times in milliseconds. */
 export interface StallGuardOptions {
+  /** A pause between two turns that is shorter is none; longer than a tick. */
+  readonly stallMs: number;
   /** Others remember for so long at least what happened meanwhile. */
   readonly rememberedMs: number;
 }
 
-/** Turns are at most a tick of 100 ms apart; clients send a first copy of an open after some 200 ms. */
-const STALL_MS = 300;
 /** What waited is read within this time after a stall; what comes meanwhile is sent again anyway. */
 const BACKLOG_MS = 300;
 
 /** @returns a guard of a process that has just started */
-export function createStallGuard({ rememberedMs }: StallGuardOptions): StallGuard {
+export function createStallGuard({ stallMs, rememberedMs }: StallGuardOptions): StallGuard {
   let lastTurnAtMs: number | undefined;
   let stalledForMs = 0;
   let trustedFromMs = Number.NEGATIVE_INFINITY;
@@ -42,7 +42,7 @@
   function noteTurn(nowMs: number): void {
     const pausedForMs = nowMs - (lastTurnAtMs ?? nowMs);
     lastTurnAtMs = nowMs;
-    if (pausedForMs >= STALL_MS) {
+    if (pausedForMs >= stallMs) {
       stalledForMs = pausedForMs;
       trustedFromMs = nowMs + BACKLOG_MS;
     }
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -14,7 +14,7 @@
 } from '../ingress/ingress-state.js';
 import {
   decidePacket,
-  placeUnlessPlaced,
+  placeOpen,
   takePlacedElsewhere,
   type DropReason,
   type PacketDecision,
@@ -114,8 +114,7 @@
       after: (delayMs, run) => surroundings.after(delayMs, run),
       sendToBalancer: (to, message) => this.sender.charge(surroundings.sendToBalancer(to, message)),
       onUnknown: ({ datagram, packet }) => {
-        const decision = placeUnlessPlaced(this.state, packet, surroundings.nowMs());
-        this.carryOut(decision, datagram, packet);
+        this.carryOut(placeOpen(this.state, packet, surroundings.nowMs()), datagram, packet);
       },
       onClaimed: ({ packet }) => this.refuse('dropped', 'claimed-elsewhere', packet),
       onFound: ({ datagram, packet }, key, token) => {
@@ -241,7 +240,7 @@
 
   private refuse(outcome: string, reason: DropReason, packet: PacketView): void {
     this.count(`${outcome}:${reason}`);
-    if (packet.isOpen || reason === 'unknown-token') {
+    if (packet.isOpen || reason === 'unknown-token' || reason === 'backend-dead') {
       this.surroundings.packetLog.note(outcome, {
         reason,
         flow: describeFlow(packet),
--- a/src/daemon/open-sharing.ts
+++ b/src/daemon/open-sharing.ts
@@ -5,7 +5,7 @@
 import { formatAddress, type Address } from '../common/address.js';
 import type { BalancerMessage } from '../group/message-schemas.js';
 import type { IngressState } from '../ingress/ingress-state.js';
-import { createOpenClaims } from '../ingress/open-claims.js';
+import { CLAIM_MS, createOpenClaims } from '../ingress/open-claims.js';
 import type { FlowKey, PacketView } from '../ingress/packet-view.js';
 import { ASKED_HOLDERS, TOLD_HOLDERS } from '../ingress/peer-table.js';
 
@@ -43,12 +43,21 @@
 
 /** How long other balancers may take to say that they know of an open, in milliseconds. */
 const ASK_MS = 30;
+/**
+ * One whose wait took longer, in milliseconds, since it had no processor meanwhile, asks again: its claim may be
+ * over, and another balancer may be placing the open.
+ */
+const LATE_MS = CLAIM_MS / 2;
 const MAX_HELD = 10_000;
 
+interface WaitingOpen extends HeldOpen {
+  readonly askedAtMs: number;
+}
+
 /** @returns the sharing of a balancer that holds nothing yet */
 export function createOpenSharing(options: OpenSharingOptions): OpenSharing {
   const { state, replyTo } = options;
-  const held = new Map<FlowKey, HeldOpen>();
+  const held = new Map<FlowKey, WaitingOpen>();
   const claims = createOpenClaims();
 
   return { tell, ask, take };
@@ -61,20 +70,28 @@
     if (held.has(key) || held.size >= MAX_HELD) {
       return;
     }
-    if (!claims.claim(key, formatAddress(replyTo), options.nowMs())) {
+    const askedAtMs = options.nowMs();
+    if (!claims.claim(key, replyTo, askedAtMs)) {
       options.onClaimed(open);
       return;
     }
-    held.set(key, open);
+    held.set(key, { ...open, askedAtMs });
     sendToHolders(key, ASKED_HOLDERS, { type: 'find-open', key, replyTo });
-    options.after(ASK_MS, () => release(key, (waiting) => options.onUnknown(waiting)));
+    options.after(ASK_MS, () => release(key, endWait));
+  }
+
+  function endWait(waiting: WaitingOpen, key: FlowKey): void {
+    if (options.nowMs() - waiting.askedAtMs > LATE_MS) {
+      ask(key, waiting);
+    } else {
+      options.onUnknown(waiting);
+    }
   }
 
   function take(message: BalancerMessage): void {
     switch (message.type) {
       case 'open-placed':
-        state.opens.remember(message.key, message.token, options.nowMs());
-        release(message.key, (waiting) => options.onFound(waiting, message.key, message.token));
+        takePlacement(message.key, message.token);
         return;
       case 'find-open':
         answer(message.key, message.replyTo);
@@ -88,22 +105,33 @@
     }
   }
 
+  /** Another balancer has placed an open; one that asked about it shortly before must not place it, too. */
+  function takePlacement(key: FlowKey, token: number): void {
+    const nowMs = options.nowMs();
+    state.opens.remember(key, token, nowMs);
+    release(key, (waiting) => options.onFound(waiting, key, token));
+    const asker = claims.askerOf(key, nowMs);
+    if (asker !== undefined && formatAddress(asker) !== formatAddress(replyTo)) {
+      options.sendToBalancer(asker, { type: 'open-found', key, token });
+    }
+  }
+
   function answer(key: FlowKey, to: Address): void {
     const nowMs = options.nowMs();
     const token = state.opens.recall(key, nowMs);
     if (token !== undefined) {
       options.sendToBalancer(to, { type: 'open-found', key, token });
-    } else if (!claims.claim(key, formatAddress(to), nowMs)) {
+    } else if (!claims.claim(key, to, nowMs)) {
       options.sendToBalancer(to, { type: 'open-claimed', key });
     }
   }
 
   /** Whatever comes first, an answer or the end of the wait, ends it. */
-  function release(key: FlowKey, run: (waiting: HeldOpen) => void): void {
+  function release(key: FlowKey, run: (waiting: WaitingOpen, key: FlowKey) => void): void {
     const waiting = held.get(key);
     if (waiting !== undefined) {
       held.delete(key);
-      run(waiting);
+      run(waiting, key);
     }
   }
 
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -188,8 +188,8 @@
   isStopping: boolean;
 }
 
-/** Orders that waited while this process stood still are refused, however long that was. */
-const ORDERS_REMEMBERED_MS = 0;
+/** An order that waited for less is as new as any that was on its way: its sender waits for a second. */
+const ORDER_STALL_MS = 300;
 /** Load sums that have not changed are told to the other control machines again after this time. */
 const LOAD_SUMS_REFRESH_MS = 1_000;
 /** ... and count there for so long: two that were lost, and a pause. */
@@ -261,7 +261,7 @@
       document === undefined ? undefined : options.readDocument(document),
     ),
     readmittedAtMs: new Map(),
-    stallGuard: createStallGuard({ rememberedMs: ORDERS_REMEMBERED_MS }),
+    stallGuard: createStallGuard({ stallMs: ORDER_STALL_MS, rememberedMs: 0 }),
     isStopping: false,
   };
 }
--- a/src/group/registry-duties.ts
+++ b/src/group/registry-duties.ts
@@ -10,8 +10,8 @@
 import { isCurrent, otherMembers, type GroupState } from './group-state.js';
 import type { GroupCommand, ReplicatedState } from './replicated-state.js';
 
-/** Every back end that runs is heard of within this many intervals, one of them late. */
-const WARMTH_AWAITED_INTERVALS = 2.5;
+/** Balancers pass over heartbeats of the first two intervals; of the next two one comes, also where one is lost. */
+const WARMTH_AWAITED_INTERVALS = 4.5;
 
 /**
  * Takes a heartbeat; balancers are told only where it says something new.
--- a/src/ingress/backend-table.ts
+++ b/src/ingress/backend-table.ts
@@ -3,7 +3,7 @@
  * back end that leaves or falls silent stays resolvable for as long as its flows may live.
  */
 import { Buffer } from 'node:buffer';
-import type { Address } from '../common/address.js';
+import { formatAddress, type Address } from '../common/address.js';
 import type { AgedRecord } from '../group/group-messages.js';
 import { eachLoad, type PackedLoads } from '../load-exchange/backend-load.js';
 import { livenessOf, type BackendJudgement, type Liveness } from '../registry/backend-liveness.js';
@@ -39,6 +39,8 @@
   liveness: Liveness;
   /** What they said when the logs told of it last. */
   notedLiveness: Liveness;
+  /** When a client last showed here that it had got something from it, in milliseconds. */
+  progressAtMs: number;
   /** When it left, in milliseconds. */
   departedAtMs: number;
   /** When the heartbeat came that told what is known of it, in milliseconds. */
@@ -57,6 +59,8 @@
 export class BackendTable {
   private readonly byId = new Map<string, KnownBackend>();
   private readonly byToken = new Map<number, KnownBackend>();
+  /** The newest back end at each address. */
+  private readonly byAddress = new Map<string, KnownBackend>();
   private readonly byService = new Map<string, KnownBackend[]>();
   private readonly departures = new Map<string, DepartureKind>();
 
@@ -121,6 +125,12 @@
     }
   }
 
+  /** @returns true where a back end that is heard of stands at the address of another one */
+  isReplaced({ id, address }: KnownBackend): boolean {
+    const holder = this.byAddress.get(formatAddress(address));
+    return holder !== undefined && holder.id !== id && holder.liveness === 'heard';
+  }
+
   /** Takes what passes all other balancers, in place of what was told before. */
   takeLoads(loads: PackedLoads): void {
     for (const { others } of this.byId.values()) {
@@ -175,6 +185,7 @@
       liveness: 'heard',
       notedLiveness: 'heard',
       toldAtMs: heardAtMs,
+      progressAtMs: Number.NEGATIVE_INFINITY,
       warmUntilMs: heardAtMs + record.warmUpLeftMs,
       own: { busy: 0 },
       others: { busy: 0 },
@@ -185,6 +196,7 @@
     }
     this.byId.set(backend.id, backend);
     this.byToken.set(backend.token, backend);
+    this.byAddress.set(formatAddress(backend.address), backend);
     const sameService = this.byService.get(backend.service);
     if (sameService === undefined) {
       this.byService.set(backend.service, [backend]);
@@ -197,6 +209,10 @@
   private remove(backend: KnownBackend): void {
     this.byId.delete(backend.id);
     this.byToken.delete(backend.token);
+    const at = formatAddress(backend.address);
+    if (this.byAddress.get(at) === backend) {
+      this.byAddress.delete(at);
+    }
     const sameService = this.byService.get(backend.service) ?? [];
     this.byService.set(
       backend.service,
--- a/src/ingress/cold-share.ts
+++ b/src/ingress/cold-share.ts
@@ -24,6 +24,8 @@
 export interface ColdShareOptions {
   /** Undefined where the deployment bounds nothing. */
   readonly bounds: ColdBounds | undefined;
+  /** Time between two heartbeats of a back end, in milliseconds. */
+  readonly heartbeatIntervalMs: number;
   readonly zones: ZoneTable;
   readonly peers: PeerTable;
   /** @returns how the back ends of a service warm up; undefined where they are never cold */
@@ -46,6 +48,8 @@
  * be cut off and not know it yet: those chosen by either list then fit into the rate together.
  */
 const GIVEN_SHARE = 0.5;
+/** A heartbeat that comes sooner after a readmission may have been sent before, to a machine that did not answer. */
+const LATE_HEARTBEAT_INTERVALS = 2;
 /** A second, and what the ways of two datagrams may differ by on a full link. */
 const WINDOW_MS = 1_200;
 
@@ -61,10 +65,11 @@
     return nowMs < backend.warmUntilMs || nowMs < coldSinceReadmission(backend);
   }
 
-  /** @returns until when a back end may be cold that has told nothing since its zone was readmitted */
+  /** @returns until when a back end may be cold that has surely told nothing since its zone was readmitted */
   function coldSinceReadmission({ zone, service, toldAtMs }: KnownBackend): number {
     const readmittedAtMs = zones.readmittedAtMs(zone);
-    return readmittedAtMs === undefined || toldAtMs > readmittedAtMs
+    const lateMs = LATE_HEARTBEAT_INTERVALS * options.heartbeatIntervalMs;
+    return readmittedAtMs === undefined || toldAtMs > readmittedAtMs + lateMs
       ? Number.NEGATIVE_INFINITY
       : readmittedAtMs + (warmUpOf(service)?.warmUpMs ?? 0);
   }
--- /dev/null
+++ b/src/ingress/dead-flow.ts
@@ -0,0 +1,54 @@
+/**
+ * @file Whether the back end of an established flow is surely dead, so that its client may be told. A client that is
+ * not told waits for its whole deadline, also where it could send its request again at once.
+ *
+ * No single source is proof: heartbeats are silent while a back end is cut off from control alone, and data is sent
+ * again while it is slow, or a link loses. Two sources that do not share a path are needed: what control machines
+ * say of its heartbeats, and a client whose data nobody takes. The longer the silence, the less of the other.
+ */
+import type { KnownBackend } from './backend-table.js';
+import type { IngressPolicy } from './policy.js';
+
+/** Data that a client has sent, and sends again where nobody has acknowledged it. */
+export interface UnansweredData {
+  /** How often it was sent again. */
+  readonly repeats: number;
+  /** When it came first, in milliseconds. */
+  readonly sinceMs: number;
+}
+
+/** What is known of the back end of a flow that brings data. */
+export interface DeadFlowEvidence {
+  /** True where the control machine has just said that what it told is current. */
+  readonly isFeedCurrent: boolean;
+  /** True where a back end that is heard of has started at the same address since. */
+  readonly isReplaced: boolean;
+  readonly unanswered: UnansweredData;
+}
+
+/** After this silence a client that sends data the second time again, some 600 ms after the first, is proof enough. */
+const REPEATS_WHILE_SILENT = 2;
+/** After one of six heartbeats it is the first time, some 200 ms after. */
+const REPEATS_WHILE_DEAD = 1;
+
+/**
+ * @returns true where the back end can't answer any more; never on a word of the control machine or of a client alone
+ */
+export function isSurelyDead(
+  backend: KnownBackend,
+  { isFeedCurrent, isReplaced, unanswered }: DeadFlowEvidence,
+  policy: IngressPolicy,
+): boolean {
+  if (policy.deadFlows === 'left' || !isFeedCurrent || backend.liveness === 'heard') {
+    return false;
+  }
+  const { repeats, sinceMs } = unanswered;
+  if (backend.progressAtMs > sinceMs) {
+    // Some client has got something from it meanwhile.
+    return false;
+  }
+  if (backend.liveness === 'dead') {
+    return repeats >= REPEATS_WHILE_DEAD || isReplaced;
+  }
+  return repeats >= REPEATS_WHILE_SILENT;
+}
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -33,6 +33,12 @@
 
 /** How long copies of an open may come after the first. */
 const OPEN_LIFETIME_MS = 2_000;
+/**
+ * Turns are at most a tick of 100 ms apart, and clients send a first copy after some 200 ms: an open that waited for
+ * less has no copy elsewhere. With 300 ms, simulated balancers that stood still for 150 to 350 ms again and again
+ * placed opens of which another one had placed the copy.
+ */
+const OPEN_STALL_MS = 150;
 const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 
 /** Counting flows may take this part of the memory of a process. */
@@ -90,6 +96,7 @@
   const zones = createZoneTable();
   const coldShare = createColdShare({
     bounds: options.coldBounds,
+    heartbeatIntervalMs: options.heartbeatIntervalMs,
     zones,
     peers,
     warmUpOf: (service) => routes.config?.warmUps.get(service),
@@ -113,7 +120,7 @@
     zones,
     coldShare,
     placement: createPlacement(options.zone, options.policy, coldShare),
-    stallGuard: createStallGuard({ rememberedMs: OPEN_LIFETIME_MS }),
+    stallGuard: createStallGuard({ stallMs: OPEN_STALL_MS, rememberedMs: OPEN_LIFETIME_MS }),
   };
   return state;
 }
--- a/src/ingress/open-claims.ts
+++ b/src/ingress/open-claims.ts
@@ -1,30 +1,37 @@
 /**
  * @file Which balancer may place an open that nobody remembers. Two that ask about copies of one open at the same
- * moment would both hear nothing and both place it, each at a back end of its own; the holders of the open let
- * the one that asks first go on and tell the other.
+ * moment would both hear nothing and both place it, each at a back end of its own, and the back end that the
+ * client does not choose resets the flow. So the holders of an open let the one that asks first go on and tell the
+ * other; and one that hears of a placement tells whoever asked shortly before.
  *
  * Copies of one open are some 200 ms apart, so this takes a balancer that reads an old copy late, after it stood
- * still, while a newer one has just reached another.
+ * still or had no processor, while a newer one has just reached another.
  */
+import { formatAddress, type Address } from '../common/address.js';
 import type { FlowKey } from './packet-view.js';
 import { createPeriodMap } from './period-map.js';
 
 /** Who has asked about which open lately. */
 export interface OpenClaims {
   /**
-   * @param asker address of the balancer that asks
+   * @param asker where the balancer that asks is answered
    * @returns false where another one asked shortly before
    */
-  claim(key: FlowKey, asker: string, nowMs: number): boolean;
+  claim(key: FlowKey, asker: Address, nowMs: number): boolean;
+  /** @returns who asked about an open shortly before, and may still be waiting */
+  askerOf(key: FlowKey, nowMs: number): Address | undefined;
 }
 
 interface Claim {
-  readonly asker: string;
+  readonly asker: Address;
   readonly atMs: number;
 }
 
-/** The wait for holders, the ways of two datagrams and a busy turn; far less than the time between two copies. */
-const CLAIM_MS = 100;
+/**
+ * A claim holds for so long, in milliseconds: the wait for holders, the ways of two datagrams and a busy turn; half
+ * of the time between two copies, so that it holds up no later one.
+ */
+export const CLAIM_MS = 100;
 /** Opens beyond this number in one period are not claimed. */
 const MAX_CLAIMS = 20_000;
 
@@ -32,14 +39,19 @@
 export function createOpenClaims(): OpenClaims {
   const claims = createPeriodMap<FlowKey, Claim>({ periodMs: CLAIM_MS, maxEntries: MAX_CLAIMS });
 
-  return { claim };
+  return { claim, askerOf };
 
-  function claim(key: FlowKey, asker: string, nowMs: number): boolean {
-    const known = claims.get(key, nowMs);
-    if (known !== undefined && nowMs - known.atMs < CLAIM_MS) {
-      return known.asker === asker;
+  function claim(key: FlowKey, asker: Address, nowMs: number): boolean {
+    const before = askerOf(key, nowMs);
+    if (before !== undefined) {
+      return formatAddress(before) === formatAddress(asker);
     }
     claims.set(key, { asker, atMs: nowMs }, nowMs);
     return true;
   }
+
+  function askerOf(key: FlowKey, nowMs: number): Address | undefined {
+    const known = claims.get(key, nowMs);
+    return known !== undefined && nowMs - known.atMs < CLAIM_MS ? known.asker : undefined;
+  }
 }
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -3,6 +3,7 @@
  * token names; an open goes where its first copy went, or to a back end of the route's service.
  */
 import type { KnownBackend } from './backend-table.js';
+import { isSurelyDead } from './dead-flow.js';
 import { isReady, knowsCurrent, type IngressState } from './ingress-state.js';
 import { flowKeyOf, type FlowKey, type PacketView } from './packet-view.js';
 
@@ -14,6 +15,8 @@
   | 'not-current'
   | 'no-route'
   | 'no-backend'
+  /** The back end of an established flow can't answer any more. */
+  | 'backend-dead'
   /** All zones in which the service has back ends are evacuated. */
   | 'zones-evacuated'
   /** All back ends that it could go to are cold and have been given what they bear. */
@@ -73,10 +76,16 @@
     return { type: 'drop', reason: 'unknown-token' };
   }
   const key = flowKeyOf(packet);
-  state.activities.note(key, backend, packet, nowMs);
-  if (state.stallGuard.trustAt(nowMs) !== 'fresh') {
-    // An old copy of this flow's open may be read beside it: what passes says where the flow is.
-    state.opens.remember(key, packet.token, nowMs);
+  const unanswered = state.activities.note(key, backend, packet, nowMs);
+  if (unanswered !== undefined && backend.liveness !== 'heard') {
+    const evidence = {
+      isFeedCurrent: knowsCurrent(state, nowMs),
+      isReplaced: state.backends.isReplaced(backend),
+      unanswered,
+    };
+    if (isSurelyDead(backend, evidence, state.options.policy)) {
+      return { type: 'reset', reason: 'backend-dead' };
+    }
   }
   return { type: 'forward', backend };
 }
@@ -128,7 +137,7 @@
 /**
  * Places an open for which no earlier copy is known.
  */
-function placeOpen(state: IngressState, packet: PacketView, nowMs: number): PacketDecision {
+export function placeOpen(state: IngressState, packet: PacketView, nowMs: number): PacketDecision {
   const service = state.routes.nextService(packet.destinationHost, packet.destinationPort);
   if (service === undefined) {
     return { type: 'reset', reason: 'no-route' };
@@ -167,21 +176,6 @@
     : { type: 'reset', reason: 'no-backend' };
 }
 
-/**
- * Places an open that no holder knew of a moment ago, unless this balancer has heard or seen meanwhile where the
- * flow is.
- */
-export function placeUnlessPlaced(
-  state: IngressState,
-  packet: PacketView,
-  nowMs: number,
-): PacketDecision {
-  const placed = state.opens.recall(flowKeyOf(packet), nowMs);
-  return placed === undefined
-    ? placeOpen(state, packet, nowMs)
-    : forwardCopy(state, placed, { type: 'remembered' });
-}
-
 /**
  * Another balancer has placed the first copy of an open.
  */
--- a/src/sim/ingress/ingress-faults.ts
+++ b/src/sim/ingress/ingress-faults.ts
@@ -29,6 +29,7 @@
   'datagrams-lost',
   'acknowledgements-lost',
   'zone-evacuated',
+  'backend-cut-from-control',
 ] as const;
 
 /** One kind of fault. */
@@ -85,6 +86,9 @@
       case 'config-changed':
         world.operator.declareNext();
         return;
+      case 'backend-cut-from-control':
+        this.cutBackend();
+        return;
       case 'zone-evacuated':
         this.evacuateZone();
         return;
@@ -238,6 +242,21 @@
     zoneOperator.evacuate(zone, SHORT_MS + random.nextFloat() * LONG_EVACUATION_MS);
   }
 
+  /** Its heartbeats are lost while it serves: it must not be taken for dead. */
+  private cutBackend(): void {
+    const { backends, controls, random, wires, clock } = this.world;
+    const alive = backends.filter(({ isAlive }) => isAlive);
+    const backend = alive[random.nextInt(alive.length)];
+    if (backend === undefined) {
+      return;
+    }
+    const { host } = backend.identity.address;
+    const cut = (isCut: boolean) =>
+      controls.forEach(({ address }) => wires.cut(host, address.host, isCut));
+    cut(true);
+    clock.after(this.durationMs + random.nextFloat() * LONG_CUT_MS, () => cut(false));
+  }
+
   private loseDatagrams(): void {
     const { wires, clock } = this.world;
     const forMs = this.durationMs;
--- a/test/daemon/token-deployment.test.ts
+++ b/test/daemon/token-deployment.test.ts
@@ -251,6 +251,13 @@
   t.match(ofGroup, 'amberlift_group_voters 3');
   t.match(ofGroup, 'amberlift_group_is_current 1');
 
+  t.match(await runCtl(callAddresses, 'evacuate', 'zone-a'), { zone: 'zone-a', fits: false });
+  t.match(await runCtl(callAddresses, 'show', 'zones'), {
+    zones: [{ zone: 'zone-a', isEvacuated: true, orders: 1 }],
+  });
+  t.match(await runCtl(callAddresses, 'readmit', 'zone-a'), { isEvacuated: false });
+  t.match(await client.orderZone('zone-x', 'evacuate'), { error: { kind: 'not-found' } });
+
   balancer.kill('SIGTERM');
   const [code] = (await once(balancer, 'exit')) as [number];
   t.equal(code, 0, 'a planned stop ends well');
--- /dev/null
+++ b/test/ingress/dead-flow.test.ts
@@ -0,0 +1,199 @@
+/**
+ * @file Flows whose back end has crashed without a word: their clients are told as soon as two sources agree, and
+ * never on the word of one. The load is that of long flows that each bring a request now and then, which wait for
+ * their whole deadline where nobody tells them.
+ */
+import t from 'tap';
+import { BackendTable } from '../../src/ingress/backend-table.js';
+import { isSurelyDead } from '../../src/ingress/dead-flow.js';
+import { FlowActivities } from '../../src/ingress/flow-activity.js';
+import { flowKeyOf, type PacketView } from '../../src/ingress/packet-view.js';
+import { defaultPolicy, parsePolicy } from '../../src/ingress/policy.js';
+import type { IngressFaultKind } from '../../src/sim/ingress/ingress-faults.js';
+import type { IngressWorld } from '../../src/sim/ingress/ingress-world.js';
+import { runIngressWorld } from '../../src/sim/ingress/run-ingress-world.js';
+
+const HEARTBEAT_MS = 1_200;
+const PACKET: PacketView = {
+  sourceHost: 1,
+  sourcePort: 1_000,
+  destinationHost: 0xc6120001,
+  destinationPort: 443,
+  isOpen: false,
+  isFinish: false,
+  isReset: false,
+  copyNumber: 0,
+  token: 1,
+  sequence: 500,
+  acknowledged: 40,
+  dataLength: 100,
+};
+const KEY = flowKeyOf(PACKET);
+
+function backendIn(table: BackendTable, number: number, heardAtMs: number) {
+  const record = {
+    id: `backend-${number}`,
+    instanceNumber: number.toString(16).padStart(16, '0'),
+    service: 'alpha',
+    address: { host: '10.0.2.1', port: 9_000 },
+    zone: 'zone-a',
+    capacity: 2,
+    warmUpLeftMs: 0,
+    sequence: 1,
+  };
+  table.take({ record, ageMs: 0 }, heardAtMs);
+  const backend = table.find(record.id);
+  if (backend === undefined) {
+    throw new Error('No back end.');
+  }
+  return backend;
+}
+
+t.test('what proves that a back end is dead, and what does not', async (t) => {
+  const backend = backendIn(new BackendTable(HEARTBEAT_MS), 1, 0);
+  const is = (repeats: number, isReplaced = false, isFeedCurrent = true) =>
+    isSurelyDead(
+      backend,
+      { unanswered: { repeats, sinceMs: 1_000 }, isReplaced, isFeedCurrent },
+      defaultPolicy,
+    );
+  t.notOk(is(5), 'its heartbeats come');
+  backend.liveness = 'silent';
+  t.notOk(is(1), 'silent for a while, and one loss');
+  t.ok(is(2));
+  t.notOk(is(2, false, false), 'who tells may be cut off');
+  backend.liveness = 'dead';
+  t.notOk(is(0), 'silence alone');
+  t.ok(is(1));
+  t.ok(is(0, true), 'another one runs at its address');
+  t.notOk(
+    isSurelyDead(
+      backend,
+      { unanswered: { repeats: 9, sinceMs: 1_000 }, isReplaced: true, isFeedCurrent: true },
+      parsePolicy('deadFlows=left')._unsafeUnwrap(),
+    ),
+  );
+  backend.progressAtMs = 900;
+  t.ok(is(1), 'it went on for a while after its last heartbeat');
+  backend.progressAtMs = 1_100;
+  t.notOk(is(9, true), 'a client has got something from it meanwhile');
+});
+
+t.test('data that is sent again counts, but not what was doubled on its way', async (t) => {
+  const table = new BackendTable(HEARTBEAT_MS);
+  const backend = backendIn(table, 1, 0);
+  const activities = new FlowActivities(() => 15_000, 100);
+  const note = (atMs: number, packet: Partial<PacketView> = {}) =>
+    activities.note(KEY, backend, { ...PACKET, ...packet }, atMs)?.repeats;
+  t.equal(note(1_000), 0);
+  t.equal(note(1_001), 0, 'doubled');
+  t.equal(note(1_200), 1);
+  t.equal(note(1_600), 2);
+  t.equal(backend.progressAtMs, Number.NEGATIVE_INFINITY, 'nothing came back');
+  t.equal(note(2_000, { sequence: 600, acknowledged: 90 }), 0, 'the next request');
+  t.equal(backend.progressAtMs, 2_000);
+});
+
+t.test('a newcomer at the address is no proof while it is not heard of itself', async (t) => {
+  const table = new BackendTable(HEARTBEAT_MS);
+  const first = backendIn(table, 1, 0);
+  t.notOk(table.isReplaced(first));
+  const second = backendIn(table, 2, 5_000);
+  t.ok(table.isReplaced(first));
+  t.notOk(table.isReplaced(second));
+  second.liveness = 'silent';
+  t.notOk(table.isReplaced(first));
+});
+
+const KINDS: readonly IngressFaultKind[] = [
+  'backend-crashed',
+  'backend-cut-from-control',
+  'datagrams-lost',
+  'control-cut',
+  'all-controls-killed',
+  'balancer-frozen',
+  'backend-reborn',
+];
+
+async function play(seed: number, prepare?: (world: IngressWorld) => void) {
+  const run = { seed, faultCount: 24, kinds: KINDS, endsWithLoss: false };
+  return runIngressWorld({ ...run, ...(prepare && { prepare }) });
+}
+
+t.test(
+  'no flow of a back end that lives is reset, and clients of dead ones are told',
+  async (t) => {
+    let told = 0;
+    for (let seed = 1; seed <= 4; seed += 1) {
+      const { violations } = await play(seed, (world) => countResets(world, () => (told += 1)));
+      t.same(violations, [], `seed ${seed}`);
+    }
+    t.ok(told > 0, `${told} resets`);
+  },
+);
+
+function countResets(world: IngressWorld, count: () => void): void {
+  for (const { process } of world.balancers) {
+    const counts = process?.counts;
+    const set = counts?.set.bind(counts);
+    if (counts !== undefined && set !== undefined) {
+      counts.set = (name, value) => {
+        if (name === 'reset:backend-dead') {
+          count();
+        }
+        return set(name, value);
+      };
+    }
+  }
+}
+
+/** Back ends are cut off from control while datagrams are lost: single sources are wrong then. */
+async function isCaught(breakWorld: (world: IngressWorld) => void): Promise<boolean> {
+  for (let seed = 61; seed <= 66; seed += 1) {
+    const { violations } = await runIngressWorld({
+      seed,
+      faultCount: 16,
+      kinds: ['backend-cut-from-control', 'datagrams-lost'],
+      endsWithLoss: false,
+      prepare: breakWorld,
+    });
+    if (violations.some(({ check }) => check === 'flow')) {
+      return true;
+    }
+  }
+  return false;
+}
+
+t.test('mutant: silence of heartbeats alone is proof', async (t) => {
+  t.ok(
+    await isCaught((world) =>
+      world.balancers.forEach(({ process }) => {
+        if (process !== undefined) {
+          process.state.activities.note = () => ({ repeats: 9, sinceMs: Infinity });
+        }
+      }),
+    ),
+  );
+});
+
+t.test('mutant: a client that sends again is proof alone', async (t) => {
+  t.ok(
+    await isCaught((world) =>
+      world.balancers.forEach(({ process }) => {
+        if (process !== undefined) {
+          const { activities } = process.state;
+          const note = activities.note.bind(activities);
+          activities.note = (key, backend, packet, nowMs) => {
+            const unanswered = note(key, backend, packet, nowMs);
+            if (unanswered === undefined || unanswered.repeats === 0) {
+              return unanswered;
+            }
+            backend.liveness = 'silent';
+            backend.progressAtMs = Number.NEGATIVE_INFINITY;
+            return { ...unanswered, repeats: 2 };
+          };
+        }
+      }),
+    ),
+  );
+});
--- a/test/ingress/evacuation.test.ts
+++ b/test/ingress/evacuation.test.ts
@@ -162,7 +162,7 @@
   const violations = await lateOrder((world) =>
     world.controls.forEach(({ process }) => {
       if (process !== undefined) {
-        const guard = createStallGuard({ rememberedMs: 0 });
+        const guard = createStallGuard({ stallMs: 300, rememberedMs: 0 });
         process.state.stallGuard.trustAt = (nowMs) => guard.trustAt(nowMs);
         const { zones } = process.state.replicated;
         const apply = zones.apply.bind(zones);
--- a/test/ingress/frozen-balancer.test.ts
+++ b/test/ingress/frozen-balancer.test.ts
@@ -40,7 +40,7 @@
 
 t.test('opens are doubted after a stall, and stale after a long one', async (t) => {
   const trustAfter = (pauseMs: number, laterMs = 0) => {
-    const guard = createStallGuard({ rememberedMs: 2_000 });
+    const guard = createStallGuard({ stallMs: 300, rememberedMs: 2_000 });
     guard.noteTurn(1_000);
     guard.noteTurn(1_100);
     guard.noteTurn(1_100 + pauseMs);
@@ -53,5 +53,9 @@
   t.equal(trustAfter(2_000), 'stale');
   t.equal(trustAfter(5_000, 299), 'stale');
   t.equal(trustAfter(5_000, 300), 'fresh', 'the backlog has been read');
-  t.equal(createStallGuard({ rememberedMs: 2_000 }).trustAt(9_000), 'fresh', 'a fresh start');
+  t.equal(
+    createStallGuard({ stallMs: 300, rememberedMs: 2_000 }).trustAt(9_000),
+    'fresh',
+    'a fresh start',
+  );
 });
--- a/test/ingress/open-claims.test.ts
+++ b/test/ingress/open-claims.test.ts
@@ -119,8 +119,8 @@
 
 t.test('a claim holds for its balancer, and up no later copy', async (t) => {
   const claims = createOpenClaims();
-  t.equal(claims.claim(KEY, 'one', 1_000), true);
-  t.equal(claims.claim(KEY, 'one', 1_010), true, 'the same balancer again');
-  t.equal(claims.claim(KEY, 'two', 1_050), false);
-  t.equal(claims.claim(KEY, 'two', 1_200), true, 'the next copy');
+  t.equal(claims.claim(KEY, addressOf('one'), 1_000), true);
+  t.equal(claims.claim(KEY, addressOf('one'), 1_010), true, 'the same balancer again');
+  t.equal(claims.claim(KEY, addressOf('two'), 1_050), false);
+  t.equal(claims.claim(KEY, addressOf('two'), 1_200), true, 'the next copy');
 });
--- a/test/ingress/placement.test.ts
+++ b/test/ingress/placement.test.ts
@@ -39,6 +39,7 @@
 /** Nothing bounds what cold back ends are given. */
 const UNBOUNDED = createColdShare({
   bounds: undefined,
+  heartbeatIntervalMs: OPTIONS.heartbeatIntervalMs,
   zones: createZoneTable(),
   peers: createPeerTable('balancer-1'),
   warmUpOf: () => undefined,
--- /dev/null
+++ b/test/ingress/zone-table.test.ts
@@ -0,0 +1,133 @@
+/** @file What a balancer believes of zones, and what it gives to cold back ends. */
+import t from 'tap';
+import { BackendTable, type KnownBackend } from '../../src/ingress/backend-table.js';
+import { createColdShare, type ColdBounds } from '../../src/ingress/cold-share.js';
+import { createPeerTable } from '../../src/ingress/peer-table.js';
+import { createZoneTable } from '../../src/ingress/zone-table.js';
+
+const WARM_UP = { service: 'alpha', warmUpMs: 2_000 };
+const HEARTBEAT_MS = 1_200;
+
+t.test('a control machine that lags behind takes nothing back', async (t) => {
+  const zones = createZoneTable();
+  zones.take([{ zone: 'a', isEvacuated: true, orders: 3 }], 1_000);
+  zones.take([{ zone: 'a', isEvacuated: false, orders: 2 }], 1_100);
+  t.ok(zones.isEvacuated('a'));
+  t.equal(zones.describeEvacuated(1_500), 'a:500ms');
+  zones.take([{ zone: 'a', isEvacuated: false, orders: 4, readmittedAgoMs: 50 }], 2_000);
+  t.notOk(zones.isEvacuated('a'));
+  t.equal(zones.readmittedAtMs('a'), 1_950);
+  t.equal(zones.describeEvacuated(2_000), undefined);
+});
+
+/** Balancers that all know each other, before one back end that is cold until 2,000 ms. */
+function balancersWith(count: number, bounds: ColdBounds, coldRequestsPerS: number) {
+  const names = Array.from({ length: count }, (_, index) => `balancer-${index}`);
+  const infos = names.map((name) => ({
+    name,
+    zone: 'a',
+    peerAddress: { host: '10.0.3.1', port: 1 },
+  }));
+  const backend = coldBackend();
+  const shares = names.map((name) => {
+    const peers = createPeerTable(name);
+    peers.takeChanges(infos, []);
+    return createColdShare({
+      bounds,
+      heartbeatIntervalMs: HEARTBEAT_MS,
+      zones: createZoneTable(),
+      peers,
+      warmUpOf: () => ({ ...WARM_UP, coldRequestsPerS }),
+      knowsOthers: () => true,
+    });
+  });
+  return { shares, backend };
+}
+
+function coldBackend(): KnownBackend {
+  const table = new BackendTable(HEARTBEAT_MS);
+  const record = {
+    id: 'backend-1',
+    instanceNumber: '0'.repeat(15).concat('1'),
+    service: 'alpha',
+    address: { host: '10.0.2.1', port: 9_000 },
+    zone: 'a',
+    capacity: 2,
+    warmUpLeftMs: 2_000,
+    sequence: 1,
+  };
+  table.take({ record, ageMs: 0 }, 0);
+  const [backend] = table.all();
+  if (backend === undefined) {
+    throw new Error('No back end.');
+  }
+  return backend;
+}
+
+const cases = [
+  { balancers: 89, bounds: { excess: 1.5, slackPerS: 5 }, coldRequestsPerS: 0 },
+  { balancers: 89, bounds: { excess: 1.5, slackPerS: 5 }, coldRequestsPerS: 200 },
+  { balancers: 4, bounds: { excess: 1.5, slackPerS: 5 }, coldRequestsPerS: 10 },
+  { balancers: 1, bounds: { excess: 1, slackPerS: 0 }, coldRequestsPerS: 2 },
+];
+
+for (const { balancers, bounds, coldRequestsPerS } of cases) {
+  t.test(`${balancers} balancers, ${coldRequestsPerS} requests a second while cold`, async (t) => {
+    const { shares, backend } = balancersWith(balancers, bounds, coldRequestsPerS);
+    const times: number[] = [];
+    for (let nowMs = 0; nowMs < 2_000; nowMs += 5) {
+      for (const share of shares) {
+        if (share.mayTake(backend, nowMs)) {
+          share.noteTaken(backend, nowMs);
+          times.push(nowMs);
+        }
+      }
+    }
+    const mostInASecond = Math.max(
+      ...times.map((from) => times.filter((at) => at >= from && at < from + 1_000).length),
+    );
+    const allowed = coldRequestsPerS * bounds.excess + bounds.slackPerS;
+    t.ok(mostInASecond <= allowed / 2, `${mostInASecond} of ${allowed}`);
+    t.ok(times.length >= Math.floor(allowed / 2), 'the share is given');
+    t.ok(
+      shares.every((share) => share.mayTake(backend, 2_001)),
+      'warm now',
+    );
+  });
+}
+
+t.test('a balancer that does not know the others gives nothing to cold back ends', async (t) => {
+  const share = createColdShare({
+    bounds: { excess: 1.5, slackPerS: 500 },
+    heartbeatIntervalMs: HEARTBEAT_MS,
+    zones: createZoneTable(),
+    peers: createPeerTable('balancer-1'),
+    warmUpOf: () => ({ ...WARM_UP, coldRequestsPerS: 0 }),
+    knowsOthers: (nowMs) => nowMs < 1_000,
+  });
+  const backend = coldBackend();
+  t.ok(share.mayTake(backend, 500));
+  t.notOk(share.mayTake(backend, 1_000));
+  t.ok(share.mayTake(backend, 2_000), 'warm');
+});
+
+t.test('back ends of a zone that is taken back are cold until they have surely told', async (t) => {
+  const zones = createZoneTable();
+  const share = createColdShare({
+    bounds: { excess: 1, slackPerS: 0 },
+    heartbeatIntervalMs: HEARTBEAT_MS,
+    zones,
+    peers: createPeerTable('balancer-1'),
+    warmUpOf: () => ({ service: 'alpha', warmUpMs: 9_000, coldRequestsPerS: 0 }),
+    knowsOthers: () => true,
+  });
+  const backend = coldBackend();
+  zones.take([{ zone: 'a', isEvacuated: false, orders: 2, readmittedAgoMs: 0 }], 10_000);
+  t.ok(share.isCold(backend, 10_000));
+  backend.toldAtMs = 11_000;
+  t.ok(share.isCold(backend, 12_000), 'that may have been sent before and held up');
+  backend.toldAtMs = 12_500;
+  t.notOk(share.isCold(backend, 12_500));
+  backend.toldAtMs = 0;
+  t.notOk(share.isCold(backend, 19_000), 'its warm-up is over, whatever it tells');
+});
--- a/test/platform/control-api.test.ts
+++ b/test/platform/control-api.test.ts
@@ -1,6 +1,7 @@
 /** @file The calls of back ends and operators: each becomes a call of the group or a clear answer. */
 import fc from 'fast-check';
 import t from 'tap';
+import { readConfigDocument } from '../../platform/config-document.js';
 import { instanceNumberOf, translateCall } from '../../platform/control-api.js';
 import type { TranslatedCall } from '../../src/daemon/call-listener.js';
 
@@ -50,6 +51,30 @@
   return translated.type === 'answer' ? translated.answer.status : 0;
 }
 
+t.test('zones are emptied and taken back', async (t) => {
+  t.match(translate('POST', '/Evacuations.Start/hall-a', ''), {
+    call: { type: 'order-zone', zone: 'hall-a', kind: 'evacuate' },
+  });
+  t.match(translate('POST', '/Evacuations.Finish/hall%20b', ''), {
+    call: { type: 'order-zone', zone: 'hall b', kind: 'readmit' },
+  });
+  t.equal(statusOf(translate('POST', '/Evacuations.Start/', '')), 400);
+  t.equal(statusOf(translate('GET', '/Evacuations.Start/hall-a', '')), 404);
+});
+
+t.test('services tell how their back ends warm up', async (t) => {
+  const { version, routes, limits } = CONFIG;
+  const services = [
+    { name: 'alpha', warmupS: 2, coldPerS: 12.5 },
+    { name: 'beta', warmupS: null },
+  ];
+  const config = readConfigDocument(JSON.stringify({ version, routes, services, limits }));
+  t.match(config._unsafeUnwrap().services, [
+    { name: 'alpha', warmUpMs: 2_000, coldRequestsPerS: 12.5 },
+    { name: 'beta', warmUpMs: 0, coldRequestsPerS: 0 },
+  ]);
+});
+
 t.test('a heartbeat', async (t) => {
   const path = '/Backends.Heartbeat/i-7f3a91c2';
   const translated = translate('POST', path, JSON.stringify(BEAT));
