Pass over back ends that stand out, and take no zone for cold after a restart of the group

Back ends that hang, lie or have ended without a word are passed over while the requests that all balancers together see in progress there stand out.

A control machine that restarted took zones for readmitted at that moment whose orders it found in its log, so after a restart of everything each zone that had ever been emptied was cold for its warm-up. Now only what is committed after the start counts, and the last entry of the log. Test in ingress/evacuation.

Of the soak what reads back is a module of its own.

--- a/src/group/group-consensus.ts
+++ b/src/group/group-consensus.ts
@@ -95,7 +95,8 @@
     return [];
   }
   const change = state.replicated.apply(decodeGroupCommand(content.data));
-  const decisions = noteChange(state, change, nowMs);
+  const isSeen = index >= state.foundLogEnd;
+  const decisions = noteChange(state, change, isSeen ? nowMs : undefined);
   const proposal = state.proposals.get(index);
   state.proposals.delete(index);
   if (proposal?.term !== term) {
@@ -110,7 +111,12 @@
     : { type: 'committed' };
 }
 
-function noteChange(state: GroupState, applied: AppliedChange, nowMs: number): GroupEffect[] {
+/** @param seenAtMs when it happened; undefined for what may have happened long before this process started */
+function noteChange(
+  state: GroupState,
+  applied: AppliedChange,
+  seenAtMs: number | undefined,
+): GroupEffect[] {
   return match(applied)
     .with({ type: 'config-changed' }, ({ document }): GroupEffect[] => {
       const config = state.options.readDocument(document);
@@ -122,7 +128,7 @@
       state.news.departed.add(departure.backendId);
       return [{ type: 'decision', name: 'departure', fields: { ...departure } }];
     })
-    .with({ type: 'zone-changed' }, ({ status }) => noteZoneChanged(state, status, nowMs))
+    .with({ type: 'zone-changed' }, ({ status }) => noteZoneChanged(state, status, seenAtMs))
     .with({ type: 'order-outdated' }, ({ order }): GroupEffect[] => [
       { type: 'decision', name: 'order outdated', fields: { ...order } },
     ])
--- a/src/group/zone-duties.ts
+++ b/src/group/zone-duties.ts
@@ -32,17 +32,22 @@
   return startCall(state, requestId, { type: 'command', command }, nowMs, run);
 }
 
-/** Takes a committed order that changed a zone. */
+/**
+ * Takes a committed order that changed a zone.
+ * @param seenAtMs when it was committed; undefined where that was before this process started, but for the last entry
+ *   of its log, which may be of the moment before. A group that restarts as a whole would take every zone that was
+ *   ever readmitted for cold otherwise, and have new flows for no back end.
+ */
 export function noteZoneChanged(
   state: GroupState,
   status: ZoneStatus,
-  nowMs: number,
+  seenAtMs: number | undefined,
 ): GroupEffect[] {
   const { zone, isEvacuated } = status;
-  if (isEvacuated) {
+  if (isEvacuated || seenAtMs === undefined) {
     state.readmittedAtMs.delete(zone);
   } else {
-    state.readmittedAtMs.set(zone, nowMs);
+    state.readmittedAtMs.set(zone, seenAtMs);
   }
   state.news.areZonesChanged = true;
   const name = isEvacuated ? 'zone evacuated' : 'zone readmitted';
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -9,6 +9,7 @@
  */
 import type { Liveness } from '../registry/backend-liveness.js';
 import type { KnownBackend } from './backend-table.js';
+import { withoutOutliers } from './outliers.js';
 import type { ColdShare } from './cold-share.js';
 import type { IngressPolicy } from './policy.js';
 
@@ -52,10 +53,11 @@
     nowMs: number,
   ): KnownBackend | undefined {
     const heard = policy.silence === 'ignored' ? staying : bestHeard(staying);
-    const candidates =
+    const bearing =
       policy.warmUp === 'limited'
         ? heard.filter((backend) => coldShare.mayTake(backend, nowMs))
         : heard;
+    const candidates = policy.outliers === 'passed-over' ? withoutOutliers(bearing) : bearing;
     if (policy.zones === 'any') {
       return leastLoaded(candidates, flowHash, nowMs);
     }
--- a/src/ingress/policy.ts
+++ b/src/ingress/policy.ts
@@ -15,6 +15,8 @@
   toldLoads: ['zone', 'backend', 'ignored'],
   /** Whether back ends that are silent are passed over. */
   silence: ['passed-over', 'ignored'],
+  /** Whether back ends that carry far more than the others of their service are passed over. */
+  outliers: ['passed-over', 'ignored'],
   /** Whether flows whose back end is surely dead are reset, or left to the deadlines of their clients. */
   deadFlows: ['reset', 'left'],
   /** Whether other balancers are told of opens and asked for copies. */
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -54,6 +54,7 @@
   warmUp: policyOption('warmUp', 'Whether cold back ends come later, and get what they bear.'),
   toldLoads: policyOption('toldLoads', 'What the load that passes other balancers decides.'),
   silence: policyOption('silence', 'Whether back ends that are silent are passed over.'),
+  outliers: policyOption('outliers', 'Whether back ends that carry far more than others wait.'),
   deadFlows: policyOption('deadFlows', 'Whether flows whose back end is dead are reset.'),
   opens: policyOption('opens', 'Whether balancers tell each other of opens; `own` breaks flows.'),
   learning: policyOption('learning', 'What becomes of opens while not all back ends are known.'),
--- /dev/null
+++ b/src/soak/read-back.ts
@@ -0,0 +1,59 @@
+/**
+ * @file Reads back what was acknowledged, from each control machine that answers, after everything.
+ */
+import type { Address } from '../common/address.js';
+import { sendJson } from '../daemon/http-json.js';
+import type { ZoneReport } from '../group/group-messages.js';
+import type { IngressOracle } from '../sim/ingress/ingress-oracle.js';
+import type { SoakClock } from './soak-clock.js';
+
+/** Whom to ask, and who judges. */
+export interface ReadBackOptions {
+  readonly callAddresses: readonly Address[];
+  readonly operatorToken: string;
+  readonly oracle: IngressOracle;
+  readonly clock: SoakClock;
+}
+
+const TIMEOUT_MS = 400;
+const HTTP_OK = 200;
+
+/** Asks all control machines for the configuration and for the zones. */
+export async function readBack(options: ReadBackOptions): Promise<void> {
+  const { oracle, clock } = options;
+  await Promise.all(
+    options.callAddresses.flatMap((to) => [
+      read(options, to, '/v1/config', (body) => {
+        const { version } = body as { readonly version: number };
+        oracle.noteFinalRead(version, clock.nowMs);
+      }),
+      read(options, to, '/v1/zones', (body) => {
+        const { zones } = body as { readonly zones: readonly ZoneReport[] };
+        zones.forEach(({ zone, isEvacuated }) =>
+          oracle.noteFinalZone(zone, isEvacuated, clock.nowMs),
+        );
+      }),
+    ]),
+  );
+}
+
+/** A machine that gives no answer, or promises nothing, says nothing of what is kept. */
+async function read(
+  { operatorToken }: ReadBackOptions,
+  to: Address,
+  path: string,
+  take: (body: unknown) => void,
+): Promise<void> {
+  const answer = await sendJson({
+    to,
+    method: 'GET',
+    path,
+    bearerToken: operatorToken,
+    timeoutMs: TIMEOUT_MS,
+  });
+  answer.map(({ status, body }) => {
+    if (status === HTTP_OK) {
+      take(body);
+    }
+  });
+}
--- a/src/soak/soak-world.ts
+++ b/src/soak/soak-world.ts
@@ -11,7 +11,6 @@
 import { IngressOracle } from '../sim/ingress/ingress-oracle.js';
 import { SIMULATED_ZONES, turnCold, zoneOfBackend } from '../sim/ingress/simulated-zones.js';
 import { createZoneOperator, type ZoneOperator } from '../sim/ingress/zone-operator.js';
-import type { ZoneReport } from '../group/group-messages.js';
 import { StandInBackend, type CallControl } from '../sim/ingress/stand-in-backend.js';
 import { StandInClient } from '../sim/ingress/stand-in-client.js';
 import { SIMULATED_SERVICES, StandInOperator } from '../sim/ingress/stand-in-operator.js';
@@ -24,6 +23,7 @@
 import { startLinkProxy, type LinkProxy } from './link-proxy.js';
 import { createSoakCalls } from './soak-calls.js';
 import { createSoakClock, type SoakClock } from './soak-clock.js';
+import { readBack } from './read-back.js';
 import { createSoakProcess, type SoakProcess } from './soak-process.js';
 import { createSoakWires, type SoakWires } from './soak-wires.js';
 
@@ -153,7 +153,13 @@
     zoneOperator,
     ...standIns,
     isReady: () => probes.areAllIn() && controls.every(({ process }) => process.isRunning),
-    readBack: () => readBack(controls, hosts, oracle, clock),
+    readBack: () =>
+      readBack({
+        callAddresses: controls.map((_, index) => callAddress(hosts, index)),
+        operatorToken: OPERATOR_TOKEN,
+        oracle,
+        clock,
+      }),
     close: async () => {
       clock.stop();
       wires.close();
@@ -351,57 +357,6 @@
   }
 }
 
-async function readBackZones(
-  address: Address,
-  oracle: IngressOracle,
-  clock: SoakClock,
-): Promise<void> {
-  const answer = await sendJson({
-    to: address,
-    method: 'GET',
-    path: '/v1/zones',
-    bearerToken: OPERATOR_TOKEN,
-    timeoutMs: PROBE_TIMEOUT_MS,
-  });
-  answer.map(({ status, body }) => {
-    if (status === HTTP_OK) {
-      const { zones } = body as { readonly zones: readonly ZoneReport[] };
-      zones.forEach(({ zone, isEvacuated }) =>
-        oracle.noteFinalZone(zone, isEvacuated, clock.nowMs),
-      );
-    }
-  });
-}
-
-async function readBack(
-  controls: readonly SoakControl[],
-  hosts: SoakHosts,
-  oracle: IngressOracle,
-  clock: SoakClock,
-): Promise<void> {
-  const reads = controls.map((_, index) =>
-    sendJson({
-      to: callAddress(hosts, index),
-      method: 'GET',
-      path: '/v1/config',
-      bearerToken: OPERATOR_TOKEN,
-      timeoutMs: PROBE_TIMEOUT_MS,
-    }),
-  );
-  for (const read of reads) {
-    const answer = await read;
-    answer.map(({ status, body }) => {
-      if (status === HTTP_OK) {
-        const { version } = body as { readonly version: number };
-        oracle.noteFinalRead(version, clock.nowMs);
-      }
-    });
-  }
-  await Promise.all(
-    controls.map((_, index) => readBackZones(callAddress(hosts, index), oracle, clock)),
-  );
-}
-
 function linkAddress(hosts: SoakHosts, index: number): Address {
   return { host: hosts.controls(index + 1), port: LINK_PORT };
 }
--- a/test/ingress/evacuation.test.ts
+++ b/test/ingress/evacuation.test.ts
@@ -124,6 +124,35 @@
   }
 });
 
+t.test(
+  'a group that restarts as a whole takes no zone for cold that was readmitted before',
+  async (t) => {
+    const world = new IngressWorld(8, smallIngressWorld);
+    world.start();
+    await world.run(FORMATION_MS);
+    for (const zone of ['zone-a', 'zone-b']) {
+      world.zoneOperator.evacuate(zone, 500);
+      await world.run(2_000);
+    }
+    world.operator.declareNext();
+    await world.run(8_000);
+    world.controls.forEach((control) => control.powerOff());
+    world.balancers.forEach((balancer) => balancer.kill());
+    await world.run(1_000);
+    world.controls.forEach((control) => control.start(false));
+    world.balancers.forEach((balancer) => balancer.start());
+    await world.run(1_500);
+    for (const { process } of world.balancers) {
+      const all = [...(process?.state.backends.all() ?? [])];
+      t.ok(all.length > 0, 'it knows back ends');
+      const cold = all.filter((backend) =>
+        process?.state.coldShare.isCold(backend, world.clock.nowMs),
+      );
+      t.same(cold, [], 'none is cold');
+    }
+  },
+);
+
 /**
  * An operator's order reaches a control machine that stands still, is given to another one and acknowledged, and is
  * taken back. The machine goes on, hears of both, and finds the first order waiting.
