--- a/src/group/group-consensus.ts
+++ b/src/group/group-consensus.ts
@@ -111,7 +111,7 @@
     : { type: 'committed' };
 }
 
-/** @param seenAtMs when it happened; undefined for what may have happened long before this process started */
+/** @param seenAtMs when it happened; undefined for what may have happened long before */
 function noteChange(
   state: GroupState,
   applied: AppliedChange,
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -181,7 +181,7 @@
   listeningSinceMs: number | undefined;
   /** The translated form of the configuration that holds, with what changed lately. */
   readonly configs: ConfigHistory;
-  /** Where the log ended that was found at the start: when its entries were committed is not known. */
+  /** Where the log ended that was found at the start: how old its entries are is not known. */
   readonly foundLogEnd: number;
   /** When this machine saw zones being readmitted, in milliseconds; lost when it restarts. */
   readonly readmittedAtMs: Map<string, number>;
--- a/src/group/zone-duties.ts
+++ b/src/group/zone-duties.ts
@@ -34,9 +34,8 @@
 
 /**
  * Takes a committed order that changed a zone.
- * @param seenAtMs when it was committed; undefined where that was before this process started, but for the last entry
- *   of its log, which may be of the moment before. A group that restarts as a whole would take every zone that was
- *   ever readmitted for cold otherwise, and have new flows for no back end.
+ * @param seenAtMs when it was committed; undefined for what was found in the log, since this machine may have been
+ *   down for long, but for its last entry, which may be of the moment before
  */
 export function noteZoneChanged(
   state: GroupState,
