--- a/test/ingress/dead-flow.test.ts
+++ b/test/ingress/dead-flow.test.ts
@@ -12,6 +12,7 @@
 import type { IngressFaultKind } from '../../src/sim/ingress/ingress-faults.js';
 import type { IngressWorld } from '../../src/sim/ingress/ingress-world.js';
 import { runIngressWorld } from '../../src/sim/ingress/run-ingress-world.js';
+import { recordOf, takeIn } from './backend-records.js';
 
 const HEARTBEAT_MS = 1_200;
 const PACKET: PacketView = {
@@ -30,23 +31,9 @@
 };
 const KEY = flowKeyOf(PACKET);
 
+/** All at one address. */
 function backendIn(table: BackendTable, number: number, heardAtMs: number) {
-  const record = {
-    id: `backend-${number}`,
-    instanceNumber: number.toString(16).padStart(16, '0'),
-    service: 'alpha',
-    address: { host: '10.0.2.1', port: 9_000 },
-    zone: 'zone-a',
-    capacity: 2,
-    warmUpLeftMs: 0,
-    sequence: 1,
-  };
-  table.take({ record, ageMs: 0 }, heardAtMs);
-  const backend = table.find(record.id);
-  if (backend === undefined) {
-    throw new Error('No back end.');
-  }
-  return backend;
+  return takeIn(table, recordOf(number, { address: { host: '10.0.2.1', port: 9_000 } }), heardAtMs);
 }
 
 t.test('what proves that a back end is dead, and what does not', async (t) => {
--- a/test/ingress/outliers.test.ts
+++ b/test/ingress/outliers.test.ts
@@ -3,29 +3,14 @@
  * there stands out of their service.
  */
 import t from 'tap';
-import type { KnownBackend } from '../../src/ingress/backend-table.js';
-import { BackendTable } from '../../src/ingress/backend-table.js';
+import { BackendTable, type KnownBackend } from '../../src/ingress/backend-table.js';
+import { recordOf, takeIn } from './backend-records.js';
 import { withoutOutliers } from '../../src/ingress/outliers.js';
 
 function backendsWith(busyOf: readonly number[]): KnownBackend[] {
   const table = new BackendTable(1_200);
   busyOf.forEach((busy, index) => {
-    const number = index + 1;
-    const record = {
-      id: `backend-${number}`,
-      instanceNumber: number.toString(16).padStart(16, '0'),
-      service: 'alpha',
-      address: { host: `10.0.2.${number}`, port: 9_000 },
-      zone: 'zone-a',
-      capacity: 2,
-      warmUpLeftMs: 0,
-      sequence: 1,
-    };
-    table.take({ record, ageMs: 0 }, 0);
-    const backend = table.find(record.id);
-    if (backend !== undefined) {
-      backend.others.busy = busy;
-    }
+    takeIn(table, recordOf(index + 1), 0).others.busy = busy;
   });
   return [...table.all()];
 }
--- a/test/ingress/placement.test.ts
+++ b/test/ingress/placement.test.ts
@@ -11,6 +11,7 @@
 import { createPlacement } from '../../src/ingress/placement.js';
 import { createZoneTable } from '../../src/ingress/zone-table.js';
 import { defaultPolicy, parsePolicy } from '../../src/ingress/policy.js';
+import { recordOf } from './backend-records.js';
 
 const OPTIONS = {
   name: 'balancer-1',
@@ -47,17 +48,7 @@
 });
 
 function addBackend(table: BackendTable, number: number, zone: string, ageMs = 0): void {
-  const record = {
-    id: `backend-${number}`,
-    instanceNumber: number.toString(16).padStart(16, '0'),
-    service: 'alpha',
-    address: { host: `10.0.2.${number}`, port: 9_000 },
-    zone,
-    capacity: 2,
-    warmUpLeftMs: 0,
-    sequence: 1,
-  };
-  table.take({ record, ageMs }, 0);
+  table.take({ record: recordOf(number, { zone }), ageMs }, 0);
 }
 
 function stateWith(count: number): IngressState {
--- a/test/ingress/zone-table.test.ts
+++ b/test/ingress/zone-table.test.ts
@@ -4,6 +4,7 @@
 import { createColdShare, type ColdBounds } from '../../src/ingress/cold-share.js';
 import { createPeerTable } from '../../src/ingress/peer-table.js';
 import { createZoneTable } from '../../src/ingress/zone-table.js';
+import { recordOf, takeIn } from './backend-records.js';
 
 const WARM_UP = { service: 'alpha', warmUpMs: 2_000 };
 const HEARTBEAT_MS = 1_200;
@@ -45,23 +46,8 @@
 }
 
 function coldBackend(): KnownBackend {
-  const table = new BackendTable(HEARTBEAT_MS);
-  const record = {
-    id: 'backend-1',
-    instanceNumber: '0'.repeat(15).concat('1'),
-    service: 'alpha',
-    address: { host: '10.0.2.1', port: 9_000 },
-    zone: 'a',
-    capacity: 2,
-    warmUpLeftMs: 2_000,
-    sequence: 1,
-  };
-  table.take({ record, ageMs: 0 }, 0);
-  const [backend] = table.all();
-  if (backend === undefined) {
-    throw new Error('No back end.');
-  }
-  return backend;
+  const record = recordOf(1, { zone: 'a', warmUpLeftMs: 2_000 });
+  return takeIn(new BackendTable(HEARTBEAT_MS), record, 0);
 }
 
 const cases = [
