Let balancers that are cut off from control hear of zones from others

Cause: the bound of a cold back end holds for the sum over all balancers, also those that are cut off. One that was cut off from before a zone was emptied until after it was taken back knew nothing of either and went on giving it what it had given before. Shares can't help: it does not know that the back ends are cold.

Ruled out: giving every back end only its share while cut off. It would refuse most opens of small fleets whenever the whole control group is down. Not bounded: balancers that reach no balancer that is fed, and a zone that is emptied and taken back within the 2 s before the cut is noticed. Mutant: those that ask nobody.

--- a/src/daemon/feed-follower.ts
+++ b/src/daemon/feed-follower.ts
@@ -191,11 +191,7 @@
   nowMs: number,
 ): boolean {
   const wasReady = isReady(state);
-  const zonesVersion = state.zones.version;
   const taken = takeFeed(state, message, nowMs);
-  if (state.zones.version !== zonesVersion) {
-    note('zones', { evacuated: state.zones.describeEvacuated(nowMs) ?? 'none' });
-  }
   if (taken.type === 'in-force') {
     note('config in force', { version: taken.version });
   }
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -31,6 +31,7 @@
   type ControlLinkHandlers,
   type FeedFollower,
 } from './feed-follower.js';
+import { createZoneGossip, type ZoneGossip } from './zone-gossip.js';
 import { createOpenSharing, type OpenSharing } from './open-sharing.js';
 import { createPacedSender, type PacedSender } from './paced-sender.js';
 import type { RequestLog } from './request-log.js';
@@ -76,9 +77,11 @@
   lastPacketAtMs = 0;
   private readonly feed: FeedFollower;
   private readonly opens: OpenSharing;
+  private readonly zones: ZoneGossip;
   /** Sends all packets; read by metrics. */
   readonly sender: PacedSender;
   private nextSweepAtMs = 0;
+  private notedZonesVersion = 0;
 
   constructor(
     private readonly options: IngressProcessOptions,
@@ -107,6 +110,12 @@
       note: (name, fields) => surroundings.note(name, fields),
       packetLog: surroundings.packetLog,
     });
+    this.zones = createZoneGossip({
+      state: this.state,
+      replyTo: options.peerAddress,
+      nowMs: () => surroundings.nowMs(),
+      sendToBalancer: (to, message) => this.sender.charge(surroundings.sendToBalancer(to, message)),
+    });
     this.opens = createOpenSharing({
       state: this.state,
       replyTo: options.peerAddress,
@@ -154,7 +163,16 @@
 
   /** Takes a message of another balancer. */
   takeBalancerMessage(message: BalancerMessage): void {
-    this.opens.take(message);
+    switch (message.type) {
+      case 'find-zones':
+        this.zones.answer(message.replyTo);
+        return;
+      case 'zones-known':
+        this.zones.take(message.zones);
+        return;
+      default:
+        this.opens.take(message);
+    }
   }
 
   private carryOut(decision: PacketDecision, datagram: Uint8Array, packet: PacketView): void {
@@ -259,6 +277,8 @@
     const nowMs = this.surroundings.nowMs();
     this.state.stallGuard.noteTurn(nowMs);
     this.feed.tick(nowMs);
+    this.zones.tick(nowMs);
+    this.noteZones(nowMs);
     if (nowMs >= this.nextSweepAtMs) {
       this.nextSweepAtMs = nowMs + SWEEP_INTERVAL_MS;
       ingressSweep(this.state, nowMs).forEach(({ backend, from, to }) => {
@@ -269,6 +289,16 @@
     this.surroundings.packetLog.flush();
   }
 
+  /** Whoever told of them. */
+  private noteZones(nowMs: number): void {
+    const { zones } = this.state;
+    if (zones.version !== this.notedZonesVersion) {
+      this.notedZonesVersion = zones.version;
+      const evacuated = zones.describeEvacuated(nowMs) ?? 'none';
+      this.surroundings.note('zones', { evacuated, feedAgeMs: this.feed.feedAgeMs() });
+    }
+  }
+
   private count(name: string): void {
     this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
   }
--- a/src/daemon/open-sharing.ts
+++ b/src/daemon/open-sharing.ts
@@ -3,7 +3,7 @@
  * a copy which it does not know holds it for a moment and asks them.
  */
 import { formatAddress, type Address } from '../common/address.js';
-import type { BalancerMessage } from '../group/message-schemas.js';
+import type { OpenMessage } from '../group/message-schemas.js';
 import type { IngressState } from '../ingress/ingress-state.js';
 import { CLAIM_MS, createOpenClaims } from '../ingress/open-claims.js';
 import type { FlowKey, PacketView } from '../ingress/packet-view.js';
@@ -22,7 +22,7 @@
   readonly replyTo: Address;
   nowMs(): number;
   after(delayMs: number, run: () => void): void;
-  sendToBalancer(to: Address, message: BalancerMessage): void;
+  sendToBalancer(to: Address, message: OpenMessage): void;
   /** No holder knows of the open: it is to be placed. */
   onUnknown(held: HeldOpen): void;
   /** Another balancer asked first and is about to place it: it is not placed here. */
@@ -38,7 +38,7 @@
   /** Holds an open and asks the holders; passes over one that is held already. */
   ask(key: FlowKey, held: HeldOpen): void;
   /** Takes a message of another balancer. */
-  take(message: BalancerMessage): void;
+  take(message: OpenMessage): void;
 }
 
 /** How long other balancers may take to say that they know of an open, in milliseconds. */
@@ -88,7 +88,7 @@
     }
   }
 
-  function take(message: BalancerMessage): void {
+  function take(message: OpenMessage): void {
     switch (message.type) {
       case 'open-placed':
         takePlacement(message.key, message.token);
@@ -135,7 +135,7 @@
     }
   }
 
-  function sendToHolders(key: FlowKey, count: number, message: BalancerMessage): void {
+  function sendToHolders(key: FlowKey, count: number, message: OpenMessage): void {
     state.peers
       .holdersOf(key, count)
       .forEach(({ peerAddress }) => options.sendToBalancer(peerAddress, message));
--- a/src/group/group-messages.ts
+++ b/src/group/group-messages.ts
@@ -39,7 +39,7 @@
    * Milliseconds since it was readmitted, as far as the sender has seen that happen: its back ends may have turned
    * cold shortly before.
    */
-  readonly readmittedAgoMs?: number;
+  readonly readmittedAgoMs?: number | undefined;
 }
 
 /** What is known of the work of a zone. */
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -107,11 +107,19 @@
   z.object({ type: z.literal('find-open'), key: text, replyTo: address }),
   z.object({ type: z.literal('open-found'), key: text, token: index }),
   z.object({ type: z.literal('open-claimed'), key: text }),
+  z.object({ type: z.literal('find-zones'), replyTo: address }),
+  z.object({
+    type: z.literal('zones-known'),
+    zones: list(z.object({ ...zoneStatus, readmittedAgoMs: z.optional(count) })),
+  }),
 ]);
 
 /** From one balancer to another, in a datagram. */
 export type BalancerMessage = z.infer<typeof balancerMessage>;
 
+/** What one balancer tells another of opens. */
+export type OpenMessage = Exclude<BalancerMessage, { type: 'find-zones' | 'zones-known' }>;
+
 /**
  * @returns the message that came to a control machine, or undefined where it is none
  */
--- a/src/ingress/peer-table.ts
+++ b/src/ingress/peer-table.ts
@@ -24,6 +24,8 @@
    * @returns the balancers that keep the memory of an open
    */
   holdersOf(key: FlowKey, count: number): BalancerInfo[];
+  /** @returns some other balancers, others with each turn */
+  othersInTurn(turn: number, count: number): BalancerInfo[];
   /** @returns true where this balancer is one of the `count` that all choose for a key, and the others know it */
   isOwnHolder(key: string, count: number): boolean;
 }
@@ -52,6 +54,7 @@
     retain,
     takeChanges,
     holdersOf: (key, count) => chosenFor(key, count).filter(({ name }) => name !== ownName),
+    othersInTurn,
     isOwnHolder: (key, count) => chosenFor(key, count).some(({ name }) => name === ownName),
   };
 
@@ -68,6 +71,14 @@
     came.forEach((info) => balancers.set(info.name, { info, nameHash: hashText(info.name) }));
   }
 
+  function othersInTurn(turn: number, count: number): BalancerInfo[] {
+    const others = [...balancers.values()].flatMap(({ info }) =>
+      info.name === ownName ? [] : [info],
+    );
+    const first = others.length === 0 ? 0 : turn % others.length;
+    return [...others.slice(first), ...others.slice(0, first)].slice(0, count);
+  }
+
   function chosenFor(key: string, count: number): BalancerInfo[] {
     const keyHash = hashText(key);
     const best: ScoredBalancer[] = [];
--- a/src/ingress/zone-table.ts
+++ b/src/ingress/zone-table.ts
@@ -9,6 +9,8 @@
   /** Rises with each order that is taken. */
   readonly version: number;
   take(told: readonly ToldZone[], nowMs: number): void;
+  /** @returns all zones for which there was an order, as they would be told */
+  all(nowMs: number): ToldZone[];
   isEvacuated(zone: string): boolean;
   /** @returns when a zone was readmitted last, in milliseconds; undefined for never, or before anyone here knows */
   readmittedAtMs(zone: string): number | undefined;
@@ -32,6 +34,7 @@
       return version;
     },
     take,
+    all,
     isEvacuated: (zone) => zones.get(zone)?.evacuatedSinceMs !== undefined,
     readmittedAtMs: (zone) => zones.get(zone)?.readmittedAtMs,
     describeEvacuated,
@@ -50,6 +53,15 @@
     }
   }
 
+  function all(nowMs: number): ToldZone[] {
+    return [...zones].map(([zone, { orders, evacuatedSinceMs, readmittedAtMs }]) => ({
+      zone,
+      isEvacuated: evacuatedSinceMs !== undefined,
+      orders,
+      ...(readmittedAtMs !== undefined && { readmittedAgoMs: Math.round(nowMs - readmittedAtMs) }),
+    }));
+  }
+
   function describeEvacuated(nowMs: number): string | undefined {
     let text: string | undefined;
     for (const [zone, { evacuatedSinceMs }] of zones) {
--- a/test/ingress/evacuation.test.ts
+++ b/test/ingress/evacuation.test.ts
@@ -13,6 +13,7 @@
 import { smallIngressWorld, type IngressWorldOptions } from '../../src/sim/ingress/world-parts.js';
 
 const FORMATION_MS = 6_000;
+const CUT_NOTICED_MS = 500;
 const KINDS = ['zone-evacuated'] as const;
 /** Some 150 new flows a second: what a zone that is taken back at once can't bear. */
 const busy: Partial<IngressWorldOptions> = { clientCount: 80, balancerCount: 12 };
@@ -78,6 +79,43 @@
   t.same(await emptyZone(() => undefined), new Set());
 });
 
+/** Some balancers are cut off from control from before a zone is emptied until after it is taken back. */
+async function emptyZoneBehindCut(
+  cutCount: number,
+  prepare: (world: IngressWorld) => void = () => undefined,
+): Promise<Set<IngressCheck>> {
+  const world = new IngressWorld(42, { ...smallIngressWorld, ...busy });
+  world.start();
+  await world.run(FORMATION_MS);
+  prepare(world);
+  world.startClients();
+  await world.run(1_000);
+  for (const { host } of world.balancers.slice(0, cutCount)) {
+    world.controls.forEach(({ address }) => world.wires.cut(host, address.host, true));
+  }
+  await world.run(CUT_NOTICED_MS);
+  world.zoneOperator.evacuate('zone-a', 4_000);
+  await world.run(8_000);
+  return new Set(world.oracle.violations.map(({ check }) => check));
+}
+
+for (const cutCount of [2, 6]) {
+  t.test(`${cutCount} of 12 balancers are cut off while a zone is emptied`, async (t) => {
+    t.same(await emptyZoneBehindCut(cutCount), new Set());
+  });
+}
+
+t.test('mutant: balancers that are cut off ask nobody', async (t) => {
+  const failed = await emptyZoneBehindCut(2, (world) =>
+    world.balancers.forEach(({ process }) => {
+      if (process !== undefined) {
+        process.state.peers.othersInTurn = () => [];
+      }
+    }),
+  );
+  t.ok(failed.has('cold'), [...failed].join(' '));
+});
+
 t.test('mutant: a balancer passes over evacuations', async (t) => {
   const failed = await emptyZone((world) =>
     world.balancers.forEach(({ process }) => {
--- a/test/ingress/open-claims.test.ts
+++ b/test/ingress/open-claims.test.ts
@@ -10,7 +10,7 @@
 import t from 'tap';
 import type { Address } from '../../src/common/address.js';
 import { createOpenSharing } from '../../src/daemon/open-sharing.js';
-import type { BalancerMessage } from '../../src/group/message-schemas.js';
+import type { OpenMessage } from '../../src/group/message-schemas.js';
 import { createIngressState } from '../../src/ingress/ingress-state.js';
 import { createOpenClaims } from '../../src/ingress/open-claims.js';
 import { defaultPolicy } from '../../src/ingress/policy.js';
@@ -60,7 +60,7 @@
       policy: defaultPolicy,
     });
     state.peers.takeChanges(list, []);
-    const send = (to: Address, message: BalancerMessage) =>
+    const send = (to: Address, message: OpenMessage) =>
       clock.after(0.5, () => sharings.get(to.host)?.take(message));
     const sharing = createOpenSharing({
       state,
