--- a/src/daemon/http-json.ts
+++ b/src/daemon/http-json.ts
@@ -1,7 +1,7 @@
 /**
  * @file Small helpers for HTTP with JSON bodies.
  */
-import { request, type IncomingMessage, type ServerResponse } from 'node:http';
+import { request, type IncomingMessage } from 'node:http';
 import { request as requestOverTls } from 'node:https';
 import { err, ok, ResultAsync, type Result } from 'neverthrow';
 import type { Address } from '../common/address.js';
@@ -91,11 +91,3 @@
     return err(amberliftError('invalid-command', 'The body is no JSON.'));
   }
 }
-
-/**
- * Answers with JSON.
- */
-export function respondJson(response: ServerResponse, status: number, body: unknown): void {
-  response.writeHead(status, { 'content-type': 'application/json' });
-  response.end(JSON.stringify(body));
-}
--- a/src/daemon/member-api.ts
+++ b/src/daemon/member-api.ts
@@ -14,7 +14,8 @@
 import type { MemberCommand } from '../control/control-events.js';
 import type { ControlState } from '../control/control-step.js';
 import { amberliftError } from '../flow/error-kinds.js';
-import { readBody, respondJson } from './http-json.js';
+import { readBody } from './http-json.js';
+import { respondJson } from './json-response.js';
 import { respondError } from './operator-api.js';
 
 const PATH = '/v1/members';
--- a/src/daemon/metrics/balancer-metrics.ts
+++ b/src/daemon/metrics/balancer-metrics.ts
@@ -5,7 +5,7 @@
 import type { BalancerState } from '../../balancer/balancer-state.js';
 import { openLatencyMs } from '../../balancer/open-latencies.js';
 import { isLeaseHeld } from '../../dissemination/lease.js';
-import type { DaemonHealth, MetricsSource } from './metrics-server.js';
+import type { DaemonHealth, MetricsSource } from './metrics-listener.js';
 import { registerLabelledValues, registerValue } from './state-gauge.js';
 
 const QUANTILES = [0.5, 0.9, 0.99, 0.999];
--- a/src/daemon/metrics/control-metrics.ts
+++ b/src/daemon/metrics/control-metrics.ts
@@ -4,7 +4,7 @@
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import type { ControlState } from '../../control/control-state.js';
 import { balancerReports } from '../../dissemination/publisher.js';
-import type { MetricsSource } from './metrics-server.js';
+import type { MetricsSource } from './metrics-listener.js';
 import { registerLabelledValues, registerValue } from './state-gauge.js';
 
 /**
--- a/src/daemon/metrics/group-metrics.ts
+++ b/src/daemon/metrics/group-metrics.ts
@@ -6,7 +6,7 @@
 import { currentMembership } from '../../consensus/consensus-state.js';
 import { isCurrent, type GroupState } from '../../group/group-state.js';
 import type { GroupObserver, GroupProcess } from '../group-process.js';
-import type { MetricsSource } from './metrics-server.js';
+import type { MetricsSource } from './metrics-listener.js';
 import { registerLabelledValues, registerValue } from './state-gauge.js';
 
 const MS_PER_SECOND = 1_000;
--- a/src/daemon/metrics/ingress-metrics.ts
+++ b/src/daemon/metrics/ingress-metrics.ts
@@ -4,7 +4,7 @@
 import { collectDefaultMetrics, Registry } from 'prom-client';
 import { knowsCurrent } from '../../ingress/ingress-state.js';
 import type { IngressProcess } from '../ingress-process.js';
-import type { MetricsSource } from './metrics-server.js';
+import type { MetricsSource } from './metrics-listener.js';
 import { registerLabelledValues, registerValue, type LabelledValue } from './state-gauge.js';
 
 const MS_PER_SECOND = 1_000;
--- a/src/daemon/operator-api.ts
+++ b/src/daemon/operator-api.ts
@@ -23,7 +23,8 @@
 import { visibleOutcome } from '../control/views/entity-views.js';
 import type { InForceView } from '../control/views/in-force.js';
 import { amberliftError, answerFor, type AmberliftError } from '../flow/error-kinds.js';
-import { readBody, respondJson } from './http-json.js';
+import { readBody } from './http-json.js';
+import { respondJson } from './json-response.js';
 
 const commandRequestSchema = z.strictObject({
   /** Printable, without spaces, so that a statement can name it. */
--- a/src/daemon/reload-signal.ts
+++ b/src/daemon/reload-signal.ts
@@ -3,15 +3,18 @@
  * signal without a listener ends a process. A program therefore imports this module before all others: the
  * listener stands from then on, and what came too early is done once the daemon can.
  */
+import { atProcessStart } from './start-snapshot.js';
 
 type Handler = () => void;
 
 let reload: Handler | undefined;
 let isWanted = false;
 
-process.on('SIGHUP', () => {
-  isWanted = reload === undefined;
-  reload?.();
+atProcessStart(() => {
+  process.on('SIGHUP', () => {
+    isWanted = reload === undefined;
+    reload?.();
+  });
 });
 
 /**
--- a/src/daemon/udp-socket.ts
+++ b/src/daemon/udp-socket.ts
@@ -3,7 +3,7 @@
  */
 import { createSocket, type Socket } from 'node:dgram';
 import { once } from 'node:events';
-import { isIPv6 } from 'node:net';
+import { isIPv4 } from 'node:net';
 import type { Address } from '../common/address.js';
 
 const IPV4_FAMILY = 4;
@@ -28,7 +28,8 @@
   address: Address,
   onDatagram: (datagram: Buffer, from: Address) => void,
 ): Promise<UdpSocket> {
-  const type = isIPv6(address.host) ? 'udp6' : 'udp4';
+  // Asking for IPv6 costs 8 ms at its first call, which a process that starts can't spare.
+  const type = isIPv4(address.host) ? 'udp4' : 'udp6';
   const socket = createSocket({
     type,
     lookup: numberLookup(type === 'udp6' ? IPV6_FAMILY : IPV4_FAMILY),
--- a/src/experiment/bench-forward-control.ts
+++ b/src/experiment/bench-forward-control.ts
@@ -4,7 +4,7 @@
  */
 import type { Address } from '../common/address.js';
 import { listenHttp } from '../daemon/http-server.js';
-import { respondJson } from '../daemon/http-json.js';
+import { respondJson } from '../daemon/json-response.js';
 import { listenForLinks, type MessageLink } from '../daemon/message-link.js';
 import { LEASE_DURATION_MS, type LeaseGrant } from '../dissemination/lease.js';
 import type { BalancerToControlMessage } from '../dissemination/link-messages.js';
--- a/src/standins/fabric-process.ts
+++ b/src/standins/fabric-process.ts
@@ -6,7 +6,8 @@
 import { z } from 'zod';
 import { addressSchema } from '../common/address-schema.js';
 import { formatAddress, type Address } from '../common/address.js';
-import { readBody, respondJson } from '../daemon/http-json.js';
+import { readBody } from '../daemon/http-json.js';
+import { respondJson } from '../daemon/json-response.js';
 import { listenHttp } from '../daemon/http-server.js';
 import { systemContextSource } from '../daemon/system-context.js';
 import { bindUdp, type UdpSocket } from '../daemon/udp-socket.js';
