--- a/src/daemon/feed-follower.ts
+++ b/src/daemon/feed-follower.ts
@@ -6,10 +6,10 @@
 import { NO_VERSION } from '../declared/config-update.js';
 import { unpackFeed } from '../group/feed-codec.js';
 import type { BalancerLinkMessage, FeedMessage } from '../group/group-messages.js';
-import { ownReport, takeFeed } from '../ingress/feed-step.js';
+import { takeFeed } from '../ingress/feed-step.js';
+import { createLoadReporter, type LoadReporter } from '../ingress/load-reporter.js';
 import { FEED_RETRY_AFTER_MS, FeedSource } from '../ingress/feed-source.js';
 import { isReady, type IngressState } from '../ingress/ingress-state.js';
-import { createLoadOutlet, type LoadOutlet } from '../load-exchange/load-outlet.js';
 import { hashText } from '../membership/rendezvous.js';
 import type { DecisionFields } from './decision-log.js';
 import type { RequestLog } from './request-log.js';
@@ -63,8 +63,7 @@
 interface FollowedLink {
   readonly link: ControlLink;
   readonly to: Address;
-  /** When the control machine is told of loads. */
-  readonly loadsOutlet: LoadOutlet;
+  readonly reporter: LoadReporter;
   /** Messages that were answered. */
   countedTaken: number;
 }
@@ -102,7 +101,7 @@
 
   function subscribe(to: Address): void {
     const link = options.connectControl(to, { onMessage, onProgress, onClose });
-    followed = { link, to, loadsOutlet: createLoadOutlet(), countedTaken: 0 };
+    followed = { link, to, reporter: createLoadReporter(state), countedTaken: 0 };
     options.charge(link.send(subscription(state, peerAddress, isConfigDoubted)));
     isConfigDoubted = false;
   }
@@ -153,12 +152,9 @@
 
   /** Tells the control machine what passes here. */
   function reportLoads(nowMs: number): void {
-    if (followed === undefined || followed.loadsOutlet.isWaiting(nowMs)) {
-      return;
-    }
-    const loads = ownReport(state);
-    if (followed.loadsOutlet.offer(loads, nowMs)) {
-      options.charge(followed.link.send({ type: 'load-report', loads }));
+    const report = followed?.reporter.due(nowMs);
+    if (followed !== undefined && report !== undefined) {
+      options.charge(followed.link.send(report));
     }
   }
 }
--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -88,7 +88,8 @@
     private readonly codec: PacketCodec,
     private readonly surroundings: IngressSurroundings,
   ) {
-    this.state = createIngressState(options.ingress);
+    const isLinkFree = () => this.sender.queuedBytes === 0;
+    this.state = createIngressState(options.ingress, isLinkFree);
     this.sender = createPacedSender({
       rateBytesPerMs: options.linkBytesPerMs,
       nowMs: () => surroundings.nowMs(),
--- a/src/egress/flow-queues.ts
+++ b/src/egress/flow-queues.ts
@@ -1,7 +1,12 @@
 /**
- * @file Packets that wait for a link, a queue for each flow, taken by deficit round robin (Shreedhar and
- * Varghese, 1995): each flow in turn may send as many bytes as the others, whatever its packets weigh, so
- * that one upload does not hold another.
+ * @file Packets that wait for a link, a queue for each flow. The flow that the link has served least comes next, and one
+ * packet in four is the one that came first, so that none starves.
+ *
+ * It answers links of which one upload takes a fifth of a second and more, and which several share: a request of one
+ * packet leaves at once, short uploads end before long ones, and a long one keeps a quarter of the link. Least attained
+ * service is what is best for the mean where sizes vary much and are not known (Nuyens and Wierman, 2008). With
+ * uploads of 10 to 240 KB on links of 1.5 megabits a second, four tenths in use, 89 of 8,593 small requests came late in
+ * place of 157 with equal turns, and 148 of 2,586 uploads in place of 193.
  */
 
 /** A packet that waits. */
@@ -40,18 +45,22 @@
 
 interface FlowQueue<Payload> {
   readonly packets: WaitingPacket<Payload>[];
+  /** In which order the packets came, or the first copies of them. */
+  readonly arrivals: number[];
   bytes: number;
-  /** Bytes that this flow may still send in its turn. */
-  deficitBytes: number;
 }
 
-/** What a flow may send in one turn, in bytes: a whole packet of Ethernet's size, so that each turn sends one. */
-const QUANTUM_BYTES = 1_500;
+/** One packet in so many is the one that came first: a quarter of the link goes to what waits for longest. */
+const TURN_EVERY = 4;
+/** What the link has done for a flow is forgotten once so many flows have waited since. */
+const MAX_SERVED_FLOWS = 1_000;
 
 /** @returns queues without any packet */
 export function createFlowQueues<Payload>(): FlowQueues<Payload> {
-  // In the order of their turns; the first is the one whose turn it is.
   const queues = new Map<string, FlowQueue<Payload>>();
+  const served = createServedBytes();
+  let arrivalCount = 0;
+  let takenCount = 0;
   let bytes = 0;
 
   return {
@@ -67,9 +76,11 @@
   };
 
   function add(packet: WaitingPacket<Payload>): void {
-    const queue = queues.get(packet.flow) ?? { packets: [], bytes: 0, deficitBytes: QUANTUM_BYTES };
+    const queue = queues.get(packet.flow) ?? { packets: [], arrivals: [], bytes: 0 };
     queues.set(packet.flow, queue);
+    arrivalCount += 1;
     queue.packets.push(packet);
+    queue.arrivals.push(arrivalCount);
     queue.bytes += packet.bytes;
     bytes += packet.bytes;
   }
@@ -88,32 +99,71 @@
   }
 
   function takeNext(): WaitingPacket<Payload> | undefined {
+    takenCount += 1;
+    const flow = takenCount % TURN_EVERY === 0 ? firstCome() : leastServed();
+    return flow === undefined ? undefined : takeFrom(flow);
+  }
+
+  function firstCome(): string | undefined {
+    return flowWithLeast((_flow, { arrivals }) => arrivals[0] ?? Number.POSITIVE_INFINITY);
+  }
+
+  function leastServed(): string | undefined {
+    return flowWithLeast((flow) => served.bytesOf(flow));
+  }
+
+  function flowWithLeast(
+    valueOf: (flow: string, queue: FlowQueue<Payload>) => number,
+  ): string | undefined {
+    let best: string | undefined;
+    let least = Number.POSITIVE_INFINITY;
     for (const [flow, queue] of queues) {
-      const [packet] = queue.packets;
-      if (packet === undefined) {
-        queues.delete(flow);
-        continue;
-      }
-      if (packet.bytes > queue.deficitBytes) {
-        // Its turn is over; in the next one it may send a quantum more. The loop comes back to it.
-        queue.deficitBytes += QUANTUM_BYTES;
-        queues.delete(flow);
-        queues.set(flow, queue);
-        continue;
+      const value = valueOf(flow, queue);
+      if (value < least) {
+        best = flow;
+        least = value;
       }
-      take(flow, queue, packet);
-      return packet;
     }
-    return undefined;
+    return best;
   }
 
-  function take(flow: string, queue: FlowQueue<Payload>, packet: WaitingPacket<Payload>): void {
-    queue.packets.shift();
+  function takeFrom(flow: string): WaitingPacket<Payload> | undefined {
+    const queue = queues.get(flow);
+    const packet = queue?.packets.shift();
+    if (queue === undefined || packet === undefined) {
+      return undefined;
+    }
+    queue.arrivals.shift();
     queue.bytes -= packet.bytes;
-    queue.deficitBytes -= packet.bytes;
     bytes -= packet.bytes;
+    served.note(flow, packet.bytes);
     if (queue.packets.length === 0) {
       queues.delete(flow);
     }
+    return packet;
   }
 }
+
+/** What the link has taken of each flow that had to wait. */
+interface ServedBytes {
+  bytesOf(flow: string): number;
+  note(flow: string, bytes: number): void;
+}
+
+function createServedBytes(): ServedBytes {
+  // The flow that was served last at the end.
+  const byFlow = new Map<string, number>();
+
+  return {
+    bytesOf: (flow) => byFlow.get(flow) ?? 0,
+    note: (flow, bytes) => {
+      const total = (byFlow.get(flow) ?? 0) + bytes;
+      byFlow.delete(flow);
+      byFlow.set(flow, total);
+      const [oldest] = byFlow.keys();
+      if (byFlow.size > MAX_SERVED_FLOWS && oldest !== undefined) {
+        byFlow.delete(oldest);
+      }
+    },
+  };
+}
--- a/src/egress/packet-scheduler.ts
+++ b/src/egress/packet-scheduler.ts
@@ -2,7 +2,7 @@
  * @file When a packet leaves towards a link of known rate. A network card or a router drops what comes
  * faster than the link carries, and each loss costs the sender a retransmission timer; so what exceeds the
  * rate waits here instead: short packets first (opens, acknowledgements, the system's own messages), then
- * the flows in turn.
+ * the flows that the link has served least.
  *
  * A token bucket gives the rate. What other sockets of the process send is charged to the same bucket.
  */
@@ -64,10 +64,19 @@
 const RATE_SHARE = 0.95;
 /** Packets up to this size go before bulk, in bytes: opens, acknowledgements, messages of the system. */
 const SHORT_BYTES = 300;
-/** What may wait, as the time that the link needs for it: more only adds to what is retransmitted. */
-const MAX_QUEUE_MS = 500;
-/** A packet that waited for longer is of no use: twice the first retransmission timer of 200 ms. */
-const MAX_WAIT_MS = 400;
+/**
+ * What may wait, as the time that the link needs for it. A flow has 16 packets under way, 110 ms at 1.5 megabits a
+ * second, so this holds the windows of 18 flows at once; each packet that is dropped costs its sender a timer that
+ * doubles up to 1.6 s.
+ */
+const MAX_QUEUE_MS = 2_000;
+/** An open or an acknowledgement that waited for longer is of no use: its sender repeats it after 200 and 600 ms. */
+const MAX_SHORT_WAIT_MS = 400;
+/**
+ * Data that waited for longer is not wanted any more: a sender that still wants it repeats it within 1.6 s, and the copy
+ * takes the place of what waits.
+ */
+const MAX_BULK_WAIT_MS = 2_000;
 /** The flow of all packets that go before bulk. */
 const SHORT_FLOW = '';
 
@@ -137,13 +146,14 @@
   function release(nowMs: number): Released<Payload>[] {
     const released: Released<Payload>[] = [];
     while (budget.isOpen(nowMs)) {
-      const packet = shortPackets.takeNext() ?? bulk.takeNext();
+      const short = shortPackets.takeNext();
+      const packet = short ?? bulk.takeNext();
       if (packet === undefined) {
         break;
       }
       const { payload, bytes, sinceMs } = packet;
       const waitedMs = nowMs - sinceMs;
-      if (waitedMs > MAX_WAIT_MS) {
+      if (waitedMs > (short === undefined ? MAX_BULK_WAIT_MS : MAX_SHORT_WAIT_MS)) {
         released.push({ type: 'dropped', payload, reason: 'too-old' });
       } else {
         budget.spend(bytes, nowMs);
--- a/src/group/balancer-feed.ts
+++ b/src/group/balancer-feed.ts
@@ -8,6 +8,7 @@
  */
 import type { LinkId } from '../common/link-table.js';
 import { partOf, type ConfigPart, type ConfigUpdate } from '../declared/config-update.js';
+import { SIGNAL_ROWS } from '../load-exchange/backend-signals.js';
 import { createLoadOutlet } from '../load-exchange/load-outlet.js';
 import { noteBalancersChanged, publishBalancers } from './balancer-list.js';
 import { feedParts } from './feed-parts.js';
@@ -57,6 +58,7 @@
     nextPulseAtMs: Number.NEGATIVE_INFINITY,
     loadsVersion: -1,
     loadsOutlet: createLoadOutlet(),
+    signalsOutlet: createLoadOutlet(Number.POSITIVE_INFINITY, SIGNAL_ROWS),
   });
   noteBalancersChanged(state);
 }
@@ -66,6 +68,7 @@
  */
 export function removeSubscriber(state: GroupState, linkId: LinkId): void {
   state.loads.dropReporter(linkId);
+  state.signals.dropReporter(linkId);
   if (state.subscribers.delete(linkId)) {
     noteBalancersChanged(state);
   }
--- a/src/group/feed-codec.ts
+++ b/src/group/feed-codec.ts
@@ -62,6 +62,7 @@
     ...(zones && { zones: packZones(zones) }),
     ...(config && { config: packConfig(config) }),
     ...(message.loads && { loads: [...message.loads] }),
+    ...(message.signals && { signals: [...message.signals] }),
   };
 }
 
@@ -75,7 +76,7 @@
   }
   const { isCurrent, isComplete, isCounted, loads: packedLoads, lost } = packed;
   const { records, judgements: judged, departures: left, balancers, controls } = packed;
-  const { transfer, config, zones } = packed;
+  const { transfer, config, zones, signals } = packed;
   const message: FeedMessage = {
     type: 'feed',
     isCurrent,
@@ -102,6 +103,7 @@
     ...(zones && { zones: unpackZones(zones) }),
     ...(config && { config: unpackConfig(config) }),
     ...(packedLoads && { loads: packedLoads }),
+    ...(signals && { signals }),
   };
   return message;
 }
--- a/src/group/group-messages.ts
+++ b/src/group/group-messages.ts
@@ -6,6 +6,7 @@
 import type { ConsensusMessage, Sender } from '../consensus/messages.js';
 import type { ConfigPart } from '../declared/config-update.js';
 import type { PackedLoads } from '../load-exchange/backend-load.js';
+import type { PackedSignals } from '../load-exchange/backend-signals.js';
 import type { BackendJudgement } from '../registry/backend-liveness.js';
 import type { BackendRecord, Departure } from '../registry/backend-record.js';
 import type { ConfigDocument, GroupCommand } from './replicated-state.js';
@@ -89,7 +90,13 @@
       readonly balancers: readonly BalancerInfo[];
     }
   /** What passes the balancers that the sender feeds, in place of what it told before. */
-  | { readonly type: 'load-sums'; readonly sender: Address; readonly loads: PackedLoads }
+  | {
+      readonly type: 'load-sums';
+      readonly sender: Address;
+      readonly loads: PackedLoads;
+      /** Undefined where the ones that were told before still hold. */
+      readonly signals?: PackedSignals | undefined;
+    }
   | {
       readonly type: 'forward';
       readonly forwardId: number;
@@ -121,6 +128,8 @@
 export interface LoadReportMessage {
   readonly type: 'load-report';
   readonly loads: PackedLoads;
+  /** How back ends answer here; undefined where what was told before still holds. */
+  readonly signals?: PackedSignals | undefined;
 }
 
 /** From a balancer to the control machine that feeds it: it has taken what it was sent. */
@@ -166,6 +175,8 @@
   readonly zones?: readonly ToldZone[];
   /** What passes all other balancers, in place of what was told before. */
   readonly loads?: PackedLoads;
+  /** How back ends answer at all other balancers, in place of what was told before. */
+  readonly signals?: PackedSignals;
 }
 
 /** What a balancer sends on its link. */
--- a/src/group/group-state.ts
+++ b/src/group/group-state.ts
@@ -13,6 +13,7 @@
 import { findMember, type Member, type NodeId } from '../consensus/membership.js';
 import type { RecoveredState } from '../consensus/persisted-state.js';
 import type { DeclaredConfig } from '../declared/declared-config.js';
+import { SIGNAL_ROWS } from '../load-exchange/backend-signals.js';
 import { createLoadOutlet, type LoadOutlet } from '../load-exchange/load-outlet.js';
 import { createLoadTotals, type LoadTotals } from '../load-exchange/load-totals.js';
 import { HeartbeatRegistry } from '../registry/heartbeat-registry.js';
@@ -114,6 +115,8 @@
   loadsVersion: number;
   /** When it is told of loads. */
   readonly loadsOutlet: LoadOutlet;
+  /** When it is told how back ends answer. */
+  readonly signalsOutlet: LoadOutlet;
 }
 
 /** How much a balancer has been told. */
@@ -177,6 +180,10 @@
   readonly loads: LoadTotals;
   /** When the other control machines are told the sums of the balancers that are fed here. */
   readonly sumsOutlet: LoadOutlet;
+  /** How back ends answer. */
+  readonly signals: LoadTotals;
+  /** When the other control machines are told the sums of that. */
+  readonly signalSumsOutlet: LoadOutlet;
   /** Since when silence of a back end counts, in milliseconds; undefined while not current. */
   listeningSinceMs: number | undefined;
   /** The translated form of the configuration that holds, with what changed lately. */
@@ -256,6 +263,8 @@
     nextBalancersShareAtMs: Number.NEGATIVE_INFINITY,
     loads: createLoadTotals(LOAD_SUMS_LIFETIME_MS),
     sumsOutlet: createLoadOutlet(LOAD_SUMS_REFRESH_MS),
+    signals: createLoadTotals(LOAD_SUMS_LIFETIME_MS, SIGNAL_ROWS),
+    signalSumsOutlet: createLoadOutlet(LOAD_SUMS_REFRESH_MS, SIGNAL_ROWS),
     listeningSinceMs: undefined,
     configs: createConfigHistory(
       document === undefined ? undefined : options.readDocument(document),
--- a/src/group/group-step.ts
+++ b/src/group/group-step.ts
@@ -29,7 +29,7 @@
   nextMemberChange,
   noteAnnouncement,
 } from './membership-duties.js';
-import { feedLoads, shareLoadSums } from './load-duties.js';
+import { feedLoads, shareLoadSums, takeLoadReport, takeLoadSums } from './load-duties.js';
 import {
   judgeBackends,
   nextRegistryCommand,
@@ -79,7 +79,7 @@
     })
     .with({ type: 'load-report' }, ({ linkId, message }) => {
       if (state.subscribers.has(linkId)) {
-        state.loads.takeReport(linkId, message.loads);
+        takeLoadReport(state, linkId, message);
       }
       return [];
     })
@@ -183,8 +183,8 @@
       takeBalancers(state, message, nowMs);
       return [];
     })
-    .with({ type: 'load-sums' }, ({ sender, loads }) => {
-      state.loads.takeSums(formatAddress(sender), loads, nowMs);
+    .with({ type: 'load-sums' }, (message) => {
+      takeLoadSums(state, message, nowMs);
       return [];
     })
     .with({ type: 'forward' }, (message) => takeForward(state, message, run))
--- a/src/group/message-schemas.ts
+++ b/src/group/message-schemas.ts
@@ -12,7 +12,9 @@
   senderShape as sender,
   textShape as text,
 } from '../consensus/message-shapes.js';
-import { NUMBERS_PER_LOAD } from '../load-exchange/backend-load.js';
+import { SIGNAL_ROWS } from '../load-exchange/backend-signals.js';
+import { LOAD_ROWS } from '../load-exchange/packed-rows.js';
+import { rowsShape } from './rows-shape.js';
 import type { ControlInboundMessage } from './group-messages.js';
 
 const DOCUMENT_BYTES = 4 * 1024 * 1024;
@@ -30,12 +32,8 @@
 const agedRecord = z.object({ record, ageMs: z.number() });
 const departure = z.object({ backendId: text, kind: z.enum(['draining', 'gone']) });
 const balancer = z.object({ name: text, zone: text, peerAddress: address });
-/** Room for the load of 20,000 back ends. */
-const MAX_LOAD_NUMBERS = 20_000 * NUMBERS_PER_LOAD;
-const loads = z.array(index).check(
-  z.maxLength(MAX_LOAD_NUMBERS),
-  z.refine((numbers) => numbers.length % NUMBERS_PER_LOAD === 0, 'An entry is cut short.'),
-);
+const loads = rowsShape(LOAD_ROWS);
+const signals = z.optional(rowsShape(SIGNAL_ROWS));
 const configDocument = z.object({
   version: index,
   text: z.string().check(z.maxLength(DOCUMENT_BYTES)),
@@ -91,7 +89,7 @@
     request: leaderRequest,
   }),
   z.object({ type: z.literal('forward-reply'), forwardId: index, answer: leaderAnswer }),
-  z.object({ type: z.literal('load-sums'), sender: address, loads }),
+  z.object({ type: z.literal('load-sums'), sender: address, loads, signals }),
   z.object({
     type: z.literal('subscribe'),
     balancer,
@@ -99,7 +97,7 @@
     unfinished: z.optional(z.object({ version: index, baseVersion: index, changesTaken: index })),
   }),
   z.object({ type: z.literal('feed-taken'), count: index }),
-  z.object({ type: z.literal('load-report'), loads }),
+  z.object({ type: z.literal('load-report'), loads, signals }),
 ]);
 
 const balancerMessage = z.discriminatedUnion('type', [
--- a/src/group/packed-feed.ts
+++ b/src/group/packed-feed.ts
@@ -4,7 +4,9 @@
  */
 import * as z from 'zod/mini';
 import { indexShape as index, textShape as text } from '../consensus/message-shapes.js';
-import { NUMBERS_PER_LOAD } from '../load-exchange/backend-load.js';
+import { SIGNAL_ROWS } from '../load-exchange/backend-signals.js';
+import { LOAD_ROWS } from '../load-exchange/packed-rows.js';
+import { rowsShape } from './rows-shape.js';
 import type { Liveness } from '../registry/backend-liveness.js';
 import type { DepartureKind } from '../registry/backend-record.js';
 import type { FeedTransfer } from './group-messages.js';
@@ -70,10 +72,6 @@
   /** Milliseconds since each was readmitted; `NOT_SEEN` where that was not seen. */
   readmittedAgo: numbers,
 });
-const loads = z.array(index).check(
-  z.maxLength(MAX_ITEMS),
-  z.refine((packed) => packed.length % NUMBERS_PER_LOAD === 0, 'An entry is cut short.'),
-);
 const judgements = z.object({ ids: texts, kinds: indexes, silentMs: indexes });
 const departures = z.object({ ids: texts, kinds: indexes });
 
@@ -91,7 +89,8 @@
   controls: z.optional(packedControls),
   zones: z.optional(packedZones),
   config: z.optional(packedConfig),
-  loads: z.optional(loads),
+  loads: z.optional(rowsShape(LOAD_ROWS)),
+  signals: z.optional(rowsShape(SIGNAL_ROWS)),
 });
 
 /** A feed message as it travels. */
--- /dev/null
+++ b/src/group/rows-shape.ts
@@ -0,0 +1,17 @@
+/**
+ * @file The form of a table of numbers by back end in a message.
+ */
+import * as z from 'zod/mini';
+import { indexShape } from '../consensus/message-shapes.js';
+import type { RowShape } from '../load-exchange/packed-rows.js';
+
+/** Room for 20,000 back ends, against senders that went astray. */
+const MAX_ROWS = 20_000;
+
+/** @returns the schema of a flat list of rows, none of which is cut short */
+export function rowsShape({ numbers }: RowShape) {
+  return z.array(indexShape).check(
+    z.maxLength(MAX_ROWS * numbers),
+    z.refine((packed) => packed.length % numbers === 0, 'An entry is cut short.'),
+  );
+}
--- /dev/null
+++ b/src/ingress/answer-record.ts
@@ -0,0 +1,69 @@
+/**
+ * @file What the flows through this balancer show of how one back end answers. Answers fade, so that a back end that
+ * was slow some seconds ago is not held for slow.
+ */
+import type { BackendSignals } from '../load-exchange/backend-signals.js';
+
+/** How one back end answers, as seen here. */
+export interface AnswerRecord {
+  /** @returns what is known now */
+  signals(nowMs: number): BackendSignals;
+  /**
+   * Takes one more answer.
+   * @param tookMs from the last data of the request to the first sign of the answer
+   */
+  noteAnswer(tookMs: number, nowMs: number): void;
+  /** Takes an answer that is far shorter than is usual: its time says nothing of how fast the back end works. */
+  noteShortAnswer(nowMs: number): void;
+  /** One flow more, or one less, whose client has sent the same again without any sign of the back end. */
+  changeStalled(by: 1 | -1): void;
+}
+
+/**
+ * After so long an answer counts for a third. Some ten answers a second reach a back end from the whole fleet, so about
+ * forty are known of it, whose mean strays by an eighth; and a back end that turns slow is known for it within two
+ * seconds.
+ */
+const FADE_MS = 4_000;
+
+/**
+ * One answer counts as no more. Three in a hundred requests take seven times as long as the others; a tail
+ * says nothing of the back end, and what takes longer than this is late for anyone.
+ */
+const MAX_ANSWER_MS = 1_000;
+
+/** @returns a record of nothing */
+export function createAnswerRecord(): AnswerRecord {
+  let answered = 0;
+  let answerMs = 0;
+  let short = 0;
+  let stalled = 0;
+  let fadedAtMs = 0;
+
+  return {
+    signals: (nowMs) => {
+      fade(nowMs);
+      return { stalled, answered, answerMs, short };
+    },
+    noteAnswer: (tookMs, nowMs) => {
+      fade(nowMs);
+      answered += 1;
+      answerMs += Math.min(MAX_ANSWER_MS, Math.max(0, tookMs));
+    },
+    noteShortAnswer: (nowMs) => {
+      fade(nowMs);
+      short += 1;
+    },
+    changeStalled: (by) => {
+      stalled += by;
+    },
+  };
+
+  function fade(nowMs: number): void {
+    const left = Math.exp(-(nowMs - fadedAtMs) / FADE_MS);
+    answered *= left;
+    answerMs *= left;
+    short *= left;
+    fadedAtMs = nowMs;
+  }
+}
--- a/src/ingress/backend-table.ts
+++ b/src/ingress/backend-table.ts
@@ -6,6 +6,7 @@
 import { formatAddress, type Address } from '../common/address.js';
 import type { AgedRecord } from '../group/group-messages.js';
 import { eachLoad, type PackedLoads } from '../load-exchange/backend-load.js';
+import { eachSignal, type PackedSignals } from '../load-exchange/backend-signals.js';
 import { livenessOf, type BackendJudgement, type Liveness } from '../registry/backend-liveness.js';
 import {
   isLaterDeparture,
@@ -14,6 +15,7 @@
   type DepartureKind,
 } from '../registry/backend-record.js';
 import { tokenOf } from '../registry/backend-token.js';
+import { createAnswerRecord, type AnswerRecord } from './answer-record.js';
 
 /** Load of one back end. */
 export interface BackendLoad {
@@ -21,6 +23,14 @@
   busy: number;
 }
 
+/** Load of one back end at the other balancers, and how it answers there. */
+export interface ToldLoad extends BackendLoad {
+  stalled: number;
+  answered: number;
+  answerMs: number;
+  short: number;
+}
+
 /** One start of a back end, as a balancer knows it. */
 export interface KnownBackend {
   readonly id: string;
@@ -50,7 +60,9 @@
   /** What passes this balancer. */
   readonly own: BackendLoad;
   /** What passes all other balancers, as the control machine told. */
-  readonly others: BackendLoad;
+  readonly others: ToldLoad;
+  /** How it answers here. */
+  readonly answers: AnswerRecord;
 }
 
 const INSTANCE_BYTES = 8;
@@ -144,6 +156,19 @@
     });
   }
 
+  /** Takes how back ends answer at all other balancers, in place of what was told before. */
+  takeSignals(signals: PackedSignals): void {
+    for (const { others } of this.byId.values()) {
+      Object.assign(others, { stalled: 0, answered: 0, answerMs: 0, short: 0 });
+    }
+    eachSignal(signals, (token, told) => {
+      const others = this.byToken.get(token)?.others;
+      if (others !== undefined) {
+        Object.assign(others, told);
+      }
+    });
+  }
+
   /** Takes the word that a back end leaves; it may come before its first heartbeat. */
   depart({ backendId, kind }: Departure, nowMs: number): void {
     if (!isLaterDeparture(kind, this.departures.get(backendId))) {
@@ -188,7 +213,8 @@
       progressAtMs: Number.NEGATIVE_INFINITY,
       warmUntilMs: heardAtMs + record.warmUpLeftMs,
       own: { busy: 0 },
-      others: { busy: 0 },
+      others: { busy: 0, stalled: 0, answered: 0, answerMs: 0, short: 0 },
+      answers: createAnswerRecord(),
     };
     if (this.byToken.has(backend.token)) {
       // Its flows could not be told from those of the other back end: it takes none.
--- /dev/null
+++ b/src/ingress/failing-backends.ts
@@ -0,0 +1,143 @@
+/**
+ * @file Back ends that fail while they look well, by what their flows show at all balancers together. They are passed
+ * over before anything is said of their speed.
+ *
+ * Two patterns are known. A back end that lost power or its link takes packets and shows no sign of life: until its
+ * heartbeats are missed, three seconds later, it would get its share of all new flows, each of which waits for
+ * 1.4 s until its client gives up. And a back end that fails or refuses much of what it gets answers at once, so that
+ * by its times and its load it would be the best of all.
+ *
+ * What is passed over shows nothing new, so the evidence goes by itself. The back end is then tried again, and passed
+ * over for twice as long each time that it fails again.
+ */
+import type { BackendSignals } from '../load-exchange/backend-signals.js';
+import type { KnownBackend } from './backend-table.js';
+
+/** Says which back ends to pass over. */
+export interface FailingBackends {
+  /**
+   * @param candidates back ends of one service
+   * @returns those that do not fail; all of them where too many seem to
+   */
+  without(candidates: readonly KnownBackend[], nowMs: number): readonly KnownBackend[];
+}
+
+/** What a back end shows that fails. */
+export type Failure =
+  /** What clients send there is not taken. */
+  | 'stalls'
+  /** Many of its answers are far shorter than those of the others. */
+  | 'answers-short';
+
+/** Single flows may have lost a packet and its copy. */
+const LEAST_STALLED = 2;
+/** A back end that answers has others in progress that don't stall. */
+const STALLED_SHARE = 0.5;
+/** Single answers may be short, and errors may be the caller's. */
+const LEAST_SHORT = 3;
+/** One request in six fails: another back end serves the caller better, even one that is half as fast. */
+const SHORT_SHARE = 1 / 6;
+/** ... and many more do than elsewhere: where all give short answers, these are what the route is there for. */
+const TIMES_OTHERS = 4;
+/** No more than this part of a service is passed over: what most of it shares is no fault of single back ends. */
+const MAX_SHARE = 0.4;
+/** Passed over for so long after the last sign: a telling of all balancers and the first repeat of a client. */
+const SHORTEST_HOLD_MS = 1_000;
+/** ... and for twice as long each time, up to this: heartbeats tell of a dead one by then. */
+const LONGEST_HOLD_MS = 8_000;
+
+interface Held {
+  readonly untilMs: number;
+  readonly holdMs: number;
+  /** When it failed last, in milliseconds. */
+  readonly failedAtMs: number;
+  readonly failure: Failure;
+}
+
+/** @returns a memory without any back end */
+export function createFailingBackends(): FailingBackends {
+  const held = new Map<string, Held>();
+
+  return { without };
+
+  function without(candidates: readonly KnownBackend[], nowMs: number): readonly KnownBackend[] {
+    judgeAll(candidates, nowMs);
+    if (held.size === 0) {
+      return candidates;
+    }
+    const sound = candidates.filter(({ id }) => nowMs >= (held.get(id)?.untilMs ?? nowMs));
+    const passedOver = candidates.length - sound.length;
+    return passedOver > candidates.length * MAX_SHARE ? candidates : sound;
+  }
+
+  function judgeAll(candidates: readonly KnownBackend[], nowMs: number): void {
+    const shown = candidates.map((backend) => shownBy(backend, nowMs));
+    const answered = shown.reduce((sum, one) => sum + one.answered + one.short, 0);
+    const short = shown.reduce((sum, one) => sum + one.short, 0);
+    candidates.forEach((backend, at) => {
+      const one = shown[at];
+      const failure = one && failureOf(one, { answered, short });
+      if (failure === undefined) {
+        release(backend, nowMs);
+      } else {
+        held.set(backend.id, longerHold(held.get(backend.id), failure, nowMs));
+      }
+    });
+  }
+
+  /** One that stalled is sound once somebody gets something from it; all are forgotten after a while without a sign. */
+  function release({ id, progressAtMs }: KnownBackend, nowMs: number): void {
+    const known = held.get(id);
+    if (known === undefined) {
+      return;
+    }
+    const hasRecovered = known.failure === 'stalls' && progressAtMs > known.failedAtMs;
+    if (hasRecovered || nowMs - known.untilMs > LONGEST_HOLD_MS) {
+      held.delete(id);
+    }
+  }
+}
+
+/** While it goes on to fail the hold is the same; one that ran out and fails again is held for longer. */
+function longerHold(known: Held | undefined, failure: Failure, nowMs: number): Held {
+  const isNew = known === undefined || nowMs >= known.untilMs;
+  const before = known?.holdMs ?? SHORTEST_HOLD_MS / 2;
+  const holdMs = isNew ? Math.min(LONGEST_HOLD_MS, 2 * before) : before;
+  return { untilMs: nowMs + holdMs, holdMs, failedAtMs: nowMs, failure };
+}
+
+interface ShownBy {
+  readonly stalled: number;
+  readonly busy: number;
+  readonly answered: number;
+  readonly short: number;
+}
+
+function shownBy({ answers, own, others }: KnownBackend, nowMs: number): ShownBy {
+  const here: BackendSignals = answers.signals(nowMs);
+  return {
+    stalled: here.stalled + others.stalled,
+    busy: own.busy + others.busy,
+    answered: here.answered + others.answered,
+    short: here.short + others.short,
+  };
+}
+
+interface AnswersOfService {
+  /** Usual and short ones. */
+  readonly answered: number;
+  readonly short: number;
+}
+
+function failureOf(
+  { stalled, busy, answered, short }: ShownBy,
+  service: AnswersOfService,
+): Failure | undefined {
+  if (stalled >= LEAST_STALLED && stalled >= STALLED_SHARE * busy) {
+    return 'stalls';
+  }
+  const all = answered + short;
+  const elsewhere = (service.short - short) / Math.max(1, service.answered - all);
+  const isFar = short >= SHORT_SHARE * all && short >= TIMES_OTHERS * elsewhere * all;
+  return short >= LEAST_SHORT && isFar ? 'answers-short' : undefined;
+}
--- a/src/ingress/feed-step.ts
+++ b/src/ingress/feed-step.ts
@@ -8,6 +8,7 @@
   type BackendLoadEntry,
   type PackedLoads,
 } from '../load-exchange/backend-load.js';
+import { packSignals, type PackedSignals } from '../load-exchange/backend-signals.js';
 import type { Liveness } from '../registry/backend-liveness.js';
 import type { KnownBackend } from './backend-table.js';
 import type { IngressState } from './ingress-state.js';
@@ -45,6 +46,9 @@
   if (message.loads !== undefined) {
     backends.takeLoads(message.loads);
   }
+  if (message.signals !== undefined) {
+    backends.takeSignals(message.signals);
+  }
   const taken = takeConfig(state, message);
   if (message.isCurrent && message.isComplete && taken.type !== 'unfit') {
     state.currentAtMs = nowMs;
@@ -104,6 +108,15 @@
   return packLoads(loads);
 }
 
+/**
+ * @returns how back ends answer here; those of which nothing is known are left out
+ */
+export function ownSignals(state: IngressState, nowMs: number): PackedSignals {
+  return packSignals(
+    [...state.backends.all()].map(({ token, answers }) => [token, answers.signals(nowMs)] as const),
+  );
+}
+
 /**
  * Forgets what is old: flows at rest, back ends that are gone, loads that nobody told for long.
  * @returns back ends that are judged otherwise than at the last sweep
@@ -113,6 +126,7 @@
   state.backends.forget(nowMs, state.options.flowLifetimeMs);
   if (nowMs - (state.currentAtMs ?? nowMs) > LOADS_LIFETIME_MS) {
     state.backends.takeLoads([]);
+    state.backends.takeSignals([]);
   }
   return [...state.backends.all()].flatMap(judgedAnew);
 }
--- a/src/ingress/flow-activity.ts
+++ b/src/ingress/flow-activity.ts
@@ -5,7 +5,8 @@
  */
 import type { KnownBackend } from './backend-table.js';
 import type { UnansweredData } from './dead-flow.js';
-import type { FlowKey, PacketView } from './packet-view.js';
+import { createAnswerSizes } from './answer-sizes.js';
+import { routeKeyOf, type FlowKey, type PacketView } from './packet-view.js';
 
 /** What is remembered of one flow. */
 interface FlowActivity {
@@ -15,6 +16,10 @@
   /** What the client had acknowledged when it sent its last data. */
   acknowledgedAtRequest: number;
   isBusy: boolean;
+  /** True where the last data or the open left at once: what it waits for then is the back end. */
+  wentOutAtOnce: boolean;
+  /** True while its client repeats what left at once, and nothing shows that the back end has it. */
+  isStalled: boolean;
   /** When the last of the client's data came, for the first time or again, in milliseconds. */
   endSentAtMs: number;
   /** When the last of the client's data came for the first time, in milliseconds. */
@@ -33,14 +38,17 @@
 /** The flows that passed this balancer lately. */
 export class FlowActivities {
   private readonly flows = new Map<FlowKey, FlowActivity>();
+  private readonly sizes = createAnswerSizes();
 
   /**
    * @param idleTimeoutMs a flow that has rested for this long is forgotten
    * @param maxFlows flows beyond this number are not counted
+   * @param isLinkFree says whether packets leave at once
    */
   constructor(
     private readonly idleTimeoutMs: () => number,
     private readonly maxFlows: number,
+    private readonly isLinkFree: () => boolean = () => true,
   ) {}
 
   /** How many flows are remembered. */
@@ -57,6 +65,14 @@
     this.remember(key, backend, nowMs, true);
   }
 
+  /** Notes a copy of an open that was placed here: its client has heard nothing for 200 ms. */
+  noteOpenCopy(key: FlowKey): void {
+    const flow = this.flows.get(key);
+    if (flow?.sentEnd === 0 && flow.isBusy) {
+      this.setStalled(flow, flow.wentOutAtOnce);
+    }
+  }
+
   /**
    * Notes a packet of an established flow.
    * @returns how often the client has sent the data of the packet again, as far as it passed here; undefined where
@@ -68,11 +84,14 @@
     packet: PacketView,
     nowMs: number,
   ): UnansweredData | undefined {
+    const known = this.flows.get(key);
     if (packet.isFinish || packet.isReset) {
+      if (known?.backend === backend && packet.isFinish) {
+        this.noteProgress(known, packet, nowMs);
+      }
       this.end(key);
       return undefined;
     }
-    const known = this.flows.get(key);
     const flow = known?.backend === backend ? known : this.replace(key, backend, nowMs);
     if (flow === undefined) {
       return undefined;
@@ -81,14 +100,35 @@
     if (packet.dataLength > 0) {
       return this.noteData(flow, packet, nowMs);
     }
-    if (flow.isBusy && packet.acknowledged !== flow.acknowledgedAtRequest) {
-      this.setBusy(flow, flow.acknowledgedAtRequest === 0);
-      flow.acknowledgedAtRequest = packet.acknowledged;
-      backend.progressAtMs = nowMs;
-    }
+    this.noteProgress(flow, packet, nowMs);
     return undefined;
   }
 
+  /** The client has got something of the back end: its consent to the open, or the beginning of an answer. */
+  private noteProgress(flow: FlowActivity, packet: PacketView, nowMs: number): void {
+    if (!flow.isBusy || packet.acknowledged === flow.acknowledgedAtRequest) {
+      return;
+    }
+    const isAnswer = flow.acknowledgedAtRequest !== 0;
+    if (isAnswer) {
+      this.noteAnswer(flow, packet, nowMs);
+    }
+    this.setStalled(flow, false);
+    this.setBusy(flow, !isAnswer);
+    flow.acknowledgedAtRequest = packet.acknowledged;
+    flow.backend.progressAtMs = nowMs;
+  }
+
+  private noteAnswer(flow: FlowActivity, packet: PacketView, nowMs: number): void {
+    const { answers } = flow.backend;
+    const bytes = (packet.acknowledged - flow.acknowledgedAtRequest) | 0;
+    if (this.sizes.isShort(routeKeyOf(packet), bytes)) {
+      answers.noteShortAnswer(nowMs);
+    } else if (flow.wentOutAtOnce && flow.repeats === 0) {
+      answers.noteAnswer(nowMs - flow.dataSinceMs, nowMs);
+    }
+  }
+
   /** Forgets flows that have rested for too long, and requests that nobody answers. */
   sweep(nowMs: number): void {
     const idleTimeoutMs = this.idleTimeoutMs();
@@ -97,6 +137,7 @@
       if (restedMs > idleTimeoutMs) {
         this.end(key);
       } else if (flow.isBusy && restedMs > BUSY_LIFETIME_MS) {
+        this.setStalled(flow, false);
         this.setBusy(flow, false);
       }
     }
@@ -111,6 +152,7 @@
       if (isRepeat) {
         flow.repeats += 1;
         flow.endSentAtMs = nowMs;
+        this.setStalled(flow, flow.isBusy && flow.wentOutAtOnce);
       }
       return { repeats: isRepeat ? flow.repeats : 0, sinceMs: flow.dataSinceMs };
     }
@@ -123,6 +165,8 @@
     flow.dataSinceMs = nowMs;
     flow.repeats = 0;
     flow.acknowledgedAtRequest = packet.acknowledged;
+    flow.wentOutAtOnce = this.isLinkFree();
+    this.setStalled(flow, false);
     this.setBusy(flow, true);
     return { repeats: 0, sinceMs: nowMs };
   }
@@ -146,6 +190,8 @@
       sentEnd: 0,
       acknowledgedAtRequest: 0,
       isBusy: false,
+      wentOutAtOnce: this.isLinkFree(),
+      isStalled: false,
       endSentAtMs: nowMs,
       dataSinceMs: nowMs,
       repeats: 0,
@@ -159,6 +205,7 @@
   private end(key: FlowKey): void {
     const flow = this.flows.get(key);
     if (flow !== undefined) {
+      this.setStalled(flow, false);
       this.setBusy(flow, false);
       this.flows.delete(key);
     }
@@ -170,4 +217,11 @@
       flow.backend.own.busy += isBusy ? 1 : -1;
     }
   }
+
+  private setStalled(flow: FlowActivity, isStalled: boolean): void {
+    if (flow.isStalled !== isStalled) {
+      flow.isStalled = isStalled;
+      flow.backend.answers.changeStalled(isStalled ? 1 : -1);
+    }
+  }
 }
--- a/src/ingress/ingress-state.ts
+++ b/src/ingress/ingress-state.ts
@@ -88,9 +88,13 @@
 }
 
 /**
+ * @param isLinkFree says whether packets leave at once, or wait for the link of the machine
  * @returns the state of a balancer that starts and knows nothing
  */
-export function createIngressState(options: IngressOptions): IngressState {
+export function createIngressState(
+  options: IngressOptions,
+  isLinkFree: () => boolean = () => true,
+): IngressState {
   const routes = new RouteTable();
   const peers = createPeerTable(options.name);
   const zones = createZoneTable();
@@ -112,6 +116,7 @@
     activities: new FlowActivities(
       () => routes.config?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
       options.maxCountedFlows,
+      isLinkFree,
     ),
     currentAtMs: undefined,
     firstCurrentAtMs: undefined,
--- /dev/null
+++ b/src/ingress/load-reporter.ts
@@ -0,0 +1,34 @@
+/**
+ * @file When a balancer tells the control machine that feeds it what passes here, and how back ends answer: each where it
+ * has changed, no more often than its length allows.
+ */
+import { SIGNAL_ROWS } from '../load-exchange/backend-signals.js';
+import { createLoadOutlet } from '../load-exchange/load-outlet.js';
+import type { LoadReportMessage } from '../group/group-messages.js';
+import { ownReport, ownSignals } from './feed-step.js';
+import type { IngressState } from './ingress-state.js';
+
+/** What was told on one link. */
+export interface LoadReporter {
+  /** @returns what is to be told now; it counts as told then */
+  due(nowMs: number): LoadReportMessage | undefined;
+}
+
+/** @returns a reporter that has told nothing yet */
+export function createLoadReporter(state: IngressState): LoadReporter {
+  const loadsOutlet = createLoadOutlet();
+  const signalsOutlet = createLoadOutlet(Number.POSITIVE_INFINITY, SIGNAL_ROWS);
+
+  return { due };
+
+  function due(nowMs: number): LoadReportMessage | undefined {
+    if (loadsOutlet.isWaiting(nowMs)) {
+      return undefined;
+    }
+    const loads = ownReport(state);
+    const signals = signalsOutlet.isWaiting(nowMs) ? undefined : ownSignals(state, nowMs);
+    const areSignalsNew = signals !== undefined && signalsOutlet.offer(signals, nowMs);
+    const isDue = loadsOutlet.offer(loads, nowMs) || areSignalsNew;
+    return isDue ? { type: 'load-report', loads, ...(areSignalsNew && { signals }) } : undefined;
+  }
+}
--- a/src/ingress/packet-view.ts
+++ b/src/ingress/packet-view.ts
@@ -26,6 +26,9 @@
   readonly dataLength: number;
 }
 
+/** Names a route by host and port. */
+export type RouteKey = number;
+
 /** Names a flow by the addresses and ports of its two ends. */
 export type FlowKey = string;
 
@@ -39,3 +42,10 @@
   const destination = packet.destinationHost * PORT_VALUES + packet.destinationPort;
   return `${source}>${destination}`;
 }
+
+/**
+ * @returns the key of the route that the client of a packet called
+ */
+export function routeKeyOf({ destinationHost, destinationPort }: PacketView): RouteKey {
+  return destinationHost * PORT_VALUES + destinationPort;
+}
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -1,15 +1,17 @@
 /**
- * @file Which back end of a service takes a new flow: one of the own zone with the least load, another
+ * @file Which back end of a service takes a new flow: one of the own zone that answers soon, another
  * zone's only where the own zone is clearly busier. Silent and cold back ends come later; cold ones that have been
  * given what they bear take none.
  *
- * The back end is chosen by what passes this balancer alone. What passes the others is known with a delay:
- * if it counted here, all balancers would send all opens of that time to the same back end. It decides
- * between zones, whose sums change slowly.
+ * The load that passes other balancers is known with a delay: if it counted for each back end, all balancers would
+ * send all opens of that time to the same one. It decides between zones, whose sums change slowly.
  */
 import type { Liveness } from '../registry/backend-liveness.js';
 import type { KnownBackend } from './backend-table.js';
+import { drawBySpeed } from './speed-draw.js';
 import { withoutOutliers } from './outliers.js';
+import { createFailingBackends } from './failing-backends.js';
+import { createZoneChoice } from './zone-choice.js';
 import type { ColdShare } from './cold-share.js';
 import type { IngressPolicy } from './policy.js';
 
@@ -31,8 +33,6 @@
 
 /** A cold back end counts as if it had so many more requests in progress for each slot. */
 const COLD_PENALTY = 0.4;
-/** Another zone takes the flow only where its load a slot is lower by at least this. */
-const ZONE_MARGIN = 0.6;
 
 /**
  * @param ownZone zone of the balancer that places
@@ -44,6 +44,8 @@
   coldShare: ColdShare,
 ): Placement {
   const countsTold = policy.toldLoads === 'backend';
+  const failing = createFailingBackends();
+  const inChosenZones = createZoneChoice(ownZone, policy);
 
   return { choose, loadOf };
 
@@ -57,66 +59,52 @@
       policy.warmUp === 'limited'
         ? heard.filter((backend) => coldShare.mayTake(backend, nowMs))
         : heard;
-    const candidates = policy.outliers === 'passed-over' ? withoutOutliers(bearing) : bearing;
-    if (policy.zones === 'any') {
-      return leastLoaded(candidates, flowHash, nowMs);
-    }
-    const local = candidates.filter(({ zone }) => zone === ownZone);
-    const remote = candidates.filter(({ zone }) => zone !== ownZone);
-    const isBusier = zoneLoad(local) - zoneLoad(remote) > ZONE_MARGIN;
-    const goesElsewhere = local.length === 0 || (remote.length > 0 && isBusier);
-    return leastLoaded(goesElsewhere ? inIdlerZones(remote) : local, flowHash, nowMs);
-  }
-
-  /** Flows of a zone that takes none are spread over the others, but for those that are clearly busier than one. */
-  function inIdlerZones(remote: readonly KnownBackend[]): readonly KnownBackend[] {
-    const zones = [...new Set(remote.map(({ zone }) => zone))];
-    const loads = new Map(zones.map((name) => [name, zoneLoad(inZone(remote, name))]));
-    const least = Math.min(...loads.values());
-    return remote.filter(({ zone }) => (loads.get(zone) ?? least) - least <= ZONE_MARGIN);
-  }
-
-  /** @returns requests in progress for each slot over all of some back ends */
-  function zoneLoad(backends: readonly KnownBackend[]): number {
-    let busy = 0;
-    let slots = 0;
-    for (const { own, others, record } of backends) {
-      busy += own.busy + (policy.toldLoads === 'ignored' ? 0 : others.busy);
-      slots += Math.max(1, record.capacity);
-    }
-    return busy / Math.max(1, slots);
+    const sound = policy.failing === 'passed-over' ? failing.without(bearing, nowMs) : bearing;
+    const candidates = policy.outliers === 'passed-over' ? withoutOutliers(sound) : sound;
+    return chosenOf(inChosenZones(candidates), flowHash, nowMs);
   }
 
-  function leastLoaded(
+  function chosenOf(
     candidates: readonly KnownBackend[],
     flowHash: number,
     nowMs: number,
   ): KnownBackend | undefined {
-    const { length } = candidates;
-    let best: KnownBackend | undefined;
-    let bestLoad = Number.POSITIVE_INFINITY;
-    for (let index = 0; index < length; index += 1) {
-      const candidate = candidates[(flowHash + index) % length];
-      const load = candidate === undefined ? bestLoad : loadOf(candidate, nowMs);
-      if (load < bestLoad) {
-        best = candidate;
-        bestLoad = load;
-      }
-    }
-    return best;
+    const load = (backend: KnownBackend) => loadOf(backend, nowMs);
+    return policy.choice === 'least-load'
+      ? leastLoaded(candidates, flowHash, load)
+      : drawBySpeed(candidates, { flowHash, nowMs, loadOf: load });
+  }
+
+  function isCold(backend: KnownBackend, nowMs: number): boolean {
+    return policy.warmUp !== 'ignored' && coldShare.isCold(backend, nowMs);
   }
 
   function loadOf(backend: KnownBackend, nowMs: number): number {
     const { own, others, record } = backend;
     const busy = own.busy + (countsTold ? others.busy : 0);
     const perSlot = busy / Math.max(1, record.capacity);
-    const isCold = policy.warmUp !== 'ignored' && coldShare.isCold(backend, nowMs);
-    return isCold ? perSlot + COLD_PENALTY : perSlot;
+    return isCold(backend, nowMs) ? perSlot + COLD_PENALTY : perSlot;
   }
 }
 
-function inZone(backends: readonly KnownBackend[], name: string): KnownBackend[] {
-  return backends.filter(({ zone }) => zone === name);
+/** The first with the least load, from a place on that the flow decides. */
+function leastLoaded(
+  candidates: readonly KnownBackend[],
+  flowHash: number,
+  loadOf: (backend: KnownBackend) => number,
+): KnownBackend | undefined {
+  const { length } = candidates;
+  let best: KnownBackend | undefined;
+  let bestLoad = Number.POSITIVE_INFINITY;
+  for (let index = 0; index < length; index += 1) {
+    const candidate = candidates[(flowHash + index) % length];
+    const load = candidate === undefined ? bestLoad : loadOf(candidate);
+    if (load < bestLoad) {
+      best = candidate;
+      bestLoad = load;
+    }
+  }
+  return best;
 }
 
 /** Those that were heard of lately; where there are none, those that were silent for a while. */
--- a/src/ingress/policy.ts
+++ b/src/ingress/policy.ts
@@ -15,6 +15,10 @@
   toldLoads: ['zone', 'backend', 'ignored'],
   /** Whether back ends that are silent are passed over. */
   silence: ['passed-over', 'ignored'],
+  /** Which of the back ends that may take a flow does: one that is drawn by speed, or the one with least load. */
+  choice: ['by-speed', 'least-load'],
+  /** Whether back ends that fail while they look well are passed over. */
+  failing: ['passed-over', 'ignored'],
   /** Whether back ends that carry far more than the others of their service are passed over. */
   outliers: ['passed-over', 'ignored'],
   /** Whether flows whose back end is surely dead are reset, or left to the deadlines of their clients. */
--- /dev/null
+++ b/src/ingress/speed-draw.ts
@@ -0,0 +1,70 @@
+/**
+ * @file The choice of a back end among those that may take a flow: of those with least of this balancer's own flows one is
+ * drawn, fast ones more often.
+ *
+ * It answers fleets where one balancer sees less than one request in progress and back ends are of unequal speed. Its
+ * own load alone is no guide then, and what others told is older than most requests live: whoever looks best by it gets
+ * the flows of all balancers at once. Drawn by speed, a fast back end gets more of them at any time, and one that is
+ * crowded takes longer and is drawn less often. With a third of 30 back ends more than twice as fast as the rest
+ * and half of the slots in use, requests take 35 ms on average where least load gives 48 ms, and 0.9 % take longer than
+ * 250 ms in place of 1.6 %; with equal ones there is no difference. The better of two that are drawn by speed took
+ * 48 to 56 ms there at equal ones: all balancers went for the same estimates (`test/ingress/choice-load`).
+ */
+import { relativeTimes } from './answer-times.js';
+import type { KnownBackend } from './backend-table.js';
+
+/** What a choice follows from, beside the back ends. */
+export interface ChoiceContext {
+  /** 32 bits; the same hash draws the same back end. */
+  readonly flowHash: number;
+  readonly nowMs: number;
+  /** @returns what counts as in progress at a back end for each slot */
+  readonly loadOf: (backend: KnownBackend) => number;
+}
+
+const HASH_VALUES = 2 ** 32;
+
+/**
+ * How much more often a fast one is drawn: one that takes half of the time 2.8 times as often. By the time alone the slow
+ * ones are the more crowded ones; by its square those that seem fast are crowded where two thirds of all slots are in use.
+ */
+const SPEED_POWER = 1.5;
+
+/** @returns the back end that takes the flow; undefined where there is none */
+export function drawBySpeed(
+  candidates: readonly KnownBackend[],
+  { flowHash, nowMs, loadOf }: ChoiceContext,
+): KnownBackend | undefined {
+  const times = relativeTimes(candidates, nowMs);
+  const loads = candidates.map(loadOf);
+  const least = Math.min(...loads);
+  const idlest = candidates.filter((_, at) => (loads[at] ?? 0) <= least);
+  const weights = idlest.map(
+    (backend) => slotsOf(backend) / (times.get(backend) ?? 1) ** SPEED_POWER,
+  );
+  return idlest[drawAt(weights, mixed(flowHash) / HASH_VALUES)];
+}
+
+function slotsOf({ record }: KnownBackend): number {
+  return Math.max(1, record.capacity);
+}
+
+/** @returns which of the weights a point from 0 to 1 falls on; equal weights take equal parts */
+function drawAt(weights: readonly number[], point: number): number {
+  let left = point * weights.reduce((sum, weight) => sum + weight, 0);
+  const at = weights.findIndex((weight) => {
+    left -= weight;
+    return left < 0;
+  });
+  return at < 0 ? weights.length - 1 : at;
+}
+
+const MIX_SHIFT = 16;
+const MIX_FACTOR = 0x45d9f3b;
+
+/** Spreads hashes that are close to each other over all values. */
+function mixed(hash: number): number {
+  const once = Math.imul(hash ^ (hash >>> MIX_SHIFT), MIX_FACTOR);
+  const twice = Math.imul(once ^ (once >>> MIX_SHIFT), MIX_FACTOR);
+  return (twice ^ (twice >>> MIX_SHIFT)) >>> 0;
+}
--- a/src/load-exchange/backend-load.ts
+++ b/src/load-exchange/backend-load.ts
@@ -2,6 +2,7 @@
  * @file The load of back ends as processes tell it to each other: a flat list of numbers, since it is sent
  * several times a second.
  */
+import { eachRow, LOAD_ROWS, type PackedRows } from './packed-rows.js';
 
 /** Load of one back end, as far as one process or several have seen it. */
 export interface BackendLoadEntry {
@@ -12,10 +13,7 @@
 }
 
 /** Entries one after the other, two numbers each: token, requests. */
-export type PackedLoads = readonly number[];
-
-/** How many numbers stand for one entry. */
-export const NUMBERS_PER_LOAD = 2;
+export type PackedLoads = PackedRows;
 
 /** @returns the entries as a flat list */
 export function packLoads(entries: Iterable<BackendLoadEntry>): PackedLoads {
@@ -28,12 +26,5 @@
 
 /** Calls back with each entry of a flat list; one that is cut short is passed over. */
 export function eachLoad(packed: PackedLoads, take: (token: number, busy: number) => void): void {
-  for (let at = 0; at + NUMBERS_PER_LOAD <= packed.length; at += NUMBERS_PER_LOAD) {
-    take(packed[at] ?? 0, packed[at + 1] ?? 0);
-  }
-}
-
-/** @returns true where two lists say the same */
-export function isSameLoads(one: PackedLoads, other: PackedLoads): boolean {
-  return one.length === other.length && one.every((value, index) => value === other[index]);
+  eachRow(packed, LOAD_ROWS, (token, [busy = 0]) => take(token, busy));
 }
--- a/src/load-exchange/load-totals.ts
+++ b/src/load-exchange/load-totals.ts
@@ -1,52 +1,56 @@
 /**
- * @file What a control machine knows of the load of back ends: the reports of the balancers that it feeds,
- * and the sums that the other control machines made of theirs. A balancer gets the sum of all but itself,
+ * @file What a control machine knows of the load of back ends, or of another table of numbers by back end: the reports
+ * of the balancers that it feeds, and the sums that the other control machines made of theirs. A balancer gets the sum of all but itself,
  * so that what it sends and gets does not grow with the number of balancers.
  *
  * Reports are soft state. A report counts until the next one of the same link or the end of the link; the
  * sums of a control machine count for `sumsLifetimeMs`, since a machine that is cut off says nothing.
  */
 import type { LinkId } from '../common/link-table.js';
-import { eachLoad, packLoads, type BackendLoadEntry, type PackedLoads } from './backend-load.js';
+import { eachRow, LOAD_ROWS, type PackedRows, type RowShape } from './packed-rows.js';
 
 /** The load of back ends over all balancers. */
 export interface LoadTotals {
   /** Takes what passes a balancer that is fed here, in place of its last report. */
-  takeReport(reporter: LinkId, loads: PackedLoads): void;
+  takeReport(reporter: LinkId, loads: PackedRows): void;
   /** Forgets a balancer whose link is closed. */
   dropReporter(reporter: LinkId): void;
   /** Takes the sums of another control machine, in place of its last ones. */
-  takeSums(sender: string, loads: PackedLoads, nowMs: number): void;
+  takeSums(sender: string, loads: PackedRows, nowMs: number): void;
   /** Forgets control machines that have not told their sums for long. */
   forgetSilentSenders(nowMs: number): void;
   /** @returns the sum over the balancers that are fed here, for the other control machines */
-  ownSums(): PackedLoads;
+  ownSums(): PackedRows;
   /** @returns the sum over all balancers */
-  all(): PackedLoads;
+  all(): PackedRows;
   /** @returns the sum over all balancers but one */
-  othersOf(reporter: LinkId): PackedLoads;
+  othersOf(reporter: LinkId): PackedRows;
   /** Rises with each change of any sum. */
   readonly version: number;
 }
 
+/** The numbers of back ends by their tokens. */
+type RowSums = Map<number, readonly number[]>;
+
 interface SenderSums {
-  readonly loads: PackedLoads;
+  readonly loads: PackedRows;
   readonly heardAtMs: number;
 }
 
 /** Sums that were made of all reports at one version. */
 interface MadeSums {
   readonly version: number;
-  readonly own: PackedLoads;
-  readonly all: ReadonlyMap<number, number>;
+  readonly own: PackedRows;
+  readonly all: ReadonlyMap<number, readonly number[]>;
 }
 
 /**
  * @param sumsLifetimeMs how long the sums of another control machine count
+ * @param shape of the rows of the table
  * @returns totals without any report
  */
-export function createLoadTotals(sumsLifetimeMs: number): LoadTotals {
-  const reports = new Map<LinkId, PackedLoads>();
+export function createLoadTotals(sumsLifetimeMs: number, shape: RowShape = LOAD_ROWS): LoadTotals {
+  const reports = new Map<LinkId, PackedRows>();
   const senders = new Map<string, SenderSums>();
   let version = 0;
   let made: MadeSums | undefined;
@@ -64,7 +68,7 @@
     },
   };
 
-  function takeReport(reporter: LinkId, loads: PackedLoads): void {
+  function takeReport(reporter: LinkId, loads: PackedRows): void {
     reports.set(reporter, loads);
     version += 1;
   }
@@ -75,7 +79,7 @@
     }
   }
 
-  function takeSums(sender: string, loads: PackedLoads, nowMs: number): void {
+  function takeSums(sender: string, loads: PackedRows, nowMs: number): void {
     senders.set(sender, { loads, heardAtMs: nowMs });
     version += 1;
   }
@@ -89,7 +93,7 @@
     }
   }
 
-  function othersOf(reporter: LinkId): PackedLoads {
+  function othersOf(reporter: LinkId): PackedRows {
     const sums = new Map(currentSums().all);
     addTo(sums, reports.get(reporter) ?? [], -1);
     return packSums(sums);
@@ -98,7 +102,7 @@
   /** Made once for all balancers that are told of one version. */
   function currentSums(): MadeSums {
     if (made?.version !== version) {
-      const sums = new Map<number, number>();
+      const sums: RowSums = new Map();
       reports.forEach((loads) => addTo(sums, loads, 1));
       const own = packSums(sums);
       senders.forEach(({ loads }) => addTo(sums, loads, 1));
@@ -106,21 +110,25 @@
     }
     return made;
   }
-}
 
-function addTo(sums: Map<number, number>, loads: PackedLoads, sign: 1 | -1): void {
-  eachLoad(loads, (token, busy) => {
-    sums.set(token, (sums.get(token) ?? 0) + sign * busy);
-  });
+  function addTo(sums: RowSums, rows: PackedRows, sign: 1 | -1): void {
+    eachRow(rows, shape, (token, values) => {
+      const before = sums.get(token);
+      sums.set(
+        token,
+        values.map((value, at) => (before?.[at] ?? 0) + sign * value),
+      );
+    });
+  }
 }
 
-/** Back ends without any load are left out. */
-function packSums(sums: ReadonlyMap<number, number>): PackedLoads {
-  const entries: BackendLoadEntry[] = [];
-  for (const [token, busy] of sums) {
-    if (busy > 0) {
-      entries.push({ token, busy });
+/** Back ends of which all numbers are 0 are left out. */
+function packSums(sums: ReadonlyMap<number, readonly number[]>): PackedRows {
+  const packed: number[] = [];
+  for (const [token, values] of sums) {
+    if (values.some((value) => value > 0)) {
+      packed.push(token, ...values.map((value) => Math.max(0, value)));
     }
   }
-  return packLoads(entries);
+  return packed;
 }
--- a/src/settings/token-settings.ts
+++ b/src/settings/token-settings.ts
@@ -54,6 +54,8 @@
   warmUp: policyOption('warmUp', 'Whether cold back ends come later, and get what they bear.'),
   toldLoads: policyOption('toldLoads', 'What the load that passes other balancers decides.'),
   silence: policyOption('silence', 'Whether back ends that are silent are passed over.'),
+  choice: policyOption('choice', 'Which of the back ends that may take a flow does.'),
+  failing: policyOption('failing', 'Whether back ends that fail while they look well wait.'),
   outliers: policyOption('outliers', 'Whether back ends that carry far more than others wait.'),
   deadFlows: policyOption('deadFlows', 'Whether flows whose back end is dead are reset.'),
   opens: policyOption('opens', 'Whether balancers tell each other of opens; `own` breaks flows.'),
--- a/test/egress/packet-scheduler.test.ts
+++ b/test/egress/packet-scheduler.test.ts
@@ -191,3 +191,64 @@
     { seed: 7, numRuns: 200 },
   );
 });
+
+t.test('a request of one packet and a short upload end before a long one', async (t) => {
+  const { offer, runUntil, sent } = drive();
+  for (let at = 0; at < 120; at += 1) {
+    offer(`long${at}`, FULL, 'long', `${at}`);
+  }
+  runUntil(100);
+  for (let at = 0; at < 12; at += 1) {
+    offer(`short${at}`, FULL, 'short', `${at}`);
+  }
+  offer('request', 900, 'request', '0');
+  runUntil(1_000);
+  const doneMs = (name: string) => sent.find((packet) => packet.name === name)?.atMs ?? Infinity;
+  t.ok(doneMs('request') < 130, `one packet after ${doneMs('request') - 100} ms`);
+  // Alone it takes 60 ms; in equal turns it would take 120.
+  t.ok(doneMs('short11') - 100 < 100, `twelve packets after ${doneMs('short11') - 100} ms`);
+  const meanwhile = sent.filter(
+    ({ name, atMs }) => name.startsWith('long') && atMs > 100 && atMs <= doneMs('short11'),
+  );
+  t.ok(meanwhile.length >= 3, `the long one goes on: ${meanwhile.length} packets`);
+});
+
+t.test('new flows that alone would fill the link do not starve an old one', async (t) => {
+  const { offer, runUntil, sent } = drive();
+  for (let at = 0; at < 60; at += 1) {
+    offer(`old${at}`, FULL, 'old', `${at}`);
+  }
+  for (let nowMs = 0; nowMs < 1_000; nowMs += 10) {
+    runUntil(nowMs);
+    offer(`new${nowMs}`, FULL, `new${nowMs}`, '0');
+    offer(`also${nowMs}`, FULL, `new${nowMs}`, '1');
+  }
+  const times = sent.filter(({ name }) => name.startsWith('old')).map(({ atMs }) => atMs);
+  const gaps = times.slice(1).map((atMs, at) => atMs - (times[at] ?? 0));
+  t.ok(Math.max(...gaps) < 200, `at most ${Math.max(...gaps)} ms between two of its packets`);
+  t.ok((times.at(-1) ?? 0) > 900, `until ${times.at(-1)}`);
+});
+
+t.test('the windows of fourteen uploads at once wait without a loss', async (t) => {
+  const { offer, runUntil, sent, dropped } = drive();
+  for (let flow = 0; flow < 14; flow += 1) {
+    for (let at = 0; at < 16; at += 1) {
+      t.not(offer(`${flow}/${at}`, FULL, `flow${flow}`, `${at}`), 'queue-full');
+    }
+  }
+  // Clients repeat what is not acknowledged after 200, 600 and 1,400 ms; copies take the places of what waits.
+  for (const atMs of [200, 600]) {
+    runUntil(atMs);
+    const left = new Set(sent.map(({ name }) => name));
+    for (let flow = 0; flow < 14; flow += 1) {
+      for (let at = 0; at < 16; at += 1) {
+        if (!left.has(`${flow}/${at}`)) {
+          t.equal(offer(`${flow}/${at}`, FULL, `flow${flow}`, `${at}`), 'merged');
+        }
+      }
+    }
+  }
+  runUntil(2_000);
+  t.equal(sent.length, 14 * 16);
+  t.same(dropped, []);
+});
--- /dev/null
+++ b/test/ingress/answer-evidence.test.ts
@@ -0,0 +1,149 @@
+/** @file What the packets of clients show of how back ends answer, and what they do not show. */
+import t from 'tap';
+import { createAnswerRecord } from '../../src/ingress/answer-record.js';
+import { createAnswerSizes } from '../../src/ingress/answer-sizes.js';
+import { relativeTimes } from '../../src/ingress/answer-times.js';
+import { BackendTable, type KnownBackend } from '../../src/ingress/backend-table.js';
+import { FlowActivities } from '../../src/ingress/flow-activity.js';
+import type { PacketView } from '../../src/ingress/packet-view.js';
+import { recordOf, takeIn } from './backend-records.js';
+
+const FLOW = 'flow';
+const IDLE_TIMEOUT_MS = 15_000;
+const PACKET: PacketView = {
+  sourceHost: 1,
+  sourcePort: 1_000,
+  destinationHost: 0xc6120001,
+  destinationPort: 443,
+  isOpen: false,
+  isFinish: false,
+  isReset: false,
+  copyNumber: 0,
+  token: 1,
+  sequence: 100,
+  acknowledged: 500,
+  dataLength: 0,
+};
+
+function oneBackend(): KnownBackend {
+  return takeIn(new BackendTable(1_200), recordOf(1), 0);
+}
+
+function watch(isLinkFree = () => true) {
+  const backend = oneBackend();
+  const flows = new FlowActivities(() => IDLE_TIMEOUT_MS, 100, isLinkFree);
+  const note = (changes: Partial<PacketView>, nowMs: number) =>
+    flows.note(FLOW, backend, { ...PACKET, ...changes }, nowMs);
+  return { backend, flows, note };
+}
+
+t.test('an answer took from the last data of its request to its first sign', async (t) => {
+  const { backend, note } = watch();
+  note({ dataLength: 800 }, 1_000);
+  note({ sequence: 900, dataLength: 200 }, 1_010);
+  t.equal(backend.own.busy, 1);
+  note({ sequence: 1_100, acknowledged: 1_500 }, 1_060);
+  note({ sequence: 1_100, acknowledged: 2_500 }, 1_090);
+  const { answered, answerMs } = backend.answers.signals(1_060);
+  t.equal(answered, 1);
+  t.equal(answerMs, 50);
+  t.equal(backend.own.busy, 0);
+});
+
+t.test('the end of a flow with one request shows its answer as well', async (t) => {
+  const { backend, note } = watch();
+  note({ dataLength: 800 }, 1_000);
+  note({ sequence: 900, acknowledged: 1_200, isFinish: true }, 1_040);
+  t.same(backend.answers.signals(1_040), { stalled: 0, answered: 1, answerMs: 40, short: 0 });
+});
+
+t.test('consent to an open is no answer', async (t) => {
+  const { backend, flows, note } = watch();
+  flows.open(FLOW, backend, 1_000);
+  note({ dataLength: 0 }, 1_010);
+  t.equal(backend.answers.signals(1_010).answered, 0);
+  t.equal(backend.own.busy, 1);
+});
+
+t.test('what a client repeats has stalled, until something comes of the back end', async (t) => {
+  const { backend, flows, note } = watch();
+  flows.open(FLOW, backend, 1_000);
+  flows.noteOpenCopy(FLOW);
+  t.equal(backend.answers.signals(1_200).stalled, 1);
+  note({ dataLength: 800 }, 1_250);
+  t.equal(backend.answers.signals(1_250).stalled, 0, 'the open was answered');
+  note({ dataLength: 800 }, 1_450);
+  t.equal(backend.answers.signals(1_450).stalled, 1, 'the request is not');
+  note({ sequence: 900, acknowledged: 1_500 }, 1_500);
+  const { stalled, answered } = backend.answers.signals(1_500);
+  t.equal(stalled, 0);
+  t.equal(answered, 0, 'the time of a packet that was lost is no time of the back end');
+});
+
+t.test('stalled flows end with the flow, and with the patience of its client', async (t) => {
+  const { backend, flows, note } = watch();
+  note({ dataLength: 800 }, 1_000);
+  note({ dataLength: 800 }, 1_200);
+  t.equal(backend.answers.signals(1_200).stalled, 1);
+  flows.sweep(4_000);
+  t.equal(backend.answers.signals(4_000).stalled, 0);
+  note({ sequence: 900, dataLength: 100 }, 4_100);
+  note({ sequence: 900, dataLength: 100 }, 4_300);
+  t.equal(backend.answers.signals(4_300).stalled, 1);
+  note({ isReset: true }, 4_400);
+  t.equal(backend.answers.signals(4_400).stalled, 0);
+});
+
+t.test(
+  "mutant: the wait for the balancer's own link is taken for the back end's time",
+  async (t) => {
+    let isFree = false;
+    const { backend, note } = watch(() => isFree);
+    note({ dataLength: 800 }, 1_000);
+    note({ dataLength: 800 }, 1_200);
+    note({ sequence: 900, acknowledged: 1_500 }, 1_400);
+    t.same(backend.answers.signals(1_400), { stalled: 0, answered: 0, answerMs: 0, short: 0 });
+    isFree = true;
+    note({ sequence: 900, acknowledged: 1_500, dataLength: 100 }, 1_500);
+    note({ sequence: 1_000, acknowledged: 2_500 }, 1_540);
+    t.match(backend.answers.signals(1_540), { answered: 1, answerMs: 40 });
+  },
+);
+
+t.test(
+  'answers fade, and one that takes very long counts as no more than a late one',
+  async (t) => {
+    const answers = createAnswerRecord();
+    answers.noteAnswer(7_000, 0);
+    t.match(answers.signals(0), { answered: 1, answerMs: 1_000 });
+    const later = answers.signals(12_000);
+    t.ok(later.answered < 0.06 && later.answerMs < 60, `${later.answered}`);
+  },
+);
+
+t.test('a back end of which little is known counts as average', async (t) => {
+  const table = new BackendTable(1_200);
+  const all = [1, 2, 3].map((number) => takeIn(table, recordOf(number), 0));
+  t.same([...relativeTimes(all, 0).values()], [1, 1, 1]);
+  const [first, second, third] = all;
+  Object.assign(first?.others ?? {}, { answered: 40, answerMs: 800 });
+  Object.assign(second?.others ?? {}, { answered: 40, answerMs: 2_400 });
+  third?.answers.noteAnswer(280, 0);
+  const [fast = 0, slow = 0, unknown = 0] = relativeTimes(all, 0).values();
+  t.ok(fast < 0.6 && slow > 1.3, `${fast} ${slow}`);
+  t.ok(unknown < slow + 0.4 && unknown > 1, `one tail: ${unknown}`);
+});
+
+t.test('answers far below what is usual on their route are told from it', async (t) => {
+  const sizes = createAnswerSizes();
+  const usual = [800, 1_200, 2_000, 900];
+  for (let at = 0; at < 40; at += 1) {
+    t.notOk(sizes.isShort(1, usual[at % usual.length] ?? 0));
+  }
+  t.ok(sizes.isShort(1, 170));
+  t.notOk(sizes.isShort(2, 170), 'another route is another matter');
+  for (let at = 0; at < 400; at += 1) {
+    sizes.isShort(1, 170);
+  }
+  t.notOk(sizes.isShort(1, 170), 'a route whose answers have changed is known again');
+});
--- a/test/load-exchange/load-totals.test.ts
+++ b/test/load-exchange/load-totals.test.ts
@@ -2,16 +2,12 @@
 import fc from 'fast-check';
 import t from 'tap';
 import type { LinkId } from '../../src/common/link-table.js';
-import {
-  eachLoad,
-  isSameLoads,
-  packLoads,
-  type PackedLoads,
-} from '../../src/load-exchange/backend-load.js';
+import { eachLoad, packLoads, type PackedLoads } from '../../src/load-exchange/backend-load.js';
 import {
   exchangePeriodMs,
   SHORTEST_EXCHANGE_PERIOD_MS,
 } from '../../src/load-exchange/exchange-period.js';
+import { isSameRows } from '../../src/load-exchange/packed-rows.js';
 import { createLoadTotals } from '../../src/load-exchange/load-totals.js';
 
 const LIFETIME_MS = 1_000;
@@ -103,8 +99,8 @@
   const seen: number[] = [];
   eachLoad([7, 1, 8], (token) => seen.push(token));
   t.same(seen, [7]);
-  t.notOk(isSameLoads([7, 1], [7, 2]));
-  t.notOk(isSameLoads([7, 1], [7, 1, 8, 1]));
+  t.notOk(isSameRows([7, 1], [7, 2]));
+  t.notOk(isSameRows([7, 1], [7, 1, 8, 1]));
 });
 
 t.test('long lists are told less often, so that the bytes a second stay bounded', async (t) => {
