--- a/src/daemon/ingress-process.ts
+++ b/src/daemon/ingress-process.ts
@@ -280,6 +280,7 @@
     this.feed.tick(nowMs);
     this.zones.tick(nowMs);
     this.noteZones(nowMs);
+    this.noteFailing();
     if (nowMs >= this.nextSweepAtMs) {
       this.nextSweepAtMs = nowMs + SWEEP_INTERVAL_MS;
       ingressSweep(this.state, nowMs).forEach(({ backend, from, to }) => {
@@ -300,6 +301,16 @@
     }
   }
 
+  private noteFailing(): void {
+    for (const { backendId, failure, holdMs, shown } of this.state.placement.failing.takeNews()) {
+      const { stalled, busy } = shown;
+      const answered = Math.round(shown.answered);
+      const short = Math.round(shown.short);
+      const fields = { backend: backendId, failure, holdMs, stalled, busy, answered, short };
+      this.surroundings.note('backend passed over', fields);
+    }
+  }
+
   private count(name: string): void {
     this.counts.set(name, (this.counts.get(name) ?? 0) + 1);
   }
--- a/src/daemon/metrics/ingress-metrics.ts
+++ b/src/daemon/metrics/ingress-metrics.ts
@@ -2,6 +2,8 @@
  * @file The metrics of a balancer that forwards by 32-bit tokens.
  */
 import { collectDefaultMetrics, Registry } from 'prom-client';
+import type { KnownBackend } from '../../ingress/backend-table.js';
+import type { BackendSignals } from '../../load-exchange/backend-signals.js';
 import { knowsCurrent } from '../../ingress/ingress-state.js';
 import type { IngressProcess } from '../ingress-process.js';
 import type { MetricsSource } from './metrics-listener.js';
@@ -18,6 +20,7 @@
   collectDefaultMetrics({ register: registry });
   registerPackets(registry, process);
   registerBackends(registry, process);
+  registerAnswers(registry, process, nowMs);
   registerConfiguration(registry, process, nowMs);
   registerSending(registry, process);
   return {
@@ -98,6 +101,42 @@
   );
 }
 
+/** What placement goes by, as this balancer and all others together see it. */
+function registerAnswers(registry: Registry, { state }: IngressProcess, nowMs: () => number): void {
+  const ofBackends = (
+    name: string,
+    help: string,
+    read: (backend: KnownBackend, signals: BackendSignals) => number,
+  ) =>
+    registerLabelledValues(registry, `amberlift_ingress_backend_${name}`, help, 'backend', () =>
+      [...state.backends.all()].map((backend) => ({
+        label: backend.id,
+        value: read(backend, backend.answers.signals(nowMs())),
+      })),
+    );
+  ofBackends('answer_ms', 'Mean time of the answers of the last seconds.', ({ others }, own) => {
+    const answered = own.answered + others.answered;
+    return answered > 0 ? (own.answerMs + others.answerMs) / answered : 0;
+  });
+  ofBackends(
+    'short_answers',
+    'Answers of the last seconds that were far shorter than usual.',
+    ({ others }, { short }) => short + others.short,
+  );
+  ofBackends(
+    'stalled_flows',
+    'Flows whose clients repeat what nobody takes.',
+    ({ others }, { stalled }) => stalled + others.stalled,
+  );
+  registerLabelledValues(
+    registry,
+    'amberlift_ingress_passed_over_backends',
+    'Back ends that get no new flows since they fail, by what they show.',
+    'failure',
+    () => [...state.placement.failing.counts(nowMs())].map(([label, value]) => ({ label, value })),
+  );
+}
+
 function registerConfiguration(
   registry: Registry,
   { state }: IngressProcess,
--- a/src/ingress/failing-backends.ts
+++ b/src/ingress/failing-backends.ts
@@ -20,6 +20,19 @@
    * @returns those that do not fail; all of them where too many seem to
    */
   without(candidates: readonly KnownBackend[], nowMs: number): readonly KnownBackend[];
+  /** @returns how many are passed over now, by what they show */
+  counts(nowMs: number): ReadonlyMap<Failure, number>;
+  /** @returns what began since the last call, for the logs */
+  takeNews(): readonly FailureNews[];
+}
+
+/** A back end that is passed over from now on. */
+export interface FailureNews {
+  readonly backendId: string;
+  readonly failure: Failure;
+  /** For how long at least, in milliseconds. */
+  readonly holdMs: number;
+  readonly shown: ShownBy;
 }
 
 /** What a back end shows that fails. */
@@ -45,6 +58,8 @@
 const SHORTEST_HOLD_MS = 1_000;
 /** ... and for twice as long each time, up to this: heartbeats tell of a dead one by then. */
 const LONGEST_HOLD_MS = 8_000;
+/** Lines between two looks at the news; more are not worth their bytes. */
+const MAX_NEWS = 20;
 
 interface Held {
   readonly untilMs: number;
@@ -57,8 +72,25 @@
 /** @returns a memory without any back end */
 export function createFailingBackends(): FailingBackends {
   const held = new Map<string, Held>();
+  let news: FailureNews[] = [];
 
-  return { without };
+  return { without, counts, takeNews };
+
+  function counts(nowMs: number): ReadonlyMap<Failure, number> {
+    const byFailure = new Map<Failure, number>();
+    for (const { failure, untilMs } of held.values()) {
+      if (nowMs < untilMs) {
+        byFailure.set(failure, (byFailure.get(failure) ?? 0) + 1);
+      }
+    }
+    return byFailure;
+  }
+
+  function takeNews(): readonly FailureNews[] {
+    const taken = news;
+    news = [];
+    return taken;
+  }
 
   function without(candidates: readonly KnownBackend[], nowMs: number): readonly KnownBackend[] {
     judgeAll(candidates, nowMs);
@@ -77,14 +109,24 @@
     candidates.forEach((backend, at) => {
       const one = shown[at];
       const failure = one && failureOf(one, { answered, short });
-      if (failure === undefined) {
+      if (one === undefined || failure === undefined) {
         release(backend, nowMs);
       } else {
-        held.set(backend.id, longerHold(held.get(backend.id), failure, nowMs));
+        hold(backend, failure, one, nowMs);
       }
     });
   }
 
+  function hold({ id }: KnownBackend, failure: Failure, shown: ShownBy, nowMs: number): void {
+    const before = held.get(id);
+    const next = longerHold(before, failure, nowMs);
+    held.set(id, next);
+    const isNew = before === undefined || nowMs >= before.untilMs;
+    if (isNew && news.length < MAX_NEWS) {
+      news.push({ backendId: id, failure, holdMs: next.holdMs, shown });
+    }
+  }
+
   /** One that stalled is sound once somebody gets something from it; all are forgotten after a while without a sign. */
   function release({ id, progressAtMs }: KnownBackend, nowMs: number): void {
     const known = held.get(id);
@@ -106,9 +148,12 @@
   return { untilMs: nowMs + holdMs, holdMs, failedAtMs: nowMs, failure };
 }
 
-interface ShownBy {
+/** What the flows of a back end show at all balancers together. */
+export interface ShownBy {
   readonly stalled: number;
+  /** Requests in progress. */
   readonly busy: number;
+  /** Answers of usual size. */
   readonly answered: number;
   readonly short: number;
 }
--- a/src/ingress/placement.ts
+++ b/src/ingress/placement.ts
@@ -10,7 +10,7 @@
 import type { KnownBackend } from './backend-table.js';
 import { drawBySpeed } from './speed-draw.js';
 import { withoutOutliers } from './outliers.js';
-import { createFailingBackends } from './failing-backends.js';
+import { createFailingBackends, type FailingBackends } from './failing-backends.js';
 import { createZoneChoice } from './zone-choice.js';
 import type { ColdShare } from './cold-share.js';
 import type { IngressPolicy } from './policy.js';
@@ -29,6 +29,8 @@
   ): KnownBackend | undefined;
   /** @returns requests in progress for each slot, with some more at a cold back end */
   loadOf(backend: KnownBackend, nowMs: number): number;
+  /** Which back ends are passed over since they fail. */
+  readonly failing: FailingBackends;
 }
 
 /** A cold back end counts as if it had so many more requests in progress for each slot. */
@@ -47,7 +49,7 @@
   const failing = createFailingBackends();
   const inChosenZones = createZoneChoice(ownZone, policy);
 
-  return { choose, loadOf };
+  return { choose, loadOf, failing };
 
   function choose(
     staying: readonly KnownBackend[],
--- a/test/ingress/failing-backends.test.ts
+++ b/test/ingress/failing-backends.test.ts
@@ -79,6 +79,12 @@
   Object.assign(one(all, 3).others, { answered: 10, answerMs: 30, short: 8 });
   Object.assign(one(all, 5).others, { answered: 2, answerMs: 60, short: 2 });
   t.same(passedOver(failing, all, 0), [3], 'two are too few to say');
+  t.same([...failing.counts(0)], [['answers-short', 1]]);
+  const shown = { stalled: 0, busy: 0, answered: 10, short: 8 };
+  const news = [{ backendId: 'backend-3', failure: 'answers-short', holdMs: 1_000, shown }];
+  t.same(failing.takeNews(), news, 'the logs say what it is held for');
+  passedOver(failing, all, 100);
+  t.same(failing.takeNews(), [], 'once');
 });
 
 t.test('a route that is there for short answers has no back end that fails', async (t) => {
