--- a/test/group/balancer-feed.test.ts
+++ b/test/group/balancer-feed.test.ts
@@ -13,7 +13,17 @@
 import type { GroupEffect } from '../../src/group/group-events.js';
 import type { FeedMessage, SubscribeMessage } from '../../src/group/group-messages.js';
 import { isCurrent, type GroupState } from '../../src/group/group-state.js';
-import { feedLoads, shareLoadSums } from '../../src/group/load-duties.js';
+import {
+  feedLoads,
+  shareLoadSums,
+  takeLoadReport,
+  takeLoadSums,
+} from '../../src/group/load-duties.js';
+import {
+  eachSignal,
+  packSignals,
+  type BackendSignals,
+} from '../../src/load-exchange/backend-signals.js';
 import { judgeBackends, takeRecord } from '../../src/group/registry-duties.js';
 import { widestTiming } from '../../src/group/timing.js';
 import { noteZoneChanged } from '../../src/group/zone-duties.js';
@@ -26,6 +36,7 @@
 
 const FORMATION_MS = 6_000;
 const LONG_MS = 3_000;
+const EXCHANGE_MS = 600;
 const DEPARTURES_OF_WEEKS = 19_000;
 const BACKENDS = 600;
 /** Three for the back ends, and no more than a few for what left before. */
@@ -435,3 +446,42 @@
   const [again] = messagesTo(FIRST, feedWilling(state, nowMs + 30));
   t.match(again?.zones, [{ isEvacuated: false, orders: 2, readmittedAgoMs: 30 }]);
 });
+
+t.test(
+  'what back ends show at one balancer reaches the others, and the other machines',
+  async (t) => {
+    const group = await formedGroup();
+    const { state, nowMs } = group;
+    subscribe(group, FIRST, 'first');
+    subscribe(group, SECOND, 'second');
+    feedWilling(state, nowMs);
+    const token = 77;
+    const told: BackendSignals = { stalled: 1, answered: 2.5, answerMs: 75, short: 0.5 };
+    const signals = packSignals([[token, told]]);
+    takeLoadReport(state, FIRST, { type: 'load-report', loads: [token, 1], signals });
+    state.subscribers.forEach((subscriber) => {
+      subscriber.countedTaken = subscriber.countedSent;
+    });
+    const effects = feedLoads(state, nowMs);
+    const [toFirst] = messagesTo(FIRST, effects);
+    const [toSecond] = messagesTo(SECOND, effects);
+    t.same(toFirst?.signals ?? [], [], 'its own are not told back');
+    t.same(toSecond?.signals, signals);
+    const [shared] = shareLoadSums(state, nowMs);
+    t.match(shared, { message: { type: 'load-sums', signals } });
+
+    const sender = { host: '10.8.0.1', port: 7_700 };
+    takeLoadSums(state, { type: 'load-sums', sender, loads: [], signals }, nowMs);
+    const laterMs = nowMs + EXCHANGE_MS;
+    const [both] = messagesTo(SECOND, feedLoads(state, laterMs));
+    const summed: Record<number, BackendSignals> = {};
+    eachSignal(both?.signals ?? [], (of, one) => {
+      summed[of] = one;
+    });
+    t.same(summed[token], { stalled: 2, answered: 5, answerMs: 150, short: 1 });
+
+    removeSubscriber(state, FIRST);
+    const [left] = messagesTo(SECOND, feedLoads(state, laterMs + EXCHANGE_MS));
+    t.same(left?.signals, signals, 'what a balancer told ends with its link');
+  },
+);
--- a/test/group/feed-codec.test.ts
+++ b/test/group/feed-codec.test.ts
@@ -64,6 +64,7 @@
     { zone: 'zone-2', isEvacuated: false, orders: 2, readmittedAgoMs: 1_200 },
   ],
   loads: [7, 1, 9, 2],
+  signals: [7, 1, 25, 310, 0, 9, 0, 3, 40, 12],
 };
 
 function travel(message: FeedMessage): FeedMessage | undefined {
--- a/test/ingress/answer-evidence.test.ts
+++ b/test/ingress/answer-evidence.test.ts
@@ -147,3 +147,26 @@
   }
   t.notOk(sizes.isShort(1, 170), 'a route whose answers have changed is known again');
 });
+
+t.test('mutant: a back end that fails at once is taken for a fast one', async (t) => {
+  const { backend, note } = watch();
+  let sequence = 100;
+  let acknowledged = 500;
+  let nowMs = 1_000;
+  const ask = (answerBytes: number, tookMs: number) => {
+    note({ sequence, acknowledged, dataLength: 100 }, nowMs);
+    sequence += 100;
+    acknowledged += answerBytes;
+    nowMs += tookMs;
+    note({ sequence, acknowledged }, nowMs);
+  };
+  for (let at = 0; at < 20; at += 1) {
+    ask(1_000, 40);
+  }
+  const before = backend.answers.signals(nowMs);
+  ask(170, 3);
+  const after = backend.answers.signals(nowMs);
+  t.equal(after.short, 1);
+  t.ok(after.answered <= before.answered, 'it is no answer like the others');
+  t.ok(Math.abs(after.answerMs / after.answered - 40) < 1e-6, 'its time is not a time of work');
+});
