Take no overtaken acknowledgement for an answer, no copy after a pause for a stall, and no others' way for the back end

Found by reading, each with a test that failed first (test/ingress/answer-evidence, failing-backends): - Packets of a burst come in any order. An acknowledgement sent before a request and read after it counted as its answer, of negative size: the request counted as over, and the back end as one that answers short. - A balancer that stood still reads an open and its copy in one turn; the copy counted as 200 ms without an answer. - Balancers that can't reach a zone made all others pass over its back ends, also those that got answers from there.

Cause: size and time of the evidence were not checked. Ruled out: the reset of dead flows, which counts repeats by time already.

--- a/src/ingress/failing-backends.ts
+++ b/src/ingress/failing-backends.ts
@@ -46,6 +46,8 @@
 const LEAST_STALLED = 2;
 /** A back end that answers has others in progress that don't stall. */
 const STALLED_SHARE = 0.5;
+/** Where something of it has come through this balancer lately, it is the way of others that fails. */
+const QUIET_MS = 1_000;
 /** Single answers may be short, and errors may be the caller's. */
 const LEAST_SHORT = 3;
 /** One request in six fails: another back end serves the caller better, even one that is half as fast. */
@@ -108,7 +110,7 @@
     const short = shown.reduce((sum, one) => sum + one.short, 0);
     candidates.forEach((backend, at) => {
       const one = shown[at];
-      const failure = one && failureOf(one, { answered, short });
+      const failure = one && failureOf(one, { answered, short }, nowMs - backend.progressAtMs);
       if (one === undefined || failure === undefined) {
         release(backend, nowMs);
       } else {
@@ -177,8 +179,10 @@
 function failureOf(
   { stalled, busy, answered, short }: ShownBy,
   service: AnswersOfService,
+  quietMs: number,
 ): Failure | undefined {
-  if (stalled >= LEAST_STALLED && stalled >= STALLED_SHARE * busy) {
+  const isStalled = stalled >= LEAST_STALLED && stalled >= STALLED_SHARE * busy;
+  if (isStalled && quietMs >= QUIET_MS) {
     return 'stalls';
   }
   const all = answered + short;
--- a/src/ingress/flow-activity.ts
+++ b/src/ingress/flow-activity.ts
@@ -65,10 +65,11 @@
     this.remember(key, backend, nowMs, true);
   }
 
-  /** Notes a copy of an open that was placed here: its client has heard nothing for 200 ms. */
-  noteOpenCopy(key: FlowKey): void {
+  /** Notes a copy of an open that was placed here; one read together with the first, after a pause, shows nothing. */
+  noteOpenCopy(key: FlowKey, nowMs: number): void {
     const flow = this.flows.get(key);
-    if (flow?.sentEnd === 0 && flow.isBusy) {
+    const isWaiting = flow?.sentEnd === 0 && flow.isBusy;
+    if (isWaiting && nowMs - flow.endSentAtMs >= REPEATED_AFTER_MS) {
       this.setStalled(flow, flow.wentOutAtOnce);
     }
   }
@@ -124,8 +125,13 @@
       return;
     }
     const isAnswer = flow.acknowledgedAtRequest !== 0;
+    const answerBytes = (packet.acknowledged - flow.acknowledgedAtRequest) | 0;
+    if (isAnswer && answerBytes < 0) {
+      // Sent before the request, and overtaken by it on the way.
+      return;
+    }
     if (isAnswer) {
-      this.noteAnswer(flow, packet, nowMs);
+      this.noteAnswer(flow, packet, answerBytes, nowMs);
     }
     this.setStalled(flow, false);
     this.setBusy(flow, !isAnswer);
@@ -133,9 +139,8 @@
     flow.backend.progressAtMs = nowMs;
   }
 
-  private noteAnswer(flow: FlowActivity, packet: PacketView, nowMs: number): void {
+  private noteAnswer(flow: FlowActivity, packet: PacketView, bytes: number, nowMs: number): void {
     const { answers } = flow.backend;
-    const bytes = (packet.acknowledged - flow.acknowledgedAtRequest) | 0;
     if (this.sizes.isShort(routeKeyOf(packet), bytes)) {
       answers.noteShortAnswer(nowMs);
     } else if (flow.wentOutAtOnce && flow.repeats === 0) {
--- a/src/ingress/packet-step.ts
+++ b/src/ingress/packet-step.ts
@@ -97,7 +97,7 @@
   const key = flowKeyOf(packet);
   const placed = state.opens.recall(key, nowMs);
   if (placed !== undefined) {
-    state.activities.noteOpenCopy(key);
+    state.activities.noteOpenCopy(key, nowMs);
     return forwardCopy(state, placed, { type: 'remembered' });
   }
   if (!state.routes.has(packet.destinationHost, packet.destinationPort)) {
--- a/test/egress/packet-scheduler.test.ts
+++ b/test/egress/packet-scheduler.test.ts
@@ -289,3 +289,18 @@
   runUntil(420);
   t.equal(offer('p10 at last', FULL, 'upload', '10'), 'queued', 'it may have been lost');
 });
+
+t.test('a connection is not held for what it was served long ago', async (t) => {
+  const { offer, runUntil, sent } = drive();
+  for (let at = 0; at < 60; at += 1) {
+    offer(`old${at}`, 900, 'connection', `${at}`);
+  }
+  runUntil(60_000);
+  for (let at = 0; at < 30; at += 1) {
+    offer(`upload${at}`, FULL, 'upload', `${at}`);
+  }
+  offer('request', 900, 'connection', '60');
+  runUntil(61_000);
+  const position = sent.findIndex(({ name }) => name === 'request') - 60;
+  t.ok(position < 10, `${position} packets of an upload before a single request`);
+});
--- a/test/ingress/answer-evidence.test.ts
+++ b/test/ingress/answer-evidence.test.ts
@@ -68,7 +68,7 @@
 t.test('what a client repeats has stalled, until something comes of the back end', async (t) => {
   const { backend, flows, note } = watch();
   flows.open(FLOW, backend, 1_000);
-  flows.noteOpenCopy(FLOW);
+  flows.noteOpenCopy(FLOW, 1_200);
   t.equal(backend.answers.signals(1_200).stalled, 1);
   note({ dataLength: 800 }, 1_250);
   t.equal(backend.answers.signals(1_250).stalled, 0, 'the open was answered');
@@ -170,3 +170,22 @@
   t.ok(after.answered <= before.answered, 'it is no answer like the others');
   t.ok(Math.abs(after.answerMs / after.answered - 40) < 1e-6, 'its time is not a time of work');
 });
+
+t.test('an acknowledgement that a later request has overtaken is no answer', async (t) => {
+  const { backend, note } = watch();
+  note({ sequence: 100, acknowledged: 5_000, dataLength: 100 }, 1_000);
+  note({ sequence: 100, acknowledged: 3_800 }, 1_002);
+  t.equal(backend.own.busy, 1, 'the request is still in progress');
+  t.match(backend.answers.signals(1_002), { answered: 0, short: 0 });
+  note({ sequence: 200, acknowledged: 6_000 }, 1_050);
+  t.match(backend.answers.signals(1_050), { answered: 1, answerMs: 50 });
+});
+
+t.test('a copy that was read together with the first, after a pause, shows nothing', async (t) => {
+  const { backend, flows } = watch();
+  flows.open(FLOW, backend, 1_000);
+  flows.noteOpenCopy(FLOW, 1_010);
+  t.equal(backend.answers.signals(1_010).stalled, 0, 'the back end had 10 ms to answer');
+  flows.noteOpenCopy(FLOW, 1_410);
+  t.equal(backend.answers.signals(1_410).stalled, 1);
+});
--- a/test/ingress/failing-backends.test.ts
+++ b/test/ingress/failing-backends.test.ts
@@ -103,3 +103,12 @@
   Object.assign(one(all, 5).others, { stalled: 3, busy: 3 });
   t.same(passedOver(failing, all, 0), []);
 });
+
+t.test('what stalls on the way of other balancers is sound where answers come here', async (t) => {
+  const all = backends(10);
+  const failing = createFailingBackends();
+  Object.assign(one(all, 4).others, { stalled: 4, busy: 4 });
+  one(all, 4).progressAtMs = 900;
+  t.same(passedOver(failing, all, 1_000), []);
+  t.same(passedOver(failing, all, 3_000), [4], 'nothing has come here for two seconds either');
+});
