Show that an operator is told `accepted` for a configuration that is lost

Cause, named by two new lines of a control machine: `call forwarded` and `leader replied` carry the number of the call. The follower logs `call forwarded forward=4 call=note-departure`, starts again, logs `call forwarded forward=4 call=declare-config`, and then `leader replied forward=4 reply=committed awaited=true`, while the leader has committed the departure alone. Ruled out: a configuration that was committed and lost later (no machine but leader and follower ever held it), and a leader that replies too early (its reply to call 4 of the start before is right).

--- a/src/registered/group/calls/leader-requests.ts
+++ b/src/registered/group/calls/leader-requests.ts
@@ -15,6 +15,7 @@
  *
  * `requestDeadlineMs` comes from the program that embeds the group: it has to be shorter than what its clients wait.
  */
+import { formatAddress } from '../../../shared/common/address.js';
 import type { GroupEffect, RequestId } from '../group-events.js';
 import type { LeaderRequest, PeerMessage } from '../group-messages.js';
 import type { GroupState } from '../group-state.js';
@@ -29,6 +30,8 @@
   type RunConsensus,
 } from './leader-replies.js';
 
+type DecisionEffect = Extract<GroupEffect, { type: 'decision' }>;
+
 /** What the way of a call needs of the machine. */
 export type CallState = ReplyState & Pick<GroupState, 'consensus' | 'options'>;
 
@@ -53,12 +56,18 @@
     return [unavailable(requestId, 'No leader is known.')];
   }
   calls.startWaiting(requestId, deadlineMs);
+  const forwardId = requestId;
   return [
     {
       type: 'send-peer',
       to: leader,
-      message: { type: 'forward', forwardId: requestId, replyTo: options.linkAddress, request },
+      message: { type: 'forward', forwardId, replyTo: options.linkAddress, request },
     },
+    callDecision('call forwarded', {
+      forward: forwardId,
+      call: request.type === 'command' ? request.command.type : request.type,
+      leader: formatAddress(leader),
+    }),
   ];
 }
 
@@ -83,9 +92,16 @@
  */
 export function handleForwardReply(
   state: CallState,
-  message: Extract<PeerMessage, { type: 'forward-reply' }>,
+  { forwardId, answer }: Extract<PeerMessage, { type: 'forward-reply' }>,
 ): GroupEffect[] {
-  return replyToForwarded(state, message.forwardId, message.answer);
+  const effects = replyToForwarded(state, forwardId, answer);
+  const fields = { forward: forwardId, reply: answer.type, awaited: effects.length > 0 };
+  return [callDecision('leader replied', fields), ...effects];
+}
+
+/** With these lines a reply is found to the call that it answers, on one machine and over its starts. */
+function callDecision(name: string, fields: DecisionEffect['fields']): DecisionEffect {
+  return { type: 'decision', name, fields };
 }
 
 /**
