Let a reply of the leader answer only a call of the same start

Symptom: a configuration that nobody has committed is answered `accepted`. Cause: a control machine numbered the calls that it forwards from 1 at each start, and `forward-reply` names only that number, so a reply to a call of the start before answered whichever call had its number since. Change: the number holds the start (31 bits, drawn at each start) and a count (22 bits); the leader sends it back as it came, so the messages have the fields that they had, and machines of both codes work together. Ruled out: a start number on disk, since a start would wait for a write on a full or slow disk; a new field of the reply, since a leader of the code before would not send it. `leader replied` says now whether the number is of this start.

--- a/src/proof/sim-registered/simulated-control-machine.ts
+++ b/src/proof/sim-registered/simulated-control-machine.ts
@@ -6,6 +6,7 @@
 import { createDialedLinks, type DialedLinks } from '../../shared/common/dialed-links.js';
 import { createLinkTable } from '../../shared/common/link-table.js';
 import type { GroupReply } from '../../registered/group/group-events.js';
+import { startNumberOf } from '../../registered/group/calls/forward-ids.js';
 import { createGroupState } from '../../registered/group/group-state.js';
 import type { PersistEffect } from '../../shared/consensus/persisted-state.js';
 import type { ConsensusState } from '../../shared/consensus/consensus-state.js';
@@ -145,6 +146,7 @@
         minimumCopies: options.minimumCopies,
       },
       storage.recovered,
+      startNumberOf(generation),
     );
     const peerLinks = createDialedLinks<VirtualLink>({
       nowMs: () => clock.nowMs,
--- a/src/registered/daemon/group-daemon.ts
+++ b/src/registered/daemon/group-daemon.ts
@@ -3,6 +3,7 @@
  * accepted ones from these and from balancers) and its timer, around the process that decides (`group-process.ts`). Calls
  * of back ends and operators come in through `call`.
  */
+import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
 import type { Address } from '../../shared/common/address.js';
@@ -10,6 +11,7 @@
 import { encodeFrame } from '../../shared/common/frame-codec.js';
 import { createLinkTable } from '../../shared/common/link-table.js';
 import type { AmberliftError } from '../../shared/common/error-kinds.js';
+import { START_BOUND, startNumberOf } from '../group/calls/forward-ids.js';
 import type { GroupReply } from '../group/group-events.js';
 import type { GroupOptions } from '../group/group-options.js';
 import { createGroupState } from '../group/group-state.js';
@@ -62,7 +64,9 @@
       persist: (effect) => persistToDisk(storage, effect),
       logDecision: (name, fields) => logDecision('control', name, fields),
     };
-    this.group = new GroupProcess(createGroupState(options, storage.recovered), surroundings);
+    const start = startNumberOf(randomInt(START_BOUND));
+    const state = createGroupState(options, storage.recovered, start);
+    this.group = new GroupProcess(state, surroundings);
   }
 
   /**
--- a/src/registered/group/calls/leader-replies.ts
+++ b/src/registered/group/calls/leader-replies.ts
@@ -118,13 +118,9 @@
   return reply(receiver.requestId, clientReply(leaderReply));
 }
 
-/** Sends the leader's reply to a client of this machine whose call still waits. */
-export function replyToForwarded(
-  { calls }: ReplyState,
-  requestId: RequestId,
-  leaderReply: LeaderReply,
-): GroupEffect[] {
-  return calls.stopWaiting(requestId) ? [reply(requestId, clientReply(leaderReply))] : [];
+/** Sends the leader's reply to a client of this machine, whose call was forwarded and waits no more. */
+export function replyToForwarded(requestId: RequestId, leaderReply: LeaderReply): GroupEffect {
+  return reply(requestId, clientReply(leaderReply));
 }
 
 function clientReply(leaderReply: LeaderReply): GroupReply {
--- a/src/registered/group/calls/leader-requests.ts
+++ b/src/registered/group/calls/leader-requests.ts
@@ -7,6 +7,7 @@
  *
  * - Where no leader is known, the client gets its reply at once and goes on to another machine; waiting here could
  *   only end at its deadline.
+ * - A forwarded call is named by the start of this machine and a count (forward-ids.ts).
  * - A call is forwarded once. A machine that gets a forwarded call and does not lead refuses it, so that calls can't
  *   circle among machines that disagree about the leader.
  * - There are no retries here: the client repeats its call, and repeated commands change nothing (leader-replies.ts).
@@ -55,8 +56,7 @@
   if (leader === undefined) {
     return [unavailable(requestId, 'No leader is known.')];
   }
-  calls.startWaiting(requestId, deadlineMs);
-  const forwardId = requestId;
+  const forwardId = calls.startForwarding(requestId, deadlineMs);
   return [
     {
       type: 'send-peer',
@@ -88,15 +88,22 @@
 }
 
 /**
- * Passes the leader's reply to a forwarded call on to its client.
+ * Passes the leader's reply to a forwarded call on to its client. One to a call that was given up, or that was forwarded
+ * before this machine started again, is dropped.
  */
 export function handleForwardReply(
   state: CallState,
   { forwardId, answer }: Extract<PeerMessage, { type: 'forward-reply' }>,
 ): GroupEffect[] {
-  const effects = replyToForwarded(state, forwardId, answer);
-  const fields = { forward: forwardId, reply: answer.type, awaited: effects.length > 0 };
-  return [callDecision('leader replied', fields), ...effects];
+  const { calls } = state;
+  const requestId = calls.takeForwarded(forwardId);
+  const line = callDecision('leader replied', {
+    forward: forwardId,
+    reply: answer.type,
+    awaited: requestId !== undefined,
+    ofThisStart: calls.isForwardOfThisStart(forwardId),
+  });
+  return requestId === undefined ? [line] : [line, replyToForwarded(requestId, answer)];
 }
 
 /** With these lines a reply is found to the call that it answers, on one machine and over its starts. */
--- a/src/registered/group/calls/pending-calls.ts
+++ b/src/registered/group/calls/pending-calls.ts
@@ -1,11 +1,13 @@
 /**
  * @file The calls that wait on this control machine. It owns the calls of its own clients, which wait for their
- * deadline, and what the leader has to reply to: proposals and reads under way, for clients or for other machines.
+ * deadline, by which numbers those of them are known that were forwarded, and what the leader has to reply to: proposals
+ * and reads under way, for clients or for other machines.
  * Both are lost with the process; clients repeat their calls.
  */
 import type { Address } from '../../../shared/common/address.js';
 import type { RequestId } from '../group-events.js';
 import type { LeaderRequest } from '../group-messages.js';
+import { createForwardIds, type StartNumber } from './forward-ids.js';
 
 /** Who gets the reply to a proposal or read of this leader. */
 export type ReplyTo =
@@ -24,6 +26,12 @@
   readonly waitingCount: number;
   /** Lets a call of a client wait until its reply or its deadline, in milliseconds. */
   startWaiting(requestId: RequestId, deadlineMs: number): void;
+  /** The same for a call that is forwarded. @returns the number by which the leader replies to it */
+  startForwarding(requestId: RequestId, deadlineMs: number): number;
+  /** Removes and returns the call that waits for the leader's reply to this number; undefined where none does. */
+  takeForwarded(forwardId: number): RequestId | undefined;
+  /** @returns true where a number was given to a call since this machine started */
+  isForwardOfThisStart(forwardId: number): boolean;
   /** @returns true where the call was still waiting; it is not any more */
   stopWaiting(requestId: RequestId): boolean;
   /** Removes and returns the calls whose deadline has passed. */
@@ -44,9 +52,12 @@
   forgetAppended(): void;
 }
 
-/** @returns a machine on which nothing waits */
-export function createPendingCalls(): PendingCalls {
+/** @returns a machine on which nothing waits, since it has just started */
+export function createPendingCalls(start: StartNumber): PendingCalls {
+  const forwardIds = createForwardIds(start);
   const deadlines = new Map<RequestId, number>();
+  /** Calls that were forwarded, by the number that the leader knows. */
+  const forwarded = new Map<number, RequestId>();
   const pendingReplies = new Map<number, PendingReply>();
   /** By the index in the log. */
   const appended = new Map<number, { readonly term: number; readonly proposalId: number }>();
@@ -57,6 +68,9 @@
       return deadlines.size;
     },
     startWaiting: (requestId, deadlineMs) => void deadlines.set(requestId, deadlineMs),
+    startForwarding,
+    takeForwarded,
+    isForwardOfThisStart: forwardIds.isOfThisStart,
     stopWaiting: (requestId) => deadlines.delete(requestId),
     takeExpired,
     addPendingReply,
@@ -68,10 +82,28 @@
     forgetAppended: () => appended.clear(),
   };
 
+  function startForwarding(requestId: RequestId, deadlineMs: number): number {
+    const forwardId = forwardIds.next();
+    deadlines.set(requestId, deadlineMs);
+    forwarded.set(forwardId, requestId);
+    return forwardId;
+  }
+
+  function takeForwarded(forwardId: number): RequestId | undefined {
+    const requestId = forwarded.get(forwardId);
+    forwarded.delete(forwardId);
+    return requestId !== undefined && deadlines.delete(requestId) ? requestId : undefined;
+  }
+
   function takeExpired(nowMs: number): RequestId[] {
     const expired = [...deadlines].filter(([, deadlineMs]) => nowMs >= deadlineMs);
     const requestIds = expired.map(([requestId]) => requestId);
     requestIds.forEach((requestId) => deadlines.delete(requestId));
+    for (const [forwardId, requestId] of forwarded) {
+      if (!deadlines.has(requestId)) {
+        forwarded.delete(forwardId);
+      }
+    }
     return requestIds;
   }
 
--- a/src/registered/group/group-state.ts
+++ b/src/registered/group/group-state.ts
@@ -20,6 +20,7 @@
   type BackendListProgress,
 } from './backends/backend-list-progress.js';
 import { createHeartbeatExchange, type HeartbeatExchange } from './backends/heartbeat-exchange.js';
+import type { StartNumber } from './calls/forward-ids.js';
 import { createOrderGuard } from './calls/order-guard.js';
 import { createPendingCalls, type PendingCalls } from './calls/pending-calls.js';
 import { createBalancerList, type BalancerList } from './feed/balancer-list.js';
@@ -90,9 +91,14 @@
 
 /**
  * @param recovered what was found on disk
+ * @param start names this start; another one than at the starts before
  * @returns the state of a control machine that starts
  */
-export function createGroupState(options: GroupOptions, recovered: RecoveredState): GroupState {
+export function createGroupState(
+  options: GroupOptions,
+  recovered: RecoveredState,
+  start: StartNumber,
+): GroupState {
   const nodeId = memberName(options.linkAddress, recovered.storageId);
   const consensusOptions = groupConsensusOptions(options.timing, options.minimumCopies);
   const consensus = createConsensusState(nodeId, recovered, consensusOptions);
@@ -106,7 +112,7 @@
     registry: new HeartbeatRegistry(options.heartbeatIntervalMs),
     heartbeats: createHeartbeatExchange(),
     backendList: createBackendListProgress(),
-    calls: createPendingCalls(),
+    calls: createPendingCalls(start),
     announcements: createAnnouncements(options.seeds),
     subscribers: new Map(),
     feedMessages: new Map(),
