Let the acknowledgement of a ping belong to the start that sent the ping

Symptom: a balancer of the managed pair that has started again takes a dead member for one that answers, for one round. Cause: sequences of pings began at 1 at each start, and an acknowledgement names only the sequence, so a late one of the start before acknowledged whichever ping had its sequence since. Change: sequences begin at the incarnation times 2^16; the fields of the datagrams stay.

Test managed/gossip/restarted-pinger: `alive` in place of `suspect` after the round before, passes since; the assertions of membership pass.

--- a/src/managed/gossip/gossip-state.ts
+++ b/src/managed/gossip/gossip-state.ts
@@ -10,6 +10,12 @@
 
 /** A summary of another zone that was not renewed for this time is not counted, in milliseconds. Not measured. */
 const ZONE_LIFETIME_MS = 60_000;
+/**
+ * Sequences of pings that belong to one incarnation, so that a late acknowledgement of a ping of the start before is none
+ * of a ping of this start. A balancer sends one ping a second and few on behalf of others, and its incarnation is the
+ * second of its start, so the next start begins above all that were used.
+ */
+const SEQUENCES_PER_INCARNATION = 2 ** 16;
 
 /** Options of a member. */
 export interface GossipOptions extends MemberAddresses {
@@ -55,6 +61,7 @@
   readonly forwarded: Map<number, ForwardedPing>;
   /** Members still to be pinged in this turn. */
   turn: string[];
+  /** Of the next ping; an acknowledgement names nothing else, so no other start of this balancer uses the same. */
   nextSequence: number;
   nextRoundAtMs: number;
   nextSeedAtMs: number;
@@ -88,7 +95,7 @@
     pending: undefined,
     forwarded: new Map(),
     turn: [],
-    nextSequence: 1,
+    nextSequence: incarnation * SEQUENCES_PER_INCARNATION,
     nextRoundAtMs: 0,
     nextSeedAtMs: 0,
     nextZonesAtMs: 0,
