Make the same update of the configuration on machines that skipped versions

Symptom: a balancer may be without a route of the version that it calls in force.

The rest was cut off at the wrong place, and its own length was not compared. Change: joined steps leave out routes that are in the end what they were, so that the list follows from the two versions alone; a balancer takes a rest only of a list of the same length.

--- a/src/registered/declared/config-update.ts
+++ b/src/registered/declared/config-update.ts
@@ -1,7 +1,8 @@
 /**
  * @file A config update: the changes that lead from one version of a declared configuration to another, or from
- * nothing, with only what balancers need of a route. Changes are in one order on all machines, so that an update whose
- * link breaks goes on where it ended, also from another control machine.
+ * nothing, with only what balancers need of a route. Between two versions all machines have the same changes in the same
+ * order, also those that took over a snapshot and so skipped versions in between: an update whose link breaks goes on
+ * where it ended, also from another control machine.
  */
 import type {
   DeclaredConfig,
@@ -35,6 +36,12 @@
   readonly changes: readonly RouteChange[];
 }
 
+/** The changes from one version to the next one that a machine has seen, and what they replaced. */
+export interface ConfigStep extends ConfigUpdate {
+  /** The targets of each changed route before, by `host:port`; undefined where there was no such route. */
+  readonly replaced: ReadonlyMap<string, readonly WeightedTarget[] | undefined>;
+}
+
 /** Some of the changes of an update, as many as fit into a message. */
 export interface ConfigPart extends ConfigUpdate {
   /** How many changes of the update come before these. */
@@ -58,43 +65,51 @@
 }
 
 /**
- * @returns the update that leads from one configuration to a newer one
+ * @returns the step that leads from one configuration to a newer one
  */
-export function updateBetween(base: DeclaredConfig, next: DeclaredConfig): ConfigUpdate {
+export function updateBetween(base: DeclaredConfig, next: DeclaredConfig): ConfigStep {
   const before = new Map(base.routes.map((route) => [keyOfRoute(route), route]));
+  const replaced = new Map<string, readonly WeightedTarget[] | undefined>();
   const changes: RouteChange[] = [];
   for (const route of next.routes) {
-    const known = before.get(keyOfRoute(route));
-    before.delete(keyOfRoute(route));
-    if (known === undefined || !hasSameTargets(known.targets, route.targets)) {
+    const key = keyOfRoute(route);
+    const known = before.get(key);
+    before.delete(key);
+    if (!hasSameTargets(known?.targets, route.targets)) {
       changes.push(asChange(route));
+      replaced.set(key, known?.targets);
     }
   }
-  for (const { host, port } of before.values()) {
+  for (const [key, { host, port, targets }] of before) {
     changes.push({ host, port, targets: undefined });
+    replaced.set(key, targets);
   }
   const { version, idleTimeoutMs } = next;
   const sorted = changes.sort(byHostAndPort);
   const warmUps = warmUpsOf(next);
-  return { version, baseVersion: base.version, idleTimeoutMs, warmUps, changes: sorted };
+  return { version, baseVersion: base.version, idleTimeoutMs, warmUps, changes: sorted, replaced };
 }
 
 /**
- * @param updates each made to the version that the one before leads to
- * @returns one update with the effect of all; undefined for none
+ * @param steps each made to the version that the one before leads to
+ * @returns one update with the effect of all, without routes that are in the end what they were; undefined for no step
  */
-export function joinUpdates(updates: readonly ConfigUpdate[]): ConfigUpdate | undefined {
-  const [first] = updates;
-  const last = updates.at(-1);
-  if (first === undefined || last === undefined || updates.length === 1) {
-    return first;
+export function joinUpdates(steps: readonly ConfigStep[]): ConfigUpdate | undefined {
+  const [first] = steps;
+  const last = steps.at(-1);
+  if (first === undefined || last === undefined) {
+    return undefined;
   }
-  const byKey = new Map<string, RouteChange>();
-  for (const change of updates.flatMap(({ changes }) => changes)) {
-    byKey.set(keyOfRoute(change), change);
+  const replaced = new Map(steps.toReversed().flatMap((step) => [...step.replaced]));
+  const latest = new Map<string, RouteChange>();
+  for (const change of steps.flatMap(({ changes }) => changes)) {
+    latest.set(keyOfRoute(change), change);
   }
-  const changes = [...byKey.values()].sort(byHostAndPort);
-  return { ...last, baseVersion: first.baseVersion, changes };
+  const changes = [...latest.values()]
+    .filter((change) => !hasSameTargets(replaced.get(keyOfRoute(change)), change.targets))
+    .sort(byHostAndPort);
+  const { version, idleTimeoutMs, warmUps } = last;
+  return { version, baseVersion: first.baseVersion, idleTimeoutMs, warmUps, changes };
 }
 
 /**
@@ -132,7 +147,14 @@
   return one.port - other.port;
 }
 
-function hasSameTargets(one: readonly WeightedTarget[], other: readonly WeightedTarget[]): boolean {
+/** Undefined stands for no route. */
+function hasSameTargets(
+  one: readonly WeightedTarget[] | undefined,
+  other: readonly WeightedTarget[] | undefined,
+): boolean {
+  if (one === undefined || other === undefined) {
+    return one === other;
+  }
   return (
     one.length === other.length &&
     one.every(({ service, weight }, index) => {
--- a/src/registered/group/feed/config-history.ts
+++ b/src/registered/group/feed/config-history.ts
@@ -14,6 +14,7 @@
   NO_VERSION,
   updateBetween,
   wholeUpdate,
+  type ConfigStep,
   type ConfigUpdate,
 } from '../../declared/config-update.js';
 import type { DeclaredConfig } from '../../declared/declared-config.js';
@@ -44,7 +45,7 @@
 export function createConfigHistory(found: DeclaredConfig | undefined): ConfigHistory {
   let config = found;
   /** Each leads to the version that the next one is made to; the last one to the version that holds. */
-  let steps: ConfigUpdate[] = [];
+  let steps: ConfigStep[] = [];
   /** Updates that were asked for since the last change, by the version that they are made to. */
   const cached = new Map<number, ConfigUpdate>();
 
@@ -85,7 +86,7 @@
 }
 
 /** The newest steps, as many as may be kept. */
-function withinBounds(steps: readonly ConfigUpdate[]): ConfigUpdate[] {
+function withinBounds(steps: readonly ConfigStep[]): ConfigStep[] {
   let changes = 0;
   const firstKept = steps.findLastIndex((step) => (changes += step.changes.length) > MAX_CHANGES);
   return steps.slice(Math.max(firstKept + 1, steps.length - MAX_STEPS));
--- a/src/registered/ingress/config-assembly.ts
+++ b/src/registered/ingress/config-assembly.ts
@@ -26,6 +26,8 @@
 }
 
 interface Assembled extends UnfinishedConfig {
+  /** How many changes the whole update has; another number is another list of changes. */
+  readonly changeCount: number;
   readonly changes: RouteChange[];
 }
 
@@ -33,6 +35,7 @@
   version: NO_VERSION,
   baseVersion: NO_VERSION,
   changesTaken: 0,
+  changeCount: 0,
   changes: [],
 };
 
@@ -60,7 +63,7 @@
     }
     const changes = [...before, ...part.changes];
     if (changes.length < changeCount) {
-      assembled = { version, baseVersion, changes, changesTaken: changes.length };
+      assembled = { version, baseVersion, changeCount, changes, changesTaken: changes.length };
       return { type: 'unfinished' };
     }
     assembled = undefined;
@@ -68,11 +71,12 @@
   }
 
   function changesBefore(part: ConfigPart): readonly RouteChange[] | undefined {
-    const { version, baseVersion, changesTaken, changes } = assembled ?? NOTHING;
+    const { version, baseVersion, changesTaken, changeCount, changes } = assembled ?? NOTHING;
     const isNext =
       version === part.version &&
       baseVersion === part.baseVersion &&
-      changesTaken === part.firstChange;
+      changesTaken === part.firstChange &&
+      changeCount === part.changeCount;
     return isNext ? changes : undefined;
   }
 }
--- a/test/registered/group/config-history.test.ts
+++ b/test/registered/group/config-history.test.ts
@@ -8,6 +8,7 @@
 } from '../../../src/registered/declared/config-update.js';
 import type { DeclaredConfig } from '../../../src/registered/declared/declared-config.js';
 import { createConfigHistory } from '../../../src/registered/group/feed/config-history.js';
+import { createConfigAssembly } from '../../../src/registered/ingress/config-assembly.js';
 import { RouteTable } from '../../../src/registered/ingress/route-table.js';
 
 const PORTS = 12;
@@ -110,3 +111,38 @@
   t.equal(history.updateFrom(399)?.baseVersion, 399);
   t.equal(history.updateFrom(10)?.baseVersion, 0);
 });
+
+/*
+ * A balancer that got a part of an update from one control machine asks another one for the rest, and names only versions
+ * and how many changes it has. A machine that took over a snapshot has skipped versions: where a route changed and changed
+ * back in between, the update of a machine that saw every version had one change more, the rest was cut off one change
+ * too late, and the balancer stayed without a route of the version that it called in force.
+ */
+t.test('machines that skipped different versions make the same update', async (t) => {
+  const versions = fc.array(services, { minLength: 3, maxLength: 6 });
+  const skipped = fc.array(fc.boolean(), { minLength: 6, maxLength: 6 });
+  fc.assert(
+    fc.property(versions, skipped, (all, areSkipped) => {
+      const every = createConfigHistory(undefined);
+      const some = createConfigHistory(undefined);
+      all.forEach((config, at) => {
+        every.apply(configOf(at + 1, config));
+        if (at === 0 || at === all.length - 1 || areSkipped[at] !== true) {
+          some.apply(configOf(at + 1, config));
+        }
+      });
+      return JSON.stringify(every.updateFrom(1)) === JSON.stringify(some.updateFrom(1));
+    }),
+    { seed: 7, numRuns: 2_000 },
+  );
+  t.pass();
+});
+
+t.test('the rest of another list of changes does not complete an update', async (t) => {
+  const first = configOf(1, ['alpha', 'alpha', 'alpha', 'alpha']);
+  const update = updateBetween(first, configOf(3, ['beta', 'beta', 'beta', 'beta']));
+  const longer = { ...update, changes: [...update.changes, ...update.changes.slice(-1)] };
+  const assembly = createConfigAssembly();
+  t.equal(assembly.addPart(partOf(longer, 0, 2)).type, 'unfinished');
+  t.equal(assembly.addPart(partOf(update, 2, 2)).type, 'unfit');
+});
