--- a/src/proof/sim-registered/ingress-oracle.ts
+++ b/src/proof/sim-registered/ingress-oracle.ts
@@ -28,6 +28,8 @@
   | 'evacuation'
   /** An acknowledged order for a zone is undone by nobody's word, or a proper one is refused. */
   | 'zone'
+  /** A packet of a flow of a start of a back end is sent to a later start of it at another address. */
+  | 'start'
   /** A cold back end is given more new flows in a second than its slow start allows. */
   | 'cold';
 
@@ -109,6 +111,11 @@
     }
   }
 
+  /** A packet of a flow of a start elsewhere reached a later start of the back end. */
+  reportStrayPacket(detail: string, nowMs: number): void {
+    this.report('start', nowMs, detail);
+  }
+
   /** A read of the configuration, begun at `sentAtMs`, was answered. */
   checkRead(version: number, sentAtMs: number, nowMs: number): void {
     const { acknowledged, bounds } = this;
--- a/src/proof/sim-registered/ingress-world.ts
+++ b/src/proof/sim-registered/ingress-world.ts
@@ -15,7 +15,7 @@
 import { SimulatedControlMachine } from './simulated-control-machine.js';
 import { SimulatedIngressBalancer } from './simulated-ingress-balancer.js';
 import { SIMULATED_ZONES, turnCold, zoneOfBackend } from './simulated-zones.js';
-import { StandInBackend } from './stand-in-backend.js';
+import { StandInBackend, type BackendIdentity } from './stand-in-backend.js';
 import { StandInClient } from './stand-in-client.js';
 import { SIMULATED_SERVICES, StandInOperator } from './stand-in-operator.js';
 import { VirtualWires } from '../virtual/virtual-wires.js';
@@ -128,13 +128,29 @@
   addBackend(service: string, address?: Address): StandInBackend {
     const number = this.nextBackendNumber;
     this.nextBackendNumber += 1;
-    const identity = {
+    return this.startBackend({
       id: `backend-${number}`,
       number,
       service,
       address: address ?? { host: `10.0.2.${number}`, port: BACKEND_PORT },
       zone: zoneOfBackend(number),
-    };
+    });
+  }
+
+  /** A back end ends without a word and starts again under its ID, at its address or another one. */
+  restartBackend(backend: StandInBackend, address?: Address): StandInBackend {
+    const { identity } = backend;
+    const startNumber = (identity.startNumber ?? 0) + 1;
+    backend.crash();
+    return this.startBackend({
+      ...identity,
+      ...(address !== undefined && { address, addressSinceStart: startNumber }),
+      startNumber,
+      startedAtMs: Math.round(this.clock.nowMs),
+    });
+  }
+
+  private startBackend(identity: BackendIdentity): StandInBackend {
     const backend = new StandInBackend(identity, this.parts, this.callControl, (route, ofService) =>
       this.operator.newestVersion(route, ofService),
     );
--- a/src/proof/sim-registered/stand-in-backend.ts
+++ b/src/proof/sim-registered/stand-in-backend.ts
@@ -13,8 +13,12 @@
   type PacketKind,
   type TokenPacket,
 } from '../../registered/ingress/token-packet.js';
+import { startIdOf } from '../../registered/registry/backend-start.js';
 import type { StandInParts } from './world-parts.js';
 
+/** Accepts are numbered by back end, and within that by start. */
+const ACCEPTS_PER_BACKEND = 1_000_000;
+const ACCEPTS_PER_START = 10_000;
 const CALL_TIMEOUT_MS = 1_000;
 const WORK_MS = 20;
 const FIRST_RESEND_MS = 200;
@@ -40,7 +44,14 @@
 
 /** What a back end is. */
 export interface BackendIdentity {
+  /** What it is called over all its starts. */
   readonly id: string;
+  /** Counts its starts, from 0. */
+  readonly startNumber?: number;
+  /** The first of its starts in a row at this address. */
+  readonly addressSinceStart?: number;
+  /** When it started, in milliseconds, where it says so. */
+  readonly startedAtMs?: number | undefined;
   readonly number: number;
   readonly service: string;
   readonly address: Address;
@@ -58,6 +69,8 @@
   private nextAcceptNumber: number;
   private readonly flows = new Map<string, BackendFlow>();
   private coldSinceMs: number;
+  /** How many flows it has accepted. */
+  acceptedFlows = 0;
 
   constructor(
     readonly identity: BackendIdentity,
@@ -67,13 +80,20 @@
     private readonly newestVersion: (route: string, service: string) => number,
   ) {
     this.instanceNumber = identity.number.toString(HEXADECIMAL).padStart(INSTANCE_DIGITS, '0');
-    this.nextAcceptNumber = identity.number * 1_000_000 + 1;
+    this.nextAcceptNumber =
+      identity.number * ACCEPTS_PER_BACKEND + (identity.startNumber ?? 0) * ACCEPTS_PER_START + 1;
     this.coldSinceMs = parts.clock.nowMs;
     parts.wires.hostStarted(identity.address.host);
     parts.wires.onDatagram(identity.address, (bytes) => this.receive(bytes));
     this.beat();
   }
 
+  /** The ID by which this start is known to all processes. */
+  get startId(): string {
+    const { id, startedAtMs } = this.identity;
+    return startIdOf({ backend: id, startedAtMs });
+  }
+
   /** @returns true where this back end holds the flow and the client has opened it */
   holdsOpen(client: string, acceptNumber: number): boolean {
     const flow = this.flows.get(client);
@@ -91,10 +111,20 @@
 
   /** Ends without a departure. */
   crash(): void {
+    if (!this.isAlive) {
+      // Its address may be that of another start already.
+      return;
+    }
     this.isAlive = false;
     this.parts.wires.hostDied(this.identity.address.host);
   }
 
+  /** A departure from before its end that the network held up comes now; it names no start. */
+  deliverHeldUpDeparture(): void {
+    const call = { type: 'deregister', backendId: this.identity.id } as const;
+    this.callControl(this.identity.address.host, call, () => undefined);
+  }
+
   /** A heartbeat from before its end that the network held up comes now. */
   deliverHeldUpHeartbeat(): void {
     this.callControl(this.identity.address.host, this.heartbeat(), () => undefined);
@@ -115,7 +145,7 @@
         });
       });
     const acknowledged = () => {
-      this.parts.oracle.recordAcknowledgedDeparture(this.identity.id, clock.nowMs);
+      this.parts.oracle.recordAcknowledgedDeparture(this.startId, clock.nowMs);
       endSoon();
     };
     if (saysDraining) {
@@ -166,12 +196,12 @@
 
   private heartbeat(): GroupCall {
     this.sequence += 1;
-    const { id, service, address, zone } = this.identity;
+    const { service, address, zone } = this.identity;
     return {
       type: 'heartbeat',
       isDraining: this.isDraining,
       record: {
-        id,
+        id: this.startId,
         instanceNumber: this.instanceNumber,
         service,
         address,
@@ -212,13 +242,22 @@
     const flow = known ?? { acceptNumber: this.nextAcceptNumber, isOpen: false };
     if (known === undefined) {
       this.nextAcceptNumber += 1;
+      this.acceptedFlows += 1;
       this.flows.set(client, flow);
       const route = formatAddress(packet.to);
-      const { service, id, zone } = this.identity;
+      const { service, zone } = this.identity;
       const newestVersion = this.newestVersion(route, service);
       const sentAtMs = clock.nowMs;
       const isCold = this.warmUpLeftMs > 0;
-      const taken = { route, service, backendId: id, sentAtMs, newestVersion, zone, isCold };
+      const taken = {
+        route,
+        service,
+        backendId: this.startId,
+        sentAtMs,
+        newestVersion,
+        zone,
+        isCold,
+      };
       oracle.checkAcceptedOpen(taken, clock.nowMs);
     }
     if (!flow.isOpen) {
@@ -243,6 +282,7 @@
     const client = formatAddress(packet.from);
     const flow = this.flows.get(client);
     if (flow?.acceptNumber !== packet.acceptNumber) {
+      this.checkStray(packet);
       this.answer(packet, 'reset', flow?.acceptNumber ?? 0);
       return;
     }
@@ -254,6 +294,19 @@
     }
   }
 
+  /** Packets of flows of starts at another address must not come here; those of starts at this one may, and are reset. */
+  private checkStray({ acceptNumber }: TokenPacket): void {
+    const { number, addressSinceStart = 0 } = this.identity;
+    const firstOfBackend = number * ACCEPTS_PER_BACKEND + 1;
+    const firstAtAddress = firstOfBackend + addressSinceStart * ACCEPTS_PER_START;
+    if (acceptNumber >= firstOfBackend && acceptNumber < firstAtAddress) {
+      this.parts.oracle.reportStrayPacket(
+        `${this.startId} got a packet of a start elsewhere`,
+        this.parts.clock.nowMs,
+      );
+    }
+  }
+
   private answer(packet: TokenPacket, kind: PacketKind, acceptNumber: number): void {
     if (!this.isAlive) {
       return;
--- a/src/proof/soak/process-faults.ts
+++ b/src/proof/soak/process-faults.ts
@@ -64,7 +64,7 @@
       balancer.freeze();
       endLater(world, forMs, () => balancer.wake());
     })
-    .otherwise((kind) => strikeStandIns(world, kind, forMs));
+    .otherwise((kind) => strikeStandIns(world, kind, target, forMs));
 }
 
 /** A process that stops may take its time: it is started once it has ended. */
--- a/src/proof/soak/run-soak.ts
+++ b/src/proof/soak/run-soak.ts
@@ -62,6 +62,7 @@
       balancerCount: place.sizes.balancers,
       tolerableLosses,
       catchUpMs,
+      hasRestarts: true,
     });
     await writeJson(folder, 'schedule.json', { seed, durationMs, place, schedule });
     await untilReady(world);
--- a/src/proof/soak/soak-schedule.ts
+++ b/src/proof/soak/soak-schedule.ts
@@ -28,10 +28,13 @@
   'datagrams-lost',
   'acknowledgements-lost',
   'zone-evacuated',
+  'backend-restarted',
 ] as const;
 
-/** Kinds of the series that are drawn first; evacuations are drawn after them, as series of their own. */
-const FIRST_KINDS = soakFaultKinds.filter((kind) => kind !== 'zone-evacuated');
+/** Kinds that are drawn after all others, as series of their own. */
+const LATER_KINDS: readonly SoakFaultKind[] = ['zone-evacuated', 'backend-restarted'];
+/** Kinds of the series that are drawn first. */
+const FIRST_KINDS = soakFaultKinds.filter((kind) => !LATER_KINDS.includes(kind));
 
 /** One kind of fault. */
 export type SoakFaultKind = (typeof soakFaultKinds)[number];
@@ -58,18 +61,25 @@
   readonly tolerableLosses: number;
   /** A control machine counts as disturbed for so long after its fault, in milliseconds. */
   readonly catchUpMs: number;
+  /** Whether back ends start again under their IDs; without them a seed gives what it gave before there were any. */
+  readonly hasRestarts: boolean;
 }
 
 /** Mean time between two faults: several overlap at times, and quiet times of some seconds come about. */
 const MEAN_GAP_MS = 2_500;
 const SHORTEST_MS = 800;
 const SPREAD_MS = 3_500;
+/** More than any deployment of the soak has back ends; the target is taken modulo those that are there. */
+const MAX_RESTART_TARGET = 1_000;
 /** Nothing strikes before: the first flows are open then. */
 const FIRST_FAULT_MS = 3_000;
 /** Mean time between two evacuations: some overlap. */
 const MEAN_EVACUATION_GAP_MS = 8_000;
 /** They last up to so long: from less than the time until they are in force everywhere to twice the bound of that. */
 const EVACUATION_SPREAD_MS = 8_000;
+/** Mean time between two series of restarts of back ends, and how many restarts one has at most. */
+const MEAN_RESTART_GAP_MS = 5_000;
+const LONGEST_RESTARTS = 4;
 /** Every second fault begins a series of up to so many of its kind ... */
 const LONGEST_SERIES = 6;
 /** ... so far apart: from faster than a process starts to slower. */
@@ -104,7 +114,27 @@
     drawn.push(...drawSeries(options, random, Math.round(atMs)));
     atMs += random.nextFloat() * 2 * MEAN_GAP_MS;
   }
-  return borne([...drawn, ...drawEvacuations(options, random)], options);
+  drawn.push(...drawEvacuations(options, random));
+  drawn.push(...(options.hasRestarts ? drawRestarts(options, random) : []));
+  return borne(drawn, options);
+}
+
+/** Series of restarts of one back end, from faster than its heartbeats to slower; they overlap. */
+function drawRestarts({ durationMs }: ScheduleOptions, random: RandomSource): SoakFault[] {
+  const drawn: SoakFault[] = [];
+  let atMs = FIRST_FAULT_MS + random.nextFloat() * 2 * MEAN_RESTART_GAP_MS;
+  while (atMs < durationMs) {
+    const count = 1 + random.nextInt(LONGEST_RESTARTS);
+    const gapMs = SHORTEST_GAP_MS + random.nextFloat() * 2 * GAP_SPREAD_MS;
+    const target = random.nextInt(MAX_RESTART_TARGET);
+    const forMs = Math.round(SHORTEST_MS + random.nextFloat() * SPREAD_MS);
+    for (let index = 0; index < count; index += 1) {
+      const startsAtMs = Math.round(atMs + index * gapMs);
+      drawn.push({ atMs: startsAtMs, kind: 'backend-restarted', target, forMs });
+    }
+    atMs += random.nextFloat() * 2 * MEAN_RESTART_GAP_MS;
+  }
+  return drawn;
 }
 
 /** Evacuations beside all else; they overlap, of one zone and of several. */
--- a/src/proof/soak/soak-world.ts
+++ b/src/proof/soak/soak-world.ts
@@ -11,7 +11,11 @@
 import { IngressOracle } from '../sim-registered/ingress-oracle.js';
 import { SIMULATED_ZONES, turnCold, zoneOfBackend } from '../sim-registered/simulated-zones.js';
 import { createZoneOperator, type ZoneOperator } from '../sim-registered/zone-operator.js';
-import { StandInBackend, type CallControl } from '../sim-registered/stand-in-backend.js';
+import {
+  StandInBackend,
+  type BackendIdentity,
+  type CallControl,
+} from '../sim-registered/stand-in-backend.js';
 import { StandInClient } from '../sim-registered/stand-in-client.js';
 import { SIMULATED_SERVICES, StandInOperator } from '../sim-registered/stand-in-operator.js';
 import {
@@ -100,6 +104,8 @@
   readonly zoneOperator: ZoneOperator;
   /** Starts a back end, at the address of one that is gone where one is given. */
   addBackend(service: string, address?: Address): void;
+  /** A back end ends without a word and starts again under its ID, at its address. */
+  restartBackend(backend: StandInBackend): void;
   startClients(): void;
   /** @returns true once all control machines and balancers are at work */
   isReady(): boolean;
@@ -311,7 +317,10 @@
   }
 }
 
-type StandIns = Pick<SoakWorld, 'backends' | 'clients' | 'addBackend' | 'startClients'>;
+type StandIns = Pick<
+  SoakWorld,
+  'backends' | 'clients' | 'addBackend' | 'restartBackend' | 'startClients'
+>;
 
 function createStandIns(
   parts: StandInParts,
@@ -322,20 +331,35 @@
 ): StandIns {
   const backends: StandInBackend[] = [];
   const clients: StandInClient[] = [];
+  let nextNumber = 1;
   for (let index = 0; index < sizes.backends; index += 1) {
     addBackend(SIMULATED_SERVICES[index % SIMULATED_SERVICES.length] ?? 'alpha');
   }
-  return { backends, clients, addBackend, startClients };
+  return { backends, clients, addBackend, restartBackend, startClients };
 
   function addBackend(service: string, address?: Address): void {
-    const number = backends.length + 1;
-    const identity = {
+    const number = nextNumber;
+    nextNumber += 1;
+    startBackend({
       id: `backend-${number}`,
       number,
       service,
       address: address ?? { host: hosts.backends(number), port: BACKEND_PORT },
       zone: zoneOfBackend(number),
-    };
+    });
+  }
+
+  function restartBackend(backend: StandInBackend): void {
+    const { identity } = backend;
+    backend.crash();
+    startBackend({
+      ...identity,
+      startNumber: (identity.startNumber ?? 0) + 1,
+      startedAtMs: Math.round(parts.clock.nowMs),
+    });
+  }
+
+  function startBackend(identity: BackendIdentity): void {
     backends.push(
       new StandInBackend(identity, parts, callControl, (route, ofService) =>
         operator.newestVersion(route, ofService),
--- a/src/proof/soak/stand-in-faults.ts
+++ b/src/proof/soak/stand-in-faults.ts
@@ -21,6 +21,8 @@
   readonly zoneOperator: ZoneOperator;
   readonly backends: readonly StandInBackend[];
   addBackend(service: string, address?: Address): void;
+  /** A back end ends without a word and starts again under its ID, at its address. */
+  restartBackend(backend: StandInBackend): void;
 }
 
 /** Faults that no process of ours takes part in. */
@@ -34,6 +36,7 @@
   | 'datagrams-lost'
   | 'acknowledgements-lost'
   | 'zone-evacuated'
+  | 'backend-restarted'
 >;
 
 /** The oracle excuses missed bounds until some time after this fault has ended. */
@@ -53,9 +56,15 @@
 
 /**
  * Causes a fault; it ends by itself.
+ * @param target which back end, for restarts of one
  * @param forMs how long it lasts, or how late the last heartbeat of a back end comes
  */
-export function strikeStandIns(world: StandInWorld, kind: StandInFaultKind, forMs: number): void {
+export function strikeStandIns(
+  world: StandInWorld,
+  kind: StandInFaultKind,
+  target: number,
+  forMs: number,
+): void {
   const { wires, operator, clock } = world;
   switch (kind) {
     case 'config-changed':
@@ -75,17 +84,39 @@
         forMs,
       );
       return;
+    case 'backend-restarted':
+      restartBackend(world, target, forMs);
+      return;
     default:
       endBackend(world, kind, forMs);
   }
 }
 
+/** The newest start of a back end is followed by another one; a heartbeat of it comes late. */
+function restartBackend(world: StandInWorld, target: number, forMs: number): void {
+  const running = world.backends.filter(({ isAlive, isLeaving }) => isAlive && !isLeaving);
+  const numbers = [...new Set(running.map(({ identity }) => identity.number))].sort(
+    (one, other) => one - other,
+  );
+  const number = numbers[target % Math.max(1, numbers.length)];
+  const backend = running.find(({ identity }) => identity.number === number);
+  if (backend !== undefined) {
+    world.restartBackend(backend);
+    disturb(world, 0);
+    world.clock.after(forMs, () => backend.deliverHeldUpHeartbeat());
+  }
+}
+
 /** Another back end of the same service takes its place. */
 function endBackend(
   world: StandInWorld,
   kind: Exclude<
     StandInFaultKind,
-    'config-changed' | 'datagrams-lost' | 'acknowledgements-lost' | 'zone-evacuated'
+    | 'config-changed'
+    | 'datagrams-lost'
+    | 'acknowledgements-lost'
+    | 'zone-evacuated'
+    | 'backend-restarted'
   >,
   forMs: number,
 ): void {
--- a/src/proof/soak/virtual-soak.ts
+++ b/src/proof/soak/virtual-soak.ts
@@ -18,6 +18,8 @@
 export interface VirtualSoak extends WorldRun {
   /** How long faults come, in milliseconds. */
   readonly durationMs: number;
+  /** Whether back ends start again under their IDs. */
+  readonly hasRestarts?: boolean;
 }
 
 /** A machine that was killed is at work again after so long at the least, in milliseconds. */
@@ -31,8 +33,9 @@
 export function runVirtualSoak(soak: VirtualSoak): Promise<IngressRunReport> {
   return runWorld(soak, async (world) => {
     const { controlCount, balancerCount, tolerableLosses, catchUpMs } = world.options;
-    const { seed, durationMs } = soak;
-    const options = { seed, durationMs, controlCount, balancerCount, tolerableLosses, catchUpMs };
+    const { seed, durationMs, hasRestarts = false } = soak;
+    const bounds = { controlCount, balancerCount, tolerableLosses, catchUpMs };
+    const options = { seed, durationMs, hasRestarts, ...bounds };
     for (const fault of drawSchedule(options)) {
       world.clock.after(fault.atMs, () => strike(world, fault));
     }
@@ -80,7 +83,7 @@
       balancer.freeze(forMs);
       disturb(world, forMs);
     })
-    .otherwise((ofStandIns) => strikeStandIns(world, ofStandIns, forMs));
+    .otherwise((ofStandIns) => strikeStandIns(world, ofStandIns, target, forMs));
 }
 
 function loseControl(
--- a/src/registered/daemon/call-listener.ts
+++ b/src/registered/daemon/call-listener.ts
@@ -25,7 +25,22 @@
 /** The call that an HTTP request asks for, or its reply where there is nothing to call. */
 export type TranslatedCall =
   | { readonly type: 'call'; readonly call: GroupCall }
-  | { readonly type: 'reply'; readonly reply: HttpReply };
+  | {
+      readonly type: 'reply';
+      readonly reply: HttpReply;
+      /** Why what a back end sent was refused, in one word of few; undefined for other calls. */
+      readonly refusal?: string | undefined;
+    };
+
+/** Takes note of something of a back end that was refused. */
+export type RecordRefusal = (refusal: RefusedEntry) => void;
+
+/** Something of a back end that was refused. */
+export interface RefusedEntry {
+  /** One word of few, for counts. */
+  readonly reason: string;
+  readonly path: string;
+}
 
 /** Brings a call into the group. */
 export type PerformCall = (call: GroupCall) => Promise<GroupReply>;
@@ -62,6 +77,7 @@
 export function createCallListener(
   translate: TranslateCall,
   perform: PerformCall,
+  recordRefusal: RecordRefusal,
 ): RequestListener {
   return (request, response) => {
     answerRequest(request, response).catch(() => {
@@ -77,9 +93,13 @@
       respond(response, errorReply('invalid-command', 'The body is too large.'));
       return;
     }
-    const translated = translate(callRequestOf(request, body));
+    const callRequest = callRequestOf(request, body);
+    const translated = translate(callRequest);
     switch (translated.type) {
       case 'reply':
+        if (translated.refusal !== undefined) {
+          recordRefusal({ reason: translated.refusal, path: callRequest.path });
+        }
         respond(response, translated.reply);
         return;
       case 'call':
@@ -98,10 +118,11 @@
 }
 
 /**
+ * @param refusal why something of a back end is refused, in one word of few; undefined for other calls
  * @returns a refusal in place of a call
  */
-export function refusedCall(kind: ErrorKind, message: string): TranslatedCall {
-  return { type: 'reply', reply: errorReply(kind, message) };
+export function refusedCall(kind: ErrorKind, message: string, refusal?: string): TranslatedCall {
+  return { type: 'reply', reply: errorReply(kind, message), refusal };
 }
 
 /**
--- a/src/registered/daemon/declared-api.ts
+++ b/src/registered/daemon/declared-api.ts
@@ -1,16 +1,28 @@
 /**
  * @file The product's own calls to a control machine of a group, over HTTP with JSON bodies:
  *
- * - `PUT /v1/backends/ID` is a heartbeat, `DELETE /v1/backends/ID` the departure of a back end that has ended.
+ * - `PUT /v1/backends/ID` is a heartbeat, `DELETE /v1/backends/ID` the departure of a back end that has ended. Both may say
+ *   when the back end started (`startedAtMs`), so that it may start again under its ID.
  * - `PUT /v1/config` declares a whole configuration, `GET /v1/config` reads the one that holds. Both need
  *   `Authorization: Bearer TOKEN` where the settings give a token.
  * - `PUT /v1/zones/ZONE/evacuation` evacuates a zone, `DELETE` readmits it, `GET /v1/zones` lists the state of each zone and
  *   what works there; with the same token.
  */
 import * as z from 'zod/mini';
-import { parseAddress } from '../../shared/common/address.js';
-import { describeFaults } from '../../shared/common/schema-faults.js';
 import { parseDeclaredConfig } from '../declared/parse-config.js';
+import { startIdOf } from '../registry/backend-start.js';
+import {
+  backendAddress,
+  backendNameOf,
+  capacityField,
+  MAX_NAME_LENGTH,
+  nameField,
+  refusedFields,
+  refusedName,
+  sequenceField,
+  startTimeField,
+  warmUpField,
+} from './heartbeat-fields.js';
 import {
   decodePathPart,
   parseJson,
@@ -24,21 +36,23 @@
 const CONFIG_PATH = '/v1/config';
 const ZONES_PATH = '/v1/zones';
 const EVACUATION_PATTERN = /^\/v1\/zones\/([^/]+)\/evacuation$/;
-/** Characters of an ID in a path; below what messages between control machines take for a text (200). */
-const MAX_ID_LENGTH = 100;
 const INSTANCE_PATTERN = /^[0-9a-f]{16}$/;
 
 const heartbeatSchema = z.strictObject({
-  service: z.string().check(z.minLength(1)),
-  address: z.string().check(z.refine((text) => parseAddress(text) !== undefined)),
-  zone: z.string(),
-  /** Names this start in datagrams; 16 hexadecimal digits, never used again. */
+  service: nameField,
+  address: z.string().check(z.refine((text) => backendAddress(text) !== undefined)),
+  zone: nameField,
+  /** Names the back end in datagrams; 16 hexadecimal digits. */
   instance: z.string().check(z.regex(INSTANCE_PATTERN)),
-  capacity: z._default(z.number().check(z.positive()), 1),
-  warmUpLeftMs: z._default(z.number().check(z.nonnegative()), 0),
-  sequence: z.number().check(z.nonnegative()),
+  capacity: z._default(capacityField, 1),
+  warmUpLeftMs: z._default(warmUpField, 0),
+  sequence: sequenceField,
   isDraining: z._default(z.boolean(), false),
+  /** When it started, where it may start again under its ID; a later start is another one. */
+  startedAtMs: z.optional(startTimeField),
 });
+/** The body of a departure, where there is one: the start that ends. */
+const departureSchema = z.strictObject({ startedAtMs: z.optional(startTimeField) });
 
 /**
  * @param operatorToken without it anybody may declare and read
@@ -50,10 +64,8 @@
   function translate(request: CallRequest): TranslatedCall {
     const { method, path, body } = request;
     if (path.startsWith(BACKENDS_PATH)) {
-      const id = decodePathPart(path.slice(BACKENDS_PATH.length), MAX_ID_LENGTH);
-      return id === undefined
-        ? refusedCall('invalid-command', 'The ID is not valid.')
-        : backendCall(method, id, body);
+      const name = backendNameOf(path.slice(BACKENDS_PATH.length));
+      return name === undefined ? refusedName() : backendCall(method, name, body);
     }
     if (path !== CONFIG_PATH && !path.startsWith(ZONES_PATH)) {
       return refusedCall('not-found', 'There is no such call.');
@@ -69,7 +81,7 @@
   if (method === 'GET' && path === ZONES_PATH) {
     return { type: 'call', call: { type: 'read-zones' } };
   }
-  const zone = decodePathPart(EVACUATION_PATTERN.exec(path)?.[1] ?? '', MAX_ID_LENGTH);
+  const zone = decodePathPart(EVACUATION_PATTERN.exec(path)?.[1] ?? '', MAX_NAME_LENGTH);
   if (zone === undefined) {
     return refusedCall('not-found', 'There is no such call.');
   }
@@ -83,27 +95,38 @@
   }
 }
 
-function backendCall(method: string, id: string, body: string): TranslatedCall {
+function backendCall(method: string, name: string, body: string): TranslatedCall {
   switch (method) {
     case 'PUT':
-      return heartbeatCall(id, body);
+      return heartbeatCall(name, body);
     case 'DELETE':
-      return { type: 'call', call: { type: 'deregister', backendId: id } };
+      return departureCall(name, body);
     default:
       return refusedCall('not-found', 'Allowed are PUT and DELETE.');
   }
 }
 
-function heartbeatCall(id: string, body: string): TranslatedCall {
+function departureCall(name: string, body: string): TranslatedCall {
+  const parsed = departureSchema.safeParse(body === '' ? {} : parseJson(body));
+  if (!parsed.success) {
+    return refusedFields(parsed.error);
+  }
+  const { startedAtMs } = parsed.data;
+  const backendId = startIdOf({ backend: name, startedAtMs });
+  return { type: 'call', call: { type: 'deregister', backendId } };
+}
+
+function heartbeatCall(name: string, body: string): TranslatedCall {
   const parsed = heartbeatSchema.safeParse(parseJson(body));
-  const address = parsed.success ? parseAddress(parsed.data.address) : undefined;
-  if (!parsed.success || address === undefined) {
-    return refusedCall(
-      'invalid-command',
-      parsed.error === undefined ? 'The heartbeat is not valid.' : describeFaults(parsed.error),
-    );
+  if (!parsed.success) {
+    return refusedFields(parsed.error);
   }
   const { service, zone, instance, capacity, warmUpLeftMs, sequence, isDraining } = parsed.data;
+  const address = backendAddress(parsed.data.address);
+  if (address === undefined) {
+    return refusedCall('invalid-command', 'The address is not valid.', 'address');
+  }
+  const id = startIdOf({ backend: name, startedAtMs: parsed.data.startedAtMs });
   const record = { id, instanceNumber: instance, service, address, zone };
   return {
     type: 'call',
--- a/src/registered/daemon/group-daemon.ts
+++ b/src/registered/daemon/group-daemon.ts
@@ -19,10 +19,13 @@
 import { isBalancerLinkMessage, type FeedMessage } from '../group/group-messages.js';
 import { parseControlInbound } from '../group/message-schemas.js';
 import type { ConsensusStorage } from '../../shared/daemon/consensus-storage.js';
-import { logDecision } from './decision-log.js';
+import type { RefusedEntry } from './call-listener.js';
+import { logDecision, logLine } from './decision-log.js';
+import { countEvent } from './event-counts.js';
 import { openGroupDisk, persistToDisk } from './group-disk.js';
 import { frameLinkOptions, FrameLinks, type FrameLink } from './frame-links.js';
 import { GroupProcess, type GroupCall, type GroupSurroundings } from './group-process.js';
+import { createRequestLog } from './request-log.js';
 import { systemContextSource } from '../../shared/daemon/system-context.js';
 
 /** Of the order of a heartbeat interval of the group (`group/timing.ts`: 38 to 150 ms). Not measured. */
@@ -38,6 +41,11 @@
  */
 const STOP_DELAY_MS = 250;
 
+/** Lines on refused entries: enough to see who sends them, and few beside those of decisions. Not measured. */
+const REFUSAL_BUDGET = { linesPerSecond: 5, bytesPerSecond: 1_024 } as const;
+/** Characters of a path in such a line; the names of back ends have 100 at most. */
+const MAX_LOGGED_PATH = 150;
+
 /** A running control machine. */
 export class GroupDaemon {
   private readonly links: FrameLinks;
@@ -49,6 +57,11 @@
     firstRetryDelayMs: RETRY_LINK_AFTER_MS,
     maxRetryDelayMs: RETRY_LINK_AFTER_MS,
   });
+  private readonly refusalLog = createRequestLog({
+    nowMs: () => performance.now(),
+    write: (name, fieldsText) => logLine('control', name, fieldsText),
+    budget: REFUSAL_BUDGET,
+  });
   /** Read by metrics. */
   readonly group: GroupProcess;
   private timer: NodeJS.Timeout | undefined;
@@ -92,6 +105,12 @@
     return new Promise((resolve) => this.group.call(call, resolve));
   }
 
+  /** Counts something of a back end that an adapter refused, and writes its line. */
+  recordRefusal({ reason, path }: RefusedEntry): void {
+    countEvent(this.group.counts, `entry refused:${reason}`);
+    this.refusalLog.log('entry refused', { reason, path: path.slice(0, MAX_LOGGED_PATH) });
+  }
+
   /** Replaces the seeds, by which this machine finds the group. */
   updateSeeds(seeds: readonly Address[]): void {
     this.group.state.announcements.setSeeds(seeds);
@@ -111,8 +130,13 @@
       onMessage: (message, link) => this.receive(message, link),
       onClose: (link) => this.forgetLink(link),
     });
-    this.timer = setInterval(() => this.group.tick(), TICK_INTERVAL_MS);
+    this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
+    this.group.tick();
+  }
+
+  private tick(): void {
     this.group.tick();
+    this.refusalLog.flush();
   }
 
   private receive(message: unknown, link: FrameLink): boolean {
--- a/src/registered/daemon/ingress-log.ts
+++ b/src/registered/daemon/ingress-log.ts
@@ -147,7 +147,12 @@
 
 /** Refused opens cost a client its try; of established flows only those with a back end that is gone are of use. */
 function isWorthALine(reason: DropReason, { isOpen }: PacketView): boolean {
-  return isOpen || reason === 'unknown-token' || reason === 'backend-dead';
+  return (
+    isOpen ||
+    reason === 'unknown-token' ||
+    reason === 'backend-dead' ||
+    reason === 'backend-restarted'
+  );
 }
 
 /** @returns the two ends of a flow */
--- a/src/registered/decisions/mechanism-switches.ts
+++ b/src/registered/decisions/mechanism-switches.ts
@@ -23,6 +23,11 @@
   outliers: ['passed-over', 'ignored'],
   /** Whether flows whose back end is proven dead are reset, or left to the deadlines of their clients. */
   deadFlows: ['reset', 'left'],
+  /**
+   * Whether the token of a flow names the start of its back end, or the back end alone, as balancers of a version that
+   * knows of no starts read it; `plain` until all balancers know of starts.
+   */
+  starts: ['named', 'plain'],
   /** Whether balancers share the memory of opens. */
   opens: ['shared', 'own'],
   /** Whether an open of a service without back ends is dropped, so that its client repeats it, while some may be unknown. */
--- a/src/registered/group/backends/backend-list.ts
+++ b/src/registered/group/backends/backend-list.ts
@@ -3,12 +3,14 @@
  *
  * The list lets a group that restarts as a whole know its back ends before their next heartbeats. Inputs: the registry
  * of heartbeats, the list and the departures of the replicated state, and whether a change of the list is under way.
- * Returns the next command, or none. Back ends that the list lacks are added, unless they are gone; back ends that the
+ * Returns the next command, or none. Back ends that the list lacks are added, unless they are gone or no configuration
+ * names their service; back ends that the
  * registry has forgotten (`forgetBackendAfterMs` without a heartbeat, in milliseconds) are dropped.
  *
  * One command at a time carries all that is due, so that many heartbeats at once cost one entry, and no heartbeat waits
  * for an entry.
  */
+import { isNamedService } from './backend-admission.js';
 import type { BackendRecord } from '../../registry/backend-record.js';
 import type { GroupState } from '../group-state.js';
 import type { GroupCommand, ReplicatedState } from '../replicated-state.js';
@@ -21,7 +23,8 @@
   replicated,
   registry,
   backendList,
-}: Pick<GroupState, 'backendList' | 'consensus' | 'registry' | 'replicated'>):
+  configs,
+}: Pick<GroupState, 'backendList' | 'configs' | 'consensus' | 'registry' | 'replicated'>):
   GroupCommand | undefined {
   const { role, commitIndex, log } = consensus;
   const { proposalIndex } = backendList;
@@ -29,7 +32,10 @@
   if (role.name !== 'leader' || commitIndex < role.termStartIndex || isUnderWay) {
     return undefined;
   }
-  const records = [...registry.all()].map(({ record }) => record).filter(isNewTo(replicated));
+  const records = [...registry.all()]
+    .map(({ record }) => record)
+    .filter(isNewTo(replicated))
+    .filter(({ service }) => isNamedService({ configs }, service));
   if (records.length > 0) {
     return { type: 'register-backends', records };
   }
--- a/src/registered/group/calls/backend-calls.ts
+++ b/src/registered/group/calls/backend-calls.ts
@@ -4,6 +4,9 @@
  * A heartbeat is accepted by any machine that is current, and takes no entry of the log. A departure is acknowledged
  * once it is committed, since it is final: a back end may end once it has the reply, and must get no new flow after any
  * restart. Departures that are committed already need no leader.
+ *
+ * Both belong to one start of a back end. A heartbeat of a start that is not the current one is not acknowledged, since it
+ * has no effect (registry/start-holders.ts). To which start a departure belongs is decided in departing-start.ts.
  */
 import { formatAddress } from '../../../shared/common/address.js';
 import {
@@ -14,14 +17,17 @@
 import type { GroupEffect, GroupEvent, RequestId } from '../group-events.js';
 import type { AgedRecord } from '../group-messages.js';
 import type { GroupState } from '../group-state.js';
+import { startOf } from '../../registry/backend-start.js';
+import { admitsBackend } from '../backends/backend-admission.js';
 import { applyHeartbeat } from '../backends/heartbeats.js';
+import { departingStart } from './departing-start.js';
 import { accepted, unavailable, type RunConsensus } from './leader-replies.js';
 import { startCall, type CallState } from './leader-requests.js';
 import { isCurrent } from '../leadership.js';
 
 /** What calls of back ends read and change. */
 type BackendCallState = CallState &
-  Pick<GroupState, 'heartbeats' | 'readmissions' | 'registry' | 'updates'>;
+  Pick<GroupState, 'configs' | 'heartbeats' | 'readmissions' | 'registry' | 'updates'>;
 
 /**
  * Handles a heartbeat that came in here; one of a back end that is draining records its departure, too.
@@ -35,11 +41,17 @@
   if (!isCurrent(state, nowMs)) {
     return [unavailable(requestId, 'This machine follows no leader.')];
   }
+  if (!admitsBackend(state, record)) {
+    return [unavailable(requestId, `No configuration names the service ${record.service}.`)];
+  }
   const decisions = registrationDecision(state, record);
   const aged: AgedRecord = { record, ageMs: 0 };
   if (applyHeartbeat(state, aged, nowMs)) {
     state.heartbeats.addToShare(aged);
   }
+  if (state.registry.isOtherStartCurrent(record.id)) {
+    return [...decisions, unavailable(requestId, 'Another start of this back end is current.')];
+  }
   if (isDraining) {
     const departure = { backendId: record.id, kind: 'draining' } as const;
     return [...decisions, ...handleDeparture(state, requestId, departure, nowMs, run)];
@@ -64,14 +76,41 @@
     capacity,
     warmUpLeftMs,
     supersedes: registry.holderOf(address),
+    follows: registry.currentStartOf(startOf(id).backend),
   };
   return [{ type: 'decision', name: 'backend registered', fields }];
 }
 
+/**
+ * Handles the departure of a back end that has ended, or is about to.
+ * @param backendId names the start, or the back end alone
+ */
+export function handleDeregistration(
+  state: BackendCallState,
+  requestId: RequestId,
+  backendId: string,
+  nowMs: number,
+  run: RunConsensus,
+): GroupEffect[] {
+  const departing = departingStart(state, backendId, nowMs);
+  switch (departing.type) {
+    case 'start': {
+      const departure = { backendId: departing.id, kind: 'gone' } as const;
+      return handleDeparture(state, requestId, departure, nowMs, run);
+    }
+    case 'doubtful':
+      return [
+        unavailable(requestId, 'This may be of the start before; the next one has just begun.'),
+      ];
+    case 'unknown':
+      return [unavailable(requestId, 'No heartbeat of this back end is known here.')];
+  }
+}
+
 /**
  * Brings a departure to the leader, unless it is committed already.
  */
-export function handleDeparture(
+function handleDeparture(
   state: CallState,
   requestId: RequestId,
   departure: Departure,
--- a/src/registered/group/group-events.ts
+++ b/src/registered/group/group-events.ts
@@ -27,7 +27,12 @@
       readonly record: BackendRecord;
       readonly isDraining: boolean;
     }
-  | { readonly type: 'deregister'; readonly requestId: RequestId; readonly backendId: string }
+  | {
+      readonly type: 'deregister';
+      readonly requestId: RequestId;
+      /** Names the start, or the back end alone where it does not say when it started (registry/backend-start.ts). */
+      readonly backendId: string;
+    }
   /** The document is valid; it comes into force where its version is the highest. */
   | {
       readonly type: 'declare-config';
--- a/src/registered/group/group-step.ts
+++ b/src/registered/group/group-step.ts
@@ -14,7 +14,7 @@
 import { match } from 'ts-pattern';
 import type { StepContext } from '../../shared/common/step.js';
 import type { ConsensusEvent } from '../../shared/consensus/consensus-events.js';
-import { handleDeparture, handleHeartbeat } from './calls/backend-calls.js';
+import { handleDeregistration, handleHeartbeat } from './calls/backend-calls.js';
 import { addSubscriber, applyFeedTaken, feedOne, removeSubscriber } from './feed/balancer-feed.js';
 import { runConsensus } from './group-consensus.js';
 import type { GroupEffect, GroupEvent } from './group-events.js';
@@ -42,7 +42,7 @@
   return match(event)
     .with({ type: 'heartbeat' }, (call) => handleHeartbeat(state, call, nowMs, run))
     .with({ type: 'deregister' }, ({ requestId, backendId }) =>
-      handleDeparture(state, requestId, { backendId, kind: 'gone' }, nowMs, run),
+      handleDeregistration(state, requestId, backendId, nowMs, run),
     )
     .with({ type: 'declare-config' }, ({ requestId, document }) => {
       const command = { type: 'declare-config', document } as const;
--- a/src/registered/group/replicated-state.ts
+++ b/src/registered/group/replicated-state.ts
@@ -13,6 +13,7 @@
   type Departure,
   type DepartureKind,
 } from '../registry/backend-record.js';
+import { startOf } from '../registry/backend-start.js';
 import { createZoneOrders, type ZoneOrder, type ZoneStatus } from './zone-orders.js';
 
 /** A configuration as it was sent, with the version that it carries. */
@@ -83,6 +84,12 @@
     return this.backends.has(backendId);
   }
 
+  /** @returns the IDs of all starts of a back end that exist or have left, those of the list first */
+  startsOf(backend: string): string[] {
+    const ids = [...this.backends.keys(), ...this.departures.keys()];
+    return ids.filter((id) => startOf(id).backend === backend);
+  }
+
   departureOf(backendId: string): DepartureKind | undefined {
     return this.departures.get(backendId);
   }
--- a/src/registered/group/zone-reports.ts
+++ b/src/registered/group/zone-reports.ts
@@ -28,7 +28,7 @@
     const { zone, capacity } = record;
     const before = reports.get(zone) ?? emptyReport(replicated, zone);
     const isActive = liveness === 'alive' && replicated.departureOf(record.id) === undefined;
-    const busy = busyByToken.get(tokenOf(record.instanceNumber)) ?? 0;
+    const busy = busyByToken.get(tokenOf(record)) ?? 0;
     reports.set(zone, {
       ...before,
       backendCount: before.backendCount + Number(isActive),
--- a/src/registered/ingress/backend-table.ts
+++ b/src/registered/ingress/backend-table.ts
@@ -14,6 +14,8 @@
   type Departure,
   type DepartureKind,
 } from '../registry/backend-record.js';
+import type { MechanismSwitches } from '../decisions/mechanism-switches.js';
+import { isLaterStart } from '../registry/backend-start.js';
 import { createBackend, type KnownBackend, type OwnedBackend } from './known-backend.js';
 import { applyHeartbeat, applyLivenessChange, depart, isOver, suspect } from './registration.js';
 
@@ -23,13 +25,23 @@
 export class BackendTable {
   private readonly byId = new Map<string, OwnedBackend>();
   private readonly byToken = new Map<number, OwnedBackend>();
+  /** The newest start that a token without a start may name. */
+  private readonly byPlainToken = new Map<number, OwnedBackend>();
+  /** The newest start of each back end. */
+  private readonly byName = new Map<string, OwnedBackend>();
   /** The newest back end at each address. */
   private readonly byAddress = new Map<string, OwnedBackend>();
   private readonly byService = new Map<string, OwnedBackend[]>();
   private readonly departures = new Map<string, DepartureKind>();
 
-  /** @param heartbeatIntervalMs time between two heartbeats of a back end */
-  constructor(private readonly heartbeatIntervalMs: number) {}
+  /**
+   * @param heartbeatIntervalMs time between two heartbeats of a back end
+   * @param tokens whether the tokens of flows name the start of their back end
+   */
+  constructor(
+    private readonly heartbeatIntervalMs: number,
+    private readonly tokens: MechanismSwitches['starts'] = 'named',
+  ) {}
 
   /** How many back ends are known. */
   get size(): number {
@@ -42,7 +54,7 @@
 
   /** @returns the back end that a token names */
   resolve(token: number): KnownBackend | undefined {
-    return this.byToken.get(token);
+    return this.byToken.get(token) ?? this.byPlainToken.get(token);
   }
 
   find(id: string): KnownBackend | undefined {
@@ -62,6 +74,16 @@
     return holder !== undefined && holder.id !== id && holder.registration.liveness === 'alive';
   }
 
+  /**
+   * @returns the later start of the same back end that has begun and counts as alive, so that nothing of this one is left;
+   *   undefined where there is none
+   */
+  successorOf({ id, start }: KnownBackend): KnownBackend | undefined {
+    const newest = this.byName.get(start.backend);
+    const isLater = newest !== undefined && newest.id !== id;
+    return isLater && newest.registration.liveness === 'alive' ? newest : undefined;
+  }
+
   /** Applies the record of a back end; one that is not known yet is added. */
   applyRecord(aged: AgedRecord, nowMs: number): void {
     const { record, ageMs } = aged;
@@ -135,15 +157,21 @@
     }
   }
 
-  /** @returns undefined where another back end has the same token, so that packets could not tell them apart */
+  /** @returns undefined where another back end, no start of the same one, has the same token, so that packets could not tell them apart */
   private add(record: BackendRecord, receivedAtMs: number): OwnedBackend | undefined {
-    const backend = createBackend(record, receivedAtMs, this.departures.get(record.id));
-    if (this.byToken.has(backend.token)) {
+    const departure = this.departures.get(record.id);
+    const backend = createBackend(record, receivedAtMs, departure, this.tokens);
+    const same = this.byToken.get(backend.token);
+    if (same !== undefined && same.start.backend !== backend.start.backend) {
       return undefined;
     }
     this.byId.set(backend.id, backend);
-    this.byToken.set(backend.token, backend);
-    this.byAddress.set(formatAddress(backend.address), backend);
+    this.setNewest(this.byName, backend.start.backend, backend);
+    this.setNewest(this.byToken, backend.token, backend);
+    this.setNewest(this.byPlainToken, backend.plainToken, backend);
+    if (this.successorOf(backend) === undefined) {
+      this.byAddress.set(formatAddress(backend.address), backend);
+    }
     const sameService = this.byService.get(backend.service);
     if (sameService === undefined) {
       this.byService.set(backend.service, [backend]);
@@ -153,13 +181,23 @@
     return backend;
   }
 
+  /** A later start of a back end takes a place from the one before it, and no other back end does. */
+  private setNewest<Key>(places: Map<Key, OwnedBackend>, key: Key, backend: OwnedBackend): void {
+    const before = places.get(key);
+    if (
+      before === undefined ||
+      (before.start.backend === backend.start.backend && isLaterStart(backend.start, before.start))
+    ) {
+      places.set(key, backend);
+    }
+  }
+
   private remove(backend: OwnedBackend): void {
     this.byId.delete(backend.id);
-    this.byToken.delete(backend.token);
-    const at = formatAddress(backend.address);
-    if (this.byAddress.get(at) === backend) {
-      this.byAddress.delete(at);
-    }
+    deleteOwn(this.byName, backend.start.backend, backend);
+    deleteOwn(this.byToken, backend.token, backend);
+    deleteOwn(this.byPlainToken, backend.plainToken, backend);
+    deleteOwn(this.byAddress, formatAddress(backend.address), backend);
     const sameService = this.byService.get(backend.service) ?? [];
     this.byService.set(
       backend.service,
@@ -168,3 +206,9 @@
     this.departures.delete(backend.id);
   }
 }
+
+function deleteOwn<Key>(places: Map<Key, OwnedBackend>, key: Key, backend: OwnedBackend): void {
+  if (places.get(key) === backend) {
+    places.delete(key);
+  }
+}
--- a/src/registered/ingress/established-packet.ts
+++ b/src/registered/ingress/established-packet.ts
@@ -1,7 +1,9 @@
 /**
  * @file A packet of an established flow: it goes to the back end that its token names, whatever else is known. Where
- * that back end is proven dead the client is reset.
+ * that back end is proven dead the client is reset, and where it has started again the packet is handled as
+ * restarted-backend.ts decides.
  */
+import { afterRestart } from '../decisions/restarted-backend.js';
 import { isProvenDead, type UnansweredData } from '../decisions/dead-flow.js';
 import { knowsCurrent, type IngressState } from './ingress-state.js';
 import type { KnownBackend } from './known-backend.js';
@@ -21,6 +23,35 @@
   if (backend === undefined) {
     return { type: 'drop', reason: 'unknown-token' };
   }
+  const successor = state.backends.successorOf(backend);
+  return successor === undefined
+    ? decideForStart(state, packet, backend, nowMs)
+    : decideForRestarted(state, packet, backend, successor, nowMs);
+}
+
+function decideForRestarted(
+  state: IngressState,
+  packet: PacketView,
+  backend: KnownBackend,
+  successor: KnownBackend,
+  nowMs: number,
+): PacketDecision {
+  switch (afterRestart(backend, successor)) {
+    case 'follow':
+      return decideForStart(state, packet, successor, nowMs);
+    case 'end':
+      return packet.isReset
+        ? { type: 'drop', reason: 'backend-restarted' }
+        : { type: 'reset', reason: 'backend-restarted' };
+  }
+}
+
+function decideForStart(
+  state: IngressState,
+  packet: PacketView,
+  backend: KnownBackend,
+  nowMs: number,
+): PacketDecision {
   const unanswered = state.activities.recordPacket(flowKeyOf(packet), backend, packet, nowMs);
   return unanswered !== undefined && isDead(state, backend, unanswered, nowMs)
     ? { type: 'reset', reason: 'backend-dead' }
--- a/src/registered/ingress/ingress-state.ts
+++ b/src/registered/ingress/ingress-state.ts
@@ -105,7 +105,7 @@
     assembly: createConfigAssembly(),
     fullSync: createFullSync(),
     feedStatus,
-    backends: new BackendTable(options.heartbeatIntervalMs),
+    backends: new BackendTable(options.heartbeatIntervalMs, options.switches.starts),
     peers,
     zones,
     opens: new OpenMemory(OPEN_LIFETIME_MS),
--- a/src/registered/ingress/known-backend.ts
+++ b/src/registered/ingress/known-backend.ts
@@ -7,8 +7,10 @@
  */
 import { Buffer } from 'node:buffer';
 import type { Address } from '../../shared/common/address.js';
+import type { MechanismSwitches } from '../decisions/mechanism-switches.js';
 import type { BackendRecord, DepartureKind } from '../registry/backend-record.js';
-import { tokenOf } from '../registry/backend-token.js';
+import { startOf, type BackendStart } from '../registry/backend-start.js';
+import { plainTokenOf, tokenOf } from '../registry/backend-token.js';
 import { createLocalActivity, type LocalActivity } from './local-activity.js';
 import { createRegistration, type Registration } from './registration.js';
 
@@ -29,6 +31,7 @@
 /** Which start of which back end it is. */
 interface BackendIdentity {
   readonly id: string;
+  readonly start: BackendStart;
   readonly service: string;
   readonly zone: string;
   readonly address: Address;
@@ -36,6 +39,8 @@
   readonly instanceBytes: Uint8Array;
   /** Names it in packets of its flows; never 0. */
   readonly token: number;
+  /** The same without its start; packets that were sent by balancers which know of no starts bring it. */
+  readonly plainToken: number;
 }
 
 /** One start of a back end. */
@@ -57,19 +62,24 @@
 /**
  * @param receivedAtMs when the first heartbeat came that brought the record
  * @param departure what was known of its departure before that
+ * @param tokens whether its token names the start
  */
 export function createBackend(
   record: BackendRecord,
   receivedAtMs: number,
   departure: DepartureKind | undefined,
+  tokens: MechanismSwitches['starts'],
 ): OwnedBackend {
+  const plainToken = plainTokenOf(record);
   return {
     id: record.id,
+    start: startOf(record.id),
     service: record.service,
     zone: record.zone,
     address: record.address,
     instanceBytes: Buffer.from(record.instanceNumber, 'hex').subarray(0, INSTANCE_BYTES),
-    token: tokenOf(record.instanceNumber),
+    token: tokens === 'named' ? tokenOf(record) : plainToken,
+    plainToken,
     registration: createRegistration(record, receivedAtMs, departure),
     fleet: { busy: 0, stalled: 0, answered: 0, answerMs: 0, short: 0 },
     local: createLocalActivity(),
--- a/src/registered/ingress/open-step.ts
+++ b/src/registered/ingress/open-step.ts
@@ -3,6 +3,7 @@
  * remembered; asked for at the holders where another balancer may have placed it; placed; refused where no back end may
  * take it. The rules themselves are in `src/registered/decisions`.
  */
+import { afterRestart } from '../decisions/restarted-backend.js';
 import { isLearning } from '../decisions/learning.js';
 import { admitOpen } from '../decisions/open-admission.js';
 import { refuseOpen } from '../decisions/open-refusal.js';
@@ -18,7 +19,7 @@
   }
   const key = flowKeyOf(packet);
   const rememberedToken = state.opens.recall(key, nowMs);
-  if (rememberedToken !== undefined) {
+  if (rememberedToken !== undefined && !isEnded(state, rememberedToken)) {
     state.activities.recordOpenCopy(key, nowMs);
     return forwardCopy(state, rememberedToken, { type: 'remembered' });
   }
@@ -67,12 +68,26 @@
 }
 
 function forwardCopy(state: IngressState, token: number, foundBy: FoundBy): PacketDecision {
-  const backend = state.backends.resolve(token);
+  if (isEnded(state, token)) {
+    return { type: 'drop', reason: 'backend-restarted' };
+  }
+  const named = state.backends.resolve(token);
+  const backend = named && (state.backends.successorOf(named) ?? named);
   return backend === undefined
     ? { type: 'drop', reason: 'unknown-token' }
     : { type: 'forward', backend, foundBy };
 }
 
+/** The first copy went to a start that is over, of which nothing is left: the open is placed anew. */
+function isEnded({ backends }: IngressState, token: number): boolean {
+  const backend = backends.resolve(token);
+  if (backend === undefined) {
+    return false;
+  }
+  const successor = backends.successorOf(backend);
+  return successor !== undefined && afterRestart(backend, successor) === 'end';
+}
+
 function mayLearnMore(state: IngressState, nowMs: number): boolean {
   const { switches, heartbeatIntervalMs } = state.options;
   return (
--- a/src/registered/ingress/packet-decision.ts
+++ b/src/registered/ingress/packet-decision.ts
@@ -18,6 +18,8 @@
   | 'no-backend'
   /** The back end of an established flow is proven dead. */
   | 'backend-dead'
+  /** The back end of a flow has started again since, at another address, and holds nothing of before. */
+  | 'backend-restarted'
   /** All zones in which the service has back ends are evacuated. */
   | 'zones-evacuated'
   /** Slow start admits no further flow to any back end that it could go to. */
--- a/src/registered/registry/backend-record.ts
+++ b/src/registered/registry/backend-record.ts
@@ -6,9 +6,12 @@
 
 /** The last heartbeat of one start of a back end. */
 export interface BackendRecord {
-  /** Names one start of a back end; not used again after a restart. */
+  /** Names one start of a back end (backend-start.ts); not used again after a restart. */
   readonly id: string;
-  /** The number from which the token of packets is made, as 16 hexadecimal digits. */
+  /**
+   * The number that names the back end in datagrams to it, and from which with the start the token is made (backend-token.ts);
+   * 16 hexadecimal digits, which several starts may have in common.
+   */
   readonly instanceNumber: string;
   readonly service: string;
   readonly address: Address;
--- a/src/registered/registry/heartbeat-registry.ts
+++ b/src/registered/registry/heartbeat-registry.ts
@@ -8,12 +8,13 @@
  *
  * The registry owns the last heartbeat and the liveness of each back end. It is soft state, rebuilt from the next
  * heartbeats wherever it is lost. It relies on address-holders.ts for reused addresses and on backend-liveness.ts for
- * the meaning of silence.
+ * the meaning of silence, and on start-holders.ts for back ends that start again.
  */
 import { formatAddress, type Address } from '../../shared/common/address.js';
 import { createAddressHolders, type AddressHolders } from './address-holders.js';
 import { livenessOf, type LivenessChange, type Liveness } from './backend-liveness.js';
 import type { BackendRecord } from './backend-record.js';
+import { createStartHolders, type StartHolders } from './start-holders.js';
 
 /** What a heartbeat changed. */
 type HeartbeatOutcome =
@@ -27,6 +28,8 @@
 /** The last heartbeat of a back end, and its liveness as it was updated last. */
 interface RegisteredBackend {
   readonly record: BackendRecord;
+  /** On the clock of this process, in milliseconds; for one that is only listed, the time that was assumed. */
+  readonly firstHeartbeatAtMs: number;
   /** On the clock of this process, in milliseconds. */
   readonly lastHeartbeatAtMs: number;
   readonly liveness: Liveness;
@@ -42,10 +45,12 @@
 export class HeartbeatRegistry {
   private readonly records = new Map<string, RegisteredBackend>();
   private readonly holders: AddressHolders;
+  private readonly starts: StartHolders;
 
   /** @param heartbeatIntervalMs time between two heartbeats of a back end */
   constructor(private readonly heartbeatIntervalMs: number) {
     this.holders = createAddressHolders(heartbeatIntervalMs);
+    this.starts = createStartHolders(heartbeatIntervalMs);
   }
 
   /** How many back ends are known. */
@@ -62,9 +67,19 @@
     return this.records.values();
   }
 
-  /** @returns true where another back end holds the address of this one */
+  /** @returns true where another back end holds the address of this one, or another start of it is current */
   isSuperseded(id: string): boolean {
-    return this.holders.isSuperseded(id);
+    return this.holders.isSuperseded(id) || this.starts.isSuperseded(id);
+  }
+
+  /** @returns true where another start of the same back end is current */
+  isOtherStartCurrent(id: string): boolean {
+    return this.starts.isSuperseded(id);
+  }
+
+  /** @returns the ID of the current start of a back end */
+  currentStartOf(backend: string): string | undefined {
+    return this.starts.currentOf(backend);
   }
 
   /** @returns the back end that holds an address */
@@ -81,12 +96,17 @@
     if (known !== undefined && !isSameAddress(known.record, record)) {
       this.holders.remove(record.id, known.record.address);
     }
-    this.holders.recordHeartbeat(record.id, record.address, receivedAtMs);
+    this.starts.recordHeartbeat(record.id, receivedAtMs);
+    if (!this.starts.isSuperseded(record.id)) {
+      // A start that is over takes no address from whoever has it now.
+      this.holders.recordHeartbeat(record.id, record.address, receivedAtMs);
+    }
     return this.store(record, receivedAtMs, known);
   }
 
   /** Adds a back end of the replicated list of which no heartbeat came here, as if one had at that time. */
   applyListed(record: BackendRecord, assumedAtMs: number): void {
+    this.starts.recordListed(record.id);
     this.holders.recordListed(record.id, record.address);
     this.store(record, assumedAtMs, undefined);
   }
@@ -97,7 +117,8 @@
     known: RegisteredBackend | undefined,
   ): HeartbeatOutcome {
     const liveness = known?.liveness ?? 'alive';
-    this.records.set(record.id, { record, lastHeartbeatAtMs, liveness });
+    const firstHeartbeatAtMs = known?.firstHeartbeatAtMs ?? lastHeartbeatAtMs;
+    this.records.set(record.id, { record, firstHeartbeatAtMs, lastHeartbeatAtMs, liveness });
     return known !== undefined && isUnchanged(known, record, lastHeartbeatAtMs)
       ? 'alive'
       : 'changed';
@@ -129,6 +150,7 @@
       if (nowMs - lastHeartbeatAtMs > afterMs) {
         this.records.delete(id);
         this.holders.remove(id, record.address);
+        this.starts.remove(id);
       }
     }
   }
--- a/src/registered/settings/token-settings.ts
+++ b/src/registered/settings/token-settings.ts
@@ -62,6 +62,10 @@
     'deadFlows',
     'Whether flows of a back end that is proven dead are reset.',
   ),
+  starts: policyOption(
+    'starts',
+    'Whether tokens name the start of a back end; `plain` while balancers run that know of no starts.',
+  ),
   opens: policyOption('opens', 'Whether balancers tell each other of opens; `own` breaks flows.'),
   learning: policyOption('learning', 'What becomes of opens while not all back ends are known.'),
 });
--- a/src/tools/cli/group.ts
+++ b/src/tools/cli/group.ts
@@ -64,8 +64,10 @@
     reportError(daemon.error);
     return;
   }
-  const listener = createCallListener(createDeclaredApi(operatorToken), (call) =>
-    daemon.value.call(call),
+  const listener = createCallListener(
+    createDeclaredApi(operatorToken),
+    (call) => daemon.value.call(call),
+    (refusal) => daemon.value.recordRefusal(refusal),
   );
   const calls = await listenHttp(callAddress, listener);
   const { metricsAddress } = settings;
--- a/test/platform/control-api.test.ts
+++ b/test/platform/control-api.test.ts
@@ -51,6 +51,10 @@
   return translated.type === 'reply' ? translated.reply.status : 0;
 }
 
+function refusalOf(translated: TranslatedCall): string | undefined {
+  return translated.type === 'reply' ? translated.refusal : undefined;
+}
+
 t.test('zones are emptied and taken back', async (t) => {
   t.match(translate('POST', '/Evacuations.Start/hall-a', ''), {
     call: { type: 'order-zone', zone: 'hall-a', kind: 'evacuate' },
@@ -95,6 +99,79 @@
   t.match(draining, { call: { isDraining: true } });
 });
 
+t.test('a start of a back end has a name of its own', async (t) => {
+  const path = '/Backends.Heartbeat/i-7f3a91c2';
+  const born = 1_790_000_000_123;
+  t.match(translate('POST', path, JSON.stringify({ ...BEAT, born })), {
+    call: { record: { id: `i-7f3a91c2#${born}`, instanceNumber: '000000007f3a91c2' } },
+  });
+  t.match(translate('POST', '/Backends.Deregister/i-7f3a91c2', JSON.stringify({ born })), {
+    call: { type: 'deregister', backendId: `i-7f3a91c2#${born}` },
+  });
+  const forged = '/Backends.Heartbeat/i-7f3a91c2%235';
+  t.equal(refusalOf(translate('POST', forged, JSON.stringify(BEAT))), 'id');
+});
+
+t.test('what another writer sends names no back end, and the reason is counted', async (t) => {
+  const wrong: Readonly<Record<string, readonly unknown[]>> = {
+    service: ['', 5, null, 'x'.repeat(101)],
+    address: ['here', '10.0.0.1', '10.0.0.1:0', 7, null],
+    zone: ['', 5, null],
+    version: [1, null],
+    capacity: ['2', 0, -1, 1e300, null],
+    state: ['frozen', 'Ready', 1, null],
+    warmupLeftMs: ['0', -1, 1e300, null],
+    callSeq: ['4', -1.5, -1, 2.5, 1e300, null],
+    born: ['1790000000123', 1.5, -1, 1e300, null],
+  };
+  const path = '/Backends.Heartbeat/i-1';
+  for (const [field, values] of Object.entries(wrong)) {
+    for (const value of values) {
+      const text = JSON.stringify({ ...BEAT, [field]: value });
+      const translated = translate('POST', path, text);
+      t.equal(statusOf(translated), 400, text);
+      t.equal(refusalOf(translated), field, text);
+    }
+    const { [field]: left, ...others } = BEAT as Readonly<Record<string, unknown>>;
+    if (left !== undefined) {
+      t.equal(refusalOf(translate('POST', path, JSON.stringify(others))), field, `no ${field}`);
+    }
+  }
+  for (const text of ['', '{', '[]', '5', '\u0000\ufffd', JSON.stringify(BEAT).slice(0, -3)]) {
+    t.equal(refusalOf(translate('POST', path, text)), 'unreadable', text);
+  }
+  t.equal(refusalOf(translate('POST', '/Backends.Deregister/i-1', '{"born":"x"}')), 'born');
+  t.equal(refusalOf(translate('POST', '/Backends.Deregister/i-1', '[')), 'unreadable');
+});
+
+t.test(
+  'a heartbeat is either that of a back end in bounds, or refused with a reason',
+  async (t) => {
+    const fields = Object.keys({ ...BEAT, born: 0 });
+    const anything = fc.oneof(fc.string(), fc.double(), fc.constant(null), fc.json(), fc.boolean());
+    const changes = fc.dictionary(fc.constantFrom(...fields), fc.option(anything));
+    fc.assert(
+      fc.property(changes, (changed) => {
+        const text = JSON.stringify({ ...BEAT, ...changed });
+        const translated = translate('POST', '/Backends.Heartbeat/i-1', text);
+        if (translated.type === 'reply') {
+          return translated.reply.status === 400 && refusalOf(translated) !== undefined;
+        }
+        const { call } = translated;
+        if (call.type !== 'heartbeat') {
+          return false;
+        }
+        const { capacity, warmUpLeftMs, sequence } = call.record;
+        const isBounded =
+          capacity > 0 && capacity <= 1e5 && warmUpLeftMs >= 0 && warmUpLeftMs < 1e9;
+        return isBounded && Number.isSafeInteger(sequence) && sequence >= 0;
+      }),
+      { seed: 2, numRuns: 2_000 },
+    );
+    t.pass();
+  },
+);
+
 t.test('a deregistration and a read', async (t) => {
   t.match(translate('POST', '/Backends.Deregister/i-1', ''), {
     call: { type: 'deregister', backendId: 'i-1' },
--- a/test/proof/soak/soak-schedule.test.ts
+++ b/test/proof/soak/soak-schedule.test.ts
@@ -16,6 +16,7 @@
   balancerCount: 4,
   tolerableLosses: 2,
   catchUpMs: 4_000,
+  hasRestarts: true,
 };
 
 /** @returns how many control machines are disturbed when a fault begins, that one among them */
@@ -37,6 +38,12 @@
   );
 });
 
+t.test('restarts of back ends come beside what a seed gives without them', async (t) => {
+  const without = drawSchedule({ ...OPTIONS, hasRestarts: false });
+  const others = drawSchedule(OPTIONS).filter(({ kind }) => kind !== 'backend-restarted');
+  t.same(others, without);
+});
+
 t.test('no schedule disturbs more control machines at once than may be lost', async (t) => {
   fc.assert(
     fc.property(fc.integer({ min: 1, max: 1_000_000 }), (seed) => {
--- a/test/proof/soak/virtual-soak.test.ts
+++ b/test/proof/soak/virtual-soak.test.ts
@@ -36,6 +36,19 @@
   });
 }
 
+for (let seed = 1; seed <= 8; seed += 1) {
+  t.test(`soak with back ends that start again, seed ${seed}`, async (t) => {
+    const report = await runVirtualSoak({
+      seed,
+      durationMs: DURATION_MS,
+      endsWithLoss: seed % 2 === 0,
+      hasRestarts: true,
+    });
+    t.same(report.violations, []);
+    t.ok(report.servedRequests > 0);
+  });
+}
+
 t.test('a seed gives one verdict', async (t) => {
   const run = { seed: 7, durationMs: DURATION_MS, endsWithLoss: false };
   t.same(await runVirtualSoak(run), await runVirtualSoak(run));
