--- a/src/registered/decisions/restarted-backend.ts
+++ b/src/registered/decisions/restarted-backend.ts
@@ -11,7 +11,7 @@
  *   is left at its address, and the later start holds none of its flows and is sent none of their packets.
  *
  * Reason: a client that gets no answer waits for its deadline. Measured in the simulator: with a reset in both cases 7 of
- * 41 runs with restarts broke flows that had just been opened, with this rule none.
+ * 37 runs with restarts broke flows that had just been opened, with this rule none.
  *
  * Tests: test/registered/ingress/restarted-backend. Lines `reset` and `dropped` with `reason=backend-restarted`.
  */
