Take a departure for doubtful also where the start before is known by its heartbeats alone

Symptom, in a trial of the platform's program alone on loopback: a departure without a time, right after a next start, ended that start (`departure backendId=i-a1#... kind=gone`). Cause: the start before was looked for in the replicated list alone, and a service that no configuration names is not listed, nor is a start within its first moments. Test group/departing-start: its new case fails on the commit before, and all 9 assertions pass since; the 90 of the tests named restarted pass.

--- a/src/registered/group/calls/departing-start.ts
+++ b/src/registered/group/calls/departing-start.ts
@@ -60,9 +60,12 @@
   return nowMs - firstHeartbeatAtMs < NEW_START_INTERVALS * options.heartbeatIntervalMs;
 }
 
-function hasStartBefore({ replicated }: DepartingState, current: string): boolean {
+function hasStartBefore({ registry, replicated }: DepartingState, current: string): boolean {
   const start = startOf(current);
-  return replicated.startsOf(start.backend).some((id) => isLaterStart(start, startOf(id)));
+  const heard = [...registry.all()].map(({ record }) => record.id);
+  return [...heard, ...replicated.startsOf(start.backend)]
+    .map(startOf)
+    .some((other) => other.backend === start.backend && isLaterStart(start, other));
 }
 
 /** Of those that the registry has forgotten: the one that began last. */
--- a/test/registered/group/departing-start.test.ts
+++ b/test/registered/group/departing-start.test.ts
@@ -83,3 +83,10 @@
     t.same(departingStart(state, 'b', 0), { type: 'start', id: NEXT });
   },
 );
+
+t.test('the start before may be known by its heartbeats alone', async (t) => {
+  const state = emptyState();
+  state.registry.apply(recordOf(FIRST), 0);
+  state.registry.apply(recordOf(NEXT), 1_000);
+  t.same(departingStart(state, 'b', 1_000 + INTERVAL_MS), { type: 'doubtful' });
+});
