Show over HTTP that what is acknowledged of a back end's start takes effect

On the same calls, to the program as it is deployed, were answered 200 in each row but a missing zone and bytes that are no JSON: the next start left no line, `frozen`, a text as time, and a capacity of 1e300 were registered, and a departure of nobody was kept. Now a next start is registered, a late heartbeat of the one before gets 503, entries of another writer get 400 with the field. Test platform/backend-starts: 29 assertions pass.

--- /dev/null
+++ b/test/platform/backend-starts.test.ts
@@ -0,0 +1,165 @@
+/**
+ * @file Heartbeats and departures over HTTP to a control machine alone on loopback: what is acknowledged takes effect, or it
+ * is not acknowledged. Before starts had names, each of these was acknowledged: the next start was dropped as late or held
+ * to the departure of the one before, and entries of another writer were registered.
+ */
+import { mkdtempSync } from 'node:fs';
+import { createServer } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { setTimeout as sleep } from 'node:timers/promises';
+import t, { type Test } from 'tap';
+import { readConfigDocument } from '../../platform/config-document.js';
+import { translateCall } from '../../platform/control-api.js';
+import { createCallListener } from '../../src/registered/daemon/call-listener.js';
+import { GroupDaemon } from '../../src/registered/daemon/group-daemon.js';
+import { timingFor } from '../../src/registered/group/timing.js';
+
+const HEARTBEAT_INTERVAL_MS = 200;
+const BORN = 1_790_000_000_000;
+const BEAT = {
+  service: 'alpha',
+  address: '127.0.0.1:9001',
+  zone: 'zone-a',
+  version: 'v1',
+  capacity: 2,
+  state: 'ready',
+  warmupLeftMs: 0,
+  callSeq: 500,
+  born: BORN,
+};
+
+interface Control {
+  readonly daemon: GroupDaemon;
+  /** @returns the status */
+  post(path: string, body?: string): Promise<number>;
+}
+
+async function startControl(t: Test): Promise<Control> {
+  const linkAddress = { host: '127.0.0.1', port: await freePort() };
+  const started = await GroupDaemon.start(
+    {
+      linkAddress,
+      zone: 'zone-a',
+      zones: [],
+      seeds: [linkAddress],
+      isFirstStart: true,
+      tolerableLosses: 0,
+      minimumCopies: 1,
+      removeVoterAfterMs: 2_000,
+      heartbeatIntervalMs: HEARTBEAT_INTERVAL_MS,
+      forgetBackendAfterMs: 60_000,
+      requestDeadlineMs: 2_000,
+      readDocument: ({ text }) => readConfigDocument(text)._unsafeUnwrap(),
+      timing: timingFor({ contactMs: 4_000, applyMs: 3_000, drainMs: 3_000 }),
+    },
+    mkdtempSync(join(tmpdir(), 'amberlift-starts-')),
+  );
+  const daemon = started._unsafeUnwrap();
+  const server = createServer(
+    createCallListener(
+      translateCall,
+      (call) => daemon.call(call),
+      (refusal) => daemon.recordRefusal(refusal),
+    ),
+  ).listen(0, '127.0.0.1');
+  await new Promise((resolve) => server.once('listening', resolve));
+  const { port } = server.address() as { readonly port: number };
+  t.teardown(async () => {
+    server.closeAllConnections();
+    server.close();
+    await daemon.stop();
+  });
+  const post = async (path: string, body = '') => {
+    const response = await fetch(`http://127.0.0.1:${port}${path}`, { method: 'POST', body });
+    return response.status;
+  };
+  const lead = async (): Promise<void> => {
+    if ((await post('/Backends.Heartbeat/leads', JSON.stringify(BEAT))) !== 200) {
+      await sleep(50);
+      await lead();
+    }
+  };
+  await lead();
+  return { daemon, post };
+}
+
+async function freePort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await new Promise((resolve) => server.once('listening', resolve));
+  const { port } = server.address() as { readonly port: number };
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+t.test('a next start is registered with what it says, whatever its count', async (t) => {
+  const { daemon, post } = await startControl(t);
+  const beat = (changes: object) =>
+    post('/Backends.Heartbeat/i-1', JSON.stringify({ ...BEAT, ...changes }));
+  t.equal(await beat({}), 200);
+  const next = { callSeq: 1, born: BORN + 4_000, address: '127.0.0.1:9002', warmupLeftMs: 2_000 };
+  t.equal(await beat(next), 200);
+  const { registry } = daemon.group.state;
+  t.match(registry.get(`i-1#${BORN + 4_000}`)?.record, {
+    address: { port: 9_002 },
+    warmUpLeftMs: 2_000,
+    sequence: 1,
+  });
+  t.equal(registry.isSuperseded(`i-1#${BORN}`), true);
+  t.equal(await beat({ callSeq: 501 }), 503, 'a late one of the start before has no effect');
+  t.equal(registry.currentStartOf('i-1'), `i-1#${BORN + 4_000}`);
+});
+
+t.test('a departure of the start before is not held against the next one', async (t) => {
+  const { daemon, post } = await startControl(t);
+  const beat = (changes: object) =>
+    post('/Backends.Heartbeat/i-2', JSON.stringify({ ...BEAT, ...changes }));
+  const departureOf = (born: number) => daemon.group.state.replicated.departureOf(`i-2#${born}`);
+  t.equal(await beat({ state: 'draining' }), 200);
+  t.equal(await beat({ callSeq: 1, born: BORN + 9_000 }), 200);
+  t.equal(departureOf(BORN), 'draining');
+  t.equal(departureOf(BORN + 9_000), undefined);
+  t.equal(await post('/Backends.Deregister/i-2'), 503, 'it may be of the start before');
+  t.equal(await post('/Backends.Deregister/i-2', JSON.stringify({ born: BORN })), 200);
+  t.equal(departureOf(BORN + 9_000), undefined);
+  await sleep(2 * HEARTBEAT_INTERVAL_MS);
+  t.equal(await post('/Backends.Deregister/i-2'), 200, 'a start that is not new may leave');
+  t.equal(departureOf(BORN + 9_000), 'gone');
+});
+
+t.test('what another writer sends registers nobody, and changes nothing else', async (t) => {
+  const { daemon, post } = await startControl(t);
+  const { registry } = daemon.group.state;
+  const sizeBefore = registry.size;
+  const wrong = [{ state: 'frozen' }, { born: `${BORN}` }, { born: 1.5 }, { capacity: 1e300 }];
+  for (const changes of [...wrong, { callSeq: -1.5 }, { zone: undefined }]) {
+    const body = JSON.stringify({ ...BEAT, ...changes });
+    t.equal(await post('/Backends.Heartbeat/i-3', body), 400, body);
+  }
+  t.equal(await post('/Backends.Heartbeat/i-3', '\u0000{'), 400);
+  t.equal(await post('/Backends.Deregister/i-3'), 503, 'nobody knows it');
+  t.equal(registry.size, sizeBefore);
+  t.same(daemon.group.state.replicated.allDepartures(), []);
+  const counted = [...daemon.group.counts].filter(([name]) => name.startsWith('entry refused'));
+  t.same(Object.fromEntries(counted), {
+    'entry refused:state': 1,
+    'entry refused:born': 2,
+    'entry refused:capacity': 1,
+    'entry refused:callSeq': 1,
+    'entry refused:zone': 1,
+    'entry refused:unreadable': 1,
+  });
+});
+
+t.test('back ends of services that nobody names are few, and not listed', async (t) => {
+  const { daemon, post } = await startControl(t);
+  const body = JSON.stringify({ ...BEAT, service: 'nobody' });
+  const statuses: number[] = [];
+  for (let number = 0; number < 1_010; number += 1) {
+    statuses.push(await post(`/Backends.Heartbeat/i-${number}`, body));
+  }
+  t.equal(daemon.group.state.registry.size, 1_000);
+  t.equal(statuses.filter((status) => status === 503).length, 11, 'one was there before');
+  await sleep(HEARTBEAT_INTERVAL_MS);
+  t.same([...daemon.group.state.replicated.allBackends()], []);
+});
