Let the soak beside real processes say which start of a back end it means

Cause, from the lines `entry refused reason=id path=/v1/backends/backend-12%2335130` of the control machines: the stand-in sent the ID of the start as the name in the path, so a back end that had started again was refused for good. Ruled out: the product, which refused such names as it should. Change: the soak sends name and time apart.

--- a/src/proof/sim-registered/drawn-faults.ts
+++ b/src/proof/sim-registered/drawn-faults.ts
@@ -7,8 +7,7 @@
 import { SIMULATED_SERVICES } from './stand-in-operator.js';
 import type { IngressWorld } from './ingress-world.js';
 import { SIMULATED_ZONES } from './simulated-zones.js';
-import type { Address } from '../../shared/common/address.js';
-import type { StandInBackend } from './stand-in-backend.js';
+import { strikeRestart, type RestartFaultKind } from './restart-faults.js';
 import type { SimulatedControlMachine } from './simulated-control-machine.js';
 import { LOSS_SHARE, ACK_LOSS_SHARE } from './deployment-constants.js';
 
@@ -36,17 +35,8 @@
   'backend-cut-from-control',
 ] as const;
 
-/** Faults of back ends that start again under their IDs; apart, since kept seeds draw from the list above. */
-export const restartFaultKinds = [
-  'backend-restarted',
-  'backend-restarted-in-series',
-  'backend-restarted-in-drain',
-  'backend-restarted-elsewhere',
-  'backend-restarted-at-address-of-another',
-] as const;
-
 /** One kind of fault. */
-export type DrawnFaultKind = (typeof drawnFaultKinds)[number] | (typeof restartFaultKinds)[number];
+export type DrawnFaultKind = (typeof drawnFaultKinds)[number] | RestartFaultKind;
 
 /** Faults last from this time on, and up to the spread longer. */
 const SHORT_MS = 1_000;
@@ -58,15 +48,8 @@
 /** Share of open links that the fault `links-silent` silences. */
 const SILENT_LINK_SHARE = 0.3;
 
-/** What a start that is over has sent comes late by up to so much: within two heartbeat intervals. */
-const LATE_MS = 2_400;
-const RESTARTS_IN_SERIES = 3;
-/** Less than a heartbeat interval, and more than the way of a heartbeat. */
-const RESTART_GAP_MS = 400;
-
 /** Causes faults. */
 export class DrawnFaults {
-  private movedBackends = 0;
   private readonly lostControls = new Set<SimulatedControlMachine>();
 
   constructor(private readonly world: IngressWorld) {}
@@ -130,7 +113,8 @@
       case 'backend-restarted-in-drain':
       case 'backend-restarted-elsewhere':
       case 'backend-restarted-at-address-of-another':
-        this.restartBackend(kind);
+        strikeRestart(world, kind);
+        this.disturb(0);
         return;
       default:
         this.endBackend(kind);
@@ -317,59 +301,6 @@
     world.clock.after(this.durationMs, () => backend.deliverHeldUpHeartbeat());
   }
 
-  /** A back end starts again under its ID; heartbeats and a departure of the start before come late. */
-  private restartBackend(kind: (typeof restartFaultKinds)[number]): void {
-    const { world } = this;
-    const { random, clock } = world;
-    const alive = world.backends.filter(({ isAlive, isLeaving }) => isAlive && !isLeaving);
-    const backend = alive[random.nextInt(alive.length)];
-    if (backend === undefined) {
-      return;
-    }
-    const restart = (start: StandInBackend, address?: Address) => {
-      const next = world.restartBackend(start, address);
-      this.disturb(0);
-      clock.after(random.nextFloat() * LATE_MS, () => start.deliverHeldUpHeartbeat());
-      return next;
-    };
-    switch (kind) {
-      case 'backend-restarted':
-        restart(backend);
-        clock.after(random.nextFloat() * LATE_MS, () => backend.deliverHeldUpDeparture());
-        return;
-      case 'backend-restarted-in-series':
-        this.restartInSeries(backend, restart);
-        return;
-      case 'backend-restarted-in-drain':
-        backend.leave(true, () => undefined);
-        clock.after(random.nextFloat() * LATE_MS, () => restart(backend));
-        return;
-      case 'backend-restarted-elsewhere':
-        this.movedBackends += 1;
-        restart(backend, { ...backend.identity.address, host: `10.0.5.${this.movedBackends}` });
-        return;
-      case 'backend-restarted-at-address-of-another': {
-        const others = alive.filter((other) => other !== backend);
-        const other = others[random.nextInt(others.length)];
-        other?.crash();
-        restart(backend, other?.identity.address);
-        return;
-      }
-    }
-  }
-
-  private restartInSeries(
-    backend: StandInBackend,
-    restart: (start: StandInBackend) => StandInBackend,
-  ): void {
-    let start = backend;
-    for (let times = 0; times < RESTARTS_IN_SERIES; times += 1) {
-      this.world.clock.after(times * RESTART_GAP_MS, () => {
-        start = restart(start);
-      });
-    }
-  }
-
   private endBackend(kind: DrawnFaultKind): void {
     const { world } = this;
     const alive = world.backends.filter(({ isAlive }) => isAlive);
--- a/src/proof/soak/soak-calls.ts
+++ b/src/proof/soak/soak-calls.ts
@@ -1,6 +1,7 @@
 /**
  * @file Sends the calls of stand-in back ends and operators to real control machines over HTTP.
  */
+import { startOf } from '../../registered/registry/backend-start.js';
 import type { Address } from '../../shared/common/address.js';
 import { formatAddress } from '../../shared/common/address.js';
 import type { RandomSource } from '../../shared/common/step.js';
@@ -75,17 +76,22 @@
   switch (call.type) {
     case 'heartbeat': {
       const { id, instanceNumber, address, ...record } = call.record;
+      const { backend, startedAtMs } = startOf(id);
       const { isDraining } = call;
-      const body = { ...record, instance: instanceNumber, address: formatAddress(address) };
-      const path = `/v1/backends/${encodeURIComponent(id)}`;
-      return { ...common, method: 'PUT', path, body: { ...body, isDraining } };
-    }
-    case 'deregister':
-      return {
-        ...common,
-        method: 'DELETE',
-        path: `/v1/backends/${encodeURIComponent(call.backendId)}`,
+      const body = {
+        ...record,
+        instance: instanceNumber,
+        address: formatAddress(address),
+        isDraining,
+        ...(startedAtMs !== undefined && { startedAtMs }),
       };
+      return { ...common, method: 'PUT', path: pathOf(backend), body };
+    }
+    case 'deregister': {
+      const { backend, startedAtMs } = startOf(call.backendId);
+      const body = startedAtMs === undefined ? undefined : { startedAtMs };
+      return { ...common, method: 'DELETE', path: pathOf(backend), body };
+    }
     case 'declare-config': {
       const body: unknown = JSON.parse(call.document.text);
       return { ...common, method: 'PUT', path: '/v1/config', body, bearerToken: operatorToken };
@@ -102,6 +108,10 @@
   }
 }
 
+function pathOf(backend: string): string {
+  return `/v1/backends/${encodeURIComponent(backend)}`;
+}
+
 /** @returns what the answer says of a call */
 export function replyOf(call: GroupCall, { status, body }: JsonResponse): GroupReply {
   if (call.type === 'read-config' && (status === HTTP_OK || status === HTTP_NOT_FOUND)) {
--- a/test/registered/ingress/restarted-backend.test.ts
+++ b/test/registered/ingress/restarted-backend.test.ts
@@ -8,11 +8,9 @@
  * got a flow.
  */
 import t from 'tap';
-import {
-  drawnFaultKinds,
-  restartFaultKinds,
-} from '../../../src/proof/sim-registered/drawn-faults.js';
+import { drawnFaultKinds } from '../../../src/proof/sim-registered/drawn-faults.js';
 import { IngressWorld } from '../../../src/proof/sim-registered/ingress-world.js';
+import { restartFaultKinds } from '../../../src/proof/sim-registered/restart-faults.js';
 import { runIngressWorld } from '../../../src/proof/sim-registered/run-ingress-world.js';
 import {
   WARM_UP_MS,
