--- a/src/registered/ingress/backend-table.ts
+++ b/src/registered/ingress/backend-table.ts
@@ -157,7 +157,10 @@
     }
   }
 
-  /** @returns undefined where another back end, no start of the same one, has the same token, so that packets could not tell them apart */
+  /**
+   * @returns undefined where another back end, no start of the same one, has the same token, so that packets could not
+   *   tell them apart
+   */
   private add(record: BackendRecord, receivedAtMs: number): OwnedBackend | undefined {
     const departure = this.departures.get(record.id);
     const backend = createBackend(record, receivedAtMs, departure, this.tokens);
