Review, case 1: a heartbeat of another writer takes the address as well

Cause: the first part needs a late first heartbeat; the same code takes an address for any heartbeat of a back end that is not known, also one that names no service of the configuration.

The back ends of the review reset data on a flow that did not open there, the clients keep the last echo, and the routers wait half a second for an answer (for case 3).

--- a/review/standins/backend.mjs
+++ b/review/standins/backend.mjs
@@ -18,6 +18,8 @@
   const flows = new Map();
   const opens = [];
   const runs = [];
+  const accepted = new Set();
+  const resets = [];
   let state = 'ready';
   let callSeq = 0;
   let coreIndex = options.firstCore ?? 0;
@@ -36,6 +38,10 @@
     address: `${ip}:${port}`,
     opens,
     runs,
+    /** Keys of the flows that opened here. */
+    accepted,
+    /** Resets of flows that it does not hold. */
+    resets,
     get drainAckedAtMs() {
       return drainAckedAtMs;
     },
@@ -113,11 +119,14 @@
       receiveOpen(key, packet);
       return;
     }
-    const flow = flows.get(key);
+    const known = flows.get(key);
+    // A flow opens here only if the client acknowledges the `seq` of this back end.
+    const flow = known?.isOpen || packet.ack === known?.seq + 1 ? known : undefined;
     if (flow === undefined || (packet.flags & flag.rst) !== 0) {
       flows.delete(key);
       if ((packet.flags & (flag.rst | flag.fin)) === 0) {
         reply({ key, packet, seq: packet.ack }, flag.rst);
+        resets.push({ key, atMs: record.nowMs() });
         record.line(`${id} resets flow ${key}, which it does not hold`);
       }
       return;
@@ -154,6 +163,7 @@
     const { ack, seq, data, flags } = packet;
     if (ack === (flow.seq + 1) >>> 0 && !flow.isOpen) {
       flow.isOpen = true;
+      accepted.add(flow.key);
       flow.seq = ack;
       record.line(`flow ${flow.key} is open at ${id}`);
     }
--- a/review/standins/client.mjs
+++ b/review/standins/client.mjs
@@ -124,10 +124,14 @@
   }
 
   function receiveAccept(flow, packet) {
+    if (flow.state === 'open' && flow.echo !== packet.echo) {
+      record.line(`flow ${flow.key}, open already, gets another accept with another echo`);
+    }
+    // A client puts the last `echo` that it got on the flow into its packets.
+    flow.echo = packet.echo;
     if (flow.state !== 'opening') {
       return;
     }
-    flow.echo = packet.echo;
     flow.seq = (flow.seq + 1) >>> 0;
     flow.next = (packet.seq + 1) >>> 0;
     send(flow, flag.ack, { ack: flow.next });
--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -1,5 +1,6 @@
 // The platform's routers, and calls to the control machines as its callers make them.
 import { request } from 'node:http';
+import { performance } from 'node:perf_hooks';
 import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ports } from './deployment.mjs';
@@ -9,7 +10,7 @@
 const MAX_MISSES = 2;
 
 /** @returns status and body; status 0 without an answer */
-export function call(host, port, method, path, body) {
+export function call(host, port, method, path, body, timeoutMs = CALL_TIMEOUT_MS) {
   return new Promise((resolve) => {
     const text = body === undefined ? undefined : JSON.stringify(body);
     const headers =
@@ -23,7 +24,7 @@
       path,
       headers,
       agent: false,
-      timeout: CALL_TIMEOUT_MS,
+      timeout: timeoutMs,
     });
     outgoing.on('timeout', () => outgoing.destroy());
     outgoing.on('error', () => resolve({ status: 0, body: '' }));
@@ -62,12 +63,25 @@
 export function startRouters(fronts) {
   const nodes = fronts.map((front) => ({ front, misses: MAX_MISSES, answered: false }));
   const probe = async (node) => {
-    const { status } = await call(node.front.ip, ports.ready, 'GET', '/ready');
+    const { status } = await call(
+      node.front.ip,
+      ports.ready,
+      'GET',
+      '/ready',
+      undefined,
+      PROBE_INTERVAL_MS,
+    );
     node.answered = status === 200;
     node.misses = status === 200 ? 0 : node.misses + 1;
   };
-  const timer = setInterval(() => nodes.forEach((node) => void probe(node)), PROBE_INTERVAL_MS);
+  let probedAtMs = performance.now();
+  const timer = setInterval(() => {
+    probedAtMs = performance.now();
+    nodes.forEach((node) => void probe(node));
+  }, PROBE_INTERVAL_MS);
   return {
+    /** Time until the nodes are asked next. */
+    msToProbe: () => PROBE_INTERVAL_MS - (performance.now() - probedAtMs),
     isIn: (front) => nodes.some((node) => node.front === front && node.misses < MAX_MISSES),
     areAllIn: () => nodes.every(({ misses }) => misses < MAX_MISSES),
     pick(zone, text) {
