Keep the shares of a route whose weights sum to infinity

Callers: of two services with weights near the largest number, one got the first flow and the other one every later flow. Cause: the sum of the weights is infinite, so the first two choices leave credits of minus infinity, which no weight raises again. Change: such weights are divided by the largest one first; other weights are used as they are.

--- a/src/registered/decisions/weighted-round-robin.ts
+++ b/src/registered/decisions/weighted-round-robin.ts
@@ -20,13 +20,13 @@
 
 /** @param targets services with their weights; those with weight 0 get no flows */
 export function createWeightedRoundRobin(targets: readonly WeightedTarget[]): WeightedRoundRobin {
-  const shares: readonly WeightedShare[] = withPositiveWeight(targets).map(
-    ({ service, weight }) => ({
-      service,
-      weight,
-      credit: 0,
-    }),
-  );
+  const positiveTargets = withPositiveWeight(targets);
+  const scale = scaleOf(positiveTargets);
+  const shares: readonly WeightedShare[] = positiveTargets.map(({ service, weight }) => ({
+    service,
+    weight: weight / scale,
+    credit: 0,
+  }));
   const totalWeight = shares.reduce((sum, { weight }) => sum + weight, 0);
 
   return { next, hasTargets };
@@ -49,12 +49,20 @@
       shares.length === compared.length &&
       compared.every(({ service, weight }, index) => {
         const share = shares[index];
-        return share?.service === service && share.weight === weight;
+        return share?.service === service && share.weight === weight / scale;
       })
     );
   }
 }
 
+/** @returns the divisor by which the sum of the weights is finite */
+function scaleOf(targets: readonly WeightedTarget[]): number {
+  const totalWeight = targets.reduce((sum, { weight }) => sum + weight, 0);
+  return Number.isFinite(totalWeight)
+    ? 1
+    : targets.reduce((most, { weight }) => Math.max(most, weight), 1);
+}
+
 function withPositiveWeight(targets: readonly WeightedTarget[]): readonly WeightedTarget[] {
   return targets.filter(({ weight }) => weight > 0);
 }
--- a/test/registered/ingress/route-table.test.ts
+++ b/test/registered/ingress/route-table.test.ts
@@ -45,6 +45,20 @@
   t.pass();
 });
 
+t.test('weights whose sum is no finite number keep their shares', async (t) => {
+  const table = new RouteTable();
+  const largest = Number.MAX_VALUE;
+  table.applyUpdate(config(1, [largest, largest, largest / 2]));
+  const services = Array.from({ length: 50 }, () => table.nextService(HOST, PORT));
+  t.same(
+    [0, 1, 2].map((index) => services.filter((one) => one === `service-${index}`).length),
+    [20, 20, 10],
+  );
+  const same = config(2, [largest, largest, largest / 2]);
+  table.applyUpdate(same);
+  t.equal(table.nextService(HOST, PORT), 'service-0', 'the same weights go on where they were');
+});
+
 t.test('a target with weight 0 gets no flows', async (t) => {
   const table = new RouteTable();
   table.applyUpdate(config(1, [1, 0]));
