Tell lists of back ends apart whose IDs hold blanks

Balancers could get the message of another one: equal plans of a tick share a message, and the key of a plan joined IDs by blanks, which IDs may hold. The lists 'a', 'b' and 'a b' had one key. The key holds the lists themselves now. Test in group/balancer-feed: fails before, passes since.

--- a/src/registered/group/feed/feed-messages.ts
+++ b/src/registered/group/feed/feed-messages.ts
@@ -51,7 +51,7 @@
 function planKey({ updates, config, ...plan }: MessagePlan): string {
   const { registered, livenessChanged, departed, balancers } = updates;
   const { areControlsChanged, areZonesChanged } = updates;
-  const names = [registered, livenessChanged, departed, balancers].map((set) => [...set].join(' '));
+  const names = [registered, livenessChanged, departed, balancers].map((set) => [...set]);
   const part = config && [config.baseVersion, config.version, config.firstChange];
   return JSON.stringify([plan, names, areControlsChanged, areZonesChanged, part]);
 }
--- a/test/registered/group/balancer-feed.test.ts
+++ b/test/registered/group/balancer-feed.test.ts
@@ -104,6 +104,29 @@
   t.equal(message?.isComplete, true);
 });
 
+// Messages with equal plans are shared between balancers.
+t.test('a balancer gets its own back ends, whatever characters their IDs have', async (t) => {
+  const group = await formedGroup();
+  const { state, nowMs } = group;
+  for (const id of ['a', 'b', 'a b']) {
+    applyHeartbeat(state, { record: recordOf(200 + id.length, { id }), ageMs: 0 }, nowMs);
+  }
+  for (const linkId of [FIRST_LINK, SECOND_LINK]) {
+    subscribe(group, linkId, `balancer-${linkId}`);
+  }
+  acknowledgeAndFeed(state, nowMs);
+  state.updates.take();
+  const pendingOf = (linkId: LinkId) => state.subscribers.get(linkId)?.pendingUpdates.registered;
+  ['a', 'b'].forEach((id) => pendingOf(FIRST_LINK)?.add(id));
+  pendingOf(SECOND_LINK)?.add('a b');
+  const effects = acknowledgeAndFeed(state, nowMs);
+  const idsTo = (linkId: LinkId) =>
+    messagesTo(linkId, effects).flatMap(({ records = [] }) =>
+      records.map(({ record }) => record.id),
+    );
+  t.same([idsTo(FIRST_LINK), idsTo(SECOND_LINK)], [['a', 'b'], ['a b']]);
+});
+
 t.test('an unchanged heartbeat is not forwarded, and a silence is sent once', async (t) => {
   const group = await formedGroup();
   const { state, nowMs } = group;
