Bound messages of a configuration by the length of names as well

A message held 1,000 route changes, whatever their targets: with names of 100 characters and two targets a route it takes some 200 KB before compression, where the bound is meant to be 8 KB, so that a link of 2 Mbit/s carries it within the timeout of a feed. Each part also repeated the slow starts of all services, of which receivers use those of the last part. Change: a part ends at 64 K characters of names, with one route at least; the bound stands once, for control machines and peers; slow starts go with the last part. Receivers join parts as before, so versions mix.

--- a/src/registered/declared/config-update.ts
+++ b/src/registered/declared/config-update.ts
@@ -127,18 +127,52 @@
 /**
  * @param firstChange index of the first change
  * @param count maximum number of changes
- * @returns that part of the update
+ * @returns that part of the update; receivers use the slow starts of the last part, so the others have none
  */
 export function partOf(update: ConfigUpdate, firstChange: number, count: number): ConfigPart {
+  const changeCount = update.changes.length;
   return {
     ...update,
+    warmUps: firstChange + count < changeCount ? [] : update.warmUps,
     changes: update.changes.slice(firstChange, firstChange + count),
     firstChange,
-    changeCount: update.changes.length,
+    changeCount,
   };
 }
 
-function warmUpsOf({ services }: DeclaredConfig): ServiceWarmUp[] {
+/**
+ * About 8 KB, so that a link of 2 Mbit/s carries the message well within the timeout of a silent feed (timing.ts).
+ */
+const MAX_ROUTE_CHANGES_PER_MESSAGE = 1_000;
+/** Characters of service names with one more for each, before equal ones are sent only once. */
+const MAX_TARGET_CHARACTERS_PER_MESSAGE = 64 * 1024;
+
+/** @returns the next part of an update that fits into one message: at least one change, if there are any */
+export function nextPartOf(update: ConfigUpdate, firstChange: number): ConfigPart {
+  const { changes } = update;
+  const end = Math.min(changes.length, firstChange + MAX_ROUTE_CHANGES_PER_MESSAGE);
+  let characters = 0;
+  let next = firstChange;
+  while (next < end) {
+    characters += targetCharactersOf(changes[next]);
+    if (characters > MAX_TARGET_CHARACTERS_PER_MESSAGE && next > firstChange) {
+      break;
+    }
+    next += 1;
+  }
+  return partOf(update, firstChange, next - firstChange);
+}
+
+function targetCharactersOf(change: RouteChange | undefined): number {
+  let characters = 0;
+  for (const { service } of change?.targets ?? []) {
+    characters += service.length + 1;
+  }
+  return characters;
+}
+
+/** @returns the services with a slow start */
+export function warmUpsOf({ services }: Pick<DeclaredConfig, 'services'>): ServiceWarmUp[] {
   return services.flatMap(({ name, warmUpMs = 0, coldRequestsPerS = 0 }) =>
     warmUpMs > 0 ? [{ service: name, warmUpMs, coldRequestsPerS }] : [],
   );
--- a/src/registered/group/feed/feed-plan.ts
+++ b/src/registered/group/feed/feed-plan.ts
@@ -10,7 +10,7 @@
  * - If nothing is due, a keep-alive says whether this machine is current: at intervals, and when that changes unless the
  *   window is full.
  */
-import { partOf, type ConfigPart, type ConfigUpdate } from '../../declared/config-update.js';
+import { nextPartOf, type ConfigPart, type ConfigUpdate } from '../../declared/config-update.js';
 import type { FullSyncStage } from '../group-messages.js';
 import type { GroupState } from '../group-state.js';
 import {
@@ -44,8 +44,6 @@
 const MAX_NAMES_PER_MESSAGE = 256;
 /** Departures of unregistered back ends in a full sync; sending all that the group keeps would delay a new balancer. */
 const MAX_UNREGISTERED_DEPARTURES = 1_000;
-/** About 8 KB, for the same reason as `MAX_NAMES_PER_MESSAGE`. */
-const MAX_ROUTE_CHANGES_PER_MESSAGE = 1_000;
 
 /**
  * Plans the messages that a balancer is due now, and records them as sent.
@@ -163,7 +161,7 @@
   if (update === undefined) {
     return undefined;
   }
-  const part = partOf(update, changesReceived(subscriber, update), MAX_ROUTE_CHANGES_PER_MESSAGE);
+  const part = nextPartOf(update, changesReceived(subscriber, update));
   const { version, baseVersion, firstChange, changes, changeCount } = part;
   const changesSent = firstChange + changes.length;
   if (changesSent < changeCount) {
--- a/src/registered/ingress/peer-feed/full-state.ts
+++ b/src/registered/ingress/peer-feed/full-state.ts
@@ -1,7 +1,7 @@
 /**
  * @file Builds the messages with everything that this balancer has learned from its control machine.
  */
-import { partOf } from '../../declared/config-update.js';
+import { nextPartOf } from '../../declared/config-update.js';
 import type {
   AgedRecord,
   BalancerInfo,
@@ -16,8 +16,6 @@
 
 /** Names of each kind per message; about 9 KB, so that a narrow link carries it well within the timeout of a feed. */
 const MAX_NAMES_PER_MESSAGE = 256;
-/** About 8 KB, for the same reason. */
-const MAX_ROUTE_CHANGES_PER_MESSAGE = 1_000;
 /** As many as a control machine states. */
 const MAX_UNREGISTERED_DEPARTURES = 1_000;
 
@@ -59,12 +57,14 @@
   if (update === undefined) {
     return [];
   }
-  const count = Math.max(1, Math.ceil(update.changes.length / MAX_ROUTE_CHANGES_PER_MESSAGE));
-  return Array.from({ length: count }, (_, index) => ({
-    ...PEER_FEED,
-    isComplete: index === count - 1,
-    config: partOf(update, index * MAX_ROUTE_CHANGES_PER_MESSAGE, MAX_ROUTE_CHANGES_PER_MESSAGE),
-  }));
+  const messages: FeedMessage[] = [];
+  let changesSent = 0;
+  do {
+    const config = nextPartOf(update, changesSent);
+    changesSent += config.changes.length;
+    messages.push({ ...PEER_FEED, isComplete: changesSent === config.changeCount, config });
+  } while (changesSent < update.changes.length);
+  return messages;
 }
 
 /**
--- a/test/registered/group/config-history.test.ts
+++ b/test/registered/group/config-history.test.ts
@@ -2,6 +2,7 @@
 import fc from 'fast-check';
 import t from 'tap';
 import {
+  nextPartOf,
   partOf,
   updateBetween,
   fullUpdate,
@@ -186,6 +187,41 @@
   t.pass();
 });
 
+// A message that takes longer than the timeout of a feed on a slow link would be sent again and again.
+t.test('parts stay small however long and many the targets of routes are', async (t) => {
+  const longName = (route: number, target: number) => `${route}-${target}-`.padEnd(100, 'x');
+  const targetCounts = [1, 2_000, 0, 300, 400, ...Array.from({ length: 1_500 }, () => 2)];
+  const changes = targetCounts.map((count, route) => ({
+    host: '198.18.0.1',
+    port: route + 1,
+    targets: Array.from({ length: count }, (_, index) => ({
+      service: longName(route, index),
+      weight: 1,
+    })),
+  }));
+  const warmUps = [{ service: 'alpha', warmUpMs: 1, coldRequestsPerS: 1 }];
+  const update = { version: 3, baseVersion: 0, idleTimeoutMs: 1, warmUps, changes };
+  const assembly = createConfigAssembly();
+  let changesSent = 0;
+  let outcome = assembly.addPart(partOf(update, 0, 0));
+  while (changesSent < changes.length) {
+    const part = nextPartOf(update, changesSent);
+    const characters = part.changes.flatMap(({ targets }) => targets ?? []).length * 101;
+    t.ok(part.changes.length === 1 || characters <= 64 * 1024, `from ${changesSent}`);
+    changesSent += part.changes.length;
+    outcome = assembly.addPart(part);
+    t.equal(
+      part.warmUps.length > 0,
+      changesSent === changes.length,
+      'the last part has slow starts',
+    );
+  }
+  t.equal(outcome.type, 'complete');
+  t.same(outcome.type === 'complete' ? outcome.update.changes : [], changes);
+  t.same(outcome.type === 'complete' ? outcome.update.warmUps : [], warmUps);
+  t.equal(nextPartOf({ ...update, changes: [] }, 0).warmUps.length, 1, 'also without any change');
+});
+
 t.test('parts of different lists of changes do not form an update', async (t) => {
   const first = configOf(1, ['alpha', 'alpha', 'alpha', 'alpha']);
   const update = updateBetween(first, configOf(3, ['beta', 'beta', 'beta', 'beta']));
