Take at each receiver what is acknowledged, and leave out what is not valid

Cause: the entry and the feed had bounds of their own. A balancer refused the whole message for one value, closed the link and got the same message from the next control machine. Evidence: 'config in force version=9' at all control machines, 'feed lost reason="unexpected message"' at all balancers 40 ms later. That the version was not committed, or not sent, is ruled out by these lines.

Change: the schemas of entries stand once (group/entry-schemas.ts), for messages and for calls. Long names, and those that no encoding holds, are known inside by a digest, so that they are served and machines of the version before take them; what nobody can hold gets 400. A receiver leaves out an entry that is not valid, logs it and applies the rest.

--- a/src/registered/daemon/call-listener.ts
+++ b/src/registered/daemon/call-listener.ts
@@ -5,6 +5,7 @@
  * Responses are JSON: 200 with the result, or the status of the error kind (`shared/common/error-kinds.ts`) with
  * `{"error": {kind, message}}`. A 503 carries `Retry-After`, since a retry may succeed here or at another machine.
  */
+import { isUtf8 } from 'node:buffer';
 import type {
   IncomingMessage,
   OutgoingHttpHeaders,
@@ -12,7 +13,9 @@
   ServerResponse,
 } from 'node:http';
 import { amberliftError, answerFor, type ErrorKind } from '../../shared/common/error-kinds.js';
+import { MAX_DOCUMENT_BYTES } from '../group/entry-schemas.js';
 import type { GroupReply } from '../group/group-events.js';
+import type { ConfigDocument } from '../group/replicated-state.js';
 import type { GroupCall } from './group-process.js';
 
 /** Response to an HTTP request. */
@@ -59,7 +62,11 @@
 }
 
 /** Bounds the memory of one call; the largest calls carry a whole configuration. */
-const MAX_BODY_BYTES = 4 * 1024 * 1024;
+const MAX_BODY_BYTES = MAX_DOCUMENT_BYTES;
+/** Characters of the reason in a refusal, which may quote names of any length. */
+const MAX_REASON_LENGTH = 1_000;
+/** Stands for a body that is not UTF-8; not valid JSON, so each call that reads its body is refused. */
+const UNREADABLE_BODY = '\ufffd';
 /** Whole seconds, as the header requires; longer than an election. */
 const RETRY_AFTER_S = 1;
 const UNAVAILABLE_STATUS = 503;
@@ -102,7 +109,7 @@
 
 /** @returns the response with the HTTP status of an error kind */
 function errorReply(kind: ErrorKind, message: string): HttpReply {
-  const error = amberliftError(kind, message);
+  const error = amberliftError(kind, message.slice(0, MAX_REASON_LENGTH));
   return { status: answerFor(kind).httpStatus, body: JSON.stringify({ error }) };
 }
 
@@ -114,11 +121,22 @@
   return { type: 'reply', reply: errorReply(kind, message), refusal };
 }
 
-/** @returns the percent-decoded path segment, or undefined if it is empty, too long or malformed */
-export function decodePathPart(text: string, maxLength: number): string | undefined {
+/** @returns the call that declares a configuration, or the refusal of one that the log can't hold */
+export function configCallOf(document: ConfigDocument): TranslatedCall {
+  const bytes = Buffer.byteLength(document.text);
+  return bytes > MAX_DOCUMENT_BYTES
+    ? refusedCall(
+        'invalid-command',
+        `The configuration takes ${bytes} bytes; the limit is ${MAX_DOCUMENT_BYTES}`,
+      )
+    : { type: 'call', call: { type: 'declare-config', document } };
+}
+
+/** @returns the percent-decoded path segment, or undefined if it is empty or malformed */
+export function decodePathPart(text: string): string | undefined {
   try {
     const part = decodeURIComponent(text);
-    return part.length > 0 && part.length <= maxLength ? part : undefined;
+    return part.length > 0 ? part : undefined;
   } catch {
     // Malformed percent-encoding: the caller refuses the request with its own reason.
     return undefined;
@@ -170,7 +188,7 @@
   response.end(body);
 }
 
-/** @returns the body, or undefined if it exceeds the size limit */
+/** @returns the body, `UNREADABLE_BODY` if it is not UTF-8, or undefined if it exceeds the size limit */
 async function readBody(request: IncomingMessage): Promise<string | undefined> {
   const chunks: Buffer[] = [];
   let length = 0;
@@ -182,5 +200,6 @@
     }
     chunks.push(bytes);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  const bytes = Buffer.concat(chunks);
+  return isUtf8(bytes) ? bytes.toString('utf8') : UNREADABLE_BODY;
 }
--- a/src/registered/daemon/declared-api.ts
+++ b/src/registered/daemon/declared-api.ts
@@ -11,11 +11,11 @@
 import * as z from 'zod/mini';
 import { parseDeclaredConfig } from '../declared/parse-config.js';
 import { startIdOf } from '../registry/backend-start.js';
+import { boundedName } from '../registry/bounded-name.js';
 import {
   backendAddress,
   backendNameOf,
   capacityField,
-  MAX_NAME_LENGTH,
   nameField,
   refusedFields,
   refusedName,
@@ -24,6 +24,7 @@
   warmUpField,
 } from './heartbeat-fields.js';
 import {
+  configCallOf,
   decodePathPart,
   parseJson,
   refusedCall,
@@ -81,10 +82,11 @@
   if (method === 'GET' && path === ZONES_PATH) {
     return { type: 'call', call: { type: 'read-zones' } };
   }
-  const zone = decodePathPart(EVACUATION_PATTERN.exec(path)?.[1] ?? '', MAX_NAME_LENGTH);
-  if (zone === undefined) {
+  const zoneName = decodePathPart(EVACUATION_PATTERN.exec(path)?.[1] ?? '');
+  if (zoneName === undefined) {
     return refusedCall('not-found', 'Unknown endpoint');
   }
+  const zone = boundedName(zoneName);
   switch (method) {
     case 'PUT':
       return { type: 'call', call: { type: 'order-zone', zone, kind: 'evacuate' } };
@@ -144,10 +146,7 @@
       return { type: 'call', call: { type: 'read-config' } };
     case 'PUT':
       return parseDeclaredConfig(parseJson(body)).match<TranslatedCall>(
-        (config) => {
-          const document = { version: config.version, text: JSON.stringify(config) };
-          return { type: 'call', call: { type: 'declare-config', document } };
-        },
+        (config) => configCallOf({ version: config.version, text: JSON.stringify(config) }),
         ({ message }) => refusedCall('invalid-command', message),
       );
     default:
--- a/src/registered/daemon/feed-follower.ts
+++ b/src/registered/daemon/feed-follower.ts
@@ -115,7 +115,9 @@
   }
 
   function onMessage(value: unknown, from: FeedLink): boolean {
-    const message = unpackFeed(value);
+    const message = unpackFeed(value, ({ kind, entry, reason }) =>
+      packetLog.log('feed entry omitted', { kind, entry, reason }),
+    );
     if (message === undefined) {
       return false;
     }
--- a/src/registered/daemon/group-daemon.ts
+++ b/src/registered/daemon/group-daemon.ts
@@ -22,6 +22,7 @@
   type PeerMessage,
 } from '../group/group-messages.js';
 import { parseControlInbound } from '../group/message-schemas.js';
+import type { OmittedEntry } from '../group/wire/omitted-entries.js';
 import type { ConsensusStorage } from '../../shared/daemon/consensus-storage.js';
 import type { RefusedRequest } from './call-listener.js';
 import { logDecision, logLine } from './decision-log.js';
@@ -109,6 +110,12 @@
     this.refusalLog.log('entry refused', { reason, path: path.slice(0, MAX_LOGGED_PATH_LENGTH) });
   }
 
+  /** Counts and logs an entry of a message that was left out; the rest of the message applies. */
+  private recordOmitted({ kind, entry, reason }: OmittedEntry): void {
+    countEvent(this.group.counts, `entry omitted:${kind}`);
+    this.refusalLog.log('entry omitted', { kind, entry, reason });
+  }
+
   /** Replaces the seeds, through which this machine finds the group. */
   updateSeeds(seeds: readonly Address[]): void {
     this.group.state.announcements.setSeeds(seeds);
@@ -138,7 +145,7 @@
   }
 
   private receive(message: unknown, link: FrameLink): boolean {
-    const parsed = parseControlInbound(message);
+    const parsed = parseControlInbound(message, (omitted) => this.recordOmitted(omitted));
     if (parsed === undefined) {
       logDecision('control', 'link refused', { kind: 'malformed-message' });
       return false;
--- a/src/registered/daemon/heartbeat-fields.ts
+++ b/src/registered/daemon/heartbeat-fields.ts
@@ -5,11 +5,11 @@
 import * as z from 'zod/mini';
 import { parseAddress, type Address } from '../../shared/common/address.js';
 import { describeFaults } from '../../shared/common/schema-faults.js';
+import { messageAddressSchema } from '../../shared/consensus/message-schemas.js';
 import { isValidBackendName } from '../registry/backend-start.js';
+import { boundedName } from '../registry/bounded-name.js';
 import { decodePathPart, refusedCall, type TranslatedCall } from './call-listener.js';
 
-/** Characters; a name with its start time stays below the limit of texts between control machines (200). */
-export const MAX_NAME_LENGTH = 100;
 /** Concurrent requests; prevents a back end from attracting all flows. */
 const MAX_CAPACITY = 100_000;
 /** One day; a longer time is a mistake in units. */
@@ -17,8 +17,11 @@
 /** Largest time that a `Date` can represent. */
 const MAX_UNIX_MS = 8.64e15;
 
-/** Name of a service or zone. */
-export const nameField = z.string().check(z.minLength(1), z.maxLength(MAX_NAME_LENGTH));
+/** Name of a service or zone, shortened if it is long. */
+export const nameField = z.pipe(
+  z.string().check(z.minLength(1)),
+  z.transform((text: string) => boundedName(text)),
+);
 /** Concurrent requests that a back end can process. */
 export const capacityField = z.number().check(z.positive(), z.maximum(MAX_CAPACITY));
 /** Remaining warm-up time in milliseconds. */
@@ -28,15 +31,16 @@
 /** Start time as Unix time in milliseconds. */
 export const startTimeField = z.int().check(z.nonnegative(), z.maximum(MAX_UNIX_MS));
 
-/** @returns the address of a back end, or undefined if it is invalid or has port 0 */
+/** @returns the address of a back end, or undefined if it is invalid, has port 0 or does not fit into messages */
 export function backendAddress(text: string): Address | undefined {
   const address = parseAddress(text);
-  return address === undefined || address.port === 0 ? undefined : address;
+  const canBeSent = messageAddressSchema.safeParse(address).success;
+  return address === undefined || address.port === 0 || !canBeSent ? undefined : address;
 }
 
 /** @returns the name of a back end from a path segment, or undefined if it is not valid */
 export function backendNameOf(pathPart: string): string | undefined {
-  const name = decodePathPart(pathPart, MAX_NAME_LENGTH);
+  const name = decodePathPart(pathPart);
   return name !== undefined && isValidBackendName(name) ? name : undefined;
 }
 
--- a/src/registered/daemon/peer-feed/peer-feed-follower.ts
+++ b/src/registered/daemon/peer-feed/peer-feed-follower.ts
@@ -105,7 +105,9 @@
   }
 
   function onMessage(value: unknown, from: PeerLink): boolean {
-    const message = parsePeerGiverMessage(value);
+    const message = parsePeerGiverMessage(value, ({ kind, entry, reason }) =>
+      options.packetLog.log('feed entry omitted', { kind, entry, reason }),
+    );
     if (message === undefined || peerFeed?.link !== from) {
       return false;
     }
--- a/src/registered/declared/check-config.ts
+++ b/src/registered/declared/check-config.ts
@@ -2,12 +2,17 @@
 import { err, ok, type Result } from 'neverthrow';
 import { amberliftError, type AmberliftError } from '../../shared/common/error-kinds.js';
 import type { DeclaredConfig, DeclaredRoute } from './declared-config.js';
+import { receiverFault, toReceivable } from './receivable-config.js';
 
-/** @returns the configuration, or an `invalid-command` error that describes the first fault */
+/** @returns the configuration as declared, or an `invalid-command` error that describes the first fault */
 export function checkDeclaredConfig(
   config: DeclaredConfig,
 ): Result<DeclaredConfig, AmberliftError> {
-  const fault = versionFault(config) ?? serviceFault(config) ?? routesFault(config);
+  const fault =
+    versionFault(config) ??
+    serviceFault(config) ??
+    routesFault(config) ??
+    receiverFault(toReceivable(config));
   return fault === undefined ? ok(config) : err(amberliftError('invalid-command', fault));
 }
 
--- a/src/registered/declared/parse-config.ts
+++ b/src/registered/declared/parse-config.ts
@@ -2,16 +2,16 @@
  * @file Schema and parser of the native JSON form of a declared configuration. Adapters for other forms translate them
  * and use check-config.ts only.
  */
-import { err, type Result } from 'neverthrow';
+import { err, Result } from 'neverthrow';
 import * as z from 'zod/mini';
 import { describeFaults } from '../../shared/common/schema-faults.js';
 import { amberliftError, type AmberliftError } from '../../shared/common/error-kinds.js';
 import { checkDeclaredConfig } from './check-config.js';
 import type { DeclaredConfig } from './declared-config.js';
+import { DEFAULT_IDLE_TIMEOUT_MS } from './idle-timeout.js';
+import { readStored } from './receivable-config.js';
 import { LOWEST_PRIORITY } from './route-attributes.js';
 
-/** Keeps a flow between two of its requests. */
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
 const MAX_PORT = 65_535;
 
 const targetSchema = z.strictObject({
@@ -54,3 +54,14 @@
   }
   return err(amberliftError('invalid-command', describeFaults(parsed.error)));
 }
+
+/**
+ * @param text JSON of a configuration of the log, which another version may have checked less
+ * @returns the part of the configuration that receivers can hold, or `invalid-command` if the text can't be read
+ */
+export function readStoredConfig(text: string): Result<DeclaredConfig, AmberliftError> {
+  return Result.fromThrowable(
+    () => readStored(JSON.parse(text) as DeclaredConfig),
+    (cause) => amberliftError('invalid-command', `Invalid stored configuration: ${String(cause)}`),
+  )();
+}
--- a/src/registered/group/applied-entries.ts
+++ b/src/registered/group/applied-entries.ts
@@ -2,16 +2,18 @@
  * @file Applies committed log entries and snapshots: updates the replicated state, queues the change for balancers,
  * replies to the call that proposed the entry, and returns the log line.
  */
+import type { Result } from 'neverthrow';
 import { match } from 'ts-pattern';
 import { currentMembership } from '../../shared/consensus/consensus-state.js';
 import type { LogEntry } from '../../shared/consensus/log.js';
 import { votersOf } from '../../shared/consensus/membership.js';
+import type { DeclaredConfig } from '../declared/declared-config.js';
 import type { GroupEffect } from './group-events.js';
 import type { LeaderReply } from './group-messages.js';
 import type { GroupState } from './group-state.js';
 import { finishCall, outdatedOrder, type ReplyState } from './calls/leader-replies.js';
 import type { WithConsensus } from './leadership.js';
-import { decodeGroupCommand, type AppliedChange } from './replicated-state.js';
+import { decodeGroupCommand, type AppliedChange, type ConfigDocument } from './replicated-state.js';
 import type { ZoneStatus } from './zone-orders.js';
 
 /** State that committed entries change. */
@@ -49,12 +51,7 @@
 
 function publishChange(state: AppliedState, applied: AppliedChange, nowMs: number): GroupEffect[] {
   return match(applied)
-    .with({ type: 'config-changed' }, ({ document }): GroupEffect[] => {
-      const config = state.options.readDocument(document);
-      state.configs.apply(config);
-      const fields = { version: document.version, routes: config.routes.length };
-      return [{ type: 'decision', name: 'config in force', fields }];
-    })
+    .with({ type: 'config-changed' }, ({ document }) => configDecisions(state, document))
     .with({ type: 'departure-recorded' }, ({ departure }): GroupEffect[] => {
       state.updates.addDeparture(departure.backendId);
       return [{ type: 'decision', name: 'departure', fields: { ...departure } }];
@@ -67,6 +64,36 @@
     .exhaustive();
 }
 
+/** The previous configuration stays in force if the document can't be read, as may happen after a downgrade. */
+function applyDocument(
+  { configs, options }: Pick<GroupState, 'configs' | 'options'>,
+  document: ConfigDocument,
+): Result<DeclaredConfig, GroupEffect> {
+  const { version } = document;
+  return options
+    .readDocument(document)
+    .map((config) => {
+      configs.apply(config);
+      return config;
+    })
+    .mapErr(({ message }): GroupEffect => {
+      const fields = { version, kept: configs.version, reason: message };
+      return { type: 'decision', name: 'config unreadable', fields };
+    });
+}
+
+function configDecisions(
+  state: Pick<GroupState, 'configs' | 'options'>,
+  document: ConfigDocument,
+): GroupEffect[] {
+  return applyDocument(state, document).match<GroupEffect[]>(
+    ({ version, routes }) => [
+      { type: 'decision', name: 'config in force', fields: { version, routes: routes.length } },
+    ],
+    (unreadable) => [unreadable],
+  );
+}
+
 /** Publishes a zone change; not called for orders that were committed before this start. */
 export function publishZoneChange(
   { readmissions, updates }: Pick<GroupState, 'readmissions' | 'updates'>,
@@ -96,11 +123,11 @@
   const { replicated, updates } = state;
   replicated.restore(data);
   const { config } = replicated;
-  if (config !== undefined) {
-    state.configs.apply(state.options.readDocument(config));
-  }
+  const read = config && applyDocument(state, config);
   replicated.allDepartures().forEach(({ backendId }) => updates.addDeparture(backendId));
   updates.markZonesChanged();
   state.backendList.requireSeeding();
-  return [{ type: 'decision', name: 'snapshot taken over', fields: { version: config?.version } }];
+  const fields = { version: config?.version };
+  const decision: GroupEffect = { type: 'decision', name: 'snapshot taken over', fields };
+  return read?.isErr() === true ? [read.error, decision] : [decision];
 }
--- a/src/registered/group/backends/liveness-updates.ts
+++ b/src/registered/group/backends/liveness-updates.ts
@@ -5,6 +5,7 @@
  * heartbeat, while dead ones are suspected one interval sooner than usual.
  */
 import { formatAddress } from '../../../shared/common/address.js';
+import { recordSchema } from '../entry-schemas.js';
 import type { GroupState } from '../group-state.js';
 import { isCurrent, otherMembers } from '../leadership.js';
 
@@ -40,13 +41,16 @@
   changes.forEach(({ backendId }) => state.updates.addLivenessChange(backendId));
 }
 
-/** Adds listed back ends that the registry lacks, after a start, a snapshot or a partition. */
+/**
+ * Adds listed back ends that the registry lacks, after a start, a snapshot or a partition. Records that no message can carry, as
+ * older versions stored them, are left out.
+ */
 function seedRegistry(state: LivenessState, nowMs: number): void {
   const ageMs = state.options.heartbeatIntervalMs;
   state.heartbeats.contact.restart(nowMs);
   for (const registered of state.replicated.allBackends()) {
     const record = { ...registered, warmUpLeftMs: 0 };
-    if (state.registry.get(record.id) === undefined) {
+    if (state.registry.get(record.id) === undefined && recordSchema.safeParse(record).success) {
       state.registry.applyListed(record, nowMs - ageMs);
       state.updates.addRegistered(record.id);
     }
--- a/src/registered/group/group-options.ts
+++ b/src/registered/group/group-options.ts
@@ -1,7 +1,9 @@
 /**
  * @file Options of a control machine, fixed at the start; only the seeds can change later (members/announcements.ts).
  */
+import type { Result } from 'neverthrow';
 import type { Address } from '../../shared/common/address.js';
+import type { AmberliftError } from '../../shared/common/error-kinds.js';
 import type { DeclaredConfig } from '../declared/declared-config.js';
 import type { ConfigDocument } from './replicated-state.js';
 import type { Timing } from './timing.js';
@@ -27,8 +29,8 @@
   readonly removeVoterAfterMs: number;
   /** Calls without a reply are answered `unavailable` after this time. */
   readonly requestDeadlineMs: number;
-  /** Parses a document that was validated before it was proposed. */
-  readonly readDocument: (document: ConfigDocument) => DeclaredConfig;
+  /** Parses a document of the log; fails only if it can't be read at all. */
+  readonly readDocument: (document: ConfigDocument) => Result<DeclaredConfig, AmberliftError>;
   readonly timing: Timing;
   /** If true, a link to a control machine that has just been heard from is not waited for (policy `recovery=fast`). */
   readonly redialsHeardPeers?: boolean;
--- a/src/registered/group/group-state.ts
+++ b/src/registered/group/group-state.ts
@@ -121,7 +121,7 @@
     loads: createExchangedTable(LOAD_ROWS),
     answerStats: createExchangedTable(ANSWER_STATS_ROWS),
     suspicions: createSharedSuspicions(),
-    configs: createConfigHistory(document && options.readDocument(document)),
+    configs: createConfigHistory(document && options.readDocument(document).unwrapOr(undefined)),
     readmissions: createZoneReadmissions(),
     stallDetector: createOrderStallDetector(),
   };
--- a/src/registered/group/message-schemas.ts
+++ b/src/registered/group/message-schemas.ts
@@ -14,25 +14,19 @@
 import { ANSWER_STATS_ROWS } from '../load-exchange/answer-stats.js';
 import { LOAD_ROWS } from '../load-exchange/packed-rows.js';
 import { SUSPICION_ROWS } from '../load-exchange/suspicion-rows.js';
+import {
+  agedRecordSchema as agedRecord,
+  balancerSchema as balancer,
+  departureSchema as departure,
+  documentTextSchema,
+  recordSchema as record,
+  zoneStatusSchema,
+  zoneUpdateSchema,
+} from './entry-schemas.js';
+import { validEntries, type ReportOmitted } from './wire/omitted-entries.js';
 import { packedRowsSchema } from './wire/packed-rows-schema.js';
 import type { ControlInboundMessage } from './group-messages.js';
 
-/** Larger than any valid configuration document; limits what a faulty sender can send. */
-const MAX_DOCUMENT_BYTES = 4 * 1024 * 1024;
-
-const record = z.object({
-  id: text,
-  instanceNumber: z.string().check(z.regex(/^[0-9a-f]{16}$/)),
-  service: text,
-  address,
-  zone: text,
-  capacity: count,
-  warmUpLeftMs: count,
-  sequence: count,
-});
-const agedRecord = z.object({ record, ageMs: z.number() });
-const departure = z.object({ backendId: text, kind: z.enum(['draining', 'gone']) });
-const balancer = z.object({ name: text, zone: text, peerAddress: address });
 const loads = z.optional(packedRowsSchema(LOAD_ROWS));
 const signals = z.optional(packedRowsSchema(ANSWER_STATS_ROWS));
 const suspects = z.optional(packedRowsSchema(SUSPICION_ROWS));
@@ -45,17 +39,13 @@
     loadTable !== undefined || statsTable !== undefined,
   'The message has neither loads nor signals.',
 );
-const configDocument = z.object({
-  version: index,
-  text: z.string().check(z.maxLength(MAX_DOCUMENT_BYTES)),
-});
-const zoneStatus = { zone: text, isEvacuated: z.boolean(), orders: index };
+const configDocument = z.object({ version: index, text: documentTextSchema });
 const zoneOrder = z.object({
   zone: text,
   kind: z.enum(['evacuate', 'readmit']),
   afterOrders: index,
 });
-const zoneReport = z.object({ ...zoneStatus, backendCount: index, slots: count, busy: count });
+const zoneReport = z.extend(zoneStatusSchema, { backendCount: index, slots: count, busy: count });
 const command = z.discriminatedUnion('type', [
   z.object({ type: z.literal('declare-config'), document: configDocument }),
   z.object({ type: z.literal('note-departure'), departure }),
@@ -126,7 +116,7 @@
   z.object({ type: z.literal('find-zones'), replyTo: address }),
   z.object({
     type: z.literal('zones-known'),
-    zones: list(z.object({ ...zoneStatus, readmittedAgoMs: z.optional(count) })),
+    zones: list(zoneUpdateSchema),
   }),
 ]);
 
@@ -136,12 +126,47 @@
 /** Message between balancers about a flow open. */
 export type OpenMessage = Exclude<BalancerMessage, { type: 'find-zones' | 'zones-known' }>;
 
+const heartbeatList = z.object({ type: z.literal('heartbeats'), records: list(z.unknown()) });
+const balancerList = z.object({ type: z.literal('balancers'), balancers: list(z.unknown()) });
+
 /**
+ * @param report called with each back end or balancer that is left out, because it has invalid values
  * @returns the message that a control machine received, or undefined if it is invalid
  */
-export function parseControlInbound(value: unknown): ControlInboundMessage | undefined {
-  const parsed = controlInbound.safeParse(value);
-  return parsed.success ? (value as ControlInboundMessage) : undefined;
+export function parseControlInbound(
+  value: unknown,
+  report: ReportOmitted = () => undefined,
+): ControlInboundMessage | undefined {
+  if (controlInbound.safeParse(value).success) {
+    return value as ControlInboundMessage;
+  }
+  const reduced = withoutInvalidListed(value, report);
+  return controlInbound.safeParse(reduced).success ? (reduced as ControlInboundMessage) : undefined;
+}
+
+/** @returns a list of heartbeats or balancers without its invalid entries; undefined for any other message */
+function withoutInvalidListed(value: unknown, report: ReportOmitted): object | undefined {
+  const heartbeats = heartbeatList.safeParse(value);
+  if (heartbeats.success) {
+    const records = validEntries(heartbeats.data.records, agedRecord, 'backend', nameOf, report);
+    return { ...(value as object), records };
+  }
+  const balancers = balancerList.safeParse(value);
+  if (balancers.success) {
+    const listed = validEntries(balancers.data.balancers, balancer, 'balancer', nameOf, report);
+    return { ...(value as object), balancers: listed };
+  }
+  return undefined;
+}
+
+const named = z.object({
+  name: z.optional(z.string()),
+  record: z.optional(z.object({ id: z.optional(z.string()) })),
+});
+
+function nameOf(entry: unknown): string {
+  const { data } = named.safeParse(entry);
+  return data?.name ?? data?.record?.id ?? 'unnamed';
 }
 
 /**
--- a/src/registered/group/wire/feed-codec.ts
+++ b/src/registered/group/wire/feed-codec.ts
@@ -17,6 +17,7 @@
   unpackControls,
   unpackZones,
 } from './list-codec.js';
+import { withoutInvalidEntries, type ReportOmitted } from './omitted-entries.js';
 import {
   DEPARTURES,
   LIVENESS,
@@ -51,13 +52,22 @@
 }
 
 /**
- * @returns the unpacked message, or undefined if the value is not a valid one; never throws
+ * @param report called with each entry that is left out, because it has invalid values
+ * @returns the unpacked message, or undefined if the value is not a feed message; never throws
  */
-export function unpackFeed(value: unknown): FeedMessage | undefined {
-  const packed = parsePackedFeed(value);
-  if (packed === undefined) {
+export function unpackFeed(
+  value: unknown,
+  report: ReportOmitted = () => undefined,
+): FeedMessage | undefined {
+  const parsed = parsePackedFeed(value);
+  if (parsed === undefined) {
     return undefined;
   }
+  const message = unpackColumns(parsed.packed);
+  return parsed.areValuesValid ? message : withoutInvalidEntries(message, report);
+}
+
+function unpackColumns(packed: PackedFeed): FeedMessage {
   const { isCurrent, isComplete, isCounted, transfer, records, judgements, departures } = packed;
   const { balancers, lost, controls, zones, config, loads, signals, suspects } = packed;
   return {
--- a/src/registered/group/wire/packed-feed.ts
+++ b/src/registered/group/wire/packed-feed.ts
@@ -1,22 +1,23 @@
 /**
  * @file The schema of packed feed messages, and the check that their columns are consistent. The fields have their
- * names on the wire; feed-codec.ts translates them.
+ * names on the wire; feed-codec.ts translates them. A message whose columns are consistent can be read even if some values
+ * are out of bounds; omitted-entries.ts leaves out the entries with such values.
  */
 import * as z from 'zod/mini';
 import {
   indexSchema as index,
+  nonNegativeSchema as amount,
   textSchema as text,
 } from '../../../shared/consensus/message-schemas.js';
 import { ANSWER_STATS_ROWS } from '../../load-exchange/answer-stats.js';
-import { LOAD_ROWS } from '../../load-exchange/packed-rows.js';
+import { LOAD_ROWS, type RowShape } from '../../load-exchange/packed-rows.js';
 import { SUSPICION_ROWS } from '../../load-exchange/suspicion-rows.js';
+import { MAX_COLUMN_ROWS } from '../entry-schemas.js';
 import { packedRowsSchema } from './packed-rows-schema.js';
 import type { Liveness } from '../../registry/backend-liveness.js';
 import type { DepartureKind } from '../../registry/backend-record.js';
 import type { FullSyncStage } from '../group-messages.js';
 
-/** Rejects oversized messages of faulty senders. */
-const MAX_ITEMS = 50_000;
 /** Size of an instance number, from which the token of a back end is derived. */
 export const INSTANCE_BYTES = 8;
 /** Marks a removed route in the column of target lists. */
@@ -33,103 +34,152 @@
 /** Stages of a full sync by their indexes on the wire. */
 export const FULL_SYNC_STAGES: readonly FullSyncStage[] = ['begins', 'goes-on', 'ends', 'whole'];
 
-const numbers = z.array(z.int()).check(z.maxLength(MAX_ITEMS));
-const indexes = z.array(index).check(z.maxLength(MAX_ITEMS));
-const texts = z.array(text).check(z.maxLength(MAX_ITEMS));
-const addresses = z.object({ hosts: texts, hostOf: indexes, ports: indexes });
-
-const packedRecords = z.object({
-  ids: texts,
-  instances: z.instanceof(Uint8Array),
-  names: texts,
-  services: indexes,
-  zones: indexes,
-  addresses,
-  capacities: z.array(z.number().check(z.nonnegative())),
-  warmUps: z.array(z.number().check(z.nonnegative())),
-  sequences: z.array(z.number().check(z.nonnegative())),
-  ages: numbers,
-});
-const packedBalancers = z.object({ ids: texts, names: texts, zones: indexes, addresses });
-const packedControls = z.object({ names: texts, zones: indexes, addresses });
-const packedConfig = z.object({
-  version: index,
-  base: index,
-  idleMs: z.number().check(z.nonnegative()),
-  first: index,
-  count: index,
-  /** Host and port as one number per route; each but the first is the difference from the previous one. */
-  keys: numbers,
-  names: texts,
-  /** Target lists; each alternates between indexes into `names` and weights. */
-  lists: z.array(z.array(z.number().check(z.nonnegative()))),
-  /** Per route the number of its target list, from 1; `NO_TARGETS` for a removed route. */
-  listOf: indexes,
-  /** True if the sender lists changes of attributes; absent if its version does not know them. */
-  listsAttributes: z.optional(z.boolean()),
-  /** Distinct attributes: priority and latency objective. */
-  attributes: z.optional(
-    z.array(z.array(z.number().check(z.nonnegative())).check(z.length(ATTRIBUTE_NUMBERS))),
-  ),
-  /** Per route the number of its attributes, from 1; `NO_ATTRIBUTES` if it has none. */
-  attributesOf: z.optional(indexes),
-  /** Services with a slow start, in columns. */
-  warmUps: z.object({
+/** Schemas of the values in the columns. Indexes that refer to other columns are always validated. */
+interface ValueSchemas {
+  readonly text: z.ZodMiniType<string>;
+  readonly integer: z.ZodMiniType<number>;
+  readonly count: z.ZodMiniType<number>;
+  readonly amount: z.ZodMiniType<number>;
+}
+
+/** The values that entries may have. */
+const VALID_VALUES: ValueSchemas = { text, integer: z.int(), count: index, amount };
+const anyNumber = z.custom<number>((value) => typeof value === 'number');
+/** Any values of the right types: some entries can't be applied, but the others can be read. */
+const ANY_VALUES: ValueSchemas = {
+  text: z.string(),
+  integer: anyNumber,
+  count: anyNumber,
+  amount: anyNumber,
+};
+
+function columnOf<T extends z.ZodMiniType>(value: T) {
+  return z.array(value).check(z.maxLength(MAX_COLUMN_ROWS));
+}
+
+function rowsOf(shape: RowShape, { count }: ValueSchemas) {
+  return packedRowsSchema(shape, count);
+}
+
+function configSchema(values: ValueSchemas) {
+  const { text: name, amount: value } = values;
+  const indexes = columnOf(index);
+  return z.object({
+    version: index,
+    base: index,
+    idleMs: value,
+    first: index,
+    count: index,
+    /** Host and port as one number per route; each but the first is the difference from the previous one. */
+    keys: columnOf(z.int()),
+    names: columnOf(name),
+    /** Target lists; each alternates between indexes into `names` and weights. */
+    lists: z.array(z.array(value)),
+    /** Per route the number of its target list, from 1; `NO_TARGETS` for a removed route. */
+    listOf: indexes,
+    /** True if the sender lists changes of attributes; absent if its version does not know them. */
+    listsAttributes: z.optional(z.boolean()),
+    /** Distinct attributes: priority and latency objective. */
+    attributes: z.optional(z.array(z.array(value).check(z.length(ATTRIBUTE_NUMBERS)))),
+    /** Per route the number of its attributes, from 1; `NO_ATTRIBUTES` if it has none. */
+    attributesOf: z.optional(indexes),
+    /** Services with a slow start, in columns. */
+    warmUps: z.object({ names: columnOf(name), ms: z.array(value), perS: z.array(value) }),
+  });
+}
+
+function recordsSchema(values: ValueSchemas) {
+  const texts = columnOf(values.text);
+  const indexes = columnOf(index);
+  const amounts = z.array(values.amount);
+  return z.object({
+    ids: texts,
+    instances: z.instanceof(Uint8Array),
     names: texts,
-    ms: z.array(z.number().check(z.nonnegative())),
-    perS: z.array(z.number().check(z.nonnegative())),
-  }),
-});
-const packedZones = z.object({
-  names: texts,
-  areEvacuated: z.array(z.boolean()).check(z.maxLength(MAX_ITEMS)),
-  orders: indexes,
-  /** Milliseconds since each readmission; `UNKNOWN_AGE` if the sender has not seen it. */
-  readmittedAgo: numbers,
-});
-const livenessChanges = z.object({ ids: texts, kinds: indexes, silentMs: indexes });
-const departures = z.object({ ids: texts, kinds: indexes });
-
-const packedFeed = z.object({
-  type: z.literal('feed'),
-  isCurrent: z.boolean(),
-  isComplete: z.boolean(),
-  isCounted: z.boolean(),
-  transfer: z.optional(index),
-  records: z.optional(packedRecords),
-  judgements: z.optional(livenessChanges),
-  departures: z.optional(departures),
-  balancers: z.optional(packedBalancers),
-  lost: z.optional(texts),
-  controls: z.optional(packedControls),
-  zones: z.optional(packedZones),
-  config: z.optional(packedConfig),
-  loads: z.optional(packedRowsSchema(LOAD_ROWS)),
-  signals: z.optional(packedRowsSchema(ANSWER_STATS_ROWS)),
-  suspects: z.optional(packedRowsSchema(SUSPICION_ROWS)),
-});
+    services: indexes,
+    zones: indexes,
+    addresses: addressesSchema(values),
+    capacities: amounts,
+    warmUps: amounts,
+    sequences: amounts,
+    ages: columnOf(values.integer),
+  });
+}
+
+function addressesSchema(values: ValueSchemas) {
+  return z.object({
+    hosts: columnOf(values.text),
+    hostOf: columnOf(index),
+    ports: columnOf(values.count),
+  });
+}
+
+function feedSchema(values: ValueSchemas) {
+  const texts = columnOf(values.text);
+  const counts = columnOf(values.count);
+  const indexes = columnOf(index);
+  const addresses = addressesSchema(values);
+  return z.object({
+    type: z.literal('feed'),
+    isCurrent: z.boolean(),
+    isComplete: z.boolean(),
+    isCounted: z.boolean(),
+    transfer: z.optional(index),
+    records: z.optional(recordsSchema(values)),
+    judgements: z.optional(z.object({ ids: texts, kinds: indexes, silentMs: counts })),
+    departures: z.optional(z.object({ ids: texts, kinds: indexes })),
+    balancers: z.optional(z.object({ ids: texts, names: texts, zones: indexes, addresses })),
+    lost: z.optional(texts),
+    controls: z.optional(z.object({ names: texts, zones: indexes, addresses })),
+    zones: z.optional(
+      z.object({
+        names: texts,
+        areEvacuated: columnOf(z.boolean()),
+        orders: counts,
+        /** Milliseconds since each readmission; `UNKNOWN_AGE` if the sender has not seen it. */
+        readmittedAgo: columnOf(values.integer),
+      }),
+    ),
+    config: z.optional(configSchema(values)),
+    loads: z.optional(rowsOf(LOAD_ROWS, values)),
+    signals: z.optional(rowsOf(ANSWER_STATS_ROWS, values)),
+    suspects: z.optional(rowsOf(SUSPICION_ROWS, values)),
+  });
+}
+
+const validFeed = feedSchema(VALID_VALUES);
+const readableFeed = feedSchema(ANY_VALUES);
 
 /** A feed message in its wire form. */
-export type PackedFeed = z.infer<typeof packedFeed>;
+export type PackedFeed = z.infer<typeof validFeed>;
 /** Back ends in columns. */
-export type PackedRecords = z.infer<typeof packedRecords>;
+export type PackedRecords = NonNullable<PackedFeed['records']>;
 /** Addresses in columns. */
-export type PackedAddresses = z.infer<typeof addresses>;
+export type PackedAddresses = PackedRecords['addresses'];
 /** Balancers in columns. */
-export type PackedBalancers = z.infer<typeof packedBalancers>;
+export type PackedBalancers = NonNullable<PackedFeed['balancers']>;
 /** Control machines in columns. */
-export type PackedControls = z.infer<typeof packedControls>;
+export type PackedControls = NonNullable<PackedFeed['controls']>;
 /** Zones in columns. */
-export type PackedZones = z.infer<typeof packedZones>;
+export type PackedZones = NonNullable<PackedFeed['zones']>;
 /** Route changes in columns. */
-export type PackedConfig = z.infer<typeof packedConfig>;
+export type PackedConfig = NonNullable<PackedFeed['config']>;
+
+/** A packed message, and whether all of its entries are valid. */
+export interface ParsedFeed {
+  readonly packed: PackedFeed;
+  readonly areValuesValid: boolean;
+}
 
 /**
- * @returns the value as a packed message, or undefined if it is not a valid one; never throws
+ * @returns the value as a packed message, or undefined if its columns are not those of one; never throws
  */
-export function parsePackedFeed(value: unknown): PackedFeed | undefined {
-  const parsed = packedFeed.safeParse(value);
-  return parsed.success && hasConsistentColumns(parsed.data) ? parsed.data : undefined;
+export function parsePackedFeed(value: unknown): ParsedFeed | undefined {
+  const valid = validFeed.safeParse(value);
+  const parsed = valid.success ? valid : readableFeed.safeParse(value);
+  return parsed.success && hasConsistentColumns(parsed.data)
+    ? { packed: parsed.data, areValuesValid: valid.success }
+    : undefined;
 }
 
 /** The columns of a table must have equal lengths, and their indexes must be in range. */
--- a/src/registered/group/wire/packed-rows-schema.ts
+++ b/src/registered/group/wire/packed-rows-schema.ts
@@ -8,9 +8,15 @@
 /** Rejects oversized tables of faulty senders. */
 const MAX_ROWS = 20_000;
 
-/** @returns the schema of a flat list of complete rows */
-export function packedRowsSchema({ numbers }: RowShape) {
-  return z.array(indexSchema).check(
+/**
+ * @param number schema of each number
+ * @returns the schema of a flat list of complete rows
+ */
+export function packedRowsSchema(
+  { numbers }: RowShape,
+  number: z.ZodMiniType<number> = indexSchema,
+) {
+  return z.array(number).check(
     z.maxLength(MAX_ROWS * numbers),
     z.refine((packed) => packed.length % numbers === 0, 'A row is incomplete.'),
   );
--- a/src/registered/ingress/ingress-state.ts
+++ b/src/registered/ingress/ingress-state.ts
@@ -20,6 +20,7 @@
 import { createOpenStallDetector } from '../decisions/open-admission.js';
 import { createPlacement, type Placement } from '../decisions/placement.js';
 import { createSlowStart, type SlowStartBounds, type SlowStart } from '../decisions/slow-start.js';
+import { usableIdleTimeoutMs } from '../declared/idle-timeout.js';
 import type { FeedTiming } from '../group/timing.js';
 import { BackendTable } from './backend-table.js';
 import { createConfigAssembly, type ConfigAssembly } from './config-assembly.js';
@@ -80,9 +81,6 @@
   beginStop(): void;
 }
 
-/** Idle timeout of flows while there is no configuration. */
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-
 /**
  * @param isLinkFree returns true if packets are sent without queueing for the link of the machine
  * @returns the initial state of an ingress
@@ -118,7 +116,7 @@
     zones,
     opens: new OpenMemory(OPEN_LIFETIME_MS),
     activities: new FlowActivities(
-      () => routes.config?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS,
+      () => usableIdleTimeoutMs(routes.config?.idleTimeoutMs),
       options.maxCountedFlows,
       isLinkFree,
     ),
--- a/src/registered/ingress/peer-feed/peer-feed-messages.ts
+++ b/src/registered/ingress/peer-feed/peer-feed-messages.ts
@@ -9,6 +9,7 @@
 } from '../../../shared/consensus/message-schemas.js';
 import type { FeedMessage } from '../../group/group-messages.js';
 import { packFeed, unpackFeed } from '../../group/wire/feed-codec.js';
+import type { ReportOmitted } from '../../group/wire/omitted-entries.js';
 import type { PeerFeedRefusal } from '../../decisions/peer-feed-admission.js';
 
 /** Hops from a control machine at which a peer feed is still followed; 0 is the feed of a balancer that control feeds. */
@@ -81,8 +82,14 @@
   return parsed.success ? parsed.data : undefined;
 }
 
-/** @returns the message of a giver, or undefined if the value is not a valid one */
-export function parsePeerGiverMessage(value: unknown): PeerGiverMessage | undefined {
+/**
+ * @param report called with each entry of the feed that is left out, because it has invalid values
+ * @returns the message of a giver, or undefined if the value is not a valid one
+ */
+export function parsePeerGiverMessage(
+  value: unknown,
+  report?: ReportOmitted,
+): PeerGiverMessage | undefined {
   const parsed = giverMessage.safeParse(value);
   if (!parsed.success) {
     return undefined;
@@ -91,7 +98,7 @@
   if (data.type === 'peer-refused' || data.feed === undefined) {
     return data.type === 'peer-refused' ? data : withoutFeed(data);
   }
-  const feed = unpackFeed(data.feed);
+  const feed = unpackFeed(data.feed, report);
   return feed && { ...withoutFeed(data), feed };
 }
 
--- a/src/registered/registry/backend-start.ts
+++ b/src/registered/registry/backend-start.ts
@@ -4,6 +4,8 @@
  * is current.
  */
 
+import { boundedName } from './bounded-name.js';
+
 /** One start of a back end, that is the life of one process. */
 export interface BackendStart {
   /** Name of the back end, the same for all its starts. */
@@ -16,9 +18,10 @@
 const START_SEPARATOR = '#';
 const START_ID_PATTERN = /^(.+)#(\d+)$/s;
 
-/** @returns the ID of a start, `name#startedAtMs`; the plain name if it has no start time */
+/** @returns the ID of a start, `name#startedAtMs`; the plain name if it has no start time. Long names are shortened */
 export function startIdOf({ backend, startedAtMs }: BackendStart): string {
-  return startedAtMs === undefined ? backend : `${backend}${START_SEPARATOR}${startedAtMs}`;
+  const name = boundedName(backend);
+  return startedAtMs === undefined ? name : `${name}${START_SEPARATOR}${startedAtMs}`;
 }
 
 /** @returns the start that an ID stands for; an ID without a start time is the name of the back end */
--- a/src/shared/consensus/message-schemas.ts
+++ b/src/shared/consensus/message-schemas.ts
@@ -5,7 +5,7 @@
 import * as z from 'zod/mini';
 
 /** Characters; rejects garbage on internal ports. */
-const MAX_TEXT_LENGTH = 200;
+export const MAX_TEXT_LENGTH = 200;
 /** More than the 12,000 back ends of the largest supported deployment. */
 const MAX_LIST_LENGTH = 20_000;
 const MAX_PORT = 65_535;
--- a/src/tools/cli/group.ts
+++ b/src/tools/cli/group.ts
@@ -8,8 +8,9 @@
 import { groupDurability } from '../../registered/daemon/group-durability.js';
 import { listenHttp } from '../../shared/daemon/http-server.js';
 import { groupMetricsListener } from '../../registered/daemon/metrics/lazy-metrics.js';
-import type { DeclaredConfig } from '../../registered/declared/declared-config.js';
+import { readStoredConfig } from '../../registered/declared/parse-config.js';
 import { timingFor } from '../../registered/group/timing.js';
+import { boundedName } from '../../registered/registry/bounded-name.js';
 import { groupSettingsSchema } from '../../registered/settings/token-settings.js';
 import {
   announceReady,
@@ -43,16 +44,15 @@
   const daemon = await GroupDaemon.start(
     {
       linkAddress,
-      zone: settings.zone,
-      zones: settings.zones,
+      zone: boundedName(settings.zone),
+      zones: settings.zones.map(boundedName),
       seeds: settings.seeds,
       isFirstStart: settings.isFirstStart,
       ...groupDurability(settings.tolerableLosses, settings.catchUpMs),
       heartbeatIntervalMs: settings.heartbeatIntervalMs,
       forgetBackendAfterMs: settings.flowLifetimeMs,
       requestDeadlineMs: REQUEST_DEADLINE_MS,
-      // `declared-api.ts` validated the text before it was appended to the log.
-      readDocument: ({ text }) => JSON.parse(text) as DeclaredConfig,
+      readDocument: ({ text }) => readStoredConfig(text),
       timing: timingFor(settings.bounds),
       redialsHeardPeers: settings.recovery === 'fast',
     },
--- a/src/tools/cli/ingress.ts
+++ b/src/tools/cli/ingress.ts
@@ -10,6 +10,7 @@
 import { timingFor } from '../../registered/group/timing.js';
 import { maxCountedFlowsFor } from '../../registered/ingress/counted-flows.js';
 import { tokenPacketCodec } from '../../registered/ingress/token-packet.js';
+import { boundedName } from '../../registered/registry/bounded-name.js';
 import { ingressSettingsSchema } from '../../registered/settings/token-settings.js';
 import {
   announceReady,
@@ -38,8 +39,8 @@
   const daemon = await IngressDaemon.start(
     {
       ingress: {
-        name,
-        zone,
+        name: boundedName(name),
+        zone: boundedName(zone),
         heartbeatIntervalMs: settings.heartbeatIntervalMs,
         flowLifetimeMs: settings.flowLifetimeMs,
         feed: timing.feed,
