--- a/src/registered/daemon/group-daemon.ts
+++ b/src/registered/daemon/group-daemon.ts
@@ -42,7 +42,7 @@
 
 /** Log budget for refused requests of back ends. */
 const REFUSAL_LOG_BUDGET = { linesPerSecond: 5, bytesPerSecond: 1_024 } as const;
-/** Characters of a logged path; names of back ends have at most 100. */
+/** Characters of a logged path, which may name a back end of any length. */
 const MAX_LOGGED_PATH_LENGTH = 150;
 
 /** A running control machine. */
