--- a/src/registered/daemon/group-daemon.ts
+++ b/src/registered/daemon/group-daemon.ts
@@ -13,7 +13,7 @@
 import { START_BOUND, startNumberOf } from '../group/calls/forward-ids.js';
 import type { GroupReply } from '../group/group-events.js';
 import type { GroupOptions } from '../group/group-options.js';
-import { createGroupState } from '../group/group-state.js';
+import { createGroupState, type GroupState } from '../group/group-state.js';
 import { packFeed } from '../group/wire/feed-codec.js';
 import {
   isBalancerLinkMessage,
@@ -78,6 +78,7 @@
     };
     const start = startNumberOf(randomInt(START_BOUND));
     const state = createGroupState(options, storage.recovered, start);
+    logUnreadableConfig(state);
     this.group = new GroupProcess(state, environment);
   }
 
@@ -175,6 +176,14 @@
   }
 }
 
+/** A committed configuration that can't be read, as after a downgrade, is not in force until a later one is declared. */
+function logUnreadableConfig({ replicated, configs }: GroupState): void {
+  const version = replicated.config?.version;
+  if (version !== undefined && configs.version !== version) {
+    logDecision('control', 'config unreadable', { version, kept: configs.version });
+  }
+}
+
 /** Encodes a message that is sent to several balancers only once. */
 function createFeedEncoder(): (message: FeedMessage) => Buffer {
   const frames = new WeakMap<FeedMessage, Buffer>();
--- a/src/registered/declared/check-config.ts
+++ b/src/registered/declared/check-config.ts
@@ -52,7 +52,7 @@
 
 function routeFault(route: DeclaredRoute, serviceNames: ReadonlySet<string>): string | undefined {
   const { name, targets, timeoutMs } = route;
-  if (!(timeoutMs > 0)) {
+  if (timeoutMs === 0 || Number.isNaN(timeoutMs)) {
     return `Route ${name} has no valid timeout.`;
   }
   const unknown = targets.find(({ service }) => !serviceNames.has(service));
--- a/src/registered/declared/declared-config.ts
+++ b/src/registered/declared/declared-config.ts
@@ -21,7 +21,7 @@
   readonly port: number;
   readonly targets: readonly WeightedTarget[];
   readonly kind: RequestKind;
-  /** Time limit for one request, in milliseconds. */
+  /** Time limit for one request, in milliseconds; not 0. Balancers don't apply it. */
   readonly timeoutMs: number;
   /** 0 is the highest; absent for the lowest. */
   readonly priority?: number | undefined;
--- a/src/registered/declared/parse-config.ts
+++ b/src/registered/declared/parse-config.ts
@@ -35,7 +35,7 @@
       port: z.int().check(z.positive(), z.maximum(MAX_PORT)),
       targets: z.array(targetSchema).check(z.minLength(1)),
       kind: z.enum(['repeatable', 'at-most-once']),
-      timeoutMs: z.number(),
+      timeoutMs: z.number().check(z.nonnegative()),
       priority: z.optional(z.int().check(z.nonnegative(), z.maximum(LOWEST_PRIORITY))),
       latencyObjectiveMs: z.optional(z.number().check(z.positive())),
     }),
--- a/src/registered/group/wire/config-codec.ts
+++ b/src/registered/group/wire/config-codec.ts
@@ -10,6 +10,7 @@
   NO_OBJECTIVE_MS,
   type RouteAttributes,
 } from '../../declared/route-attributes.js';
+import { boundedName } from '../../registry/bounded-name.js';
 import { NO_ATTRIBUTES, NO_TARGETS, type PackedConfig } from './packed-feed.js';
 import { createNameTable } from './packed-names.js';
 
@@ -83,9 +84,10 @@
   };
 }
 
-/** Unpacks validated columns. */
+/** Unpacks validated columns. Older senders don't shorten names; back ends are known by short ones all the same. */
 export function unpackConfig(packed: PackedConfig): ConfigPart {
-  const { version, base, idleMs, first, count, keys, names, lists, listOf, warmUps } = packed;
+  const { version, base, idleMs, first, count, keys, lists, listOf, warmUps } = packed;
+  const names = packed.names.map(boundedName);
   const targetLists = lists.map((list) => {
     const targets: WeightedTarget[] = [];
     for (let index = 0; index + 1 < list.length; index += 2) {
@@ -122,7 +124,7 @@
 
 function unpackWarmUps({ names, ms, perS }: PackedConfig['warmUps']): ServiceWarmUp[] {
   return names.map((service, row) => ({
-    service,
+    service: boundedName(service),
     warmUpMs: ms[row] ?? 0,
     coldRequestsPerS: perS[row] ?? 0,
   }));
--- a/src/registered/group/wire/omitted-entries.ts
+++ b/src/registered/group/wire/omitted-entries.ts
@@ -10,7 +10,6 @@
 import { ANSWER_STATS_ROWS } from '../../load-exchange/answer-stats.js';
 import { LOAD_ROWS, type RowShape } from '../../load-exchange/packed-rows.js';
 import { SUSPICION_ROWS } from '../../load-exchange/suspicion-rows.js';
-import { boundedName } from '../../registry/bounded-name.js';
 import {
   agedRecordSchema,
   balancerSchema,
@@ -105,13 +104,7 @@
   return {
     ...config,
     idleTimeoutMs: usableIdleTimeoutMs(idleTimeoutMs),
-    warmUps: validEntries(
-      warmUps.map((warmUp) => ({ ...warmUp, service: boundedName(warmUp.service) })),
-      warmUpSchema,
-      'slow start',
-      ({ service }) => service,
-      report,
-    ),
+    warmUps: validEntries(warmUps, warmUpSchema, 'slow start', ({ service }) => service, report),
     changes: changes.map((change) => withoutInvalidTargets(change, report)),
   };
 }
@@ -120,10 +113,6 @@
 function withoutInvalidTargets(change: RouteChange, report: ReportOmitted): RouteChange {
   const { host, port, targets, attributes } = change;
   const nameOfRoute = () => `${host}:${port}`;
-  const targetsByName = targets?.map(({ service, weight }) => ({
-    service: boundedName(service),
-    weight,
-  }));
   const [validAttributes] = validEntries(
     attributes === undefined ? [] : [attributes],
     routeAttributesSchema,
@@ -134,8 +123,7 @@
   return {
     host,
     port,
-    targets:
-      targetsByName && validEntries(targetsByName, targetSchema, 'target', nameOfRoute, report),
+    targets: targets && validEntries(targets, targetSchema, 'target', nameOfRoute, report),
     ...(validAttributes && { attributes: validAttributes }),
   };
 }
--- a/test/platform/acknowledged-config.test.ts
+++ b/test/platform/acknowledged-config.test.ts
@@ -132,6 +132,17 @@
       (version) =>
         documentOf(version, [{ name: 'alpha' }, { name: 'alpha' }], { service: 'alpha' }),
     ],
+    [
+      'negative times and rates',
+      ['alpha'],
+      (version) =>
+        documentOf(version, [{ name: 'alpha', warmupS: -1, coldPerS: -1 }], {
+          service: 'alpha',
+          timeoutMs: -1,
+          targetMs: -1,
+          priority: -1,
+        }),
+    ],
     [
       'fields that are null',
       ['alpha'],
--- a/test/registered/declared/parse-config.test.ts
+++ b/test/registered/declared/parse-config.test.ts
@@ -50,6 +50,7 @@
     ['routes.0.targets', configWithRoute({ targets: [] })],
     ['unknown service gamma', configWithRoute({ targets: [{ service: 'gamma' }] })],
     ['no valid timeout', configWithRoute({ timeoutMs: 0 })],
+    ['routes.0.timeoutMs', configWithRoute({ timeoutMs: -1 })],
     ['routes.0.priority', configWithRoute({ priority: 1.5 })],
     ['routes.0.latencyObjectiveMs', configWithRoute({ latencyObjectiveMs: 0 })],
     ['no valid weights', configWithRoute({ targets: [{ service: 'alpha', weight: 0 }] })],
--- a/test/registered/group/omitted-entries.test.ts
+++ b/test/registered/group/omitted-entries.test.ts
@@ -139,6 +139,22 @@
   t.equal(state.routes.config?.idleTimeoutMs, 15_000);
 });
 
+t.test('names of an older sender are those that back ends are known by', async (t) => {
+  const name = 'n'.repeat(150);
+  const targets = [{ service: name, weight: 1 }];
+  const changes = [{ host: '198.18.0.1', port: 443, targets }];
+  const warmUps = [{ service: name, warmUpMs: 1, coldRequestsPerS: 1 }];
+  const { received, kinds } = receive({
+    ...HEADER,
+    config: { ...CONFIG, warmUps, changes, changeCount: 1 },
+  });
+  t.match(received?.config, {
+    warmUps: [{ service: boundedName(name) }],
+    changes: [{ targets: [{ service: boundedName(name) }] }],
+  });
+  t.same(kinds, []);
+});
+
 t.test('a control machine takes the valid entries of another one', async (t) => {
   const omitted: OmittedEntry[] = [];
   const farAway = { host: LONG_HOST, port: 9_000 };
