Show that two lost disks at the first start lose the first configuration

Cause: the first membership is the three seeds, whatever may be lost at once, and configurations are acknowledged before the other control machines are voters. Two lost disks, as many as are allowed, then leave no quorum for good.

The stand-in of the deployment can start a machine again with an empty disk. No code of the product is changed.

--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -128,7 +128,7 @@
   const running = new Map();
   let isEnding = false;
 
-  const settingsOf = (role, host, index, isFirst) => ({
+  const settingsOf = (role, host, index, isFirst, disk) => ({
     nodeName: `${role}-${index + 1}`,
     role,
     machineClass: role === 'control' ? 'core' : 'front',
@@ -139,7 +139,7 @@
     seeds: controlHosts.slice(0, 3).map((seed) => `${seed}:${CONTROL_PORT}`),
     bootstrap: isFirst,
     countsAsLoss: role === 'control',
-    ...(role === 'control' && { dataDir: join(folder, `data-${host}`) }),
+    ...(role === 'control' && { dataDir: join(folder, `data-${host}-${disk}`) }),
     heartbeatMs: HEARTBEAT_MS,
     contracts: ['base', 'drain', 'config', 'cost', 'recover', 'flows'],
     config_mode: 'highest',
@@ -158,9 +158,10 @@
     bounds: BOUNDS,
   });
 
-  const start = (role, host, index, isFirst) => {
+  /** @param disk another name stands for another, empty disk */
+  const start = (role, host, index, isFirst, disk = 'first') => {
     const path = join(folder, `${role}-${host}.json`);
-    writeFileSync(path, JSON.stringify(settingsOf(role, host, index, isFirst)));
+    writeFileSync(path, JSON.stringify(settingsOf(role, host, index, isFirst, disk)));
     const log = openSync(join(folder, `${role}-${host}.log`), 'a');
     const [program, ...words] = commandOf(role);
     const { PATH, HOME, LANG } = process.env;
@@ -168,7 +169,9 @@
     const child = spawn(program, words, { cwd: ROOT, env, stdio: ['ignore', log, log] });
     running.set(host, child);
     child.on('exit', (code, signal) => {
-      running.delete(host);
+      if (running.get(host) === child) {
+        running.delete(host);
+      }
       if (!isEnding) {
         record(`process ${role} ${host} ended code=${code} signal=${signal}`);
       }
