--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,10 +1,9 @@
 /**
- * @file A route is moved to another service while the back end of the old one is full and an open waits there: the last copy
- * of that open is sent long after the new configuration was seen to work. With TROUBLE=0 the back end is not full.
+ * @file A route is moved to another service while the back end of the old one is full with the work of others and an open waits there: the last copy
+ * of that open is sent long after the new configuration was seen to work. With TROUBLE=0 the others send nothing.
  */
 import { dirname } from 'node:path';
 import process from 'node:process';
-import { setTimeout } from 'node:timers';
 import { fileURLToPath } from 'node:url';
 import { startBackend } from '../standins-2/backend.mjs';
 import { startClient } from '../standins-2/client.mjs';
@@ -22,7 +21,12 @@
 
 const ROUTE = '198.18.0.1';
 const OTHER = '198.18.0.2';
-const FULL_MS = 400;
+/** More than the 2 slots and 8 places in the queue of one back end, as in the site file. */
+const BUSY_FLOWS = 12;
+const WORK_MS = 100;
+const BUSY_MS = 400;
+/** A client waits before it sends again what was not run. */
+const REJECTED_PAUSE_MS = 10;
 /** From the acknowledgement on, until one of them has been taken by beta. */
 const PROBE_INTERVAL_MS = 20;
 const MAX_PROBES = 15;
@@ -75,13 +79,31 @@
 await usual.request('p-0');
 usual.finish();
 
+const others = await startClient({ record, host: `127.${net}.4.3` });
+const busyFlows = await Promise.all(
+  Array.from({ length: BUSY_FLOWS }, () =>
+    others.open({ route: ROUTE, port: 443, via, name: 'busy' }),
+  ),
+);
+if (busyFlows.some(({ outcome }) => outcome !== 'open')) {
+  record('not run: a flow of the others did not open');
+  process.exit(NOT_RUN);
+}
+if (hasTrouble) {
+  const untilMs = record.nowMs() + BUSY_MS;
+  busyFlows.forEach(async (one, index) => {
+    for (let turn = 0; record.nowMs() < untilMs; turn += 1) {
+      await one.request(`b-${index}-${turn}`, via, WORK_MS);
+      await sleep(one.answers.at(-1)?.includes('Not-Executed') ? REJECTED_PAUSE_MS : 0);
+    }
+  });
+  while (!alpha.isFull() && record.nowMs() < untilMs) {
+    await sleep(1);
+  }
+}
+
 // The client's attempt and the operator's change, at the same time.
-alpha.setFull(hasTrouble);
 const attempt = client.open({ route: ROUTE, port: 443, via, name: 'attempt' });
-setTimeout(() => {
-  alpha.setFull(false);
-  record(`${alpha.id} is not full any more`);
-}, FULL_MS);
 await sleep(10);
 const status = await system.order('/Config.Put', afterMove);
 record(`version 5, which moves the route to beta: ${status}`);
--- a/review/standins-2/backend.mjs
+++ b/review/standins-2/backend.mjs
@@ -1,6 +1,6 @@
 /**
  * @file A back end: sends heartbeats, takes flows, answers requests. It follows the users' pages: silent for packets that
- * name another back end and for opens while it is full, RST for packets of a flow that it does not hold.
+ * name another back end and for opens while it is full, that is, while its slots and its queue are taken, RST for packets of a flow that it does not hold.
  */
 import { createSocket } from 'node:dgram';
 import { once } from 'node:events';
@@ -17,7 +17,8 @@
   port,
   zone,
   controls,
-  capacity = 8,
+  capacity = 2,
+  queue = 8,
 }) {
   const idHex = id.slice(id.lastIndexOf('-') + 1).padStart(16, '0');
   const socket = createSocket('udp4');
@@ -27,7 +28,9 @@
   let nextNumber = 1_000;
   let sequence = 0;
   let state = 'ready';
-  let isFull = false;
+  /** Requests that wait for a slot. */
+  const waiting = [];
+  let busySlots = 0;
   let timer;
   let isRunning = true;
   let controlIndex = 0;
@@ -42,8 +45,54 @@
       to.src,
     );
 
+  const isFull = () => busySlots + waiting.length >= capacity + queue;
+
+  const reply = (packet, flow, text) => {
+    flow.answer = text;
+    flow.answerAt = flow.sent;
+    flow.sent += text.length;
+    send(packet, {
+      flags: ACK,
+      seq: flow.answerAt,
+      ack: flow.next,
+      echo: packet.echo,
+      data: text,
+    });
+  };
+
+  /** Begins the next request that waits, if a slot is free. */
+  const work = () => {
+    if (busySlots >= capacity || waiting.length === 0) {
+      return;
+    }
+    const { key, packet, flow, requestId, workMs } = waiting.shift();
+    busySlots += 1;
+    run.push({ key, requestId, atMs: record.nowMs() });
+    record(`${id} (${service}) runs request ${requestId} of ${key}`);
+    setTimeout(() => {
+      busySlots -= 1;
+      const head = `HTTP/1.1 200 OK\r\nBackend-Seal: ${id}\r\nRequest-Id: ${requestId}`;
+      reply(packet, flow, `${head}\r\nContent-Length: 2\r\n\r\nok`);
+      work();
+    }, workMs);
+  };
+
+  const onRequest = (key, packet, flow) => {
+    flow.next = (packet.seq + packet.data.length) >>> 0;
+    flow.answer = undefined;
+    const requestId = /Request-Id: (\S+)/.exec(packet.data)?.[1];
+    const workMs = Number(/Work-Ms: (\d+)/.exec(packet.data)?.[1] ?? 0);
+    if (isFull()) {
+      record(`${id} rejects request ${requestId} of ${key}: full`);
+      reply(packet, flow, 'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n');
+      return;
+    }
+    waiting.push({ key, packet, flow, requestId, workMs });
+    work();
+  };
+
   const onOpen = (key, packet) => {
-    if (isFull) {
+    if (isFull()) {
       record(`${id} is full: silent for open of ${key} copy=${packet.ack}`);
       return;
     }
@@ -81,21 +130,12 @@
       return;
     }
     if (packet.seq === flow.next) {
-      flow.next = (packet.seq + packet.data.length) >>> 0;
-      const requestId = /Request-Id: (\S+)/.exec(packet.data)?.[1];
-      run.push({ key, requestId, atMs: record.nowMs() });
-      record(`${id} (${service}) runs request ${requestId} of ${key}`);
-      flow.answer = `HTTP/1.1 200 OK\r\nBackend-Seal: ${id}\r\nRequest-Id: ${requestId}\r\nContent-Length: 2\r\n\r\nok`;
-      flow.answerAt = flow.sent;
-      flow.sent += flow.answer.length;
+      onRequest(key, packet, flow);
+      return;
     }
-    send(packet, {
-      flags: ACK,
-      seq: flow.answerAt,
-      ack: flow.next,
-      echo: packet.echo,
-      data: flow.answer,
-    });
+    const data = flow.answer ?? '';
+    const seq = flow.answer === undefined ? flow.sent : flow.answerAt;
+    send(packet, { flags: ACK, seq, ack: flow.next, echo: packet.echo, data });
   };
 
   socket.on('message', (datagram) => {
@@ -162,9 +202,7 @@
     flows,
     /** Resolves with true once the first heartbeat was acknowledged. */
     started,
-    setFull: (value) => {
-      isFull = value;
-    },
+    isFull,
     drain: async () => {
       state = 'draining';
       return heartbeat();
--- a/review/standins-2/client.mjs
+++ b/review/standins-2/client.mjs
@@ -81,8 +81,8 @@
     flows.set(sport, flow);
 
     /** Sends a request and waits for its answer. @returns true if it came */
-    flow.request = async (requestId, to = via) => {
-      const data = `POST /run HTTP/1.1\r\nHost: x\r\nRequest-Id: ${requestId}\r\nContent-Length: 2\r\n\r\nhi`;
+    flow.request = async (requestId, to = via, workMs = 0) => {
+      const data = `POST /run HTTP/1.1\r\nHost: x\r\nRequest-Id: ${requestId}\r\nWork-Ms: ${workMs}\r\nContent-Length: 2\r\n\r\nhi`;
       const seq = flow.next;
       flow.next += data.length;
       const answered = flow.answers.length;
--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -200,6 +200,7 @@
     for (let turn = 0; record.nowMs() < untilMs; turn += 1) {
       const host = controlHosts[turn % controlHosts.length];
       const { status } = await call('POST', host, CONTROL_PORT, path, text);
+      record(`operator sends ${path} version=${body?.version} to ${host}: ${status}`);
       if (status !== 0 && status < 500) {
         return status;
       }
