--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -23,7 +23,7 @@
 const OTHER = '198.18.0.2';
 /** More than the 2 slots and 8 places in the queue of one back end, as in the site file. */
 const BUSY_FLOWS = 12;
-const WORK_MS = 100;
+const WORK_MS = 90;
 const BUSY_MS = 400;
 /** A client waits before it sends again what was not run. */
 const REJECTED_PAUSE_MS = 10;
